Lay out the design, the shared records and the build

Every process needs the same result codes, log events, description format, settings and records, so they come first and without behaviour of their own. docs/design.md gives processes, state owners and failure behaviour; docs/protocols.md the public interfaces.

Conclusion: packages can now be written against these types independently.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+GO ?= go
+export CGO_ENABLED = 1
+BINARIES = sequoia-entry sequoia-agent sequoiactl standin-platform standin-upstream sequoia-load sequoia-demo sequoia-bench
+
+.PHONY: all build test lint unit process model demo bench tools clean
+
+all: build
+
+# build needs a C compiler because binaries are linked to the C library.
+build:
+	@mkdir -p bin
+	@for b in $(BINARIES); do if [ -d cmd/$$b ]; then $(GO) build -o bin/$$b ./cmd/$$b || exit 1; fi; done
+
+lint:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+unit:
+	$(GO) test -race -timeout 300s $$($(GO) list ./... | grep -v /test/)
+
+process: build
+	@if [ -d test ]; then $(GO) test -count=1 -p 1 -timeout 400s ./test/...; fi
+
+model: tools
+	@if [ -x spec/check.sh ]; then spec/check.sh; fi
+
+tools:
+	@command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
+
+test: tools lint build unit model process
+	@if [ -f KNOWN-RED.txt ]; then echo "Known failing tests:"; cat KNOWN-RED.txt; fi
+
+demo: build
+	./bin/sequoia-demo
+
+bench: build
+	./bin/sequoia-bench
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/pkg/description/description.go
@@ -0,0 +1,202 @@
+// Package description defines the document by which operators describe where
+// the traffic of each service may go.
+//
+// A description names regions with their failure domains, links with their
+// capacity, and for each service the share of every region and failure domain
+// and the caps on how fast those shares may change. It is immutable once
+// parsed; a patch yields a new description that is valid as a whole or is
+// refused as a whole.
+package description
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// MaxBytes bounds a description and a patch.
+const MaxBytes = 1 << 20
+
+// Description is one version of the operators' document.
+type Description struct {
+	Regions  map[string]Region  `json:"regions"`
+	Links    []Link             `json:"links,omitempty"`
+	Lookup   Lookup             `json:"lookup"`
+	Services map[string]Service `json:"services"`
+	// DrainedUpstreams and DrainedInstances hold ids that get no new work.
+	DrainedUpstreams []string `json:"drained_upstreams,omitempty"`
+	DrainedInstances []string `json:"drained_instances,omitempty"`
+}
+
+// Region is a region and its failure domains.
+type Region struct {
+	Domains []string `json:"domains"`
+}
+
+// Link is the capacity between two regions, each way.
+type Link struct {
+	Between       [2]string `json:"between"`
+	MbitPerSecond float64   `json:"mbit_per_second"`
+}
+
+// Lookup holds the settings of look-up answers.
+type Lookup struct {
+	// TTLMS is how long callers may cache an answer, in milliseconds.
+	TTLMS int `json:"ttl_ms"`
+	// Blocks maps client blocks in CIDR notation to their nearest region.
+	Blocks map[string]string `json:"blocks,omitempty"`
+}
+
+// TTL returns how long callers may cache an answer.
+func (l Lookup) TTL() time.Duration { return time.Duration(l.TTLMS) * time.Millisecond }
+
+// Service describes where the traffic of one service may go.
+type Service struct {
+	Regions map[string]Placement `json:"regions"`
+	Caps    Caps                 `json:"caps"`
+	// MaxRequestMS is the longest deadline of a request, in milliseconds.
+	MaxRequestMS int `json:"max_request_ms"`
+	// IdempotentMethods are the HTTP methods that are idempotent unless a
+	// request says otherwise.
+	IdempotentMethods []string `json:"idempotent_methods,omitempty"`
+}
+
+// Placement is the part of a service's traffic that a region may take.
+type Placement struct {
+	// Share is the region's part of the service's traffic, 0 to 1.
+	Share float64 `json:"share"`
+	// MaxConcurrent limits requests running in the region; 0 means the slots
+	// of its upstreams alone limit it.
+	MaxConcurrent int `json:"max_concurrent,omitempty"`
+	// Domains holds each failure domain's part of the region's share.
+	Domains map[string]float64 `json:"domains"`
+}
+
+// Caps limits how fast shares may change, in share points per second: 0.02
+// moves at most two percent of the service's traffic per second.
+type Caps struct {
+	// RegionSharePerSecond 0 means no cap.
+	RegionSharePerSecond float64 `json:"region_share_per_second"`
+	// DomainSharePerSecond 0 means no cap of its own; the region cap still
+	// applies to the sum over a region's failure domains.
+	DomainSharePerSecond float64 `json:"domain_share_per_second"`
+	// FailoverSharePerSecond replaces RegionSharePerSecond while traffic
+	// moves away from an unreachable failure domain; 0 keeps it.
+	FailoverSharePerSecond float64 `json:"failover_share_per_second"`
+}
+
+// MaxRequest returns the longest deadline of a request to the service.
+func (s Service) MaxRequest() time.Duration {
+	return time.Duration(s.MaxRequestMS) * time.Millisecond
+}
+
+// DomainShares returns the share of each failure domain in the service's
+// traffic; the shares sum to 1.
+func (s Service) DomainShares() map[string]float64 {
+	shares := make(map[string]float64)
+	for _, placement := range s.Regions {
+		for domain, part := range placement.Domains {
+			shares[domain] += placement.Share * part
+		}
+	}
+	return shares
+}
+
+// DomainLimit returns how many requests of the service may run in a failure
+// domain: the region's limit split by domain share, rounded down but at least
+// 1 where the domain has a share. 0 means no limit.
+func (s Service) DomainLimit(region, domain string) int {
+	placement := s.Regions[region]
+	if placement.MaxConcurrent == 0 {
+		return 0
+	}
+	limit := int(float64(placement.MaxConcurrent) * placement.Domains[domain])
+	return max(limit, 1)
+}
+
+// Idempotent tells whether a method is idempotent by the service's default.
+func (s Service) Idempotent(method string) bool {
+	for _, m := range s.IdempotentMethods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+// RegionOf returns the region of a failure domain, or "".
+func (d *Description) RegionOf(domain string) string {
+	for name, region := range d.Regions {
+		for _, dom := range region.Domains {
+			if dom == domain {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+// Drained tells whether an upstream id is in DrainedUpstreams.
+func (d *Description) Drained(upstream string) bool {
+	return contains(d.DrainedUpstreams, upstream)
+}
+
+// InstanceDrained tells whether an instance id is in DrainedInstances.
+func (d *Description) InstanceDrained(instance string) bool {
+	return contains(d.DrainedInstances, instance)
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Parse decodes and validates a description.
+func Parse(body []byte) (*Description, error) {
+	if len(body) > MaxBytes {
+		return nil, result.New(result.DescriptionTooLarge, "%d bytes exceed %d", len(body), MaxBytes)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	var d Description
+	if err := decoder.Decode(&d); err != nil {
+		return nil, result.New(result.DescriptionInvalid, "%v", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, result.New(result.DescriptionInvalid, "data follows the document")
+	}
+	if err := d.Validate(); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+// Encode returns the canonical JSON of the description: keys are sorted, so
+// that equal descriptions have equal hashes.
+func (d *Description) Encode() ([]byte, error) { return json.Marshal(d) }
+
+// Hash returns the SHA-256 of body in hexadecimal.
+func Hash(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// sortedKeys returns the keys of m in order, so that errors and diffs repeat.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/pkg/description/description_test.go
@@ -0,0 +1,88 @@
+package description
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+const sample = `{"regions":{"north":{"domains":["north-a","north-b"]},"south":{"domains":["south-a"]}},
+"links":[{"between":["north","south"],"mbit_per_second":280}],"lookup":{"ttl_ms":5000},
+"services":{"shop":{"regions":{
+ "north":{"share":0.6,"max_concurrent":40,"domains":{"north-a":0.5,"north-b":0.5}},
+ "south":{"share":0.4,"domains":{"south-a":1}}},
+ "caps":{"region_share_per_second":0.02,"domain_share_per_second":0,"failover_share_per_second":0},
+ "max_request_ms":10000,"idempotent_methods":["GET"]}}}`
+
+// Guards against shares that do not add up over regions and failure domains.
+func TestDomainShares(t *testing.T) {
+	d, err := Parse([]byte(sample))
+	require.NoError(t, err)
+	shares := d.Services["shop"].DomainShares()
+	require.InDelta(t, 0.3, shares["north-a"], 1e-9)
+	require.InDelta(t, 0.4, shares["south-a"], 1e-9)
+	require.Equal(t, 20, d.Services["shop"].DomainLimit("north", "north-b"))
+	require.Equal(t, 0, d.Services["shop"].DomainLimit("south", "south-a"))
+	require.Equal(t, "south", d.RegionOf("south-a"))
+}
+
+// Guards against a report that stops at the first error.
+func TestValidateReportsAllErrors(t *testing.T) {
+	_, _, err := Apply([]byte(sample), MergePatch, []byte(`{"lookup":{"ttl_ms":0},
+	 "services":{"shop":{"max_request_ms":-1,"regions":{"north":{"share":0.9},"west":{"share":0,"domains":{"north-a":1}}}}}}`))
+	require.Equal(t, result.DescriptionInvalid, result.CodeOf(err))
+	for _, part := range []string{"lookup.ttl_ms", "shares sum to 1.3", "regions.west: unknown region", "max_request_ms"} {
+		require.Contains(t, err.Error(), part)
+	}
+}
+
+// Guards against a patch that is applied in part when one of its operations fails.
+func TestJSONPatchIsAllOrNothing(t *testing.T) {
+	_, _, err := Apply([]byte(sample), JSONPatch, []byte(`[
+	 {"op":"replace","path":"/lookup/ttl_ms","value":1000},
+	 {"op":"test","path":"/lookup/ttl_ms","value":2000}]`))
+	require.Equal(t, result.PatchMalformed, result.CodeOf(err))
+}
+
+// Guards against unknown keys, which are most often misspelled ones.
+func TestUnknownKeyIsRefused(t *testing.T) {
+	_, _, err := Apply([]byte(sample), MergePatch, []byte(`{"servces":{}}`))
+	require.Equal(t, result.DescriptionInvalid, result.CodeOf(err))
+}
+
+// Guards against a diff that misses or invents a change.
+func TestDiff(t *testing.T) {
+	_, after, err := Apply([]byte(sample), MergePatch, []byte(`{"lookup":{"ttl_ms":700}}`))
+	require.NoError(t, err)
+	_, before, err := Apply([]byte(sample), MergePatch, []byte(`{}`))
+	require.NoError(t, err)
+	lines, err := Diff(before, after)
+	require.NoError(t, err)
+	require.Equal(t, []string{"/lookup/ttl_ms: 5000 -> 700"}, lines)
+}
+
+// Guards against panics and invalid descriptions from arbitrary patches.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"lookup":{"ttl_ms":700}}`), true)
+	f.Add([]byte(`[{"op":"remove","path":"/services"}]`), false)
+	f.Add([]byte(`{"services":{"shop":{"regions":null}}}`), true)
+	f.Add([]byte(`[{"op":"add","path":"/links/-","value":{}}]`), false)
+	f.Fuzz(func(t *testing.T, patch []byte, merge bool) {
+		kind := JSONPatch
+		if merge {
+			kind = MergePatch
+		}
+		d, body, err := Apply([]byte(sample), kind, patch)
+		if err != nil {
+			return
+		}
+		require.True(t, json.Valid(body))
+		require.NoError(t, d.Validate())
+		_, again, err := Apply(body, MergePatch, []byte(`{}`))
+		require.NoError(t, err)
+		require.Equal(t, string(body), string(again), "encoding must be canonical")
+	})
+}
--- /dev/null
+++ b/pkg/description/diff.go
@@ -0,0 +1,64 @@
+package description
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+)
+
+// Diff returns one line per changed value between two description bodies, as
+// "path: old -> new" in path order.
+func Diff(before, after []byte) ([]string, error) {
+	old, err := flatten(before)
+	if err != nil {
+		return nil, err
+	}
+	changed, err := flatten(after)
+	if err != nil {
+		return nil, err
+	}
+	var lines []string
+	for path, value := range old {
+		if now, ok := changed[path]; !ok {
+			lines = append(lines, fmt.Sprintf("%s: %s -> (removed)", path, value))
+		} else if now != value {
+			lines = append(lines, fmt.Sprintf("%s: %s -> %s", path, value, now))
+		}
+	}
+	for path, value := range changed {
+		if _, ok := old[path]; !ok {
+			lines = append(lines, fmt.Sprintf("%s: (added) -> %s", path, value))
+		}
+	}
+	sort.Strings(lines)
+	return lines, nil
+}
+
+func flatten(body []byte) (map[string]string, error) {
+	var value any
+	if len(body) > 0 {
+		if err := json.Unmarshal(body, &value); err != nil {
+			return nil, err
+		}
+	}
+	leaves := make(map[string]string)
+	flattenInto(leaves, "", value)
+	return leaves, nil
+}
+
+func flattenInto(leaves map[string]string, path string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		for key, child := range v {
+			flattenInto(leaves, path+"/"+key, child)
+		}
+	case []any:
+		for i, child := range v {
+			flattenInto(leaves, fmt.Sprintf("%s/%d", path, i), child)
+		}
+	case nil:
+	default:
+		encoded, _ := json.Marshal(v)
+		leaves[path] = string(encoded)
+	}
+}
--- /dev/null
+++ b/pkg/description/patch.go
@@ -0,0 +1,53 @@
+package description
+
+import (
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// PatchKind names the format of a patch.
+type PatchKind string
+
+// The two patch formats.
+const (
+	// MergePatch is RFC 7386.
+	MergePatch PatchKind = "merge"
+	// JSONPatch is RFC 6902.
+	JSONPatch PatchKind = "json"
+)
+
+// Apply returns the validated description that patch makes of body, with its
+// canonical encoding.
+func Apply(body []byte, kind PatchKind, patch []byte) (*Description, []byte, error) {
+	if len(patch) > MaxBytes {
+		return nil, nil, result.New(result.DescriptionTooLarge, "patch of %d bytes exceeds %d", len(patch), MaxBytes)
+	}
+	patched, err := applyPatch(body, kind, patch)
+	if err != nil {
+		return nil, nil, result.New(result.PatchMalformed, "%v", err)
+	}
+	d, err := Parse(patched)
+	if err != nil {
+		return nil, nil, err
+	}
+	canonical, err := d.Encode()
+	if err != nil {
+		return nil, nil, result.New(result.Internal, "encoding: %v", err)
+	}
+	return d, canonical, nil
+}
+
+func applyPatch(body []byte, kind PatchKind, patch []byte) ([]byte, error) {
+	if kind == MergePatch {
+		return jsonpatch.MergePatch(body, patch)
+	}
+	if kind != JSONPatch {
+		return nil, result.New(result.PatchMalformed, "unknown patch kind %q", kind)
+	}
+	decoded, err := jsonpatch.DecodePatch(patch)
+	if err != nil {
+		return nil, err
+	}
+	return decoded.Apply(body)
+}
--- /dev/null
+++ b/pkg/event/event.go
@@ -0,0 +1,53 @@
+// Package event defines the numbered log events of all processes.
+//
+// Every log line of the system carries an event number in the attribute
+// "event", so that alarms can match on numbers instead of texts.
+// docs/events.md lists all events.
+package event
+
+import (
+	"context"
+	"io"
+	"log/slog"
+)
+
+// ID is the number of a log event.
+type ID uint16
+
+// Info describes a log event.
+type Info struct {
+	ID    ID
+	Level slog.Level
+	Text  string
+	// Action tells an operator what to do when the event appears.
+	Action string
+}
+
+var byID = func() map[ID]Info {
+	m := make(map[ID]Info, len(catalogue))
+	for _, info := range catalogue {
+		m[info.ID] = info
+	}
+	return m
+}()
+
+// Catalogue returns all events in ascending order.
+func Catalogue() []Info { return append([]Info(nil), catalogue...) }
+
+// Log writes the event with its catalogued level and text.
+func Log(logger *slog.Logger, id ID, args ...any) {
+	info, ok := byID[id]
+	if !ok {
+		info = Info{Level: slog.LevelError, Text: "unlisted event"}
+	}
+	logger.With("event", uint16(id)).Log(context.Background(), info.Level, info.Text, args...)
+}
+
+// NewLogger returns a JSON logger for one process.
+func NewLogger(w io.Writer, level slog.Level, process, instance string) *slog.Logger {
+	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
+	return slog.New(handler).With("process", process, "instance", instance)
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
--- /dev/null
+++ b/pkg/event/events.go
@@ -0,0 +1,83 @@
+package event
+
+import "log/slog"
+
+// Log events. The ranges are: 100 process, 200 configuration, 300 membership,
+// 400 request path, 500 admission and upstreams, 600 platform, 700 operators.
+const (
+	ProcessStarted  ID = 100
+	ProcessStopping ID = 101
+	ProcessStopped  ID = 102
+	SettingsInvalid ID = 103
+	ListenerFailed  ID = 104
+
+	VersionInForce    ID = 200
+	VersionPushFailed ID = 201
+	PatchAccepted     ID = 202
+	PatchRefused      ID = 203
+	PatchUnknown      ID = 204
+
+	MemberJoined  ID = 300
+	MemberSuspect ID = 301
+	MemberDead    ID = 302
+	MemberLeaving ID = 303
+
+	EntryDetached     ID = 400
+	EntryAttached     ID = 401
+	EntryResumed      ID = 402
+	PeerReplaced      ID = 403
+	DomainUnreachable ID = 404
+
+	PoolAcquired       ID = 500
+	PoolReleased       ID = 501
+	UpstreamEjected    ID = 502
+	UpstreamReturned   ID = 503
+	UpstreamLeaving    ID = 504
+	ConnectionsRetired ID = 505
+
+	StoreDown ID = 600
+	StoreUp   ID = 601
+	LeaseHeld ID = 602
+	LeaseLost ID = 603
+
+	OperatorRefused ID = 700
+)
+
+var catalogue = []Info{
+	{ProcessStarted, slog.LevelInfo, "process started", "None."},
+	{ProcessStopping, slog.LevelInfo, "process stopping", "None; the process finishes its work first."},
+	{ProcessStopped, slog.LevelInfo, "process stopped", "None."},
+	{SettingsInvalid, slog.LevelError, "settings invalid", "Correct the listed keys and start again."},
+	{ListenerFailed, slog.LevelError, "listener failed", "Check the address and whether another process uses it."},
+
+	{VersionInForce, slog.LevelInfo, "configuration version in force", "None."},
+	{VersionPushFailed, slog.LevelWarn, "configuration push failed", "None if rare: heartbeats and polls repair it. Check the peer if it repeats."},
+	{PatchAccepted, slog.LevelInfo, "patch accepted", "None."},
+	{PatchRefused, slog.LevelInfo, "patch refused", "The operator corrects or rebases the patch."},
+	{PatchUnknown, slog.LevelWarn, "patch outcome unknown", "Repeat the patch with the same patch id once the store answers."},
+
+	{MemberJoined, slog.LevelInfo, "member joined", "None."},
+	{MemberSuspect, slog.LevelInfo, "member suspect", "None."},
+	{MemberDead, slog.LevelWarn, "member dead", "Check the instance if it was not replaced on purpose."},
+	{MemberLeaving, slog.LevelInfo, "member leaving", "None."},
+
+	{EntryDetached, slog.LevelWarn, "entry detached from its agent", "Restart the agent of this instance."},
+	{EntryAttached, slog.LevelInfo, "entry attached to its agent", "None."},
+	{EntryResumed, slog.LevelWarn, "entry resumed after a pause", "Check why the instance was paused."},
+	{PeerReplaced, slog.LevelWarn, "silent peer connection replaced", "Check the path between the instances if it repeats."},
+	{DomainUnreachable, slog.LevelWarn, "failure domain unreachable", "Check the failure domain and its links."},
+
+	{PoolAcquired, slog.LevelInfo, "pool acquired", "None."},
+	{PoolReleased, slog.LevelInfo, "pool released", "None."},
+	{UpstreamEjected, slog.LevelWarn, "upstream ejected", "Check the upstream."},
+	{UpstreamReturned, slog.LevelInfo, "upstream returned", "None."},
+	{UpstreamLeaving, slog.LevelInfo, "upstream leaving", "None."},
+	{ConnectionsRetired, slog.LevelWarn, "connections to an upstream retired as silent", "Check the path to the upstream if it repeats."},
+
+	{StoreDown, slog.LevelWarn, "platform store unavailable", "Check the platform; requests are still served."},
+	{StoreUp, slog.LevelInfo, "platform store available", "None."},
+	{LeaseHeld, slog.LevelInfo, "lease held", "None."},
+	{LeaseLost, slog.LevelInfo, "lease lost", "None."},
+
+	{OperatorRefused, slog.LevelWarn, "operator request refused", "Check the operator's token and rate."},
+}
--- /dev/null
+++ b/pkg/peer/forward.go
@@ -0,0 +1,14 @@
+package peer
+
+import "github.com/sequoiacove/sequoiacove/pkg/request"
+
+// ForwardRequest carries a request to another entry instance.
+type ForwardRequest struct {
+	Request request.Request `cbor:"r"`
+	// Domain is the failure domain that the sender chose.
+	Domain string `cbor:"d"`
+	// RemainingMS is the time to the deadline when the message was sent.
+	RemainingMS int64 `cbor:"ms"`
+	// Hops counts forwards, so that disagreement about owners cannot loop.
+	Hops uint8 `cbor:"h"`
+}
--- /dev/null
+++ b/pkg/peer/peer.go
@@ -0,0 +1,59 @@
+// Package peer carries messages between the processes of the system over QUIC
+// with mutual TLS.
+//
+// Each call uses a stream of its own: a message type, a length and a CBOR body
+// in each direction. A connection whose peer answers no application ping in
+// time is replaced, because a path can stop delivering packets for one
+// connection while new connections work.
+package peer
+
+import (
+	"context"
+)
+
+// MessageType tells the receiver how to decode a message.
+type MessageType uint8
+
+// Message types. The request and reply types stand behind each.
+const (
+	// Ping: empty, answered empty. The transport handles it.
+	Ping MessageType = 1
+	// PushSnapshot: agent to entry, cluster.Snapshot -> cluster.EntryReport.
+	PushSnapshot MessageType = 2
+	// Forward: entry to entry, ForwardRequest -> request.Reply.
+	Forward MessageType = 3
+	// SyncMembers: agent to agent, membership.Sync -> membership.Sync.
+	SyncMembers MessageType = 4
+	// PushVersion: agent to agent, configsync.Push -> configsync.Ack.
+	PushVersion MessageType = 5
+	// FetchVersion: agent to agent, configsync.Fetch -> cluster.Version.
+	FetchVersion MessageType = 6
+	// Explain: agent to entry, entry.ExplainRequest -> entry.Explanation.
+	Explain MessageType = 7
+	// Submit: entry to the entry that issued the request identifier,
+	// ForwardRequest -> request.Reply.
+	Submit MessageType = 8
+	// Control: agent to entry, entry.ControlRequest -> entry.ControlReply.
+	Control MessageType = 9
+	// DumpState: agent to entry, empty -> JSON bytes.
+	DumpState MessageType = 10
+)
+
+// Limits of one message and one connection.
+const (
+	MaxMessageBytes      = 24 << 20
+	MaxStreamsPerConn    = 2000
+	MaxConnections       = 1024
+	AuthenticatedSANName = "sequoia-peer"
+)
+
+// Handler answers one message. The context ends when the sender cancels the
+// call or the connection is lost.
+type Handler func(ctx context.Context, body []byte) (reply any, err error)
+
+// Caller sends one message and decodes the answer into reply. Its errors carry
+// result codes: PeerUnreachable when nothing was sent, PeerNoAnswer when the
+// message may have arrived, or the code the receiver answered with.
+type Caller interface {
+	Call(ctx context.Context, addr string, typ MessageType, msg, reply any) error
+}
--- /dev/null
+++ b/pkg/result/result.go
@@ -0,0 +1,113 @@
+// Package result defines the numbered result codes that every part of the
+// system uses towards callers, operators and peers.
+//
+// A code belongs to one of three outcomes. Complete means that the whole answer
+// is present. NotRun means that no upstream executed the request, so repeating
+// it is safe. Unknown means that an upstream may have executed it.
+package result
+
+import (
+	"fmt"
+
+	"github.com/juju/errors"
+)
+
+// Outcome tells what is known about the execution of a request.
+type Outcome uint8
+
+// The three outcomes of a request.
+const (
+	Complete Outcome = iota + 1
+	NotRun
+	Unknown
+)
+
+// String returns the outcome as it appears on the wire.
+func (o Outcome) String() string {
+	switch o {
+	case Complete:
+		return "complete"
+	case NotRun:
+		return "not_run"
+	default:
+		return "unknown"
+	}
+}
+
+// Code is a numbered result code; docs/result-codes.md lists all of them.
+type Code uint16
+
+// Info describes a result code.
+type Info struct {
+	Code    Code
+	Name    string
+	Outcome Outcome
+	// HTTPStatus is the status that the HTTP interfaces use for the code.
+	HTTPStatus int
+	// Text explains the code and what the receiver can do.
+	Text string
+}
+
+// Error is an error that carries a result code.
+type Error struct {
+	Code   Code
+	Detail string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%d %s: %s", e.Code, Lookup(e.Code).Name, e.Detail)
+}
+
+// New returns an error with a result code and a formatted detail.
+func New(code Code, format string, args ...any) error {
+	return errors.Trace(&Error{Code: code, Detail: fmt.Sprintf(format, args...)})
+}
+
+// CodeOf returns the result code of err: OK for nil, Internal when err carries
+// no code.
+func CodeOf(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return Internal
+}
+
+// Detail returns the detail text of err without its stack and code.
+func Detail(err error) string {
+	if err == nil {
+		return ""
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Detail
+	}
+	return err.Error()
+}
+
+// OutcomeOf returns the outcome that err stands for.
+func OutcomeOf(err error) Outcome { return Lookup(CodeOf(err)).Outcome }
+
+var byCode = func() map[Code]Info {
+	m := make(map[Code]Info, len(catalogue))
+	for _, info := range catalogue {
+		m[info.Code] = info
+	}
+	return m
+}()
+
+// Lookup returns the description of a code; an unlisted code is described as
+// Internal with an unknown outcome.
+func Lookup(code Code) Info {
+	if info, ok := byCode[code]; ok {
+		return info
+	}
+	return byCode[Internal]
+}
+
+// Catalogue returns all result codes in ascending order.
+func Catalogue() []Info { return append([]Info(nil), catalogue...) }
--- /dev/null
+++ b/pkg/result/result_test.go
@@ -0,0 +1,66 @@
+package result
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "rewrite docs/result-codes.md")
+
+const page = "../../docs/result-codes.md"
+
+// Guards against a code that is in the source but not in the docs, or the reverse.
+func TestPageListsEveryCode(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Result codes\n\nGenerated from `pkg/result/codes.go` by `go test ./pkg/result -update`.\n\n")
+	b.WriteString("| code | name | outcome | HTTP status | meaning |\n|---|---|---|---|---|\n")
+	for _, i := range Catalogue() {
+		fmt.Fprintf(&b, "| %d | `%s` | `%s` | %d | %s |\n", i.Code, i.Name, i.Outcome, i.HTTPStatus, i.Text)
+	}
+	if *update {
+		require.NoError(t, os.WriteFile(page, []byte(b.String()), 0o644))
+	}
+	got, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Equal(t, b.String(), string(got), "run go test ./pkg/result -update")
+}
+
+// Guards against two entries for one code or name, and codes out of order.
+func TestCatalogueIsOrderedAndUnique(t *testing.T) {
+	names := make(map[string]bool)
+	last := Code(0)
+	for _, i := range Catalogue() {
+		require.Greater(t, i.Code, last, "code %d", i.Code)
+		require.False(t, names[i.Name], "name %s", i.Name)
+		names[i.Name] = true
+		last = i.Code
+	}
+}
+
+// Guards against a constant that has no catalogue entry.
+func TestEveryConstantIsCatalogued(t *testing.T) {
+	source, err := os.ReadFile("codes.go")
+	require.NoError(t, err)
+	constants := 0
+	for _, line := range strings.Split(string(source), "\n") {
+		if strings.Contains(line, " Code = ") {
+			constants++
+		}
+	}
+	require.Equal(t, len(Catalogue())-1, constants-1)
+}
+
+// Guards against a wrapped error losing its code.
+func TestCodeSurvivesWrapping(t *testing.T) {
+	err := errors.Annotate(New(QueueFull, "pool %s", "a"), "forwarding")
+	require.Equal(t, QueueFull, CodeOf(err))
+	require.Equal(t, NotRun, OutcomeOf(err))
+	require.Equal(t, "pool a", Detail(err))
+	require.Equal(t, Unknown, OutcomeOf(errors.New("plain")), "an uncoded error must not claim that nothing ran")
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,199 @@
+// Package settings reads the INI files that give a process its start-up
+// settings: addresses, failure domain, keys and limits.
+//
+// A process fills a struct through a Reader. The Reader collects every error
+// with its section and key, so that an operator sees all of them at once, and
+// it reports keys that nothing has read.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// Reader reads typed keys from an INI file and collects all errors.
+type Reader struct {
+	file   *ini.File
+	used   map[string]bool
+	errors []string
+}
+
+// Load opens an INI file.
+func Load(path string) (*Reader, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: false, IgnoreInlineComment: true}, path)
+	if err != nil {
+		return nil, result.New(result.SettingsInvalid, "%v", err)
+	}
+	return newReader(file), nil
+}
+
+// Parse reads INI text.
+func Parse(text []byte) (*Reader, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, text)
+	if err != nil {
+		return nil, result.New(result.SettingsInvalid, "%v", err)
+	}
+	return newReader(file), nil
+}
+
+func newReader(file *ini.File) *Reader {
+	return &Reader{file: file, used: make(map[string]bool)}
+}
+
+// Fail records an error for a key.
+func (r *Reader) Fail(section, key, format string, args ...any) {
+	r.errors = append(r.errors, fmt.Sprintf("[%s] %s: %s", section, key, fmt.Sprintf(format, args...)))
+}
+
+func (r *Reader) raw(section, key string) (string, bool) {
+	r.used[section+"\x00"+key] = true
+	s, err := r.file.GetSection(section)
+	if err != nil || !s.HasKey(key) {
+		return "", false
+	}
+	return strings.TrimSpace(s.Key(key).String()), true
+}
+
+// String returns a required value.
+func (r *Reader) String(section, key string) string {
+	v, ok := r.raw(section, key)
+	if !ok || v == "" {
+		r.Fail(section, key, "required")
+	}
+	return v
+}
+
+// StringOr returns a value or its default.
+func (r *Reader) StringOr(section, key, fallback string) string {
+	if v, ok := r.raw(section, key); ok {
+		return v
+	}
+	return fallback
+}
+
+// OneOf returns a value that must be among choices; the first is the default.
+func (r *Reader) OneOf(section, key string, choices ...string) string {
+	v := r.StringOr(section, key, choices[0])
+	for _, c := range choices {
+		if v == c {
+			return v
+		}
+	}
+	r.Fail(section, key, "%q is not one of %s", v, strings.Join(choices, ", "))
+	return choices[0]
+}
+
+// Address returns a required IP address and port; port 0 lets the system choose.
+func (r *Reader) Address(section, key string) string {
+	v := r.String(section, key)
+	if v == "" {
+		return v
+	}
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		r.Fail(section, key, "%q is not an IP address and port", v)
+	}
+	return v
+}
+
+// AddressOr returns an IP address and port or its default, which may be empty.
+func (r *Reader) AddressOr(section, key, fallback string) string {
+	if _, ok := r.raw(section, key); !ok {
+		return fallback
+	}
+	return r.Address(section, key)
+}
+
+// Addresses returns a comma-separated list of addresses, which may be empty.
+func (r *Reader) Addresses(section, key string) []string {
+	v := r.StringOr(section, key, "")
+	var list []string
+	for _, part := range strings.Split(v, ",") {
+		part = strings.TrimSpace(part)
+		if part == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(part); err != nil {
+			r.Fail(section, key, "%q is not an IP address and port", part)
+		}
+		list = append(list, part)
+	}
+	return list
+}
+
+// Int returns a whole number within a range or its default.
+func (r *Reader) Int(section, key string, fallback, low, high int) int {
+	if _, ok := r.raw(section, key); !ok {
+		return fallback
+	}
+	v, err := r.file.Section(section).Key(key).Int()
+	if err != nil || v < low || v > high {
+		r.Fail(section, key, "must be a whole number from %d to %d", low, high)
+		return fallback
+	}
+	return v
+}
+
+// Float returns a number within a range or its default.
+func (r *Reader) Float(section, key string, fallback, low, high float64) float64 {
+	if _, ok := r.raw(section, key); !ok {
+		return fallback
+	}
+	v, err := r.file.Section(section).Key(key).Float64()
+	if err != nil || !(v >= low && v <= high) {
+		r.Fail(section, key, "must be a number from %g to %g", low, high)
+		return fallback
+	}
+	return v
+}
+
+// Duration returns a duration such as "250ms" within a range or its default.
+func (r *Reader) Duration(section, key string, fallback, low, high time.Duration) time.Duration {
+	raw, ok := r.raw(section, key)
+	if !ok {
+		return fallback
+	}
+	v, err := time.ParseDuration(raw)
+	if err != nil || v < low || v > high {
+		r.Fail(section, key, "must be a duration from %v to %v", low, high)
+		return fallback
+	}
+	return v
+}
+
+// Section returns all keys and values of a section and marks them as read.
+func (r *Reader) Section(section string) map[string]string {
+	values := make(map[string]string)
+	s, err := r.file.GetSection(section)
+	if err != nil {
+		return values
+	}
+	for _, key := range s.Keys() {
+		values[key.Name()] = strings.TrimSpace(key.String())
+		r.used[section+"\x00"+key.Name()] = true
+	}
+	return values
+}
+
+// Err returns all collected errors, including keys that nothing has read.
+func (r *Reader) Err() error {
+	all := append([]string(nil), r.errors...)
+	for _, s := range r.file.Sections() {
+		for _, key := range s.Keys() {
+			if !r.used[s.Name()+"\x00"+key.Name()] {
+				all = append(all, fmt.Sprintf("[%s] %s: unknown key", s.Name(), key.Name()))
+			}
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	sort.Strings(all)
+	return result.New(result.SettingsInvalid, "%s", strings.Join(all, "; "))
+}
