--- /dev/null
+++ b/pkg/linkbudget/linkbudget.go
@@ -0,0 +1,151 @@
+// Package linkbudget keeps the bytes that an instance sends to other regions
+// within its part of the links between them.
+//
+// Every instance charges only what it sends: request bytes by the instance that
+// forwards a request, response bytes by the instance that answers. The part of
+// an instance is the link rate divided by the live entry instances of its
+// region, so the sum over the region stays within the link rate.
+package linkbudget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+)
+
+const (
+	bytesPerMegabit = 125_000
+	// burst is the time for which unused rate accumulates. Longer bursts of
+	// all instances of a region together would fill the link's queues.
+	burst = 100 * time.Millisecond
+)
+
+// Budgets holds the token buckets from one region to all others.
+type Budgets struct {
+	mu      sync.Mutex
+	region  string
+	buckets map[string]*bucket
+}
+
+// bucket is in debt while tokens is negative: a message may exceed the burst,
+// and the size of a response is known only after the request ran.
+type bucket struct {
+	rate   float64
+	tokens float64
+	last   time.Time
+	sent   uint64
+	denied uint64
+}
+
+// New returns budgets for sending from region.
+func New(region string) *Budgets {
+	return &Budgets{region: region, buckets: make(map[string]*bucket)}
+}
+
+// Update puts the links and the number of live instances of the own region
+// into force. Buckets keep their debt.
+func (b *Budgets) Update(links []description.Link, instances int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	seen := make(map[string]bool)
+	for _, link := range links {
+		other, ok := otherEnd(link, b.region)
+		if !ok {
+			continue
+		}
+		seen[other] = true
+		b.setRate(other, link.MbitPerSecond*bytesPerMegabit/float64(max(instances, 1)), now)
+	}
+	for other := range b.buckets {
+		if !seen[other] {
+			delete(b.buckets, other)
+		}
+	}
+}
+
+func otherEnd(link description.Link, region string) (string, bool) {
+	switch region {
+	case link.Between[0]:
+		return link.Between[1], true
+	case link.Between[1]:
+		return link.Between[0], true
+	}
+	return "", false
+}
+
+func (b *Budgets) setRate(other string, rate float64, now time.Time) {
+	k, ok := b.buckets[other]
+	if !ok {
+		k = &bucket{rate: rate, last: now}
+		k.tokens = k.depth()
+		b.buckets[other] = k
+	}
+	k.refill(now)
+	k.rate = rate
+	k.tokens = min(k.tokens, k.depth())
+}
+
+func (k *bucket) depth() float64 { return k.rate * burst.Seconds() }
+
+func (k *bucket) refill(now time.Time) {
+	if dt := now.Sub(k.last); dt > 0 {
+		k.tokens = min(k.tokens+dt.Seconds()*k.rate, k.depth())
+		k.last = now
+	}
+}
+
+// Take charges bytes sent to a region unless its bucket is empty or in debt. A
+// region without a link, and the own region, have no limit.
+func (b *Budgets) Take(to string, bytes int, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k, ok := b.buckets[to]
+	if !ok {
+		return true
+	}
+	k.refill(now)
+	if k.tokens <= 0 {
+		k.denied++
+		return false
+	}
+	k.charge(bytes)
+	return true
+}
+
+// Charge charges bytes that are sent in any case, such as a response; it may
+// put the bucket into debt, which later requests wait for.
+func (b *Budgets) Charge(to string, bytes int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if k, ok := b.buckets[to]; ok {
+		k.refill(now)
+		k.charge(bytes)
+	}
+}
+
+func (k *bucket) charge(bytes int) {
+	k.tokens -= float64(bytes)
+	k.sent += uint64(bytes)
+}
+
+// State describes the bucket of one link direction.
+type State struct {
+	To             string  `json:"to"`
+	BytesPerSecond float64 `json:"bytes_per_second"`
+	Tokens         float64 `json:"tokens"`
+	SentBytes      uint64  `json:"sent_bytes"`
+	Denied         uint64  `json:"denied"`
+}
+
+// State returns the state of all buckets.
+func (b *Budgets) State(now time.Time) []State {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]State, 0, len(b.buckets))
+	for to, k := range b.buckets {
+		k.refill(now)
+		list = append(list, State{to, k.rate, k.tokens, k.sent, k.denied})
+	}
+	return list
+}
--- a/pkg/peer/forward.go
+++ b/pkg/peer/forward.go
@@ -7,6 +7,8 @@
 	Request request.Request `cbor:"r"`
 	// Domain is the failure domain that the sender chose.
 	Domain string `cbor:"d"`
+	// Region is the sender's region, to which the receiver charges its answer.
+	Region string `cbor:"rg"`
 	// RemainingMS is the time to the deadline when the message was sent.
 	RemainingMS int64 `cbor:"ms"`
 	// Hops counts forwards, so that disagreement about owners cannot loop.
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -50,6 +50,8 @@
 	RequestIDMismatch    Code = 1506
 	RequestIDNotRequired Code = 1507
 
+	RequestIDNotDelivered Code = 1508
+
 	PatchMalformed      Code = 2000
 	VersionConflict     Code = 2001
 	DescriptionInvalid  Code = 2002
@@ -119,6 +121,7 @@
 	{RequestIDTableFull, "request_id_table_full", NotRun, 503, "The instance cannot track more identifiers; use another instance."},
 	{RequestIDMismatch, "request_id_mismatch", NotRun, 409, "The identifier was issued for another service or used with another request."},
 	{RequestIDNotRequired, "request_id_not_required", NotRun, 400, "The request is idempotent and takes no request identifier."},
+	{RequestIDNotDelivered, "request_id_not_delivered", Unknown, 503, "The request did not reach the instance that issued its identifier; send it again with the same identifier to learn whether an earlier submission ran."},
 
 	{PatchMalformed, "patch_malformed", NotRun, 400, "The patch is not a valid merge patch or JSON patch, or does not apply to the base version."},
 	{VersionConflict, "version_conflict", NotRun, 409, "Another patch made the next version first; rebase on the current version."},
--- /dev/null
+++ b/pkg/routing/limiter.go
@@ -0,0 +1,175 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+)
+
+const (
+	// maxStep bounds the time that one step counts, so that an instance that
+	// was paused does not catch up in one jump.
+	maxStep = 250 * time.Millisecond
+	// leadTime times the cap is how far a region's share may run ahead of the
+	// slowest live peer. It exceeds the age of gossiped shares (two heartbeat
+	// intervals and one snapshot interval, 1.5 s), so that instances that
+	// move together do not wait for each other.
+	leadTime = 2 * time.Second
+	// leadPatience ends the wait for a live peer that does not follow, for
+	// example because it sees other domains as unreachable.
+	leadPatience = 10 * time.Second
+	// shareEpsilon is below any share that matters and above rounding errors.
+	shareEpsilon = 1e-12
+)
+
+// Range is the lowest and highest share of a region among live peers.
+type Range struct{ Low, High float64 }
+
+// limiter moves one share vector to its goal under the caps.
+type limiter struct {
+	shares   vector
+	regionOf map[string]string
+	last     time.Time
+	waited   time.Duration
+}
+
+// rates are the caps of one step; infinite means no cap.
+type rates struct{ region, domain float64 }
+
+// ratesFor returns the caps in force. The failover cap replaces both change
+// caps while a share is still on an unreachable domain.
+func ratesFor(caps description.Caps, failover bool) rates {
+	if failover && caps.FailoverSharePerSecond > 0 {
+		return rates{caps.FailoverSharePerSecond, caps.FailoverSharePerSecond}
+	}
+	return rates{unlimitedIfZero(caps.RegionSharePerSecond), unlimitedIfZero(caps.DomainSharePerSecond)}
+}
+
+func unlimitedIfZero(rate float64) float64 {
+	if rate == 0 {
+		return math.Inf(1)
+	}
+	return rate
+}
+
+// elapsed returns the time that the step to now counts.
+func (l *limiter) elapsed(now time.Time) time.Duration {
+	dt := now.Sub(l.last)
+	l.last = now
+	return min(max(dt, 0), maxStep)
+}
+
+// step moves the vector towards goal for the time dt. peers limits the lead
+// over live peers per region; nil means no limit.
+func (l *limiter) step(goal vector, r rates, dt time.Duration, peers map[string]Range) {
+	if math.IsInf(r.domain, 1) {
+		l.shares = l.rebalanced(goal)
+	}
+	delta := difference(l.shares, goal)
+	fraction := l.allowed(delta, r, dt.Seconds())
+	fraction = l.holdLead(delta, fraction, r, dt, peers)
+	l.move(delta, goal, fraction)
+}
+
+// rebalanced splits the present share of every region by the goal's parts. It
+// changes no region's share, so only the domain cap would limit it.
+func (l *limiter) rebalanced(goal vector) vector {
+	now, then := l.shares.byRegion(l.regionOf), goal.byRegion(l.regionOf)
+	next := make(vector, len(l.shares))
+	for d, s := range l.shares {
+		if r := region(l.regionOf, d); then[r] <= 0 {
+			next[d] = s
+		}
+	}
+	for d, g := range goal {
+		r := region(l.regionOf, d)
+		if then[r] > 0 && now[r] > 0 {
+			next[d] = now[r] * g / then[r]
+		}
+	}
+	return next
+}
+
+// difference returns goal - from for every domain of either.
+func difference(from, goal vector) vector {
+	delta := make(vector, len(from)+len(goal))
+	for d, s := range from {
+		delta[d] -= s
+	}
+	for d, s := range goal {
+		delta[d] += s
+	}
+	return delta
+}
+
+// allowed returns the part of delta that the caps allow in dt seconds.
+func (l *limiter) allowed(delta vector, r rates, dt float64) float64 {
+	fraction := 1.0
+	for _, change := range delta.byRegion(l.regionOf) {
+		fraction = min(fraction, part(change, r.region, dt))
+	}
+	for _, change := range delta {
+		fraction = min(fraction, part(change, r.domain, dt))
+	}
+	return fraction
+}
+
+func part(change, rate, dt float64) float64 {
+	change = math.Abs(change)
+	if change <= shareEpsilon || math.IsInf(rate, 1) {
+		return 1
+	}
+	return min(1, rate*dt/change)
+}
+
+// holdLead reduces fraction so that no region's share runs ahead of a live
+// peer by more than the lead. It gives up after leadPatience.
+func (l *limiter) holdLead(delta vector, fraction float64, r rates, dt time.Duration, peers map[string]Range) float64 {
+	if len(peers) == 0 || math.IsInf(r.region, 1) {
+		return fraction
+	}
+	held := fraction
+	lead := r.region * leadTime.Seconds()
+	shares := l.shares.byRegion(l.regionOf)
+	for name, change := range delta.byRegion(l.regionOf) {
+		held = min(held, leadPart(shares[name], change, lead, peers[name]))
+	}
+	if held >= fraction {
+		l.waited = 0
+		return fraction
+	}
+	l.waited += dt
+	if l.waited > leadPatience {
+		return fraction
+	}
+	return held
+}
+
+// leadPart returns the part of change that keeps share within lead of the peers
+// that it moves away from.
+func leadPart(share, change, lead float64, peers Range) float64 {
+	room := peers.Low + lead - share
+	if change < 0 {
+		room = share - (peers.High - lead)
+	}
+	change = math.Abs(change)
+	if change <= shareEpsilon || room >= change {
+		return 1
+	}
+	return max(room, 0) / change
+}
+
+func (l *limiter) move(delta, goal vector, fraction float64) {
+	if fraction >= 1 {
+		l.shares = goal.clone()
+		return
+	}
+	for d, change := range delta {
+		l.shares[d] += fraction * change
+		if l.shares[d] <= shareEpsilon && goal[d] == 0 {
+			delete(l.shares, d)
+		}
+	}
+	l.shares.normalize()
+}
--- /dev/null
+++ b/pkg/routing/report.go
@@ -0,0 +1,50 @@
+package routing
+
+import "github.com/sequoiacove/sequoiacove/pkg/cluster"
+
+// Shares returns a copy of the effective shares of all services.
+func (t *Table) Shares() cluster.Shares {
+	shares := make(cluster.Shares)
+	for name, s := range t.all() {
+		s.mu.Lock()
+		shares[name] = s.limiter.shares.clone()
+		s.mu.Unlock()
+	}
+	return shares
+}
+
+// Destination describes one failure domain of a service for operators.
+type Destination struct {
+	Domain    string  `json:"domain" cbor:"d"`
+	Region    string  `json:"region" cbor:"r"`
+	Share     float64 `json:"share" cbor:"s"`
+	Target    float64 `json:"target" cbor:"t"`
+	Credit    float64 `json:"credit" cbor:"c"`
+	Reachable bool    `json:"reachable" cbor:"ok"`
+}
+
+// Explain returns all destinations of a service in order of their names.
+func (t *Table) Explain(name string) ([]Destination, error) {
+	s, err := t.service(name)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := s.limiter.shares.clone()
+	for d := range s.in.target {
+		names[d] += 0
+	}
+	list := make([]Destination, 0, len(names))
+	for _, d := range names.domains() {
+		list = append(list, Destination{
+			Domain:    d,
+			Region:    region(s.in.regionOf, d),
+			Share:     s.limiter.shares[d],
+			Target:    s.in.target[d],
+			Credit:    s.chooser.domains[d],
+			Reachable: s.in.reachable[d],
+		})
+	}
+	return list, nil
+}
--- /dev/null
+++ b/pkg/routing/service.go
@@ -0,0 +1,167 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// serviceInput is what the vector of one service depends on.
+type serviceInput struct {
+	target    vector
+	caps      description.Caps
+	regionOf  map[string]string
+	reachable map[string]bool
+	// peers limits the lead over live peers.
+	peers map[string]Range
+	// follow is the peers' mean while a live peer has a higher version, so
+	// that an instance that lacks the version does not lag; else nil.
+	follow vector
+}
+
+// service is the routing state of one service.
+type service struct {
+	mu      sync.Mutex
+	name    string
+	in      serviceInput
+	limiter limiter
+	chooser *chooser
+	plan    *plan
+}
+
+func newService(name string, start vector, in serviceInput, now time.Time) *service {
+	s := &service{name: name, chooser: newChooser()}
+	s.limiter = limiter{shares: start, last: now}
+	s.set(in)
+	return s
+}
+
+// set replaces the input. Regions of domains that the new version no longer
+// names are kept, so that moving away from them stays capped.
+func (s *service) set(in serviceInput) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	regionOf := make(map[string]string, len(in.regionOf))
+	for d := range s.limiter.shares {
+		if r, ok := s.in.regionOf[d]; ok {
+			regionOf[d] = r
+		}
+	}
+	for d, r := range in.regionOf {
+		regionOf[d] = r
+	}
+	in.regionOf = regionOf
+	s.in = in
+	s.limiter.regionOf = regionOf
+	s.plan = newPlan(s.limiter.shares, regionOf)
+}
+
+// goal returns the vector to move to; ok is false when no domain with a share
+// is reachable.
+func (s *service) goal() (vector, bool) {
+	target := s.in.target
+	if len(s.in.follow) > 0 {
+		target = s.in.follow
+	}
+	return reachableTarget(target, s.in.reachable)
+}
+
+// stranded tells whether a share is on an unreachable domain.
+func (s *service) stranded() bool {
+	for d, share := range s.limiter.shares {
+		if share > 0 && !s.in.reachable[d] {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *service) step(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dt := s.limiter.elapsed(now)
+	goal, ok := s.goal()
+	if !ok {
+		return
+	}
+	failover := s.stranded()
+	peers := s.in.peers
+	if failover {
+		// Peers may see other domains as reachable, and waiting for them
+		// would prolong the refusals.
+		peers = nil
+	}
+	s.limiter.step(goal, ratesFor(s.in.caps, failover), dt, peers)
+	s.plan = newPlan(s.limiter.shares, s.in.regionOf)
+}
+
+// rejoin moves the vector to the peers' mean by at most the caps times the time
+// since the last request that it served.
+func (s *service) rejoin(mean vector, served, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !mean.normalize() {
+		return
+	}
+	s.limiter.step(mean, ratesFor(s.in.caps, false), max(now.Sub(served), 0), nil)
+	s.limiter.last = now
+	s.plan = newPlan(s.limiter.shares, s.in.regionOf)
+}
+
+func (s *service) choose() (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	domain, ok := s.chooser.choose(s.plan)
+	if !ok {
+		return "", result.New(result.NoDestination, "service %s has no shares", s.name)
+	}
+	if s.in.reachable[domain] {
+		return domain, nil
+	}
+	if _, ok := s.goal(); !ok {
+		return "", result.New(result.NoDestination, "no domain with a share of %s is reachable", s.name)
+	}
+	return "", result.New(result.ShareExhausted, "the share of %s on %s is still moving", s.name, domain)
+}
+
+// transfer moves the charge of a request to the reachable domain with the
+// largest credit that is not excluded; prefer goes first if it has credit.
+func (s *service) transfer(from, prefer string, excluded map[string]bool) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.usable(prefer, excluded) && s.chooser.transfer(s.plan, from, prefer) {
+		return prefer, true
+	}
+	best, found := "", false
+	for d := range s.plan.index {
+		if !s.usable(d, excluded) {
+			continue
+		}
+		if !found || s.before(d, best) {
+			best, found = d, true
+		}
+	}
+	if !found || !s.chooser.transfer(s.plan, from, best) {
+		return "", false
+	}
+	return best, true
+}
+
+func (s *service) usable(domain string, excluded map[string]bool) bool {
+	return domain != "" && s.in.reachable[domain] && !excluded[domain]
+}
+
+// before orders retry destinations by the credit of their region, then by their
+// own, then by name.
+func (s *service) before(a, b string) bool {
+	ra, rb := region(s.in.regionOf, a), region(s.in.regionOf, b)
+	if ca, cb := s.chooser.regions[ra], s.chooser.regions[rb]; ca != cb {
+		return ca > cb
+	}
+	if ca, cb := s.chooser.domains[a], s.chooser.domains[b]; ca != cb {
+		return ca > cb
+	}
+	return a < b
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,212 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// Input is what a snapshot says about routing.
+type Input struct {
+	Description *description.Description
+	// Previous is the version before, or nil.
+	Previous *description.Description
+	// SinceAccepted is the time since the version was accepted.
+	SinceAccepted time.Duration
+	// Reachable holds the domains that have a reachable entry instance.
+	Reachable map[string]bool
+	// PeerShares is the mean of the effective shares of the live peers.
+	PeerShares cluster.Shares
+	// CheckpointShares are the shares of the last checkpoint.
+	CheckpointShares cluster.Shares
+	// Peers are the live peers; their shares limit the lead of this instance.
+	Peers []cluster.Member
+	// Behind is set while a live peer has a higher version.
+	Behind bool
+}
+
+// Table holds the routing state of all services.
+type Table struct {
+	mu       sync.RWMutex
+	services map[string]*service
+}
+
+// NewTable returns a table without services.
+func NewTable() *Table { return &Table{services: make(map[string]*service)} }
+
+// Update puts a snapshot into force. Services that are new here start at the
+// vector that start returns; others keep theirs.
+func (t *Table) Update(in Input, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	regionOf := regions(in.Peers, in.Previous, in.Description)
+	for name := range t.services {
+		if _, ok := in.Description.Services[name]; !ok {
+			delete(t.services, name)
+		}
+	}
+	for name, svc := range in.Description.Services {
+		si := inputOf(in, name, svc, regionOf)
+		if s, ok := t.services[name]; ok {
+			s.set(si)
+			continue
+		}
+		t.services[name] = newService(name, start(in, name, si), si, now)
+	}
+}
+
+// regions maps domains to their regions. The last version takes precedence;
+// peers may name domains of a version that has not arrived here yet.
+func regions(peers []cluster.Member, versions ...*description.Description) map[string]string {
+	regionOf := make(map[string]string)
+	for i := range peers {
+		regionOf[peers[i].Domain] = peers[i].Region
+	}
+	for _, d := range versions {
+		if d == nil {
+			continue
+		}
+		for name, r := range d.Regions {
+			for _, domain := range r.Domains {
+				regionOf[domain] = name
+			}
+		}
+	}
+	return regionOf
+}
+
+func inputOf(in Input, name string, svc description.Service, regionOf map[string]string) serviceInput {
+	target := vector(svc.DomainShares())
+	target.normalize()
+	si := serviceInput{
+		target:    target,
+		caps:      svc.Caps,
+		regionOf:  regionOf,
+		reachable: in.Reachable,
+		peers:     peerRanges(in, name, regionOf),
+	}
+	if in.Behind {
+		si.follow = vector(in.PeerShares[name])
+	}
+	return si
+}
+
+// peerRanges returns the lowest and highest share of each region among the
+// live peers that report shares of the service.
+func peerRanges(in Input, name string, regionOf map[string]string) map[string]Range {
+	var sums []vector
+	for i := range in.Peers {
+		if shares := in.Peers[i].Shares[name]; len(shares) > 0 {
+			sums = append(sums, vector(shares).byRegion(regionOf))
+		}
+	}
+	if mean := in.PeerShares[name]; len(sums) == 0 && len(mean) > 0 {
+		sums = append(sums, vector(mean).byRegion(regionOf))
+	}
+	if len(sums) == 0 {
+		return nil
+	}
+	ranges := make(map[string]Range)
+	for _, sum := range sums {
+		for r := range sum {
+			ranges[r] = Range{Low: 1}
+		}
+	}
+	for r := range ranges {
+		ranges[r] = rangeOf(r, sums)
+	}
+	return ranges
+}
+
+func rangeOf(region string, sums []vector) Range {
+	out := Range{Low: 1}
+	for _, sum := range sums {
+		out.Low = min(out.Low, sum[region])
+		out.High = max(out.High, sum[region])
+	}
+	return out
+}
+
+// start returns the first vector of a service: the peers' mean, else the
+// checkpoint, else the previous version's target moved at the caps since the
+// acceptance of this version, else the target.
+func start(in Input, name string, si serviceInput) vector {
+	for _, known := range []cluster.Shares{in.PeerShares, in.CheckpointShares} {
+		shares := vector(known[name]).clone()
+		if shares.normalize() {
+			return shares
+		}
+	}
+	if in.Previous == nil {
+		return si.target.clone()
+	}
+	previous, ok := in.Previous.Services[name]
+	if !ok {
+		return si.target.clone()
+	}
+	shares := vector(previous.DomainShares())
+	if !shares.normalize() {
+		return si.target.clone()
+	}
+	l := limiter{shares: shares, regionOf: si.regionOf}
+	l.step(si.target, ratesFor(si.caps, false), max(in.SinceAccepted, 0), nil)
+	return l.shares
+}
+
+// Step moves all vectors to the time now.
+func (t *Table) Step(now time.Time) {
+	for _, s := range t.all() {
+		s.step(now)
+	}
+}
+
+// Rejoin lets an instance that served nothing since the given time adopt its
+// peers' mean, so that it does not return with shares that its peers have left
+// behind. The move is bounded by the caps over that time.
+func (t *Table) Rejoin(mean cluster.Shares, served, now time.Time) {
+	for name, s := range t.all() {
+		s.rejoin(vector(mean[name]).clone(), served, now)
+	}
+}
+
+func (t *Table) all() map[string]*service {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	all := make(map[string]*service, len(t.services))
+	for name, s := range t.services {
+		all[name] = s
+	}
+	return all
+}
+
+func (t *Table) service(name string) (*service, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if s, ok := t.services[name]; ok {
+		return s, nil
+	}
+	return nil, result.New(result.UnknownService, "no service %q", name)
+}
+
+// Choose returns the failure domain of the next request of a service and
+// charges it.
+func (t *Table) Choose(name string) (string, error) {
+	s, err := t.service(name)
+	if err != nil {
+		return "", err
+	}
+	return s.choose()
+}
+
+// Transfer moves the charge of a request from one domain to another one with
+// credit that is not in excluded; ok is false when there is none.
+func (t *Table) Transfer(name, from, prefer string, excluded map[string]bool) (to string, ok bool) {
+	s, err := t.service(name)
+	if err != nil {
+		return "", false
+	}
+	return s.transfer(from, prefer, excluded)
+}
