Model the core protocol and refute its mutations

The conditional write, the replay by patch id, the fenced lease, the table of request identifiers and the leaving upstream decide the invariants, so each has a small Promela model with mutations that leave one safeguard out.

--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# Checks every model exhaustively, then checks that spin refutes each mutation.
+set -euo pipefail
+cd "$(dirname "$0")"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failed=0
+
+# explore MODEL [MUTATION] prints the number of errors that spin found.
+explore() {
+	local dir="$work/$1-${2:-base}"
+	mkdir -p "$dir"
+	(
+		cd "$dir"
+		spin ${2:+-D$2} -a "$OLDPWD/$1.pml" >spin.out
+		gcc -O2 -DSAFETY -DCOLLAPSE -DVECTORSZ=2048 -o pan pan.c
+		./pan -m200000 -n >pan.out
+		if grep -q -e 'max search depth too small' -e 'Search not completed' -e 'out of memory' pan.out; then
+			[ -n "${2:-}" ] || { echo incomplete; exit; }
+		fi
+		sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.out
+	)
+}
+
+check() {
+	local model=$1 states
+	shift
+	errors=$(explore "$model")
+	states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$work/$model-base/pan.out" | head -1)
+	if [ "$errors" = 0 ]; then
+		echo "ok   $model: no violation in $states states"
+	else
+		echo "FAIL $model: errors: $errors"
+		tail -20 "$work/$model-base/pan.out"
+		failed=1
+	fi
+	for mutation in "$@"; do
+		errors=$(explore "$model" "$mutation")
+		if [ "${errors:-0}" = 1 ]; then
+			echo "ok   $model with $mutation: refuted"
+		else
+			echo "FAIL $model with $mutation: not refuted (errors: $errors)"
+			failed=1
+		fi
+	done
+}
+
+check config NAIVE_RETRY BLIND_WRITE ANY_VERSION PUSH_ONLY
+check lease NO_FENCE SHARED_TOKEN
+check request RETRY_UNKNOWN NO_TABLE NEW_ISSUER CLAIM_NOT_RUN
+check leaving LIST_ONLY PASS_IN_FLIGHT
+exit $failed
