Carry peer messages over QUIC with mutual TLS

Entries and agents need a transport that reports precisely whether a message can have arrived and that survives connections which silently stop delivering. Each call has a stream of its own; each connection has a UDP socket of its own, so a replacement does not share the flow whose state was lost.

--- /dev/null
+++ b/pkg/peer/connection.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// connection is one connection to a peer, from the dial to the close. It has a
+// UDP socket of its own: a new connection must not share the flow whose state
+// a component on the path may have lost.
+type connection struct {
+	client *Client
+	addr   string
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// ready is closed when the dial has ended; quic and dialError are set then.
+	ready     chan struct{}
+	quic      *quic.Conn
+	dialError error
+	failedAt  time.Time
+
+	// lastUse and lastAnswer are times since start.
+	start      time.Time
+	lastUse    atomic.Int64
+	lastAnswer atomic.Int64
+}
+
+func newConnection(client *Client, addr string) *connection {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &connection{
+		client: client,
+		addr:   addr,
+		ctx:    ctx,
+		cancel: cancel,
+		ready:  make(chan struct{}),
+		start:  time.Now(),
+	}
+}
+
+func (c *connection) used()     { c.lastUse.Store(int64(time.Since(c.start))) }
+func (c *connection) answered() { c.lastAnswer.Store(int64(time.Since(c.start))) }
+
+func (c *connection) sinceUse() time.Duration {
+	return time.Since(c.start) - time.Duration(c.lastUse.Load())
+}
+
+func (c *connection) sinceAnswer() time.Duration {
+	return time.Since(c.start) - time.Duration(c.lastAnswer.Load())
+}
+
+// expired reports whether a new connection must take this one's place.
+func (c *connection) expired() bool {
+	select {
+	case <-c.ready:
+	default:
+		return false
+	}
+	if c.dialError != nil {
+		return time.Since(c.failedAt) > redialPause
+	}
+	return c.quic.Context().Err() != nil
+}
+
+// run dials and then pings until the connection ends.
+func (c *connection) run() {
+	defer c.cancel()
+	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
+	c.quic, c.dialError = quic.DialAddr(ctx, c.addr, c.client.cfg.TLS, quicConfig())
+	cancel()
+	c.failedAt = time.Now()
+	c.used()
+	c.answered()
+	close(c.ready)
+	if c.dialError != nil {
+		return
+	}
+	c.client.counters.opened.Inc(1)
+	c.watch()
+	c.client.remove(c)
+}
+
+// watch pings the connection and closes it when it is silent or unused.
+func (c *connection) watch() {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.quic.Context().Done():
+			return
+		case <-c.ctx.Done():
+			c.quic.CloseWithError(closedNormally, "client closed")
+			return
+		case <-ticker.C:
+		}
+		if c.sinceUse() > keepUnused {
+			c.client.remove(c)
+			c.close(closedNormally, "unused")
+			return
+		}
+		if c.sinceAnswer() < pingInterval || c.ping() {
+			continue
+		}
+		c.replace()
+		return
+	}
+}
+
+// ping reports whether the peer answered an application ping in time.
+func (c *connection) ping() bool {
+	sent := time.Now()
+	if c.pingOnce() {
+		return true
+	}
+	if time.Since(sent) < 2*pingTimeout {
+		return false
+	}
+	// The own process was paused; the answer may be waiting in the socket.
+	return c.pingOnce()
+}
+
+func (c *connection) pingOnce() bool {
+	ctx, cancel := context.WithTimeout(c.ctx, pingTimeout)
+	defer cancel()
+	stream, err := c.quic.OpenStreamSync(ctx)
+	if err != nil {
+		return false
+	}
+	return c.client.exchange(ctx, c, stream, Ping, appendFrame(byte(Ping), nil), nil) == nil
+}
+
+// replace gives a silent connection up: new calls open a new connection, and
+// the calls in flight fail.
+func (c *connection) replace() {
+	c.client.remove(c)
+	if c.ctx.Err() == nil && c.quic.Context().Err() == nil {
+		c.client.counters.replaced.Inc(1)
+		event.Log(c.client.cfg.Logger, event.PeerReplaced, "address", c.addr)
+	}
+	c.close(closedSilent, "no answer to a ping")
+}
+
+func (c *connection) close(code quic.ApplicationErrorCode, reason string) {
+	c.cancel()
+	select {
+	case <-c.ready:
+	default:
+		return
+	}
+	if c.quic != nil {
+		c.quic.CloseWithError(code, reason)
+	}
+}
+
+// failure returns the error of a call that failed after its first write. Only
+// a refused connection proves that the message was not read.
+func (c *connection) failure(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return result.New(result.PeerNoAnswer, "%s: %v", c.addr, ctx.Err())
+	}
+	if result.CodeOf(err) == result.PeerProtocol {
+		return err
+	}
+	var closed *quic.ApplicationError
+	if errors.As(err, &closed) && closed.Remote && closed.ErrorCode == closedRefused {
+		return result.New(result.PeerUnreachable, "%s: connection refused", c.addr)
+	}
+	return result.New(result.PeerNoAnswer, "%s: %v", c.addr, err)
+}
--- /dev/null
+++ b/pkg/peer/export_test.go
@@ -0,0 +1,16 @@
+package peer
+
+import "crypto/tls"
+
+// TLS returns the client's configuration, so that a test can make another one.
+func (c *Client) TLS() *tls.Config { return c.cfg.TLS }
+
+// Closed reports whether the server has closed its socket.
+func (s *Server) Closed() bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/peer/silent_test.go
@@ -0,0 +1,99 @@
+package peer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/peer"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// Guards against a connection that went silent holding up calls: they must fail
+// within the ping bounds, and the next call must work at once.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	hang := make(chan struct{})
+	f := newFixture(t, func(ctx context.Context, body []byte) (any, error) {
+		var s string
+		if err := peer.Decode(body, &s); err != nil {
+			return nil, err
+		}
+		if s == "hang" {
+			<-hang
+		}
+		return s, nil
+	}, nil)
+	defer close(hang)
+	r := newRelay(t, f.server.Addr())
+	require.NoError(t, f.client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
+
+	failed := make(chan error, 1)
+	go func() { failed <- f.client.Call(within(t, 30*time.Second), r.addr(), testType, "hang", nil) }()
+	time.Sleep(50 * time.Millisecond)
+	r.silence()
+	start := time.Now()
+	err := <-failed
+	require.Equal(t, result.PeerNoAnswer, result.CodeOf(err))
+	require.Less(t, time.Since(start), 2*time.Second, "calls on a silent connection must fail within 2 s")
+	require.NoError(t, f.client.Call(within(t, time.Second), r.addr(), testType, "x", nil), "a new connection must work at once")
+	replaced := f.registry.Get("peer.client.connections_replaced").(metrics.Counter)
+	require.EqualValues(t, 1, replaced.Count())
+}
+
+// Guards against long calls on a healthy connection being taken for silence.
+func TestLongCallSurvivesPings(t *testing.T) {
+	f := newFixture(t, func(context.Context, []byte) (any, error) {
+		time.Sleep(2500 * time.Millisecond)
+		return nil, nil
+	}, nil)
+	require.NoError(t, f.client.Call(within(t, 10*time.Second), f.server.Addr(), testType, "x", nil))
+}
+
+// Guards against lost datagrams ending connections that still work.
+func TestLostDatagrams(t *testing.T) {
+	f := newFixture(t, echo, nil)
+	r := newRelay(t, f.server.Addr())
+	require.NoError(t, f.client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
+	r.setLoss(0.05)
+	for range 50 {
+		require.NoError(t, f.client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
+	}
+}
+
+// Guards against a restarted server being taken for a silent one: its reset
+// must end the old connection before the ping does.
+func TestRestartedServerIsNoticedAtOnce(t *testing.T) {
+	serverTLS, clientTLS, err := authority(t).TLS("test")
+	require.NoError(t, err)
+	start := func(addr string) (*peer.Server, context.CancelFunc) {
+		var server *peer.Server
+		require.Eventually(t, func() bool {
+			server, err = peer.NewServer(peer.ServerConfig{Address: addr, TLS: serverTLS})
+			return err == nil
+		}, 5*time.Second, 10*time.Millisecond)
+		server.Handle(testType, echo)
+		ctx, cancel := context.WithCancel(context.Background())
+		go server.Serve(ctx)
+		return server, cancel
+	}
+	first, stopFirst := start("127.0.0.1:0")
+	r := newRelay(t, first.Addr())
+	client := peer.NewClient(peer.ClientConfig{TLS: clientTLS})
+	defer client.Close()
+	require.NoError(t, client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
+	r.setLoss(1)
+	stopFirst()
+	require.Eventually(t, func() bool { return first.Closed() }, 5*time.Second, time.Millisecond)
+	second, stopSecond := start(first.Addr())
+	defer stopSecond()
+	defer second.Close(within(t, time.Second))
+	r.setLoss(0)
+	began := time.Now()
+	require.Eventually(t, func() bool {
+		return client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil) == nil
+	}, 5*time.Second, time.Millisecond)
+	require.Less(t, time.Since(began), time.Second)
+}
