Add the platform client, its stand-in, and configuration storage and distribution

Cause: the agent needs a client for the platform's stores, acceptance of patches and distribution of versions; other packages build on them.

--- /dev/null
+++ b/pkg/configstore/accept.go
@@ -0,0 +1,284 @@
+package configstore
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/platform"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+const (
+	// maxSends bounds how often one transaction is sent while its answer is lost.
+	maxSends = 3
+	// resendDelay lets a transaction that is still in flight take effect
+	// before its patch row is read.
+	resendDelay = 100 * time.Millisecond
+)
+
+var patchIDPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+// Proposal is a patch that an operator submits.
+type Proposal struct {
+	BaseVersion uint64
+	// PatchID is chosen by the operator; a repeat with the same id returns the
+	// version that the first submission created.
+	PatchID  string
+	Kind     description.PatchKind
+	Patch    []byte
+	Operator string
+}
+
+// Accepted is the version that a patch created. Along with a VersionConflict
+// error, Version is the current version without its bodies.
+type Accepted struct {
+	Version cluster.Version
+	// Replayed tells that an earlier submission created the version.
+	Replayed bool
+}
+
+// digest identifies what a proposal would do; the operator is not part of it.
+func (p Proposal) digest() string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d\n%s\n", p.BaseVersion, p.Kind)
+	h.Write(p.Patch)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func (p Proposal) check() error {
+	if !patchIDPattern.MatchString(p.PatchID) {
+		return result.New(result.PatchMalformed, "a patch id has 1 to 128 letters, digits, '.', '_' and '-'")
+	}
+	if len(p.Patch) > description.MaxBytes {
+		return result.New(result.DescriptionTooLarge, "patch of %d bytes exceeds %d", len(p.Patch), description.MaxBytes)
+	}
+	return nil
+}
+
+// draft is a proposal applied to the head that it is based on.
+type draft struct {
+	base     head
+	before   []byte
+	body     []byte
+	record   versionRecord
+	proposal Proposal
+}
+
+// Validate returns what the proposal would change and changes nothing.
+func (s *Store) Validate(ctx context.Context, p Proposal) ([]string, error) {
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	h, err := s.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	d, err := s.draft(ctx, p, h)
+	if err != nil {
+		return nil, err
+	}
+	return description.Diff(d.before, d.body)
+}
+
+// Accept makes the proposal the next version. PatchOutcomeUnknown means that
+// it may have become one: the operator repeats it with the same patch id.
+func (s *Store) Accept(ctx context.Context, p Proposal) (Accepted, error) {
+	if err := p.check(); err != nil {
+		return Accepted{}, err
+	}
+	if earlier, found, err := s.replay(ctx, p); found || err != nil {
+		return earlier, err
+	}
+	h, err := s.readHead(ctx)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if h.Number != p.BaseVersion {
+		return s.conflict(ctx, p, h)
+	}
+	d, err := s.draft(ctx, p, h)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if err := s.objects.Put(ctx, d.record.Hash, d.body); err != nil {
+		return Accepted{}, result.New(result.StoreUnavailable, "the description could not be stored: %v", err)
+	}
+	return s.commit(ctx, d)
+}
+
+// findPatch reads the row of the proposal's patch id.
+func (s *Store) findPatch(ctx context.Context, p Proposal) (record patchRecord, found bool, err error) {
+	row, err := s.table.Get(ctx, patchKey(p.PatchID))
+	if err != nil || row.Revision == 0 {
+		return patchRecord{}, false, err
+	}
+	record, err = decodePatch(row)
+	if err != nil {
+		return patchRecord{}, true, err
+	}
+	if record.Digest != p.digest() {
+		return patchRecord{}, true, result.New(result.PatchIDReused, "patch id %q belongs to version %d", p.PatchID, record.Number)
+	}
+	return record, true, nil
+}
+
+// replay returns the version that an earlier submission created, if any.
+func (s *Store) replay(ctx context.Context, p Proposal) (earlier Accepted, found bool, err error) {
+	record, found, err := s.findPatch(ctx, p)
+	if err != nil || !found {
+		return Accepted{}, found, err
+	}
+	v, err := s.Load(ctx, record.Number)
+	if err != nil {
+		// The patch is known to be accepted, so the failed read must not turn
+		// into "not run".
+		return Accepted{}, true, result.New(result.PatchOutcomeUnknown, "accepted as version %d, which could not be read: %v", record.Number, err)
+	}
+	return Accepted{Version: v, Replayed: true}, true, nil
+}
+
+// conflict reports that the head has moved on. The proposal itself may be what
+// moved it, sent twice at the same time, so its patch row is read once more.
+func (s *Store) conflict(ctx context.Context, p Proposal, current head) (Accepted, error) {
+	earlier, found, err := s.replay(ctx, p)
+	if found {
+		return earlier, err
+	}
+	if err != nil {
+		return Accepted{}, result.New(result.PatchOutcomeUnknown, "conflict, and the patch id could not be read: %v", err)
+	}
+	return Accepted{Version: current.version()},
+		result.New(result.VersionConflict, "base version %d, current version %d", p.BaseVersion, current.Number)
+}
+
+func (s *Store) draft(ctx context.Context, p Proposal, h head) (draft, error) {
+	if h.Number != p.BaseVersion {
+		return draft{}, result.New(result.VersionConflict, "base version %d, current version %d", p.BaseVersion, h.Number)
+	}
+	before, err := s.body(ctx, h.versionRecord)
+	if err != nil {
+		return draft{}, err
+	}
+	_, body, err := description.Apply(before, p.Kind, p.Patch)
+	if err != nil {
+		return draft{}, err
+	}
+	record := versionRecord{
+		Number:         h.Number + 1,
+		Hash:           description.Hash(body),
+		PreviousHash:   h.Hash,
+		AcceptedUnixMS: s.now().UnixMilli(),
+		PatchID:        p.PatchID,
+		Operator:       p.Operator,
+	}
+	return draft{base: h, before: before, body: body, record: record, proposal: p}, nil
+}
+
+func (d draft) patchRecord() patchRecord {
+	return patchRecord{
+		Number:         d.record.Number,
+		Digest:         d.proposal.digest(),
+		AcceptedUnixMS: d.record.AcceptedUnixMS,
+		Operator:       d.record.Operator,
+	}
+}
+
+// transaction writes the three rows of a version or none of them.
+func (d draft) transaction() (platform.Transaction, error) {
+	record, err := json.Marshal(d.record)
+	if err != nil {
+		return platform.Transaction{}, err
+	}
+	patch, err := json.Marshal(d.patchRecord())
+	if err != nil {
+		return platform.Transaction{}, err
+	}
+	return platform.Transaction{
+		Conditions: []platform.Condition{
+			{Key: headKey, Revision: d.base.revision},
+			{Key: patchKey(d.proposal.PatchID), Revision: 0},
+		},
+		Writes: []platform.Write{
+			{Key: headKey, Value: record},
+			{Key: versionKey(d.record.Number), Value: record},
+			{Key: patchKey(d.proposal.PatchID), Value: patch},
+		},
+	}, nil
+}
+
+func (d draft) accepted() Accepted {
+	v := d.record.version()
+	v.Body = d.body
+	if d.base.Number > 0 {
+		v.PreviousBody = d.before
+	}
+	return Accepted{Version: v}
+}
+
+// commit sends the transaction. After a lost answer it reads the patch row and
+// sends the same transaction again: its conditions let it take effect at most
+// once, and a refusal proves that no copy can take effect any more.
+func (s *Store) commit(ctx context.Context, d draft) (Accepted, error) {
+	tx, err := d.transaction()
+	if err != nil {
+		return Accepted{}, result.New(result.Internal, "encoding: %v", err)
+	}
+	maySent := false
+	for send := 1; ; send++ {
+		_, err = s.table.Transact(ctx, tx)
+		switch code := result.CodeOf(err); {
+		case err == nil:
+			return d.accepted(), nil
+		case code == result.StoreConflict:
+			return s.refused(ctx, d)
+		case result.OutcomeOf(err) == result.NotRun && !maySent:
+			return Accepted{}, err
+		}
+		maySent = true
+		if send == maxSends || s.sleep(ctx, resendDelay) != nil {
+			return Accepted{}, result.New(result.PatchOutcomeUnknown, "%v", err)
+		}
+		if settled, found, err := s.settle(ctx, d); found {
+			return settled, err
+		}
+	}
+}
+
+// settle returns the outcome if the patch row shows that the transaction, or
+// another submission of the same patch, took effect.
+func (s *Store) settle(ctx context.Context, d draft) (Accepted, bool, error) {
+	record, found, err := s.findPatch(ctx, d.proposal)
+	if err == nil && found && record == d.patchRecord() {
+		return d.accepted(), true, nil
+	}
+	if err != nil || !found {
+		return Accepted{}, found, err
+	}
+	return s.replay(ctx, d.proposal)
+}
+
+// refused handles a transaction whose condition did not hold.
+func (s *Store) refused(ctx context.Context, d draft) (Accepted, error) {
+	settled, found, err := s.settle(ctx, d)
+	if found {
+		return settled, err
+	}
+	if err != nil {
+		return Accepted{}, result.New(result.PatchOutcomeUnknown, "refused, and the patch id could not be read: %v", err)
+	}
+	// The current version is additional information; without it the refusal
+	// stands all the same.
+	current, err := s.Head(ctx)
+	if err != nil {
+		current = cluster.Version{}
+	}
+	return Accepted{Version: current},
+		result.New(result.VersionConflict, "base version %d, current version %d", d.base.Number, current.Number)
+}
--- /dev/null
+++ b/pkg/configstore/store_test.go
@@ -0,0 +1,196 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/platform"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
+)
+
+const firstPatch = `{"regions":{"north":{"domains":["north-a"]}},"lookup":{"ttl_ms":1000},
+"services":{"shop":{"regions":{"north":{"share":1,"domains":{"north-a":1}}},
+"caps":{"region_share_per_second":0.1,"domain_share_per_second":0,"failover_share_per_second":0},"max_request_ms":1000}}}`
+
+func ttlPatch(base uint64, id string, ttl int) Proposal {
+	return Proposal{BaseVersion: base, PatchID: id, Kind: description.MergePatch,
+		Patch: []byte(fmt.Sprintf(`{"lookup":{"ttl_ms":%d}}`, ttl)), Operator: "ana"}
+}
+
+func newStore(table platform.Table, objects platform.Objects) *Store {
+	s := New(table, objects, func() time.Time { return time.UnixMilli(5000) })
+	s.sleep = func(ctx context.Context, _ time.Duration) error { return ctx.Err() }
+	return s
+}
+
+// seeded returns a store with version 1 and its platform.
+func seeded(t *testing.T) (*Store, *standin.Platform) {
+	t.Helper()
+	server := standin.NewPlatform(time.Now)
+	s := newStore(server.Direct(), server.Direct().Objects())
+	got, err := s.Accept(context.Background(), Proposal{PatchID: "first", Kind: description.MergePatch, Patch: []byte(firstPatch), Operator: "ana"})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, got.Version.Number)
+	return s, server
+}
+
+// Guards against versions that lose their body, their predecessor or their order.
+func TestAcceptLoadHistory(t *testing.T) {
+	s, _ := seeded(t)
+	ctx := context.Background()
+	for n := uint64(1); n < 5; n++ {
+		got, err := s.Accept(ctx, ttlPatch(n, fmt.Sprint("p", n), 1000+int(n)))
+		require.NoError(t, err)
+		require.Equal(t, n+1, got.Version.Number)
+		require.Equal(t, description.Hash(got.Version.Body), got.Version.Hash)
+	}
+	current, err := s.Current(ctx)
+	require.NoError(t, err)
+	require.EqualValues(t, 5, current.Number)
+	require.Contains(t, string(current.Body), `"ttl_ms":1004`)
+	require.Contains(t, string(current.PreviousBody), `"ttl_ms":1003`)
+	require.EqualValues(t, 5000, current.AcceptedUnixMS)
+	loaded, err := s.Load(ctx, 5)
+	require.NoError(t, err)
+	require.Equal(t, current, loaded)
+
+	first, err := s.Load(ctx, 1)
+	require.NoError(t, err)
+	require.Empty(t, first.PreviousBody)
+	empty, err := s.Load(ctx, 0)
+	require.NoError(t, err)
+	require.Equal(t, "{}", string(empty.Body))
+	_, err = s.Load(ctx, 9)
+	require.Equal(t, result.VersionNotFound, result.CodeOf(err))
+
+	require.Equal(t, []uint64{5, 4, 3}, numbers(t, s, 0, 3))
+	require.Equal(t, []uint64{2, 1}, numbers(t, s, 3, 100))
+	require.Empty(t, numbers(t, s, 1, 100))
+}
+
+func numbers(t *testing.T, s *Store, before uint64, limit int) []uint64 {
+	t.Helper()
+	versions, err := s.History(context.Background(), before, limit)
+	require.NoError(t, err)
+	var list []uint64
+	for _, v := range versions {
+		list = append(list, v.Number)
+	}
+	return list
+}
+
+// Guards against one patch making two versions, and against one id for two patches.
+func TestReplayByPatchID(t *testing.T) {
+	s, _ := seeded(t)
+	ctx := context.Background()
+	accepted, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
+	require.NoError(t, err)
+	_, err = s.Accept(ctx, ttlPatch(2, "q", 3000))
+	require.NoError(t, err)
+	again, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
+	require.NoError(t, err)
+	require.True(t, again.Replayed)
+	require.Equal(t, accepted.Version, again.Version)
+	_, err = s.Accept(ctx, ttlPatch(3, "p", 4000))
+	require.Equal(t, result.PatchIDReused, result.CodeOf(err))
+	for _, id := range []string{"", "a/b", "../x", "-a"} {
+		_, err = s.Accept(ctx, ttlPatch(3, id, 4000))
+		require.Equal(t, result.PatchMalformed, result.CodeOf(err), "id %q", id)
+	}
+}
+
+// Guards against a validation that writes, or that passes what Accept refuses.
+func TestValidateChangesNothing(t *testing.T) {
+	s, server := seeded(t)
+	ctx := context.Background()
+	writes := server.Stats().Writes
+	diff, err := s.Validate(ctx, ttlPatch(1, "p", 2000))
+	require.NoError(t, err)
+	require.Equal(t, []string{"/lookup/ttl_ms: 1000 -> 2000"}, diff)
+	_, err = s.Validate(ctx, ttlPatch(0, "p", 2000))
+	require.Equal(t, result.VersionConflict, result.CodeOf(err))
+	_, err = s.Validate(ctx, ttlPatch(1, "p", -1))
+	require.Equal(t, result.DescriptionInvalid, result.CodeOf(err))
+	require.Equal(t, writes, server.Stats().Writes)
+}
+
+// Guards against a lost update: of two patches on one version, one must lose.
+func TestOldBaseIsRefused(t *testing.T) {
+	s, _ := seeded(t)
+	ctx := context.Background()
+	_, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
+	require.NoError(t, err)
+	got, err := s.Accept(ctx, ttlPatch(1, "q", 3000))
+	require.Equal(t, result.VersionConflict, result.CodeOf(err))
+	require.EqualValues(t, 2, got.Version.Number, "the conflict names the current version")
+}
+
+// Guards against a lost answer being reported as failed although the patch row shows it.
+func TestLostAnswerIsSettled(t *testing.T) {
+	s, server := seeded(t)
+	// The object's answer must arrive, so that only the transaction's is lost.
+	body := acceptedBody(t, s, ttlPatch(1, "p", 2000))
+	require.NoError(t, server.Direct().Objects().Put(context.Background(), description.Hash(body), body))
+	s.objects = presentObjects{s.objects}
+	server.SetFaults(standin.PlatformFaults{Mode: standin.PlatformLoseAnswers})
+	got, err := s.Accept(context.Background(), ttlPatch(1, "p", 2000))
+	require.NoError(t, err)
+	require.EqualValues(t, 2, got.Version.Number)
+	require.False(t, got.Replayed)
+}
+
+// Guards against "not run" for a patch that took effect before the store went
+// down, and against a repeat that makes a second version.
+func TestLostAnswerThenDownIsUnknown(t *testing.T) {
+	s, server := seeded(t)
+	ctx := context.Background()
+	s.objects = presentObjects{s.objects}
+	server.SetFaults(standin.PlatformFaults{Mode: standin.PlatformLoseAnswers, DropAfterWrites: 1})
+	_, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
+	require.Equal(t, result.PatchOutcomeUnknown, result.CodeOf(err))
+	server.SetFaults(standin.PlatformFaults{})
+	again, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
+	require.Error(t, err, "the object was never stored in this test, so its version cannot be read")
+	require.Equal(t, result.PatchOutcomeUnknown, result.CodeOf(err))
+	body := acceptedBodyAt(t, 2000)
+	require.NoError(t, server.Direct().Objects().Put(ctx, description.Hash(body), body))
+	again, err = s.Accept(ctx, ttlPatch(1, "p", 2000))
+	require.NoError(t, err)
+	require.True(t, again.Replayed)
+	require.EqualValues(t, 2, again.Version.Number)
+}
+
+// Guards against an unknown outcome for a patch that certainly did not run.
+func TestStoreDownIsNotRun(t *testing.T) {
+	s, server := seeded(t)
+	server.SetFaults(standin.PlatformFaults{Mode: standin.PlatformDown})
+	_, err := s.Accept(context.Background(), ttlPatch(1, "p", 2000))
+	require.Equal(t, result.StoreUnavailable, result.CodeOf(err))
+}
+
+// presentObjects skips uploads, so that a fault hits the transaction alone.
+type presentObjects struct{ platform.Objects }
+
+func (presentObjects) Put(context.Context, string, []byte) error { return nil }
+
+func acceptedBody(t *testing.T, s *Store, p Proposal) []byte {
+	t.Helper()
+	current, err := s.Current(context.Background())
+	require.NoError(t, err)
+	_, body, err := description.Apply(current.Body, p.Kind, p.Patch)
+	require.NoError(t, err)
+	return body
+}
+
+func acceptedBodyAt(t *testing.T, ttl int) []byte {
+	t.Helper()
+	_, body, err := description.Apply([]byte(firstPatch), description.MergePatch, ttlPatch(1, "p", ttl).Patch)
+	require.NoError(t, err)
+	return body
+}
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -16,6 +16,7 @@
 	PatchAccepted     ID = 202
 	PatchRefused      ID = 203
 	PatchUnknown      ID = 204
+	VersionMismatch   ID = 205
 
 	MemberJoined  ID = 300
 	MemberSuspect ID = 301
@@ -55,6 +56,7 @@
 	{PatchAccepted, slog.LevelInfo, "patch accepted", "None."},
 	{PatchRefused, slog.LevelInfo, "patch refused", "The operator corrects or rebases the patch."},
 	{PatchUnknown, slog.LevelWarn, "patch outcome unknown", "Repeat the patch with the same patch id once the store answers."},
+	{VersionMismatch, slog.LevelError, "peer has another configuration under the same version number", "Compare the store with its backups: its table was reset or restored. Accept a patch to replace the version everywhere."},
 
 	{MemberJoined, slog.LevelInfo, "member joined", "None."},
 	{MemberSuspect, slog.LevelInfo, "member suspect", "None."},
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -66,6 +66,7 @@
 	ObjectCorrupt    Code = 2104
 	LeaseLost        Code = 2105
 	RowNotFound      Code = 2106
+	ObjectNotFound   Code = 2107
 
 	Unauthorized Code = 2200
 	Forbidden    Code = 2201
@@ -136,6 +137,7 @@
 	{ObjectCorrupt, "object_corrupt", NotRun, 502, "An object's content does not match its hash."},
 	{LeaseLost, "lease_lost", NotRun, 409, "Another holder has the lease; the fenced write was refused."},
 	{RowNotFound, "row_not_found", NotRun, 404, "The table has no row with this key."},
+	{ObjectNotFound, "object_not_found", NotRun, 404, "The object store has no object with this hash."},
 
 	{Unauthorized, "unauthorized", NotRun, 401, "The operator token is missing or unknown."},
 	{Forbidden, "forbidden", NotRun, 403, "The operator may not perform this action."},
--- /dev/null
+++ b/pkg/standin/platform_test.go
@@ -0,0 +1,118 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/platform"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
+)
+
+func start(t *testing.T, now func() time.Time) (*standin.Platform, *platform.Client) {
+	t.Helper()
+	server := standin.NewPlatform(now)
+	require.NoError(t, server.Start("127.0.0.1:0"))
+	t.Cleanup(server.Close)
+	address := server.Address()
+	return server, platform.NewClient(platform.ClientConfig{
+		TableAddress: address, ObjectsAddress: address, ListAddress: address,
+		ReadsPerSecond: 1000, WritesPerSecond: 1000, Timeout: 2 * time.Second,
+	})
+}
+
+func put(key, value string, revision uint64) platform.Transaction {
+	return platform.Transaction{
+		Conditions: []platform.Condition{{Key: key, Revision: revision}},
+		Writes:     []platform.Write{{Key: key, Value: []byte(value)}},
+	}
+}
+
+// Guards against transactions that apply in part or ignore a condition.
+func TestPlatformTransactions(t *testing.T) {
+	_, client := start(t, time.Now)
+	ctx := context.Background()
+	row, err := client.Get(ctx, "a b/ü&=")
+	require.NoError(t, err)
+	require.Zero(t, row.Revision)
+	revision, err := client.Transact(ctx, put("a b/ü&=", "1", 0))
+	require.NoError(t, err)
+	_, err = client.Transact(ctx, put("a b/ü&=", "2", 0))
+	require.Equal(t, result.StoreConflict, result.CodeOf(err))
+	row, err = client.Get(ctx, "a b/ü&=")
+	require.NoError(t, err)
+	require.Equal(t, platform.Row{Key: "a b/ü&=", Value: []byte("1"), Revision: revision}, row)
+
+	for _, key := range []string{"p/3", "p/1", "p/2", "q/1"} {
+		_, err = client.Transact(ctx, put(key, key, 0))
+		require.NoError(t, err)
+	}
+	rows, err := client.List(ctx, "p/", "p/1", 10)
+	require.NoError(t, err)
+	require.Len(t, rows, 2)
+	require.Equal(t, "p/2", rows[0].Key)
+}
+
+// Guards against objects that are stored under another hash than their own.
+func TestPlatformObjects(t *testing.T) {
+	_, client := start(t, time.Now)
+	ctx := context.Background()
+	body := []byte("body")
+	hash := description.Hash(body)
+	_, err := client.Objects().Get(ctx, hash)
+	require.Equal(t, result.ObjectNotFound, result.CodeOf(err))
+	require.NoError(t, client.Objects().Put(ctx, hash, body))
+	require.NoError(t, client.Objects().Put(ctx, hash, body))
+	got, err := client.Objects().Get(ctx, hash)
+	require.NoError(t, err)
+	require.Equal(t, body, got)
+	require.Equal(t, result.BadRequest, result.CodeOf(client.Objects().Put(ctx, hash, []byte("other"))))
+}
+
+// Guards against a stand-in that applies a write it should drop, or the reverse.
+func TestPlatformFaults(t *testing.T) {
+	server, client := start(t, time.Now)
+	ctx := context.Background()
+
+	server.SetFaults(standin.PlatformFaults{Mode: standin.PlatformLoseAnswers})
+	_, err := client.Transact(ctx, put("lost", "1", 0))
+	require.Equal(t, result.StoreNoAnswer, result.CodeOf(err))
+	row, err := client.Get(ctx, "lost")
+	require.NoError(t, err)
+	require.NotZero(t, row.Revision, "the write took effect")
+
+	server.SetFaults(standin.PlatformFaults{Mode: standin.PlatformDown})
+	_, err = client.Transact(ctx, put("down", "1", 0))
+	require.Equal(t, result.StoreNoAnswer, result.CodeOf(err))
+	server.SetFaults(standin.PlatformFaults{DropAfterWrites: 1})
+	row, err = client.Get(ctx, "down")
+	require.NoError(t, err)
+	require.Zero(t, row.Revision, "the write was dropped")
+
+	_, err = client.Transact(ctx, put("last", "1", 0))
+	require.NoError(t, err)
+	_, err = client.Get(ctx, "last")
+	require.Equal(t, result.StoreUnavailable, result.CodeOf(err))
+}
+
+// Guards against an instance list that shows changes before its lag has passed.
+func TestPlatformListLags(t *testing.T) {
+	now := time.Unix(1000, 0)
+	server, client := start(t, func() time.Time { return now })
+	instance := platform.Instance{ID: "u", Role: platform.RoleUpstream, Service: "s",
+		Region: "r", Domain: "d", Address: "127.0.0.1:1", State: cluster.Serving, Slots: 4}
+	server.SetFaults(standin.PlatformFaults{ListLagMS: 2000})
+	server.PutInstance(instance)
+	list, err := client.Instances(context.Background())
+	require.NoError(t, err)
+	require.Empty(t, list)
+	now = now.Add(2 * time.Second)
+	list, err = client.Instances(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, []platform.Instance{instance}, list)
+}
