Keep the member table by heartbeats between agents

Agents need a common view of live, leaving and dead instances that survives restarts, partitions, lost datagrams and pauses of the own process. Suspicion and death are local views and are not passed on; leaving is part of the record. A record that is new to the receiver inherits the sender's age, so a dead member is not taken for a new one. A leaving mark in the lagging list holds only for the incarnation that was known when it appeared.

--- /dev/null
+++ b/pkg/membership/merge.go
@@ -0,0 +1,144 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/platform"
+)
+
+const (
+	maxNameBytes = 128
+	maxPools     = 4096
+	maxServices  = 4096
+	maxListed    = maxMembers
+)
+
+// merge takes in the records of a peer and returns those with a new version.
+func (t *Table) merge(records []Record, now time.Time) (heard []cluster.Member) {
+	for i := range records {
+		r := &records[i]
+		if !valid(&r.Member) {
+			continue
+		}
+		if r.Member.ID == t.self.ID {
+			t.mergeSelf(&r.Member)
+			continue
+		}
+		if t.mergePeer(r, now) {
+			heard = append(heard, r.Member)
+		}
+	}
+	return heard
+}
+
+// mergeSelf raises the own incarnation above one that peers know from an
+// earlier run of this instance, for instance when the clock was set back.
+func (t *Table) mergeSelf(m *cluster.Member) {
+	if m.Incarnation > t.self.Incarnation {
+		t.self.Incarnation = m.Incarnation + 1
+		t.self.Sequence++
+		t.notify()
+	}
+}
+
+// mergePeer reports whether the record brought a version that was not known
+// for this peer.
+func (t *Table) mergePeer(r *Record, now time.Time) (newVersion bool) {
+	e := t.peers[r.Member.ID]
+	if e == nil {
+		return t.add(r, now)
+	}
+	known, m := e.member, r.Member
+	switch {
+	case m.Incarnation > known.Incarnation:
+		e.member, e.progress = m, now
+		if e.state != cluster.Dead {
+			t.notify()
+		}
+	case m.Incarnation < known.Incarnation:
+		return false
+	case m.Sequence > known.Sequence:
+		if known.State == cluster.Leaving {
+			m.State = cluster.Leaving
+		}
+		if m.EntryIncarnation != known.EntryIncarnation {
+			t.notify()
+		}
+		e.member, e.progress = m, now
+	default:
+		if m.State == cluster.Leaving {
+			e.member.State = cluster.Leaving
+		}
+	}
+	t.setState(e, t.stateOf(e, now))
+	return e.member.Version != known.Version
+}
+
+// add takes in a member that was not known. The sender's view of its age counts,
+// so that a dead member is not taken for a new one.
+func (t *Table) add(r *Record, now time.Time) bool {
+	age := time.Duration(r.AgeMS) * time.Millisecond
+	if age >= t.cfg.DeadAfter || len(t.peers) >= maxMembers {
+		return false
+	}
+	e := &entry{member: r.Member, progress: now.Add(-age)}
+	t.peers[r.Member.ID] = e
+	t.setState(e, t.stateOf(e, now))
+	return true
+}
+
+// valid checks a record that came from a peer.
+func valid(m *cluster.Member) bool {
+	if m.State != cluster.Serving && m.State != cluster.Leaving {
+		return false
+	}
+	if m.ID == "" || m.Domain == "" || m.Region == "" {
+		return false
+	}
+	for _, s := range []string{m.ID, m.Region, m.Domain, m.CallerAddress, m.EntryAddress, m.Hash} {
+		if len(s) > maxNameBytes {
+			return false
+		}
+	}
+	if len(m.Pools) > maxPools || len(m.Shares) > maxServices {
+		return false
+	}
+	_, err := netip.ParseAddrPort(m.AgentAddress)
+	return err == nil
+}
+
+// MergeList takes in the platform's list of instances. Listed instances become
+// members only by their own heartbeats; the list gives addresses to try and
+// marks members as leaving. The mark holds for the incarnation that is known
+// when it appears, because the list lags behind a restart.
+func (t *Table) MergeList(list []platform.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.step()
+	var addresses []string
+	leaving := make(map[string]uint64)
+	for _, in := range list {
+		if in.Role != platform.RoleEntry || in.ID == t.self.ID || len(addresses) == maxListed {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(in.AgentAddress); err == nil {
+			addresses = append(addresses, in.AgentAddress)
+		}
+		if in.State == cluster.Leaving {
+			t.markLeaving(leaving, in.ID)
+		}
+	}
+	t.listed = addresses
+	t.listedLeaving = leaving
+	t.step()
+}
+
+func (t *Table) markLeaving(leaving map[string]uint64, id string) {
+	if incarnation, ok := t.listedLeaving[id]; ok {
+		leaving[id] = incarnation
+	} else if e := t.peers[id]; e != nil {
+		leaving[id] = e.member.Incarnation
+	}
+}
