--- /dev/null
+++ b/pkg/admission/health.go
@@ -0,0 +1,138 @@
+package admission
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Figures for the ejection of upstreams by own observation.
+const (
+	// ratioMemory is the number of recent executions whose latency is kept.
+	ratioMemory = 12
+	// ratioLifetime is how long an observation counts.
+	ratioLifetime = 5 * time.Second
+	// slowRatio is the latency, relative to the median of the route, from which
+	// an execution counts as slow.
+	slowRatio = 4.0
+	// minSlow is the number of slow executions that can eject an upstream; a
+	// lower one would eject upstreams for a few long requests.
+	minSlow = 4
+	// maxErrors is the number of successive errors that eject an upstream.
+	maxErrors = 3
+	// firstEjection and longestEjection bound the time out of use, which
+	// doubles with every ejection that follows within forgetEjections.
+	firstEjection   = time.Second
+	longestEjection = 15 * time.Second
+	forgetEjections = 30 * time.Second
+	// shedPause keeps work from an upstream that shed a request, because
+	// another sender occupies its slots.
+	shedPause = 5 * time.Millisecond
+)
+
+func exp2(x float64) float64 { return math.Exp2(x) }
+
+type observation struct {
+	ratio float64
+	at    time.Time
+}
+
+// health is what the owner observed about an upstream.
+type health struct {
+	recent     [ratioMemory]observation
+	next       int
+	errors     int
+	shedUntil  time.Time
+	errorUntil time.Time
+
+	ejections    int
+	ejectedAt    time.Time
+	ejectedUntil time.Time
+	reason       string
+}
+
+func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
+
+func (h *health) observe(ratio float64, now time.Time) {
+	h.recent[h.next] = observation{ratio: ratio, at: now}
+	h.next = (h.next + 1) % ratioMemory
+}
+
+// errorPause keeps work from an upstream after an error while others are idle.
+const errorPause = 200 * time.Millisecond
+
+func (h *health) failed(now time.Time) {
+	h.errors++
+	h.errorUntil = now.Add(errorPause)
+}
+
+func (h *health) answered() { h.errors = 0 }
+
+// slow returns the number of slow executions and of all executions that were
+// observed lately; overdue executions in flight count as slow ones.
+func (h *health) slow(now time.Time, overdue int) (slow, total int) {
+	slow, total = overdue, overdue
+	for _, o := range h.recent {
+		if o.at.IsZero() || now.Sub(o.at) > ratioLifetime {
+			continue
+		}
+		total++
+		if o.ratio > slowRatio {
+			slow++
+		}
+	}
+	return slow, total
+}
+
+// suspect tells whether most of what was observed lately was slow.
+func (h *health) suspect(now time.Time, overdue int) bool {
+	slow, total := h.slow(now, overdue)
+	return slow >= minSlow/2 && 2*slow >= total
+}
+
+// median returns the median latency ratio of the last executions, or 1.
+func (h *health) median(now time.Time) float64 {
+	var ratios []float64
+	for _, o := range h.recent {
+		if !o.at.IsZero() && now.Sub(o.at) <= ratioLifetime {
+			ratios = append(ratios, o.ratio)
+		}
+	}
+	if len(ratios) == 0 {
+		return 1
+	}
+	sort.Float64s(ratios)
+	return ratios[len(ratios)/2]
+}
+
+// verdict returns why the upstream should be ejected, or "". poolRatio is the
+// median latency ratio over the pool.
+func (h *health) verdict(now time.Time, overdue int, poolRatio float64) string {
+	if h.errors >= maxErrors {
+		return "errors"
+	}
+	slow, total := h.slow(now, overdue)
+	if slow >= minSlow && 2*slow >= total && h.median(now) > slowRatio*poolRatio/2 {
+		return "latency"
+	}
+	return ""
+}
+
+func (h *health) eject(now time.Time, reason string) time.Duration {
+	if now.Sub(h.ejectedAt) > forgetEjections {
+		h.ejections = 0
+	}
+	d := min(firstEjection<<min(h.ejections, 8), longestEjection)
+	h.ejections++
+	h.ejectedAt = now
+	h.ejectedUntil = now.Add(d)
+	h.reason = reason
+	return d
+}
+
+// readmit clears the observations from before the ejection.
+func (h *health) readmit() {
+	h.recent = [ratioMemory]observation{}
+	h.errors = 0
+	h.reason = ""
+}
--- /dev/null
+++ b/pkg/admission/target.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+)
+
+// target is one upstream of a pool as its owner sees it.
+type target struct {
+	id      string
+	address string
+	slots   int
+	// executions holds what occupies the slots of the upstream.
+	executions map[*execution]bool
+	// listLeaving comes from the instance list, seenLeaving from the upstream.
+	listLeaving bool
+	seenLeaving bool
+	// gone means that the list no longer has the upstream.
+	gone   bool
+	health health
+	ramp   ramp
+	load   loadReport
+	// lastAnswer is the time of the last answer of any kind.
+	lastAnswer time.Time
+	leavingAt  time.Time
+	// warmed means that the current cold start was already seen.
+	warmed bool
+}
+
+// execution is one attempt to run a task on an upstream. It occupies a slot
+// from the moment it is bound until its end is known.
+type execution struct {
+	id       string
+	task     *task
+	target   *target
+	started  time.Time
+	expected estimate
+	hedge    bool
+	// ended means that the exchange is over, although the slot may still be
+	// occupied.
+	ended bool
+	// abandoned means that the answer is no longer wanted.
+	abandoned bool
+	// released means that the slot is free.
+	released bool
+	// inquiry is closed when a check for silence has cancelled the execution or
+	// found that it ended; nil means that there was no check.
+	inquiry chan struct{}
+	// cancelled is the result of the check.
+	cancelled bool
+	// done is closed when the exchange is over.
+	done chan struct{}
+}
+
+func newTarget(record cluster.UpstreamRecord) *target {
+	return &target{id: record.ID, address: record.Address, executions: make(map[*execution]bool)}
+}
+
+func (u *target) apply(record cluster.UpstreamRecord) {
+	u.slots = max(record.Slots, 1)
+	u.listLeaving = record.State != cluster.Serving
+	u.gone = false
+}
+
+func (u *target) inUse() int { return len(u.executions) }
+
+func (u *target) leaving() bool { return u.listLeaving || u.seenLeaving || u.gone }
+
+// limit returns how many slots of the upstream may be occupied now.
+func (u *target) limit(now time.Time) int {
+	if u.leaving() || u.health.ejected(now) || now.Before(u.health.shedUntil) {
+		return 0
+	}
+	return u.ramp.limit(u.slots)
+}
+
+// overdueFactor is how many times its expected high cost an execution must have
+// run to count as overdue.
+const overdueFactor = 1.5
+
+// overdue counts the executions that run much longer than their route does.
+func (u *target) overdue(now time.Time) int {
+	n := 0
+	for e := range u.executions {
+		if e.overdue(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *execution) overdue(now time.Time) bool {
+	return e.expected.known && now.Sub(e.started) > time.Duration(overdueFactor*float64(e.expected.high))
+}
+
+// ramp limits the slots of an upstream that is new, returned or cold until it
+// has answered some requests (slow start).
+type ramp struct {
+	active bool
+	// answers counts complete answers since the start of the ramp.
+	answers int
+}
+
+// answersPerSlot is the number of complete answers that opens one more slot.
+const answersPerSlot = 4
+
+func (r *ramp) begin() { *r = ramp{active: true} }
+
+func (r *ramp) limit(slots int) int {
+	if !r.active {
+		return slots
+	}
+	return min(slots, 1+r.answers/answersPerSlot)
+}
+
+func (r *ramp) answered(slots int) {
+	if !r.active {
+		return
+	}
+	r.answers++
+	if r.answers >= slots*answersPerSlot {
+		r.active = false
+	}
+}
+
+// loadReport is the last load figure of an upstream's status.
+type loadReport struct {
+	// foreign is the reported load beyond what this owner had in flight.
+	foreign float64
+	at      time.Time
+}
+
+// loadHalfLife discounts a load figure by its age: at 3 s, the lag that
+// measurements show, it counts an eighth.
+const loadHalfLife = time.Second
+
+// weight returns the discounted load of others in executions.
+func (l loadReport) weight(now time.Time) float64 {
+	if l.foreign <= 0 {
+		return 0
+	}
+	age := now.Sub(l.at).Seconds() / loadHalfLife.Seconds()
+	return l.foreign * exp2(-age)
+}
