--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -77,7 +77,7 @@
 // Do sends req to the upstream at address as the named execution and returns
 // its complete answer or an error with a result code.
 func (c *Client) Do(ctx context.Context, address string, req *request.Request, execution string) (*request.Response, error) {
-	if err := validPath(req.Path); err != nil {
+	if err := validate(req); err != nil {
 		return nil, err
 	}
 	ctx, stop := withDeadline(ctx, req.Deadline)
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -212,7 +212,29 @@
 	return resp
 }
 
-// validPath refuses paths that could break the framing of the request line.
+// validate refuses requests that could break the framing of their header.
+func validate(req *request.Request) error {
+	if !token(req.Method) {
+		return result.New(result.BadRequest, "method %q", req.Method)
+	}
+	for _, f := range req.Header {
+		if !token(f.Name) || strings.ContainsAny(f.Value, "\r\n\x00") {
+			return result.New(result.BadRequest, "header field %q", f.Name)
+		}
+	}
+	return validPath(req.Path)
+}
+
+// token tells whether s is a token of the HTTP grammar.
+func token(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if s[i] <= ' ' || s[i] >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", s[i]) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
 func validPath(path string) error {
 	if path == "" || path[0] != '/' || len(path) > request.MaxPathBytes {
 		return result.New(result.BadRequest, "path must start with / and have at most %d bytes", request.MaxPathBytes)
