Add the open-loop load tool

A plan fixed by its seed is sent from the intended times, so late answers do not delay later requests.

--- /dev/null
+++ b/pkg/load/load.go
@@ -0,0 +1,157 @@
+// Package load is an open-loop caller of the system.
+//
+// A plan, fixed by its seed, holds the intended send time and the kind of every
+// request before the first one is sent. A late answer therefore never delays
+// the requests behind it, and latency counts from the intended send time. Each
+// request carries a token in its path. The token ties the outcome that the
+// caller saw to the executions that the upstreams recorded, which Audit
+// compares.
+//
+// The caller behaves as docs/protocols.md asks: it caches look-up answers for
+// their lifetime, follows the order of preference, asks for request
+// identifiers and repeats a request with the same identifier after "outcome
+// unknown".
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// Config describes one run.
+type Config struct {
+	// Entries are caller addresses that answer the first look-up.
+	Entries []string
+	Service string
+	// Blocks are the client blocks of the simulated callers; each has its own
+	// cached look-up answer. Empty means one caller without a block.
+	Blocks []string
+	// Rate is the number of requests per second.
+	Rate     float64
+	Duration time.Duration
+	Seed     uint64
+	// Even spaces the requests evenly; otherwise arrivals are a Poisson process.
+	Even bool
+	// NonIdempotent is the part of the requests that are not idempotent, 0 to 1.
+	NonIdempotent float64
+	// WorkMS is the execution time that a request asks the upstream for.
+	WorkMS float64
+	// LongPart is the part of the requests that ask for LongWorkMS instead.
+	LongPart   float64
+	LongWorkMS float64
+	// Deadline is the time the caller waits for an answer.
+	Deadline time.Duration
+	// AttemptTimeout bounds one submission of an idempotent request; the caller
+	// then tries the next instance. 0 waits until the deadline.
+	AttemptTimeout time.Duration
+	// SettleFor bounds the repeats of a request after "outcome unknown".
+	SettleFor time.Duration
+	// MaxInFlight bounds open requests; a request beyond it is counted as dropped.
+	MaxInFlight int
+	// BodyBytes is the size of the body of requests that are not idempotent.
+	BodyBytes int
+	// RunID distinguishes the tokens of runs against the same upstreams.
+	RunID string
+}
+
+// Defaults for fields of Config that are left at 0.
+const (
+	DefaultDeadline    = 10 * time.Second
+	DefaultSettleFor   = 5 * time.Second
+	DefaultMaxInFlight = 4096
+)
+
+func (c Config) withDefaults() Config {
+	if c.Deadline == 0 {
+		c.Deadline = DefaultDeadline
+	}
+	if c.SettleFor == 0 {
+		c.SettleFor = DefaultSettleFor
+	}
+	if c.MaxInFlight == 0 {
+		c.MaxInFlight = DefaultMaxInFlight
+	}
+	if len(c.Blocks) == 0 {
+		c.Blocks = []string{""}
+	}
+	if c.RunID == "" {
+		c.RunID = "run"
+	}
+	return c
+}
+
+// Record is the outcome of one request as its caller saw it.
+type Record struct {
+	Token      string `json:"token"`
+	Class      string `json:"class"`
+	Idempotent bool   `json:"idempotent"`
+	// IntendedUnixUS is the planned send time; latency counts from it.
+	IntendedUnixUS int64       `json:"intended_unix_us"`
+	LatencyUS      int64       `json:"latency_us"`
+	Outcome        string      `json:"outcome"`
+	Code           result.Code `json:"code"`
+	// Entry, Upstream and Domain tell who answered last.
+	Entry    string `json:"entry,omitempty"`
+	Upstream string `json:"upstream,omitempty"`
+	Domain   string `json:"domain,omitempty"`
+	// Sends counts the submissions, including repeats.
+	Sends int `json:"sends"`
+	// Settled is set when a repeat turned "outcome unknown" into an answer.
+	Settled bool `json:"settled,omitempty"`
+	// Fault names a broken answer: one of another request or an incomplete one.
+	Fault string `json:"fault,omitempty"`
+	// Detail explains the last refusal or failure.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Run carries out the plan of cfg and returns its outcomes in planned order.
+// Cancelling ctx stops sending; requests in flight still finish.
+func Run(ctx context.Context, cfg Config) *Report {
+	cfg = cfg.withDefaults()
+	plan := newPlan(cfg)
+	callers := newCallers(cfg)
+	defer callers.close()
+	report := newReport(cfg)
+	slots := make(chan struct{}, cfg.MaxInFlight)
+	var running sync.WaitGroup
+	start := time.Now()
+	for _, item := range plan {
+		intended := start.Add(item.At)
+		if !sleepUntil(ctx, intended) {
+			break
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			report.drop()
+			continue
+		}
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			report.add(callers.of(item).send(item, intended))
+			<-slots
+		}()
+	}
+	running.Wait()
+	report.finish(time.Since(start))
+	return report
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/load/plan.go
@@ -0,0 +1,87 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Classes of requests; the class is the first path segment, so that the system
+// learns the cost of each class separately.
+const (
+	ClassRead  = "read"
+	ClassWrite = "write"
+	ClassLong  = "long"
+)
+
+// Item is one planned request.
+type Item struct {
+	// At is the intended send time, counted from the start of the run.
+	At     time.Duration
+	Serial int
+	Token  string
+	Class  string
+	// Caller is the index of the block that sends the request.
+	Caller     int
+	Idempotent bool
+	WorkMS     float64
+}
+
+// Path returns the path and query that the upstream receives.
+func (i Item) Path() string {
+	return "/" + i.Class + "/" + i.Token + "?work_ms=" + strconv.FormatFloat(i.WorkMS, 'f', -1, 64)
+}
+
+// Method returns the HTTP method of the request.
+func (i Item) Method() string {
+	if i.Idempotent {
+		return "GET"
+	}
+	return "POST"
+}
+
+// TokenOf returns the token in a path as an upstream recorded it, or "".
+func TokenOf(path string) string {
+	path, _, _ = strings.Cut(path, "?")
+	parts := strings.Split(path, "/")
+	if len(parts) != 3 {
+		return ""
+	}
+	return parts[2]
+}
+
+// newPlan returns the requests of a run; equal configurations give equal plans.
+func newPlan(cfg Config) []Item {
+	random := rand.New(rand.NewPCG(cfg.Seed, 1))
+	var plan []Item
+	at := time.Duration(0)
+	for cfg.Rate > 0 {
+		step := 1.0
+		if !cfg.Even {
+			step = random.ExpFloat64()
+		}
+		at += time.Duration(step / cfg.Rate * float64(time.Second))
+		if at >= cfg.Duration {
+			break
+		}
+		plan = append(plan, newItem(cfg, random, at, len(plan)))
+	}
+	return plan
+}
+
+func newItem(cfg Config, random *rand.Rand, at time.Duration, serial int) Item {
+	item := Item{
+		At: at, Serial: serial, Class: ClassRead, Idempotent: true, WorkMS: cfg.WorkMS,
+		Token:  fmt.Sprintf("%s-%d-%06d", cfg.RunID, cfg.Seed, serial),
+		Caller: random.IntN(len(cfg.Blocks)),
+	}
+	kind, length := random.Float64(), random.Float64()
+	if kind < cfg.NonIdempotent {
+		item.Class, item.Idempotent = ClassWrite, false
+	} else if length < cfg.LongPart {
+		item.Class, item.WorkMS = ClassLong, cfg.LongWorkMS
+	}
+	return item
+}
--- /dev/null
+++ b/pkg/load/report.go
@@ -0,0 +1,130 @@
+package load
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+const (
+	maxTrackedUS      = int64(10 * 60 * 1e6)
+	significantDigits = 3
+)
+
+// Report holds the outcomes of a run.
+type Report struct {
+	Config  Config
+	Elapsed time.Duration
+	Records []Record
+	// Dropped counts planned requests that exceeded MaxInFlight and were not sent.
+	Dropped int
+
+	mu         sync.Mutex
+	histograms map[string]*hdrhistogram.Histogram
+}
+
+func newReport(cfg Config) *Report {
+	return &Report{Config: cfg, histograms: make(map[string]*hdrhistogram.Histogram)}
+}
+
+func (r *Report) drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Dropped++
+}
+
+func (r *Report) add(record Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Records = append(r.Records, record)
+	group := record.Class
+	if record.Outcome != result.Complete.String() {
+		group = record.Outcome
+	}
+	h := r.histograms[group]
+	if h == nil {
+		h = hdrhistogram.New(1, maxTrackedUS, significantDigits)
+		r.histograms[group] = h
+	}
+	_ = h.RecordValue(min(max(record.LatencyUS, 1), maxTrackedUS))
+}
+
+func (r *Report) finish(elapsed time.Duration) {
+	r.Elapsed = elapsed
+	sort.Slice(r.Records, func(i, j int) bool { return r.Records[i].Token < r.Records[j].Token })
+}
+
+// Quantiles summarizes one latency histogram, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Summary is the short form of a report.
+type Summary struct {
+	Service    string         `json:"service"`
+	Rate       float64        `json:"rate"`
+	Seed       uint64         `json:"seed"`
+	ElapsedMS  int64          `json:"elapsed_ms"`
+	Sent       int            `json:"sent"`
+	Dropped    int            `json:"dropped"`
+	Outcomes   map[string]int `json:"outcomes"`
+	Codes      map[string]int `json:"codes"`
+	Faults     map[string]int `json:"faults,omitempty"`
+	Domains    map[string]int `json:"domains"`
+	Settled    int            `json:"settled"`
+	Submitted  int            `json:"submitted"`
+	Identifier string         `json:"run_id"`
+	// Latency is by class for complete answers and by outcome otherwise.
+	Latency map[string]Quantiles `json:"latency"`
+}
+
+// Summary counts outcomes and reads the histograms.
+func (r *Report) Summary() Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := Summary{
+		Service: r.Config.Service, Rate: r.Config.Rate, Seed: r.Config.Seed, Identifier: r.Config.RunID,
+		ElapsedMS: r.Elapsed.Milliseconds(), Sent: len(r.Records), Dropped: r.Dropped,
+		Outcomes: make(map[string]int), Codes: make(map[string]int), Faults: make(map[string]int),
+		Domains: make(map[string]int), Latency: make(map[string]Quantiles),
+	}
+	for _, record := range r.Records {
+		s.count(record)
+	}
+	for name, h := range r.histograms {
+		s.Latency[name] = quantiles(h)
+	}
+	return s
+}
+
+func (s *Summary) count(record Record) {
+	s.Outcomes[record.Outcome]++
+	s.Codes[result.Lookup(record.Code).Name]++
+	s.Submitted += record.Sends
+	if record.Fault != "" {
+		s.Faults[record.Fault]++
+	}
+	if record.Domain != "" {
+		s.Domains[record.Domain]++
+	}
+	if record.Settled {
+		s.Settled++
+	}
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{
+		Count: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), P999: at(99.9),
+		Max: float64(h.Max()) / 1000,
+	}
+}
