Let instances bind outgoing peer connections and advertise another address

Tests of partitions put a relay in front of each peer address and tell the instances apart by source address. That needs an address to advertise other than the one listened on, and connections that leave from the own IP address. Both also serve instances with several addresses.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -39,6 +39,10 @@
 	Logger *slog.Logger
 	// Registry receives the counters; nil keeps them private.
 	Registry metrics.Registry
+	// LocalAddress is the process's own address from its settings. Connections
+	// leave from its IP address, so that filters on the path can tell
+	// instances apart; empty lets the system choose. The port is not used.
+	LocalAddress string
 }
 
 // Client sends messages to peers over one connection per address.
--- a/pkg/peer/connection.go
+++ b/pkg/peer/connection.go
@@ -73,7 +73,12 @@
 func (c *connection) run() {
 	defer c.cancel()
 	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
-	c.quic, c.dialError = quic.DialAddr(ctx, c.addr, c.client.cfg.TLS, quicConfig())
+	transport, err := newTransport(c.client.cfg.LocalAddress)
+	if err == nil {
+		defer closeTransport(transport)
+		c.quic, err = dial(ctx, transport, c.addr, c.client.cfg.TLS)
+	}
+	c.dialError = err
 	cancel()
 	c.failedAt = time.Now()
 	c.used()
--- a/pkg/settings/instance.go
+++ b/pkg/settings/instance.go
@@ -33,8 +33,11 @@
 	// CallerAddress serves callers over HTTP.
 	CallerAddress string
 	// PeerAddress serves other entries and the own agent over QUIC.
-	PeerAddress  string
-	AdminAddress string
+	PeerAddress string
+	// AdvertisedAddress is where other instances reach PeerAddress; it differs
+	// from it behind an address translation.
+	AdvertisedAddress string
+	AdminAddress      string
 	// MaxConcurrent bounds the caller requests in flight.
 	MaxConcurrent int
 	// DrainGrace bounds a graceful stop: the look-up lifetime and the longest
@@ -46,6 +49,9 @@
 type Agent struct {
 	// PeerAddress serves other agents over QUIC.
 	PeerAddress string
+	// AdvertisedAddress is where other agents reach PeerAddress; it differs
+	// from it behind an address translation.
+	AdvertisedAddress string
 	// OperatorAddress serves operators over HTTP or HTTPS.
 	OperatorAddress string
 	// OperatorTLS makes the operator API use the TLS files.
@@ -135,18 +141,22 @@
 }
 
 func readEntry(r *Reader) Entry {
+	peerAddress := r.Address("entry", "peer_address")
 	return Entry{
-		CallerAddress: r.Address("entry", "caller_address"),
-		PeerAddress:   r.Address("entry", "peer_address"),
-		AdminAddress:  r.Address("entry", "admin_address"),
-		MaxConcurrent: r.Int("entry", "max_concurrent", 4096, 1, 1_000_000),
-		DrainGrace:    r.Duration("entry", "drain_grace", 5*time.Minute, 0, time.Hour),
+		CallerAddress:     r.Address("entry", "caller_address"),
+		PeerAddress:       peerAddress,
+		AdvertisedAddress: r.AddressOr("entry", "advertised_address", peerAddress),
+		AdminAddress:      r.Address("entry", "admin_address"),
+		MaxConcurrent:     r.Int("entry", "max_concurrent", 4096, 1, 1_000_000),
+		DrainGrace:        r.Duration("entry", "drain_grace", 5*time.Minute, 0, time.Hour),
 	}
 }
 
 func readAgent(r *Reader) Agent {
+	peerAddress := r.Address("agent", "peer_address")
 	agent := Agent{
-		PeerAddress:               r.Address("agent", "peer_address"),
+		PeerAddress:               peerAddress,
+		AdvertisedAddress:         r.AddressOr("agent", "advertised_address", peerAddress),
 		OperatorAddress:           r.Address("agent", "operator_address"),
 		OperatorTLS:               r.OneOf("agent", "operator_tls", "yes", "no") == "yes",
 		AdminAddress:              r.Address("agent", "admin_address"),
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -48,3 +49,37 @@
 		_ = r.Err()
 	})
 }
+
+const instanceText = `[instance]
+id = a-1
+region = north
+domain = north-a
+[tls]
+certificate_file = c
+key_file = k
+authority_file = a
+[entry]
+caller_address = 127.0.0.1:1
+peer_address = 127.0.0.1:2
+admin_address = 127.0.0.1:3
+[agent]
+peer_address = 127.0.0.1:4
+operator_address = 127.0.0.1:5
+admin_address = 127.0.0.1:6
+%s
+[platform]
+table_address = 127.0.0.1:7
+objects_address = 127.0.0.1:7
+list_address = 127.0.0.1:7
+`
+
+// Guards against an advertised address that is lost or differs without need.
+func TestAdvertisedAddress(t *testing.T) {
+	r, err := Parse([]byte(fmt.Sprintf(instanceText, "advertised_address = 127.0.0.9:4")))
+	require.NoError(t, err)
+	s, err := ReadInstance(r)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:2", s.Entry.AdvertisedAddress)
+	require.Equal(t, "127.0.0.9:4", s.Agent.AdvertisedAddress)
+	require.Equal(t, "127.0.0.1:4", s.Agent.PeerAddress)
+}
