--- /dev/null
+++ b/pkg/harness/upstream.go
@@ -0,0 +1,59 @@
+package harness
+
+import (
+	"net/http"
+
+	"github.com/sequoiacove/sequoiacove/pkg/load"
+	"github.com/sequoiacove/sequoiacove/pkg/platform"
+)
+
+// Upstream is a running stand-in upstream.
+type Upstream struct {
+	*Process
+	Record platform.Instance
+	// Address is where the upstream itself listens; Record.Address may be that
+	// of a relay in front of it.
+	Address string
+}
+
+// UpstreamControl is the body of the stand-in's control call; it replaces all
+// earlier settings.
+type UpstreamControl struct {
+	Leaving            bool    `json:"leaving"`
+	StatusLeavingLagMS int     `json:"status_leaving_lag_ms,omitempty"`
+	SlowFactor         float64 `json:"slow_factor,omitempty"`
+	StatusLagMS        int     `json:"status_lag_ms,omitempty"`
+	StatusFalse        bool    `json:"status_false,omitempty"`
+	// Fail is none, close_after_read, half_answer, refuse or hang.
+	Fail string `json:"fail,omitempty"`
+}
+
+// UpstreamLog is the upstream's own log of executions.
+type UpstreamLog struct {
+	Executions  []load.Execution `json:"executions"`
+	Started     int              `json:"started"`
+	Shed        int              `json:"shed"`
+	MaxInFlight int              `json:"max_in_flight"`
+}
+
+// Control changes the behaviour of the upstream.
+func (u *Upstream) Control(c UpstreamControl) error {
+	return call(http.MethodPost, "http://"+u.Address+"/control", "", c, nil)
+}
+
+// Log returns the upstream's own log.
+func (u *Upstream) Log() (UpstreamLog, error) {
+	var log UpstreamLog
+	if err := call(http.MethodGet, "http://"+u.Address+"/log", "", nil, &log); err != nil {
+		return log, err
+	}
+	for i := range log.Executions {
+		log.Executions[i].Upstream = u.Record.ID
+	}
+	return log, nil
+}
+
+// ready tells whether the upstream answers.
+func (u *Upstream) ready() error {
+	return call(http.MethodGet, "http://"+u.Address+"/status", "", nil, nil)
+}
