--- a/pkg/harness/harness.go
+++ b/pkg/harness/harness.go
@@ -30,6 +30,8 @@
 	Name      string
 	Upstreams int
 	Slots     int
+	// Cold is the number of first executions that run slower.
+	Cold int
 }
 
 // Spec describes a cluster.
--- a/pkg/harness/standins.go
+++ b/pkg/harness/standins.go
@@ -68,7 +68,8 @@
 		}
 	}
 	u := &Upstream{
-		Process: c.process(id, "standin-upstream", "--address", address, "--slots", strconv.Itoa(service.Slots)),
+		Process: c.process(id, "standin-upstream", "--address", address, "--id", id, "--service", service.Name,
+			"--slots", strconv.Itoa(service.Slots), "--cold", strconv.Itoa(service.Cold)),
 		Address: address,
 		Record: platform.Instance{ID: id, Role: platform.RoleUpstream, Service: service.Name, Region: domain.Region,
 			Domain: domain.Name, Address: reached, State: cluster.Serving, Slots: service.Slots},
--- a/pkg/load/judge.go
+++ b/pkg/load/judge.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -15,6 +14,7 @@
 // Faults of an answer that claims to be complete.
 const (
 	FaultForeign = "answer of another request"
+	FaultBody    = "the upstream received another body than the one sent"
 	FaultNoCode  = "answer without outcome and code"
 	FaultClash   = "outcome and code disagree"
 )
@@ -22,8 +22,9 @@
 const maxDetail = 200
 
 // judge turns a whole HTTP answer into the result of a submission. net/http has
-// already refused a body that is shorter than its framing says.
-func judge(item Item, resp *http.Response, body []byte) attempt {
+// already refused a body that is shorter than its framing says. bodyBytes is the
+// size of the body that was sent.
+func judge(item Item, resp *http.Response, body []byte, bodyBytes int) attempt {
 	number, err := strconv.ParseUint(resp.Header.Get(request.HeaderCode), 10, 16)
 	outcome := resp.Header.Get(request.HeaderOutcome)
 	if err != nil || outcome == "" {
@@ -43,13 +44,30 @@
 		a.detail = shorten(body)
 		return a
 	}
-	if resp.StatusCode == http.StatusOK && !bytes.Contains(body, []byte(item.Token)) {
-		a.fault = FaultForeign
+	if resp.StatusCode == http.StatusOK {
+		a.fault = checkAnswer(item, body, bodyBytes)
+	}
+	if a.fault != "" {
 		a.detail = shorten(body)
 	}
 	return a
 }
 
+// checkAnswer compares the answer of a stand-in upstream with the request.
+func checkAnswer(item Item, body []byte, sent int) string {
+	var answer struct {
+		Path      string `json:"path"`
+		BodyBytes int    `json:"body_bytes"`
+	}
+	if json.Unmarshal(body, &answer) != nil || answer.Path != item.Path() {
+		return FaultForeign
+	}
+	if answer.BodyBytes != sent {
+		return FaultBody
+	}
+	return ""
+}
+
 func shorten(body []byte) string {
 	var refusal struct {
 		Detail string `json:"detail"`
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -64,7 +64,11 @@
 	_, _ = io.WriteString(w, body)
 }
 
-func echo(w http.ResponseWriter, r *http.Request) { reply(w, result.OK, r.URL.Path) }
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	path := strings.TrimPrefix(r.RequestURI, "/v1/services/shop")
+	reply(w, result.OK, fmt.Sprintf(`{"path":%q,"body_bytes":%d}`, path, len(body)))
+}
 
 func runOne(f *fakeEntry, cfg Config) Record {
 	cfg.Entries, cfg.Service = []string{f.address()}, "shop"
@@ -100,10 +104,19 @@
 
 // Guards against an answer of another request that passes as the own one.
 func TestForeignAnswerIsFound(t *testing.T) {
-	f := newFakeEntry(t, func(w http.ResponseWriter, _ *http.Request) { reply(w, result.OK, "/read/someone-else") })
+	f := newFakeEntry(t, func(w http.ResponseWriter, _ *http.Request) { reply(w, result.OK, `{"path":"/read/someone-else"}`) })
 	require.Equal(t, FaultForeign, runOne(f, Config{}).Fault)
 }
 
+// Guards against a request body that was cut or mixed up on its way.
+func TestShortBodyIsFound(t *testing.T) {
+	f := newFakeEntry(t, func(w http.ResponseWriter, r *http.Request) {
+		r.Body = io.NopCloser(strings.NewReader("short"))
+		echo(w, r)
+	})
+	require.Equal(t, FaultBody, runOne(f, Config{NonIdempotent: 1, BodyBytes: 1000}).Fault)
+}
+
 // Guards against a truncated answer that counts as complete.
 func TestTruncatedAnswerIsUnknown(t *testing.T) {
 	f := newFakeEntry(t, func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/load/send.go
+++ b/pkg/load/send.go
@@ -177,7 +177,7 @@
 	if err != nil {
 		return failed(fmt.Errorf("reading the answer: %w", err))
 	}
-	return judge(item, resp, body)
+	return judge(item, resp, body, int(req.ContentLength))
 }
 
 func failed(err error) attempt {
