--- /dev/null
+++ b/pkg/harness/traffic.go
@@ -0,0 +1,109 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/load"
+)
+
+// settleLimit is longer than the longest execution that tests ask for.
+const settleLimit = 10 * time.Second
+
+// Traffic is load that runs in the background.
+type Traffic struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	report *load.Report
+}
+
+// StartLoad starts load; entries and service default to those of the cluster.
+func (c *Cluster) StartLoad(cfg load.Config) *Traffic {
+	if len(cfg.Entries) == 0 {
+		cfg.Entries = c.CallerAddresses()
+	}
+	if cfg.Service == "" {
+		cfg.Service = c.Spec.Services[0].Name
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Traffic{cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(t.done)
+		t.report = load.Run(ctx, cfg)
+	}()
+	return t
+}
+
+// Wait waits for the planned end of the load.
+func (t *Traffic) Wait() *load.Report {
+	<-t.done
+	t.cancel()
+	return t.report
+}
+
+// Stop ends sending and waits for the requests in flight.
+func (t *Traffic) Stop() *load.Report {
+	t.cancel()
+	<-t.done
+	return t.report
+}
+
+// Settle waits until no upstream holds an execution, so that the logs are
+// complete.
+func (c *Cluster) Settle() error {
+	_, err := Await(settleLimit, "end of all executions", func() error {
+		for _, u := range c.Upstreams {
+			if !u.Running() {
+				continue
+			}
+			busy, err := u.busy()
+			if err != nil {
+				return err
+			}
+			if busy > 0 {
+				return fmt.Errorf("%s has %d executions in flight", u.Record.ID, busy)
+			}
+		}
+		return nil
+	})
+	return err
+}
+
+// Audit compares reports with the logs of all upstreams.
+func (c *Cluster) Audit(reports ...*load.Report) (load.Audit, error) {
+	if err := c.Settle(); err != nil {
+		return load.Audit{}, err
+	}
+	executions, err := c.Executions("")
+	if err != nil {
+		return load.Audit{}, err
+	}
+	auditor := load.NewAuditor(executions)
+	for _, u := range c.Upstreams {
+		if !u.Running() {
+			auditor.LostLogs[u.Record.ID] = true
+		}
+	}
+	var records []load.Record
+	for _, r := range reports {
+		records = append(records, r.Records...)
+	}
+	return auditor.Check(records), nil
+}
+
+// RegionOf returns the region of an upstream.
+func (c *Cluster) RegionOf(upstream string) string {
+	if u := c.Upstream(upstream); u != nil {
+		return u.Record.Region
+	}
+	return ""
+}
+
+// DomainOf returns the failure domain of an upstream.
+func (c *Cluster) DomainOf(upstream string) string {
+	if u := c.Upstream(upstream); u != nil {
+		return u.Record.Domain
+	}
+	return ""
+}
--- a/pkg/harness/upstream.go
+++ b/pkg/harness/upstream.go
@@ -57,3 +57,14 @@
 func (u *Upstream) ready() error {
 	return call(http.MethodGet, "http://"+u.Address+"/status", "", nil, nil)
 }
+
+// busy returns how many executions the upstream holds; it needs status figures
+// without lag.
+func (u *Upstream) busy() (int, error) {
+	var status struct {
+		InFlight int `json:"in_flight"`
+		Queued   int `json:"queued"`
+	}
+	err := call(http.MethodGet, "http://"+u.Address+"/status", "", nil, &status)
+	return status.InFlight + status.Queued, err
+}
--- a/pkg/load/load.go
+++ b/pkg/load/load.go
@@ -29,6 +29,11 @@
 	// Blocks are the client blocks of the simulated callers; each has its own
 	// cached look-up answer. Empty means one caller without a block.
 	Blocks []string
+	// Direct lists entry instances that callers use without look-ups, one
+	// caller for each; Entries and Blocks are then not used.
+	Direct []string
+	// Single sends each request once, without other instances or repeats.
+	Single bool
 	// Rate is the number of requests per second.
 	Rate     float64
 	Duration time.Duration
@@ -74,6 +79,9 @@
 	if c.MaxInFlight == 0 {
 		c.MaxInFlight = DefaultMaxInFlight
 	}
+	if len(c.Direct) > 0 {
+		c.Blocks = make([]string, len(c.Direct))
+	}
 	if len(c.Blocks) == 0 {
 		c.Blocks = []string{""}
 	}
--- a/pkg/load/lookup.go
+++ b/pkg/load/lookup.go
@@ -38,6 +38,8 @@
 	service string
 	block   string
 	entries []string
+	// fixed replaces look-ups.
+	fixed []Target
 
 	// refreshing admits one look-up at a time.
 	refreshing sync.Mutex
@@ -52,6 +54,9 @@
 // before it expires, so that requests rarely wait for a look-up. When no
 // instance answers, the expired one is returned: a caller has nothing better.
 func (c *cache) targets() []Target {
+	if c.fixed != nil {
+		return c.fixed
+	}
 	answer, age := c.cached()
 	lifetime := time.Duration(answer.TTLMS) * time.Millisecond
 	switch {
--- a/pkg/load/send.go
+++ b/pkg/load/send.go
@@ -40,6 +40,9 @@
 	shared.identifiers = newIdentifiers(shared.clients, cfg.Service)
 	for i, block := range cfg.Blocks {
 		lookups := &cache{clients: shared.clients, service: cfg.Service, block: block, entries: cfg.Entries, next: i}
+		if len(cfg.Direct) > 0 {
+			lookups.fixed = []Target{{ID: cfg.Direct[i], Address: cfg.Direct[i]}}
+		}
 		shared.list = append(shared.list, &caller{cfg: cfg, shared: shared, lookups: lookups})
 	}
 	return shared
@@ -74,7 +77,7 @@
 			time.Sleep(roundPause)
 		}
 		last = c.tryTargets(item, deadline, &record, last)
-		if last.code == result.BadRequest || last.code == result.UnknownService {
+		if c.cfg.Single || last.code == result.BadRequest || last.code == result.UnknownService {
 			break
 		}
 	}
@@ -100,10 +103,10 @@
 			id = issued
 		}
 		last = c.submit(target, item, id, deadline, record)
-		if last.outcome == result.Unknown {
+		if last.outcome == result.Unknown && !c.cfg.Single {
 			last = c.repeat(target, item, id, deadline, record, last)
 		}
-		if last.outcome != result.NotRun {
+		if last.outcome != result.NotRun || c.cfg.Single {
 			return last
 		}
 	}
--- a/pkg/load/shares.go
+++ b/pkg/load/shares.go
@@ -6,7 +6,11 @@
 	"sort"
 )
 
-// Window counts the requests that began in one window, by place.
+// NotPlaced is the place of requests that no upstream began to execute.
+const NotPlaced = ""
+
+// Window counts the requests that were due in one window, by the place of
+// their first execution.
 type Window struct {
 	StartUnixUS int64
 	Total       int
@@ -21,26 +25,28 @@
 	return float64(w.ByPlace[place]) / float64(w.Total)
 }
 
-// Windows counts requests by the window and place of their first execution.
-// Later executions of a request, which are hedges and retries, are left out.
-// The last window is left out, because it may be incomplete.
-func Windows(executions []Execution, placeOf func(upstream string) string, fromUnixUS, windowUS int64) []Window {
-	sorted := append([]Execution(nil), executions...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i].StartUnixUS < sorted[j].StartUnixUS })
+// Windows counts records by the window of their intended send time and by the
+// place of their first execution. Refused requests count in the total, and
+// hedges and retries do not count. The last window is left out, because it may
+// be incomplete.
+func Windows(records []Record, executions []Execution, placeOf func(upstream string) string, windowUS int64) []Window {
+	first := firstExecutions(executions)
+	start := int64(math.MaxInt64)
+	for _, r := range records {
+		start = min(start, r.IntendedUnixUS)
+	}
 	var windows []Window
-	seen := make(map[string]bool)
-	for _, e := range sorted {
-		token := TokenOf(e.Path)
-		if !e.Ran() || token == "" || seen[token] || e.StartUnixUS < fromUnixUS {
-			continue
-		}
-		seen[token] = true
-		index := int((e.StartUnixUS - fromUnixUS) / windowUS)
+	for _, r := range records {
+		index := int((r.IntendedUnixUS - start) / windowUS)
 		for len(windows) <= index {
-			windows = append(windows, Window{StartUnixUS: fromUnixUS + int64(len(windows))*windowUS, ByPlace: make(map[string]int)})
+			windows = append(windows, Window{StartUnixUS: start + int64(len(windows))*windowUS, ByPlace: make(map[string]int)})
+		}
+		place := NotPlaced
+		if e, ok := first[r.Token]; ok {
+			place = placeOf(e.Upstream)
 		}
 		windows[index].Total++
-		windows[index].ByPlace[placeOf(e.Upstream)]++
+		windows[index].ByPlace[place]++
 	}
 	if len(windows) == 0 {
 		return nil
@@ -48,6 +54,50 @@
 	return windows[:len(windows)-1]
 }
 
+func firstExecutions(executions []Execution) map[string]Execution {
+	first := make(map[string]Execution)
+	for _, e := range executions {
+		token := TokenOf(e.Path)
+		if !e.Ran() || token == "" {
+			continue
+		}
+		if known, ok := first[token]; !ok || e.StartUnixUS < known.StartUnixUS {
+			first[token] = e
+		}
+	}
+	return first
+}
+
+// MaxConcurrent returns the highest number of executions that ran at one time
+// in each place.
+func MaxConcurrent(executions []Execution, placeOf func(upstream string) string) map[string]int {
+	type change struct {
+		at    int64
+		place string
+		step  int
+	}
+	var changes []change
+	for _, e := range executions {
+		if e.Ran() && e.EndUnixUS > e.StartUnixUS {
+			place := placeOf(e.Upstream)
+			changes = append(changes, change{e.StartUnixUS, place, 1}, change{e.EndUnixUS, place, -1})
+		}
+	}
+	// At equal times ends come first: the slot was free when the next began.
+	sort.Slice(changes, func(i, j int) bool {
+		if changes[i].at != changes[j].at {
+			return changes[i].at < changes[j].at
+		}
+		return changes[i].step < changes[j].step
+	})
+	running, highest := make(map[string]int), make(map[string]int)
+	for _, c := range changes {
+		running[c.place] += c.step
+		highest[c.place] = max(highest[c.place], running[c.place])
+	}
+	return highest
+}
+
 // CheckCap compares every pair of windows: the share of a place may differ by
 // at most the cap times the time between the windows, and by the rounding of
 // the choosers, which is one request per entry instance in each window.
--- a/pkg/load/shares_test.go
+++ b/pkg/load/shares_test.go
@@ -9,8 +9,7 @@
 
 // movedShares makes 200 requests a second whose share in "south" rises by step
 // per second, from 0.1 in the second window on.
-func movedShares(seconds int, step float64) []Execution {
-	var list []Execution
+func movedShares(seconds int, step float64) (records []Record, executions []Execution) {
 	for s := range seconds {
 		south := int(200 * (0.1 + step*float64(max(0, s-1))))
 		for n := range 200 {
@@ -18,11 +17,12 @@
 			if n < south {
 				upstream = "south-1"
 			}
-			list = append(list, Execution{Upstream: upstream, Path: fmt.Sprintf("/read/%d-%d", s, n), Result: "done",
-				StartUnixUS: int64(s)*1e6 + int64(n)*4000})
+			token, at := fmt.Sprintf("%d-%d", s, n), int64(s)*1e6+int64(n)*4000
+			records = append(records, Record{Token: token, IntendedUnixUS: at})
+			executions = append(executions, Execution{Upstream: upstream, Path: "/read/" + token, Result: "done", StartUnixUS: at})
 		}
 	}
-	return list
+	return records, executions
 }
 
 func placeOf(upstream string) string { return upstream[:5] }
@@ -31,7 +31,8 @@
 // at the cap.
 func TestCheckCap(t *testing.T) {
 	check := func(step float64) []string {
-		windows := Windows(movedShares(8, step), placeOf, 0, 1e6)
+		records, executions := movedShares(8, step)
+		windows := Windows(records, executions, placeOf, 1e6)
 		require.Len(t, windows, 7)
 		return CheckCap(windows, []string{"north", "south"}, 0.05, 1, 2)
 	}
@@ -39,15 +40,29 @@
 	require.NotEmpty(t, check(0.07))
 }
 
-// Guards against hedges, retries and shed requests that count as traffic.
+// Guards against hedges and retries that count as traffic, and refused
+// requests that do not.
 func TestWindowsCountRequestsOnce(t *testing.T) {
-	windows := Windows([]Execution{
-		{Upstream: "south-1", Path: "/read/a", Result: "done", StartUnixUS: 20},
-		{Upstream: "north-1", Path: "/read/a", Result: "cancelled", StartUnixUS: 10},
-		{Upstream: "north-1", Path: "/read/b", Result: ResultShed, StartUnixUS: 30},
-		{Upstream: "north-1", Path: "/read/c", Result: "done", StartUnixUS: 150},
-	}, placeOf, 0, 100)
+	windows := Windows([]Record{
+		{Token: "a", IntendedUnixUS: 100}, {Token: "b", IntendedUnixUS: 110}, {Token: "c", IntendedUnixUS: 250},
+	}, []Execution{
+		{Upstream: "south-1", Path: "/read/a", Result: "done", StartUnixUS: 120},
+		{Upstream: "north-1", Path: "/read/a", Result: "cancelled", StartUnixUS: 110},
+		{Upstream: "north-1", Path: "/read/b", Result: ResultShed, StartUnixUS: 130},
+	}, placeOf, 100)
 	require.Len(t, windows, 1)
-	require.Equal(t, 1, windows[0].Total)
-	require.Equal(t, map[string]int{"north": 1}, windows[0].ByPlace)
+	require.Equal(t, map[string]int{"north": 1, NotPlaced: 1}, windows[0].ByPlace)
+}
+
+// Guards against a concurrency count that misses an overlap or adds executions
+// that follow each other.
+func TestMaxConcurrent(t *testing.T) {
+	highest := MaxConcurrent([]Execution{
+		{Upstream: "north-1", Result: "done", StartUnixUS: 0, EndUnixUS: 10},
+		{Upstream: "north-2", Result: "done", StartUnixUS: 5, EndUnixUS: 20},
+		{Upstream: "north-1", Result: "done", StartUnixUS: 20, EndUnixUS: 30},
+		{Upstream: "north-1", Result: ResultShed, StartUnixUS: 6, EndUnixUS: 7},
+		{Upstream: "south-1", Result: "done", StartUnixUS: 6, EndUnixUS: 7},
+	}, placeOf)
+	require.Equal(t, map[string]int{"north": 2, "south": 1}, highest)
 }
