Make "not run" final for a request identifier

Cause: the model of the request path with a resend forbids an execution after "not run", but the table reopened an identifier after a refusal. A first submission delayed on its way could then run after its resend was answered "not run" and the caller had repeated the request under a new identifier: a doubled deposit.

--- a/pkg/requestid/table.go
+++ b/pkg/requestid/table.go
@@ -50,16 +50,13 @@
 	serial uint64
 	issued time.Duration
 	digest [sha256.Size]byte
-	// done is closed when the running execution ends.
+	// done is closed when the execution ends.
 	done    chan struct{}
 	running bool
-	// free is set after an execution that certainly did not run; the same
-	// request may then run.
-	free   bool
-	code   result.Code
-	detail string
-	answer *request.Response
-	size   int
+	code    result.Code
+	detail  string
+	answer  *request.Response
+	size    int
 }
 
 // New returns an empty table. The key must be random for each incarnation.
@@ -103,6 +100,9 @@
 
 // Do runs a request under its identifier at most once. A resend gets the
 // recorded outcome; while the first execution runs it waits until ctx ends.
+// "Not run" is final for an identifier: a first submission that was delayed on
+// its way must not run after a resend was answered "not run", because the
+// caller may have repeated the request under a new identifier.
 func (t *Table) Do(ctx context.Context, req *request.Request, run func() (*request.Response, error)) (*request.Response, error) {
 	id, err := Parse(req.ID)
 	if err != nil {
@@ -112,53 +112,45 @@
 		return nil, err
 	}
 	digest := digestOf(req)
-	for {
-		r, done, err := t.begin(id, digest)
-		if err != nil {
-			return nil, err
-		}
-		if done == nil {
-			return t.execute(r, run)
-		}
-		select {
-		case <-done:
-		case <-ctx.Done():
-			return nil, result.New(result.RequestIDInFlight, "the first execution has not ended")
-		}
-		if resp, err, settled := t.outcome(r); settled {
-			return resp, err
-		}
+	r, first, err := t.begin(id, digest)
+	if err != nil {
+		return nil, err
+	}
+	if first {
+		return t.execute(r, run)
+	}
+	select {
+	case <-r.done:
+		return t.outcome(r)
+	case <-ctx.Done():
+		return nil, result.New(result.RequestIDInFlight, "the first execution has not ended")
 	}
 }
 
-// begin finds or makes the record of an identifier. The channel closes when the
-// running execution ends; it is nil when the caller is to run the request.
-func (t *Table) begin(id ID, digest [sha256.Size]byte) (*record, <-chan struct{}, error) {
+// begin finds or makes the record of an identifier; first is set when the
+// caller is to run the request.
+func (t *Table) begin(id ID, digest [sha256.Size]byte) (r *record, first bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	age := t.now().Sub(t.start) - id.Issued
 	if age > Lifetime {
-		return nil, nil, result.New(result.RequestIDExpired, "issued %v ago", age.Round(time.Second))
+		return nil, false, result.New(result.RequestIDExpired, "issued %v ago", age.Round(time.Second))
 	}
 	t.expire()
 	r, ok := t.records[id.Serial]
 	if !ok {
 		if len(t.records) >= t.limits.Records {
-			return nil, nil, result.New(result.RequestIDTableFull, "%d identifiers are tracked", len(t.records))
+			return nil, false, result.New(result.RequestIDTableFull, "%d identifiers are tracked", len(t.records))
 		}
-		r = &record{serial: id.Serial, issued: id.Issued, digest: digest, free: true}
+		r = &record{serial: id.Serial, issued: id.Issued, digest: digest, running: true, done: make(chan struct{})}
 		t.records[id.Serial] = r
 		t.expiry = append(t.expiry, r)
+		return r, true, nil
 	}
 	if r.digest != digest {
-		return nil, nil, result.New(result.RequestIDMismatch, "the identifier belongs to another method, path or body")
+		return nil, false, result.New(result.RequestIDMismatch, "the identifier belongs to another method, path or body")
 	}
-	if !r.free {
-		return r, r.done, nil
-	}
-	r.free, r.running = false, true
-	r.done = make(chan struct{})
-	return r, nil, nil
+	return r, false, nil
 }
 
 // execute runs the request and records its outcome. A panic leaves the outcome
@@ -174,7 +166,6 @@
 	defer t.mu.Unlock()
 	r.running = false
 	r.code, r.detail = result.CodeOf(err), result.Detail(err)
-	r.free = result.OutcomeOf(err) == result.NotRun
 	if err == nil && resp != nil {
 		t.keep(r, resp)
 	}
@@ -209,20 +200,17 @@
 	r.answer, r.size = nil, 0
 }
 
-// outcome returns what a finished record says to a resend; settled is false
-// when the request did not run and may run now.
-func (t *Table) outcome(r *record) (resp *request.Response, err error, settled bool) {
+// outcome returns what a finished record says to a resend.
+func (t *Table) outcome(r *record) (*request.Response, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case r.running || r.free:
-		return nil, nil, false
-	case r.code != result.OK:
-		return nil, result.New(r.code, "recorded outcome: %s", r.detail), true
-	case r.answer == nil:
-		return nil, result.New(result.RequestIDConsumed, "the request is complete"), true
+	if r.code != result.OK {
+		return nil, result.New(r.code, "recorded outcome: %s", r.detail)
+	}
+	if r.answer == nil {
+		return nil, result.New(result.RequestIDConsumed, "the request is complete")
 	}
-	return r.answer, nil, true
+	return r.answer, nil
 }
 
 // expire removes the records whose identifiers are no longer accepted. The
--- a/spec/request.pml
+++ b/spec/request.pml
@@ -9,6 +9,7 @@
  *   NO_TABLE       the issuer keeps no record of identifiers
  *   NEW_ISSUER     an entry accepts an identifier of an earlier incarnation
  *   CLAIM_NOT_RUN  a lost answer is reported as not run
+ *   REOPEN         an identifier may run after it was answered as not run
  */
 mtype = { complete, not_run, unknown };
 mtype = { fresh, in_flight, done };
@@ -83,6 +84,9 @@
 			/* A restarted issuer has lost its table and answers nobody. */
 			d_step {
 				if
+#ifdef REOPEN
+				:: incarnation == my_incarnation && result == not_run -> record = fresh
+#endif
 				:: incarnation == my_incarnation -> record = done; recorded = result
 				:: else -> result = unknown
 				fi
