--- /dev/null
+++ b/pkg/operator/client.go
@@ -0,0 +1,217 @@
+package operator
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+const (
+	defaultTimeout = 10 * time.Second
+	// maxReplyBytes is enough for 3,300 member records with their shares.
+	maxReplyBytes = 64 << 20
+	// patchRounds is how often a patch goes through all addresses while its
+	// outcome is unknown.
+	patchRounds = 3
+	patchPause  = 500 * time.Millisecond
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Addresses are the operator addresses of agents, tried in order.
+	Addresses []string
+	Token     string
+	// TLS selects HTTPS; nil selects HTTP.
+	TLS *tls.Config
+	// Timeout bounds each attempt.
+	Timeout time.Duration
+	// Sleep waits between rounds of a patch; tests replace it.
+	Sleep func(ctx context.Context, d time.Duration) error
+}
+
+// Client calls the operator API of any of several agents.
+type Client struct {
+	cfg  ClientConfig
+	http *fasthttp.Client
+}
+
+// NewClient returns a client.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	if cfg.Sleep == nil {
+		cfg.Sleep = sleep
+	}
+	return &Client{cfg: cfg, http: &fasthttp.Client{
+		Name:                      "sequoiactl",
+		TLSConfig:                 cfg.TLS,
+		Dial:                      dial,
+		MaxResponseBodySize:       maxReplyBytes,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// attempt sends one request to one agent. PeerUnreachable means that nothing
+// was sent.
+func (c *Client) attempt(ctx context.Context, addr, method, path string, body []byte) ([]byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	scheme := "http"
+	if c.cfg.TLS != nil {
+		scheme = "https"
+	}
+	req.SetRequestURI(scheme + "://" + addr + path)
+	req.Header.SetMethod(method)
+	req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBody(body)
+	}
+	deadline := time.Now().Add(c.cfg.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return nil, connectionError(addr, err)
+	}
+	if resp.StatusCode() == fasthttp.StatusOK {
+		return append([]byte(nil), resp.Body()...), nil
+	}
+	return nil, remoteError(addr, resp.StatusCode(), resp.Body())
+}
+
+// dialError marks a failure before anything was sent.
+type dialError struct{ error }
+
+func (e dialError) Unwrap() error { return e.error }
+
+func connectionError(addr string, err error) error {
+	var dialing dialError
+	if errors.As(err, &dialing) {
+		return result.New(result.PeerUnreachable, "%s: %v", addr, dialing.error)
+	}
+	return result.New(result.PeerNoAnswer, "%s: %v", addr, err)
+}
+
+func remoteError(addr string, status int, body []byte) error {
+	var e ErrorBody
+	if err := json.Unmarshal(body, &e); err != nil || e.Code == result.OK || e.Code == 0 {
+		return result.New(result.PeerProtocol, "%s: status %d without an error body", addr, status)
+	}
+	return &RemoteError{Body: e, Address: addr}
+}
+
+// elsewhere reports whether another agent may succeed where one failed.
+func elsewhere(err error) bool {
+	return result.Lookup(result.CodeOf(err)).HTTPStatus >= 500
+}
+
+// read tries the agents in order until one answers or refuses for good.
+func (c *Client) read(ctx context.Context, method, path string, body []byte, reply any) error {
+	last := result.New(result.PeerUnreachable, "no agent address is given")
+	for _, addr := range c.cfg.Addresses {
+		answer, err := c.attempt(ctx, addr, method, path, body)
+		if err == nil {
+			return decode(addr, answer, reply)
+		}
+		last = err
+		if !elsewhere(err) || ctx.Err() != nil {
+			break
+		}
+	}
+	return last
+}
+
+func decode(addr string, body []byte, reply any) error {
+	if raw, ok := reply.(*json.RawMessage); ok {
+		*raw = body
+		return nil
+	}
+	if err := json.Unmarshal(body, reply); err != nil {
+		return result.New(result.PeerProtocol, "%s: %v", addr, err)
+	}
+	return nil
+}
+
+// Validate returns what a patch would change.
+func (c *Client) Validate(ctx context.Context, patch PatchRequest) (reply ValidateReply, err error) {
+	body, err := json.Marshal(patch)
+	if err != nil {
+		return reply, result.New(result.PatchMalformed, "%v", err)
+	}
+	err = c.read(ctx, fasthttp.MethodPost, PathValidate, body, &reply)
+	return reply, err
+}
+
+func (c *Client) get(ctx context.Context, path string, reply any) error {
+	return c.read(ctx, fasthttp.MethodGet, path, nil, reply)
+}
+
+// Current returns the version in force with its description.
+func (c *Client) Current(ctx context.Context) (reply Version, err error) {
+	return reply, c.get(ctx, PathCurrent, &reply)
+}
+
+// Version returns one version with its description.
+func (c *Client) Version(ctx context.Context, number uint64) (reply Version, err error) {
+	return reply, c.get(ctx, fmt.Sprintf("%s/%d", PathVersions, number), &reply)
+}
+
+// Versions returns up to limit versions below before, newest first; before 0
+// starts at the current version.
+func (c *Client) Versions(ctx context.Context, before uint64, limit int) (reply VersionsReply, err error) {
+	args := url.Values{"limit": {strconv.Itoa(limit)}}
+	if before > 0 {
+		args.Set("before", strconv.FormatUint(before, 10))
+	}
+	return reply, c.get(ctx, PathVersions+"?"+args.Encode(), &reply)
+}
+
+// Members returns the member table of an agent.
+func (c *Client) Members(ctx context.Context) (reply MembersReply, err error) {
+	return reply, c.get(ctx, PathMembers, &reply)
+}
+
+// Move returns the shares of a service.
+func (c *Client) Move(ctx context.Context, service string) (reply Move, err error) {
+	return reply, c.get(ctx, PathMoves+url.PathEscape(service), &reply)
+}
+
+// Drain returns the state of an upstream or instance.
+func (c *Client) Drain(ctx context.Context, id string) (reply Drain, err error) {
+	return reply, c.get(ctx, PathDrains+url.PathEscape(id), &reply)
+}
+
+// Explain returns where a request would go, as JSON.
+func (c *Client) Explain(ctx context.Context, service, method, path string) (reply json.RawMessage, err error) {
+	args := url.Values{"service": {service}, "method": {method}, "path": {path}}
+	return reply, c.get(ctx, PathExplain+"?"+args.Encode(), &reply)
+}
+
+// State returns the state dump of an instance.
+func (c *Client) State(ctx context.Context) (reply State, err error) {
+	return reply, c.get(ctx, PathState, &reply)
+}
