--- a/pkg/harness/http.go
+++ b/pkg/harness/http.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
 const (
@@ -25,6 +27,28 @@
 // Error implements error.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %.500s", e.Status, e.Body) }
 
+// refusal is the body of a coded refusal.
+type refusal struct {
+	Code           result.Code `json:"code"`
+	Outcome        string      `json:"outcome"`
+	CurrentVersion uint64      `json:"current_version"`
+}
+
+func (e *StatusError) refusal() refusal {
+	var r refusal
+	_ = json.Unmarshal(e.Body, &r)
+	return r
+}
+
+// Code returns the result code of the refusal, or 0.
+func (e *StatusError) Code() result.Code { return e.refusal().Code }
+
+// Outcome returns the outcome that the refusal states.
+func (e *StatusError) Outcome() string { return e.refusal().Outcome }
+
+// CurrentVersion returns the version that a conflict names, or 0.
+func (e *StatusError) CurrentVersion() uint64 { return e.refusal().CurrentVersion }
+
 // call sends body as JSON and decodes the answer into reply, if any.
 func call(method, url, token string, body, reply any) error {
 	var payload bytes.Buffer
--- a/pkg/harness/start.go
+++ b/pkg/harness/start.go
@@ -64,6 +64,21 @@
 	return nil
 }
 
+// AwaitMembers waits until every running agent sees every instance as serving
+// and every entry serves every service.
+func (c *Cluster) AwaitMembers(limit time.Duration) error {
+	if _, err := Await(limit, "member tables", c.membersComplete); err != nil {
+		return err
+	}
+	_, err := Await(limit, "service on all instances", c.serving)
+	return err
+}
+
+// Lookup asks the entry of an instance which instances to use.
+func (c *Cluster) Lookup(i *Instance, service, block string) (load.Lookup, error) {
+	return load.Ask(client, i.CallerAddress, service, block)
+}
+
 // serving tells whether every entry answers look-ups and requests of every
 // service in the latest version.
 func (c *Cluster) serving() error {
--- a/pkg/load/shares.go
+++ b/pkg/load/shares.go
@@ -102,6 +102,16 @@
 // at most the cap times the time between the windows, and by the rounding of
 // the choosers, which is one request per entry instance in each window.
 func CheckCap(windows []Window, places []string, capPerSecond, windowSeconds float64, entries int) []string {
+	return check(windows, places, capPerSecond*windowSeconds, entries, math.Abs)
+}
+
+// CheckGrowth is CheckCap for rising shares alone. While a place is
+// unreachable its requests are refused, so its executed share falls at once.
+func CheckGrowth(windows []Window, places []string, capPerSecond, windowSeconds float64, entries int) []string {
+	return check(windows, places, capPerSecond*windowSeconds, entries, func(moved float64) float64 { return moved })
+}
+
+func check(windows []Window, places []string, capPerWindow float64, entries int, size func(float64) float64) []string {
 	var broken []string
 	for i, early := range windows {
 		for j := i + 1; j < len(windows); j++ {
@@ -109,11 +119,10 @@
 			if early.Total == 0 || late.Total == 0 {
 				continue
 			}
-			allowed := capPerSecond*windowSeconds*float64(j-i) +
-				float64(entries)/float64(early.Total) + float64(entries)/float64(late.Total)
+			rounding := float64(entries)/float64(early.Total) + float64(entries)/float64(late.Total)
+			allowed := capPerWindow*float64(j-i) + rounding
 			for _, place := range places {
-				moved := math.Abs(late.Share(place) - early.Share(place))
-				if moved > allowed {
+				if moved := size(late.Share(place) - early.Share(place)); moved > allowed {
 					broken = append(broken, fmt.Sprintf("%s: share %.3f in window %d, %.3f in window %d: moved %.3f, allowed %.3f",
 						place, early.Share(place), i, late.Share(place), j, moved, allowed))
 				}
--- /dev/null
+++ b/test/process/linkage_test.go
@@ -0,0 +1,54 @@
+package process
+
+import (
+	"debug/elf"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var products = []string{"sequoia-entry", "sequoia-agent", "sequoiactl"}
+
+// Guards against a static binary, which would bypass the C library.
+func TestBinariesAreLinkedToTheCLibrary(t *testing.T) {
+	for _, name := range products {
+		file, err := elf.Open(filepath.Join("../../bin", name))
+		require.NoError(t, err)
+		libraries, err := file.ImportedLibraries()
+		file.Close()
+		require.NoError(t, err)
+		require.True(t, hasPrefix(libraries, "libc.so"), "%s needs %v", name, libraries)
+	}
+}
+
+func hasPrefix(list []string, prefix string) bool {
+	for _, s := range list {
+		if strings.HasPrefix(s, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against product code that starts processes; only the harness may.
+func TestOnlyTheHarnessStartsProcesses(t *testing.T) {
+	checked := 0
+	for _, root := range []string{"../../pkg", "../../cmd"} {
+		err := filepath.Walk(root, func(path string, info os.FileInfo, err error) error {
+			if err != nil || info.IsDir() || !strings.HasSuffix(path, ".go") || strings.Contains(path, "/harness/") {
+				return err
+			}
+			source, err := os.ReadFile(path)
+			checked++
+			for _, call := range []string{`"os/exec"`, "os.StartProcess", "syscall.ForkExec"} {
+				require.NotContains(t, string(source), call, path)
+			}
+			return err
+		})
+		require.NoError(t, err)
+	}
+	require.Positive(t, checked)
+}
--- /dev/null
+++ b/test/process/network_test.go
@@ -0,0 +1,106 @@
+package process
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/harness"
+	"github.com/sequoiacove/sequoiacove/pkg/load"
+)
+
+// fullService is the bound for the return of service after all established
+// connections between two sides went silent.
+const fullService = 2 * time.Second
+
+// Guards against service that stays away, or requests that run twice, when all
+// established connections to a domain's instances go silent for good.
+func TestSilentPeerConnections(t *testing.T) {
+	c := newCluster(t, withRelays)
+	traffic := c.StartLoad(direct(71, 8*time.Second, c.InDomain("south-a")...))
+	writes := c.StartLoad(mixed(72, 8*time.Second))
+	time.Sleep(3 * time.Second)
+	silenced := 0
+	for _, domain := range []string{"north-a", "north-b"} {
+		silenced += c.SilencePeers(domain)
+	}
+	require.Positive(t, silenced)
+	at := time.Now()
+	report, mixed := traffic.Wait(), writes.Wait()
+	requireSound(t, c, report, mixed)
+	requireComplete(t, report, "after connections went silent", after(at.Add(fullService)))
+	requireComplete(t, mixed, "after connections went silent", after(at.Add(fullService)))
+}
+
+// Guards against the same with the connections to upstreams and the platform.
+func TestSilentUpstreamConnections(t *testing.T) {
+	c := newCluster(t, withRelays)
+	traffic := c.StartLoad(mixed(73, 8*time.Second))
+	time.Sleep(3 * time.Second)
+	require.Positive(t, c.SilenceUpstreams())
+	c.SilencePlatform()
+	at := time.Now()
+	report := traffic.Wait()
+	requireSound(t, c, report)
+	requireComplete(t, report, "after connections went silent", after(at.Add(fullService)))
+}
+
+// Guards against lost, doubled or halved answers on connections that break in
+// the middle of an exchange.
+func TestLostAndHalvedAnswersOnTheWire(t *testing.T) {
+	c := newCluster(t, withRelays)
+	traffic := c.StartLoad(mixed(74, 6*time.Second))
+	for n := range 8 {
+		time.Sleep(500 * time.Millisecond)
+		relay := c.UpstreamRelay(c.Upstreams[n%len(c.Upstreams)].Record.ID)
+		if n%2 == 0 {
+			relay.LoseAnswers(3)
+		} else {
+			relay.HalveAnswers(3, 60)
+		}
+	}
+	report := traffic.Wait()
+	requireSound(t, c, report)
+	requireComplete(t, report, "with broken connections", idempotent)
+}
+
+// Guards against a side of a partition that serves less than it can, moves
+// shares above the failover cap or overloads its region, during and after.
+func TestDomainCutOff(t *testing.T) {
+	c := newCluster(t, withRelays)
+	const seconds = 22
+	inside := direct(75, seconds*time.Second, c.InDomain("south-a")...)
+	outside := direct(76, seconds*time.Second, append(c.InDomain("north-a"), c.InDomain("north-b")...)...)
+	inside.RunID, outside.RunID = "inside", "outside"
+	inside.Rate, outside.Rate = 150, 150
+	in, out := c.StartLoad(inside), c.StartLoad(outside)
+	time.Sleep(2 * time.Second)
+	c.Partition("south-a", true)
+	cut := time.Now()
+	time.Sleep(detection + time.Duration(0.6/failoverCap*float64(time.Second)) + time.Second)
+	arrived := time.Now()
+	time.Sleep(2 * time.Second)
+	c.Heal()
+	healed := time.Now()
+	inReport, outReport := in.Wait(), out.Wait()
+	requireSound(t, c, inReport, outReport)
+	between := func(r load.Record) bool { return after(arrived)(r) && !after(healed)(r) }
+	requireComplete(t, inReport, "inside after the failover", between)
+	requireComplete(t, outReport, "outside after the failover", between)
+	t.Logf("cut at %v, moved by %v, healed at %v", cut, arrived, healed)
+	requireCutShares(t, c, inReport, 2)
+	requireCutShares(t, c, outReport, 4)
+	requireMembers(t, c)
+}
+
+func requireCutShares(t *testing.T, c *harness.Cluster, r *load.Report, entries int) {
+	t.Helper()
+	list := windows(t, c, r)
+	require.Empty(t, load.CheckGrowth(list, []string{north, south}, failoverCap, 1, entries))
+	executions, err := c.Executions(service)
+	require.NoError(t, err)
+	highest := load.MaxConcurrent(executions, c.RegionOf)
+	require.LessOrEqual(t, highest[north], 24)
+	require.LessOrEqual(t, highest[south], 12)
+}
--- /dev/null
+++ b/test/process/platform_test.go
@@ -0,0 +1,131 @@
+package process
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/harness"
+)
+
+const (
+	// maxReads and maxWrites are the platform's limits per second.
+	maxReads  = 2000
+	maxWrites = 300
+	inForce   = 2 * time.Second
+)
+
+var shorterTTL = map[string]any{"lookup": map[string]any{"ttl_ms": 400}}
+
+// Guards against requests that depend on the store, and a surge on its return.
+func TestPlatformDownSlowAndBack(t *testing.T) {
+	c := newCluster(t, nil)
+	traffic := c.StartLoad(mixed(41, 14*time.Second))
+	time.Sleep(time.Second)
+	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "down"}))
+	time.Sleep(5 * time.Second)
+	_, err := c.Instances[0].Merge(1, "refused", shorterTTL)
+	require.Error(t, err, "a patch without the store must not be accepted")
+	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "slow", DelayMS: 1500}))
+	time.Sleep(3 * time.Second)
+	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "none"}))
+	requireNoSurge(t, c, 4*time.Second)
+	report := traffic.Wait()
+	requireSound(t, c, report)
+	requireComplete(t, report, "with the store down and slow", all)
+}
+
+func requireNoSurge(t *testing.T, c *harness.Cluster, during time.Duration) {
+	t.Helper()
+	before, err := c.Platform.Stats()
+	require.NoError(t, err)
+	for end := time.Now().Add(during); time.Now().Before(end); {
+		time.Sleep(time.Second)
+		now, err := c.Platform.Stats()
+		require.NoError(t, err)
+		require.Less(t, now.Reads-before.Reads, int64(maxReads))
+		require.Less(t, now.Writes-before.Writes, int64(maxWrites))
+		before = now
+	}
+}
+
+// Guards against an accepted version that is not in force everywhere in time
+// or reverts when the store fails right after the acceptance.
+func TestStoreFailsRightAfterAcceptance(t *testing.T) {
+	c := newCluster(t, nil)
+	// The body of the version and the transaction are the two writes.
+	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "none", DropAfterWrites: 2}))
+	accepted, err := c.Instances[1].Merge(1, "last-before-outage", shorterTTL)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, accepted.Version)
+	took, err := c.AwaitVersion(2, inForce)
+	require.NoError(t, err)
+	t.Logf("in force everywhere after %v", took)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		_, err := c.AwaitVersion(2, 0)
+		require.NoError(t, err, "the version reverted")
+	}
+	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "none"}))
+	again, err := acceptEventually(c.Instances[4], 1, "last-before-outage")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, again.Version)
+	require.True(t, again.Replayed)
+}
+
+// acceptEventually repeats a patch with the same id until the store answers.
+func acceptEventually(i *harness.Instance, base uint64, id string) (accepted harness.Accepted, err error) {
+	_, err = harness.Await(10*time.Second, "patch "+id, func() error {
+		accepted, err = i.Merge(base, id, shorterTTL)
+		return err
+	})
+	return accepted, err
+}
+
+// Guards against a patch that takes effect twice or is reported as refused when
+// the store loses the answer after the write.
+func TestStoreLosesAnswers(t *testing.T) {
+	c := newCluster(t, nil)
+	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "lose_answers"}))
+	accepted, err := c.Instances[0].Merge(1, "answer-lost", shorterTTL)
+	var refused *harness.StatusError
+	if errors.As(err, &refused) {
+		require.Equal(t, unknown, refused.Outcome(), "%v", err)
+	} else {
+		require.NoError(t, err)
+		require.EqualValues(t, 2, accepted.Version)
+	}
+	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "none"}))
+	again, err := acceptEventually(c.Instances[3], 1, "answer-lost")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, again.Version)
+	_, err = c.AwaitVersion(2, inForce)
+	require.NoError(t, err)
+}
+
+// Guards against an instance that cannot start while the store is down,
+// although its peers know the configuration and the members.
+func TestRestartWithStoreDown(t *testing.T) {
+	c := newCluster(t, nil)
+	_, err := c.Instances[0].Merge(1, "before-outage", shorterTTL)
+	require.NoError(t, err)
+	_, err = c.AwaitVersion(2, inForce)
+	require.NoError(t, err)
+	traffic := c.StartLoad(mixed(42, 12*time.Second))
+	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "down"}))
+	victim := owner(t, c, southBlock)
+	require.NoError(t, victim.Entry.Kill())
+	require.NoError(t, victim.Agent.Kill())
+	killed := time.Now()
+	require.NoError(t, victim.Start())
+	_, err = c.AwaitVersion(2, 5*time.Second)
+	require.NoError(t, err)
+	requireMembers(t, c)
+	restarted := c.StartLoad(direct(43, time.Second, victim))
+	own := restarted.Wait()
+	report := traffic.Wait()
+	requireSound(t, c, report, own)
+	requireComplete(t, own, "at the restarted instance", all)
+	requireComplete(t, report, "after the detection time", after(killed.Add(detection+time.Second)))
+}
--- /dev/null
+++ b/test/process/upstream_test.go
@@ -0,0 +1,120 @@
+package process
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/harness"
+	"github.com/sequoiacove/sequoiacove/pkg/load"
+)
+
+// Guards against answers that are cut, mixed up, duplicated or lost when
+// upstreams are slow, lose answers after the effect or answer in half.
+func TestSlowAndLosingAnswers(t *testing.T) {
+	c := newCluster(t, nil)
+	traffic := c.StartLoad(mixed(51, 10*time.Second))
+	time.Sleep(time.Second)
+	faults := map[string]harness.UpstreamControl{
+		service + "-north-a-1": {Fail: "close_after_read"},
+		service + "-north-b-1": {Fail: "half_answer"},
+		service + "-south-a-1": {SlowFactor: 20, StatusLagMS: 3000},
+		service + "-north-a-2": {Fail: "refuse"},
+	}
+	for id, fault := range faults {
+		require.NoError(t, c.Upstream(id).Control(fault))
+	}
+	time.Sleep(4 * time.Second)
+	for id := range faults {
+		require.NoError(t, c.Upstream(id).Control(harness.UpstreamControl{}))
+	}
+	report := traffic.Wait()
+	requireSound(t, c, report)
+	requireComplete(t, report, "with failing upstreams", idempotent)
+}
+
+// Guards against work for an upstream that dies, and requests that run twice
+// because their connections broke.
+func TestUpstreamKilled(t *testing.T) {
+	c := newCluster(t, nil)
+	traffic := c.StartLoad(mixed(52, 6*time.Second))
+	time.Sleep(2 * time.Second)
+	require.NoError(t, c.Upstream(service+"-north-a-1").Kill())
+	report := traffic.Wait()
+	requireSound(t, c, report)
+	requireComplete(t, report, "with a killed upstream", idempotent)
+}
+
+// Guards against new work for a leaving upstream after 3 s although the list
+// and its status hide that it leaves, and against requests cut off by it.
+func TestLeavingUpstreamWithLaggingListAndHealth(t *testing.T) {
+	c := newCluster(t, func(s *harness.Spec) { s.ListLagMS = 20_000 })
+	u := c.Upstream(service + "-north-a-1")
+	traffic := c.StartLoad(mixed(53, 8*time.Second))
+	time.Sleep(time.Second)
+	require.NoError(t, u.Control(harness.UpstreamControl{Leaving: true, StatusLeavingLagMS: 20_000}))
+	left := time.Now()
+	report := traffic.Wait()
+	requireSound(t, c, report)
+	requireComplete(t, report, "while an upstream left", all)
+	requireNoStarts(t, c, u, left.Add(3*time.Second))
+}
+
+// Guards against a drain by patch that leaves work on the upstream or cuts off
+// requests in flight.
+func TestUpstreamDrainedByPatch(t *testing.T) {
+	c := newCluster(t, nil)
+	u := c.Upstream(service + "-south-a-1")
+	cfg := mixed(54, 6*time.Second)
+	cfg.LongPart, cfg.LongWorkMS = 0.05, 500
+	traffic := c.StartLoad(cfg)
+	time.Sleep(time.Second)
+	_, err := c.Instances[0].Merge(1, "drain", map[string]any{"drained_upstreams": []string{u.Record.ID}})
+	require.NoError(t, err)
+	accepted := time.Now()
+	_, err = harness.Await(inForce+maxRequest, "drained", drained(c.InDomain("south-a"), u.Record.ID))
+	require.NoError(t, err)
+	report := traffic.Wait()
+	requireSound(t, c, report)
+	requireComplete(t, report, "while an upstream drained", all)
+	requireNoStarts(t, c, u, accepted.Add(inForce))
+}
+
+// drained tells whether the agents of a domain report an upstream as drained.
+func drained(instances []*harness.Instance, id string) func() error {
+	return func() error {
+		for _, i := range instances {
+			state, err := i.Drain(id)
+			if err != nil {
+				return err
+			}
+			if state.State != "drained" || state.InFlight != 0 {
+				return fmt.Errorf("%s: %s with %d in flight", i.ID, state.State, state.InFlight)
+			}
+		}
+		return nil
+	}
+}
+
+// Guards against "not run" answers to requests that ran, slow refusals and lost
+// capacity at three times the capacity.
+func TestOverload(t *testing.T) {
+	c := newCluster(t, nil)
+	const workMS, seconds = 100, 6
+	capacity := float64(3*upstreamsEach*slots) * 1000 / workMS
+	cfg := direct(55, seconds*time.Second, c.Instances...)
+	cfg.Rate, cfg.WorkMS, cfg.Deadline, cfg.NonIdempotent = 3*capacity, workMS, time.Second, 0.2
+	report := c.StartLoad(cfg).Wait()
+	audit := requireSound(t, c, report)
+	s := report.Summary()
+	t.Logf("outcomes %v, codes %v, executions %d, latency %+v", s.Outcomes, s.Codes, audit.Executions, s.Latency)
+	require.GreaterOrEqual(t, float64(s.Outcomes[complete]), 0.95*capacity*seconds, "useful work")
+	require.Zero(t, s.Outcomes[unknown], "no request is cut off under overload")
+	executions, err := c.Executions(service)
+	require.NoError(t, err)
+	for region, limit := range map[string]int{north: 24, south: 12} {
+		require.LessOrEqual(t, load.MaxConcurrent(executions, c.RegionOf)[region], limit, region)
+	}
+}
