--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -50,6 +50,8 @@
 	RequestIDMismatch    Code = 1506
 	RequestIDNotRequired Code = 1507
 
+	RequestIDNotDelivered Code = 1508
+
 	PatchMalformed      Code = 2000
 	VersionConflict     Code = 2001
 	DescriptionInvalid  Code = 2002
@@ -66,6 +68,7 @@
 	ObjectCorrupt    Code = 2104
 	LeaseLost        Code = 2105
 	RowNotFound      Code = 2106
+	ObjectNotFound   Code = 2107
 
 	Unauthorized Code = 2200
 	Forbidden    Code = 2201
@@ -119,6 +122,7 @@
 	{RequestIDTableFull, "request_id_table_full", NotRun, 503, "The instance cannot track more identifiers; use another instance."},
 	{RequestIDMismatch, "request_id_mismatch", NotRun, 409, "The identifier was issued for another service or used with another request."},
 	{RequestIDNotRequired, "request_id_not_required", NotRun, 400, "The request is idempotent and takes no request identifier."},
+	{RequestIDNotDelivered, "request_id_not_delivered", Unknown, 503, "The request did not reach the instance that issued its identifier; send it again with the same identifier to learn whether an earlier submission ran."},
 
 	{PatchMalformed, "patch_malformed", NotRun, 400, "The patch is not a valid merge patch or JSON patch, or does not apply to the base version."},
 	{VersionConflict, "version_conflict", NotRun, 409, "Another patch made the next version first; rebase on the current version."},
@@ -136,6 +140,7 @@
 	{ObjectCorrupt, "object_corrupt", NotRun, 502, "An object's content does not match its hash."},
 	{LeaseLost, "lease_lost", NotRun, 409, "Another holder has the lease; the fenced write was refused."},
 	{RowNotFound, "row_not_found", NotRun, 404, "The table has no row with this key."},
+	{ObjectNotFound, "object_not_found", NotRun, 404, "The object store has no object with this hash."},
 
 	{Unauthorized, "unauthorized", NotRun, 401, "The operator token is missing or unknown."},
 	{Forbidden, "forbidden", NotRun, 403, "The operator may not perform this action."},
