--- /dev/null
+++ b/cmd/sequoia-demo/main.go
@@ -0,0 +1,34 @@
+// Command sequoia-demo shows the system at work with stand-ins and checks its
+// invariants.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sequoiacove/sequoiacove/pkg/demo"
+)
+
+func main() {
+	app := kingpin.New("sequoia-demo", "Runs the system with stand-ins under load and checks its invariants.")
+	binaries := app.Flag("binaries", "Folder with the built binaries; by default that of this program.").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *binaries == "" {
+		own, err := os.Executable()
+		if err != nil {
+			fail(err)
+		}
+		*binaries = filepath.Dir(own)
+	}
+	if err := demo.Run(*binaries, os.Stdout); err != nil {
+		fail(err)
+	}
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, "sequoia-demo:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/pkg/demo/judge.go
@@ -0,0 +1,111 @@
+package demo
+
+import (
+	"fmt"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/load"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// judge compares the logs, prints the table and collects broken invariants.
+func (d *run) judge() error {
+	audit, err := d.cluster.Audit(d.reports[bookings], d.reports[deposits])
+	if err != nil {
+		return err
+	}
+	d.broken = append(d.broken, audit.Violations...)
+	for _, ended := range d.cluster.Ended() {
+		d.breaks("a process ended by itself: %s", ended)
+	}
+	if err := d.printShares(); err != nil {
+		return err
+	}
+	d.printLatency()
+	d.printOutcomes(audit)
+	d.say("drains: upstream %.2f s, entry instance %.2f s", d.upstreamDrain.Seconds(), d.instanceDrain.Seconds())
+	if len(d.broken) == 0 {
+		d.say("all invariants held")
+	}
+	return nil
+}
+
+func (d *run) printShares() error {
+	executions, err := d.cluster.Executions(bookings)
+	if err != nil {
+		return err
+	}
+	report := d.reports[bookings]
+	windows := load.Windows(report.Records, executions, d.cluster.RegionOf, time.Second.Microseconds())
+	d.say("\nshare of %s by second, cap %.0f%% per second:", bookings, regionCap*100)
+	table := tabwriter.NewWriter(d.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(table, "second\trequests\t%s\t%s\tsteepest %s so far\t\n", home, away, "change/s")
+	start := windows[0]
+	steepest := 0.0
+	for n, w := range windows {
+		if n > 0 {
+			steepest = max(steepest, (start.Share(home)-w.Share(home))/float64(n))
+		}
+		fmt.Fprintf(table, "%d\t%d\t%.1f%%\t%.1f%%\t%.2f%%\t\n", n, w.Total, 100*w.Share(home), 100*w.Share(away), 100*steepest)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, broken := range load.CheckCap(windows, []string{home, away}, regionCap, 1, len(d.cluster.Instances)) {
+		d.breaks("cap: %s", broken)
+	}
+	last := windows[len(windows)-1]
+	if tolerance := 2 * float64(len(d.cluster.Instances)) / float64(last.Total); last.Share(home) > movedShare+tolerance {
+		d.breaks("the move did not arrive: %s has %.3f", home, last.Share(home))
+	}
+	return nil
+}
+
+func (d *run) printLatency() {
+	table := tabwriter.NewWriter(d.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "\nservice\trequests\tcount\tp50 ms\tp99 ms\tp99.9 ms\tmax ms\t")
+	for _, service := range []string{bookings, deposits} {
+		summary := d.reports[service].Summary()
+		for _, group := range sorted(summary.Latency) {
+			q := summary.Latency[group]
+			fmt.Fprintf(table, "%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t\n", service, group, q.Count, q.P50, q.P99, q.P999, q.Max)
+		}
+	}
+	table.Flush()
+}
+
+func (d *run) printOutcomes(audit load.Audit) {
+	requests, refused, unknown := 0, 0, 0
+	codes := make(map[string]int)
+	for _, service := range []string{bookings, deposits} {
+		summary := d.reports[service].Summary()
+		requests += summary.Sent
+		refused += summary.Outcomes[result.NotRun.String()]
+		unknown += summary.Outcomes[result.Unknown.String()]
+		for code, n := range summary.Codes {
+			codes[code] += n
+		}
+		if summary.Dropped > 0 {
+			d.breaks("%s: %d requests could not be sent", service, summary.Dropped)
+		}
+	}
+	d.say("\nrequests %d, executions %d, refused as not run %d, outcome unknown %d", requests, audit.Executions, refused, unknown)
+	for _, code := range sorted(codes) {
+		d.say("  %s: %d", code, codes[code])
+	}
+	d.say("executions per non-idempotent request: %v", audit.PerWrite)
+	if refused+unknown > 0 {
+		d.breaks("planned operations cost %d refusals and %d unknown outcomes", refused, unknown)
+	}
+}
+
+func sorted[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/pkg/demo/play.go
@@ -0,0 +1,146 @@
+package demo
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/harness"
+)
+
+const inForce = 2 * time.Second
+
+// play starts the system and carries out the operations under load.
+func (d *run) play() error {
+	started := time.Now()
+	if err := d.cluster.Start(); err != nil {
+		return err
+	}
+	d.say("%d entry instances in %d failure domains and %d upstreams serve after %.1f s",
+		len(d.cluster.Instances), len(d.cluster.Spec.Domains), len(d.cluster.Upstreams), time.Since(started).Seconds())
+	if err := d.lookup(); err != nil {
+		return err
+	}
+	first := d.cluster.StartLoad(traffic(bookings, 200, 0.1, 1))
+	second := d.cluster.StartLoad(traffic(deposits, 60, 0.6, 2))
+	time.Sleep(steady)
+	if err := d.operate(); err != nil {
+		first.Stop()
+		second.Stop()
+		return err
+	}
+	d.reports[bookings], d.reports[deposits] = first.Wait(), second.Wait()
+	return nil
+}
+
+func (d *run) operate() error {
+	if err := d.move(); err != nil {
+		return err
+	}
+	if err := d.drainUpstream(); err != nil {
+		return err
+	}
+	return d.drainInstance()
+}
+
+func (d *run) lookup() error {
+	for _, block := range []string{"10.64.0.1", "10.80.0.1"} {
+		answer, err := d.cluster.Lookup(d.cluster.Instances[0], bookings, block)
+		if err != nil {
+			return err
+		}
+		if len(answer.Instances) == 0 {
+			return fmt.Errorf("look-up for block %s names no instance", block)
+		}
+		d.say("look-up for a caller in %s: first %s, then %d others, valid for %d ms",
+			block, answer.Instances[0].ID, len(answer.Instances)-1, answer.TTLMS)
+	}
+	return nil
+}
+
+func (d *run) move() error {
+	d.moved = time.Now()
+	took, err := d.patch(1, "move", map[string]any{"services": map[string]any{bookings: map[string]any{"regions": map[string]any{
+		home: map[string]any{"share": movedShare}, away: map[string]any{"share": 1 - movedShare}}}}})
+	if err != nil {
+		return err
+	}
+	d.say("patch: move %s of %s from %.0f%% to %.0f%%, in force everywhere after %.2f s",
+		home, bookings, homeShare*100, movedShare*100, took.Seconds())
+	time.Sleep(moveTime)
+	return nil
+}
+
+// patch sends a merge patch and returns how long it took to be in force
+// everywhere.
+func (d *run) patch(base uint64, id string, value any) (time.Duration, error) {
+	start := time.Now()
+	accepted, err := d.cluster.Instances[0].Merge(base, id, value)
+	if err != nil {
+		return 0, fmt.Errorf("patch %s: %w", id, err)
+	}
+	_, err = d.cluster.AwaitVersion(accepted.Version, 10*time.Second)
+	took := time.Since(start)
+	if took > inForce {
+		d.breaks("patch %s was in force after %v, bound %v", id, took, inForce)
+	}
+	return took, err
+}
+
+func (d *run) drainUpstream() error {
+	u := d.cluster.Upstream(bookings + "-" + home + "-a-1")
+	start := time.Now()
+	if _, err := d.patch(2, "drain-upstream", map[string]any{"drained_upstreams": []string{u.Record.ID}}); err != nil {
+		return err
+	}
+	bound := leavingBound + maxRequest
+	_, err := harness.Await(bound, "drain of "+u.Record.ID, func() error {
+		return d.drained(d.cluster.InDomain(u.Record.Domain), u.Record.ID)
+	})
+	if err != nil {
+		d.breaks("%v", err)
+	}
+	d.upstreamDrain = time.Since(start)
+	d.say("drained upstream %s in %.2f s", u.Record.ID, d.upstreamDrain.Seconds())
+	return nil
+}
+
+func (d *run) drained(instances []*harness.Instance, id string) error {
+	for _, i := range instances {
+		state, err := i.Drain(id)
+		if err != nil {
+			return err
+		}
+		if state.State != "drained" || state.InFlight > 0 {
+			return fmt.Errorf("%s reports %s with %d in flight", i.ID, state.State, state.InFlight)
+		}
+	}
+	return nil
+}
+
+// drainInstance takes the instance that callers in the first region prefer out
+// of service and stops its processes.
+func (d *run) drainInstance() error {
+	answer, err := d.cluster.Lookup(d.cluster.Instances[0], bookings, "10.64.0.1")
+	if err != nil {
+		return err
+	}
+	i := d.cluster.Instance(answer.Instances[0].ID)
+	if i == nil {
+		return fmt.Errorf("look-up names the unknown instance %s", answer.Instances[0].ID)
+	}
+	if _, err := d.patch(3, "drain-instance", map[string]any{"drained_instances": []string{i.ID}}); err != nil {
+		return err
+	}
+	// One heartbeat round and the exit come on top of the longest cached
+	// answer and the longest request.
+	bound := ttl + maxRequest + time.Second
+	d.instanceDrain, err = i.Entry.Terminate(bound)
+	if err != nil {
+		d.breaks("%v", err)
+	}
+	if _, err := i.Agent.Terminate(bound); err != nil {
+		d.breaks("%v", err)
+	}
+	d.say("drained and stopped entry instance %s in %.2f s", i.ID, d.instanceDrain.Seconds())
+	return nil
+}
