--- a/pkg/harness/harness.go
+++ b/pkg/harness/harness.go
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	c := &Cluster{Spec: spec, Dir: dir, ports: newPorts(), relays: newRelays()}
-	if c.authority, err = peertest.NewAuthority(peertest.DefaultLifetime); err != nil {
+	if c.authority, err = newAuthority(); err != nil {
 		return c, err
 	}
 	if err := c.startPlatform(); err != nil {
@@ -128,3 +128,7 @@
 	}
 	return names
 }
+
+func newAuthority() (*peertest.Authority, error) {
+	return peertest.NewAuthority(peertest.DefaultLifetime)
+}
