Add sequoia-entry and tests of the failures that concern it

Wires the request path with admission, the peer transport and the admin server.

An entry reports no shares between a pause and its refresh.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -114,8 +114,8 @@
 	return e.opt.Admission.InFlight(id)
 }
 
-// state is the dump for operators.
-type state struct {
+// stateDump is the dump for operators.
+type stateDump struct {
 	Instance    string             `json:"instance"`
 	Incarnation uint64             `json:"incarnation"`
 	Version     uint64             `json:"version"`
@@ -132,8 +132,10 @@
 }
 
 // State returns the state dump as JSON.
-func (e *Entry) State() ([]byte, error) {
-	s := state{
+func (e *Entry) State() ([]byte, error) { return json.Marshal(e.state()) }
+
+func (e *Entry) state() any {
+	s := stateDump{
 		Instance:    e.opt.Instance,
 		Incarnation: e.incarnation,
 		Detached:    e.gate.detached.Load(),
@@ -148,7 +150,7 @@
 	if v := e.view.Load(); v != nil {
 		s.Version, s.Hash, s.Members = v.version.Number, v.version.Hash, len(v.byID)
 	}
-	return json.Marshal(s)
+	return s
 }
 
 // Run moves the entry's clock until ctx ends.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/description"
 	"github.com/sequoiacove/sequoiacove/pkg/linkbudget"
@@ -52,7 +54,9 @@
 	Admission     Admission
 	Peers         peer.Caller
 	Logger        *slog.Logger
-	Now           func() time.Time
+	// Registry receives the counters.
+	Registry gometrics.Registry
+	Now      func() time.Time
 }
 
 // Entry is the request path of one instance.
@@ -62,7 +66,7 @@
 	routes      *routing.Table
 	budgets     *linkbudget.Budgets
 	ids         *requestid.Table
-	metrics     *metrics
+	metrics     *counters
 	callers     *callers
 	avoid       *avoidList
 
@@ -104,7 +108,7 @@
 		routes:      routing.NewTable(),
 		budgets:     linkbudget.New(opt.Region),
 		ids:         requestid.New(opt.Instance, incarnation, key, requestid.DefaultLimits, opt.Now),
-		metrics:     newMetrics(),
+		metrics:     newCounters(opt.Registry),
 		callers:     newCallers(),
 		avoid:       newAvoidList(),
 		lost:        make(map[string]bool),
--- /dev/null
+++ b/pkg/entry/failure_test.go
@@ -0,0 +1,374 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/peer"
+	"github.com/sequoiacove/sequoiacove/pkg/request"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// ownerOf returns the owner of a domain's pool as entry id sees it, and the
+// other instance of the domain.
+func (w *world) ownerOf(id, domain string) (owner, other string) {
+	ranked := w.entries[id].view.Load().ranked("calls", domain)
+	require.Len(w.t, ranked, 2)
+	return ranked[0].ID, ranked[1].ID
+}
+
+func (w *world) kill(id string) {
+	w.net.mu.Lock()
+	defer w.net.mu.Unlock()
+	delete(w.net.entries, "peer-"+id)
+}
+
+func (w *world) executions() int {
+	n := 0
+	for _, adm := range w.adm {
+		n += adm.count()
+	}
+	return n
+}
+
+func post(req *request.Request) { req.Method, req.Idempotent = "POST", false }
+
+// Guards against refusals for the 3 s until membership marks a dead owner: the
+// next instance in rank takes the pool over at the first failed call.
+func TestDeadOwnerIsPassedOver(t *testing.T) {
+	for _, from := range []string{"a1", "b1", "s1", "s2"} {
+		w := newWorld(t, twoRegions)
+		owner, other := w.ownerOf("a1", "south-a")
+		if from == owner {
+			continue
+		}
+		w.kill(owner)
+		for range 40 {
+			resp, err := w.do(from, post)
+			require.NoError(t, err, "from %s", from)
+			require.NotEmpty(t, resp.Domain)
+		}
+		require.Equal(t, 20, w.adm[other].count(), "from %s", from)
+	}
+}
+
+// Guards against a second execution of a request that is not idempotent, and
+// against a failed idempotent one, when the owner runs it and its answer is
+// lost.
+func TestLostAnswer(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	owner, _ := w.ownerOf("a1", "south-a")
+	lost := 0
+	w.net.setLose(func(addr string) bool {
+		if addr == "peer-"+owner {
+			lost++
+		}
+		return addr == "peer-"+owner
+	})
+	unknown := 0
+	for range 16 {
+		before := w.executions()
+		_, err := w.do("a1", post)
+		require.Equal(t, 1, w.executions()-before, "executions of one request")
+		if err != nil {
+			require.Equal(t, result.PeerNoAnswer, outcome(err))
+			unknown++
+		}
+	}
+	require.Equal(t, 2, unknown, "one lost answer makes the sender avoid the owner, and one the next instance")
+	w.advance(avoidTime + tickInterval)
+	before := lost
+	for range 4 {
+		_, err := w.do("a1", nil)
+		require.NoError(t, err)
+	}
+	require.Greater(t, lost, before)
+}
+
+// Guards against an answer to another request reaching the caller.
+func TestAnswerToAnotherRequest(t *testing.T) {
+	w := newWorld(t, map[string]string{"a1": "north-a", "b1": "north-b", "s1": "south-a"})
+	e := w.entries["a1"]
+	e.opt.Peers = callerFunc(func(_ any, reply any) error {
+		*reply.(*request.Reply) = request.Reply{Trace: "other", Code: result.OK, Response: &request.Response{Status: 200}}
+		return nil
+	})
+	for range 4 {
+		resp, err := w.do("a1", post)
+		if err == nil {
+			require.Equal(t, "u-north-a", resp.Upstream)
+			continue
+		}
+		require.Equal(t, result.PeerProtocol, outcome(err))
+	}
+}
+
+type callerFunc func(msg, reply any) error
+
+func (f callerFunc) Call(_ context.Context, _ string, _ peer.MessageType, msg, reply any) error {
+	return f(msg, reply)
+}
+
+// Guards against requests that fail because the sender does not know a new
+// owner yet, and against forwards that loop.
+func TestSenderWithOldView(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	owner, other := w.ownerOf("a1", "south-a")
+	for id := range w.entries {
+		if id == owner || id == other {
+			members := w.members()
+			for i := range members {
+				if members[i].ID == owner {
+					members[i].State = cluster.Leaving
+				}
+			}
+			w.pushTo(id, members)
+		}
+	}
+	w.entries[owner].Leave()
+	for range 8 {
+		_, err := w.do("a1", post)
+		require.NoError(t, err)
+	}
+	require.Zero(t, w.adm[owner].count())
+	require.Equal(t, 4, w.adm[other].count())
+
+	// Two instances that each take the other for the owner.
+	for _, id := range []string{owner, other} {
+		e := w.entries[id]
+		v := *e.view.Load()
+		v.caches = &caches{}
+		others := []cluster.Member{v.byID[owner]}
+		if id == owner {
+			others = []cluster.Member{v.byID[other]}
+		}
+		v.caches.ranks.Store(cluster.PoolKey("calls", "south-a"), others)
+		e.view.Store(&v)
+	}
+	before := w.net.calls
+	_, err := w.entries[owner].HandleForward(context.Background(), forwardBody(t, "south-a", "t"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, w.net.calls-before, maxHops+1)
+}
+
+func forwardBody(t testing.TB, domain, trace string) []byte {
+	body, err := cbor.Marshal(&peer.ForwardRequest{
+		Request: request.Request{Service: "calls", Method: "GET", Path: "/x", Trace: trace},
+		Domain:  domain, Region: "north", RemainingMS: 500,
+	})
+	require.NoError(t, err)
+	return body
+}
+
+// Guards against two owners while an agent is dead, and against an instance
+// that gives up the pools of a domain that it has alone.
+func TestDetachedEntry(t *testing.T) {
+	w := newWorld(t, map[string]string{"a1": "north-a", "s1": "south-a", "s2": "south-a"})
+	owner, other := w.ownerOf("a1", "south-a")
+	require.True(t, w.adm[owner].owned["calls"])
+	w.advance(detachAfter + tickInterval)
+	require.True(t, w.entries[owner].gate.detached.Load())
+	require.False(t, w.adm[owner].owned["calls"], "a detached entry gives up its pools")
+	require.True(t, w.adm["a1"].owned["calls"], "a detached entry that is alone keeps its pools")
+	w.push()
+	require.False(t, w.entries[owner].gate.detached.Load())
+	require.True(t, w.adm[owner].owned["calls"])
+	require.False(t, w.adm[other].owned["calls"])
+}
+
+// Guards against requests served with the view from before a pause.
+func TestPausedEntryRefusesUntilRefreshed(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	w.advance(time.Second)
+	_, err := w.do("a1", nil)
+	require.NoError(t, err)
+	w.clock.Add(30 * time.Second)
+	_, err = w.do("a1", nil)
+	require.Equal(t, result.StaleSnapshot, outcome(err), "a request may come before the first tick")
+	_, err = w.entries["a1"].lookup([]byte("calls"), nil, "127.0.0.1")
+	require.Equal(t, result.StaleSnapshot, outcome(err), "look-ups use the view too")
+	_, err = w.entries["a1"].issue("calls", "1")
+	require.Equal(t, result.StaleSnapshot, outcome(err))
+	reply, err := w.entries["a1"].HandleForward(context.Background(), forwardBody(t, "north-a", "t"))
+	require.NoError(t, err)
+	require.Equal(t, result.StaleSnapshot, reply.Code)
+	w.entries["a1"].Tick(w.clock.Now())
+	w.pushTo("a1", w.members())
+	_, err = w.do("a1", nil)
+	require.Equal(t, result.StaleSnapshot, outcome(err), "the first snapshot may be from before the pause")
+	report, err := w.entries["a1"].Apply(&cluster.Snapshot{AgentIncarnation: 1, Sequence: 1})
+	require.NoError(t, err)
+	require.Nil(t, report.Shares, "shares from before the pause are not reported")
+	_, err = w.do("a1", nil)
+	require.Equal(t, result.StaleSnapshot, outcome(err), "an old snapshot refreshes nothing")
+	w.pushTo("a1", w.members())
+	_, err = w.do("a1", nil)
+	require.NoError(t, err)
+}
+
+// Guards against a return with shares that the peers have left behind.
+func TestResumedEntryAdoptsPeersShares(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	w.advance(time.Second)
+	w.clock.Add(10 * time.Second)
+	shares := cluster.Shares{"calls": {"north-a": 0.2, "north-b": 0.2, "south-a": 0.6}}
+	for range freshSnapshots {
+		w.seq++
+		_, err := w.entries["a1"].Apply(&cluster.Snapshot{
+			AgentIncarnation: 1, Sequence: w.seq, Version: w.version, Members: w.members(), PeerShares: shares,
+		})
+		require.NoError(t, err)
+	}
+	require.InDelta(t, 0.6, w.entries["a1"].routes.Shares()["calls"]["south-a"], 1e-9)
+}
+
+// Guards against an older snapshot or version that replaces a newer one.
+func TestOlderSnapshotsAndVersionsAreIgnored(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	e := w.entries["a1"]
+	apply := func(incarnation, sequence, version uint64, members []cluster.Member) *cluster.EntryReport {
+		w.setVersion(version, testDescription)
+		report, err := e.Apply(&cluster.Snapshot{AgentIncarnation: incarnation, Sequence: sequence, Version: w.version, Members: members})
+		require.NoError(t, err)
+		return report
+	}
+	apply(2, 1, 5, w.members())
+	require.EqualValues(t, 5, e.view.Load().version.Number)
+	apply(1, 999, 6, nil)
+	require.EqualValues(t, 5, e.view.Load().version.Number, "an older agent incarnation")
+	require.Len(t, e.view.Load().byID, 5)
+	report := apply(2, 2, 4, nil)
+	require.EqualValues(t, 5, e.view.Load().version.Number, "versions only rise")
+	require.Len(t, e.view.Load().byID, 1, "the members of a newer snapshot replace the others as a whole")
+	require.EqualValues(t, 5, report.Version.Number)
+	require.NotEmpty(t, report.Version.Body, "an agent with an older version gets the body")
+	require.Empty(t, apply(2, 3, 5, nil).Version.Body)
+	w.setVersion(7, testDescription)
+	w.version.Hash = "0"
+	_, err := e.Apply(&cluster.Snapshot{AgentIncarnation: 2, Sequence: 4, Version: w.version})
+	require.Equal(t, result.ObjectCorrupt, outcome(err))
+	require.EqualValues(t, 5, e.view.Load().version.Number)
+}
+
+// Guards against a full domain that fails requests although another one has
+// credit, and against retries beyond the shares.
+func TestFullDomain(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	for _, id := range []string{"s1", "s2"} {
+		w.adm[id].set(func(context.Context, *request.Request) (*request.Response, error) {
+			return nil, result.New(result.QueueFull, "full")
+		})
+	}
+	failed := 0
+	for range 400 {
+		if _, err := w.do("a1", post); err != nil {
+			require.Equal(t, result.QueueFull, outcome(err))
+			failed++
+		}
+	}
+	// The other region may take its half of 400 and about two more.
+	require.InDelta(t, 200, failed, 4)
+	require.LessOrEqual(t, w.adm["a1"].count()+w.adm["a2"].count()+w.adm["b1"].count(), 204)
+}
+
+// Guards against traffic to a domain that is cut off and against one that is
+// refused although the share has moved.
+func TestDomainCutOff(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	var rest []cluster.Member
+	for _, m := range w.members() {
+		if m.Domain != "south-a" {
+			rest = append(rest, m)
+		}
+	}
+	w.pushTo("a1", rest)
+	_, err := w.do("a1", nil)
+	refused := 0
+	for range 270 {
+		w.advance(tickInterval)
+		w.pushTo("a1", rest)
+		if _, err = w.do("a1", nil); err != nil {
+			require.Equal(t, result.ShareExhausted, outcome(err))
+			refused++
+		}
+	}
+	require.NoError(t, err)
+	require.InDelta(t, 62, refused, 4, "the share of 0.5 moves in 25 s")
+}
+
+// Guards against a link that carries more than the instance's part, on the way
+// there and back.
+func TestLinkBudget(t *testing.T) {
+	w := newWorld(t, map[string]string{"a1": "north-a", "b1": "north-b", "s1": "south-a"})
+	// 280 Mbit/s over two instances in 100 ms are 1.75 MB.
+	big := func(req *request.Request) { post(req); req.Body = make([]byte, 4<<20) }
+	exhausted := 0
+	for range 12 {
+		if _, err := w.do("a1", big); err != nil {
+			require.Equal(t, result.LinkBudgetExhausted, outcome(err))
+			exhausted++
+		}
+	}
+	require.Equal(t, 1, w.adm["s1"].count(), "one request puts the link into debt")
+	require.Positive(t, exhausted)
+	w.clock.Add(500 * time.Millisecond)
+	for _, e := range w.entries {
+		e.Tick(w.clock.Now())
+	}
+	w.adm["s1"].set(func(context.Context, *request.Request) (*request.Response, error) {
+		return &request.Response{Status: 200, Body: make([]byte, 16<<20), Domain: "south-a"}, nil
+	})
+	ran := w.adm["s1"].count()
+	for range 12 {
+		_, _ = w.do("a1", post)
+	}
+	require.Equal(t, 1, w.adm["s1"].count()-ran, "one answer puts the link back into debt")
+}
+
+// Guards against new work for an instance that leaves or is drained, and
+// against refusals by it while others still send.
+func TestLeavingAndDrainedInstances(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	owner, other := w.ownerOf("a1", "south-a")
+	w.setVersion(2, fmt.Sprintf(`%s, "drained_instances": [%q]}`, testDescription[:len(testDescription)-1], owner))
+	w.push()
+	require.False(t, w.adm[owner].owned["calls"])
+	require.True(t, w.adm[other].owned["calls"])
+	_, err := w.entries[owner].issue("calls", "1")
+	require.Equal(t, result.Stopping, outcome(err))
+	_, err = w.do(owner, post)
+	require.NoError(t, err, "it serves the callers that still use it")
+	w.entries[other].Leave()
+	w.push()
+	_, err = w.do("a1", post)
+	require.NoError(t, err, "the only instances of a domain serve it although they leave")
+}
+
+// Guards against a stop that cuts requests off.
+func TestDrainWaitsForRequests(t *testing.T) {
+	w := newWorld(t, map[string]string{"a1": "north-a", "b1": "north-b", "s1": "south-a"})
+	e := w.entries["a1"]
+	require.True(t, e.enter())
+	drained := make(chan struct{})
+	go func() { defer close(drained); e.Drain(context.Background()) }()
+	require.Eventually(t, e.gate.stopped.Load, 5*time.Second, time.Millisecond)
+	_, err := w.do("a1", nil)
+	require.Equal(t, result.Stopping, outcome(err))
+	select {
+	case <-drained:
+		t.Fatal("drained with a request in flight")
+	default:
+	}
+	e.leave()
+	select {
+	case <-drained:
+	case <-time.After(5 * time.Second):
+		t.Fatal("not drained")
+	}
+}
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
@@ -185,7 +186,7 @@
 	adm := &fakeAdmission{domain: domain}
 	e, err := New(Options{
 		Instance: id, Region: domain[:5], Domain: domain, CallerAddress: "caller-" + id, PeerAddress: "peer-" + id,
-		MaxConcurrent: 100, DrainGrace: time.Minute, Admission: adm, Peers: w.net, Logger: event.Discard(), Now: w.clock.Now,
+		MaxConcurrent: 100, DrainGrace: time.Minute, Admission: adm, Peers: w.net, Logger: event.Discard(), Registry: gometrics.NewRegistry(), Now: w.clock.Now,
 	})
 	require.NoError(w.t, err)
 	w.entries[id], w.adm[id] = e, adm
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -12,8 +12,8 @@
 // latencySamples is the size of the reservoir of the latency histogram.
 const latencySamples = 1028
 
-// metrics are the counters of the request path.
-type metrics struct {
+// counters are the counters of the request path.
+type counters struct {
 	registry  gometrics.Registry
 	lookups   gometrics.Counter
 	forwards  gometrics.Counter
@@ -26,9 +26,8 @@
 	codes sync.Map
 }
 
-func newMetrics() *metrics {
-	r := gometrics.NewRegistry()
-	m := &metrics{registry: r}
+func newCounters(r gometrics.Registry) *counters {
+	m := &counters{registry: r}
 	m.lookups = gometrics.NewRegisteredCounter("entry.lookups", r)
 	m.forwards = gometrics.NewRegisteredCounter("entry.forwards", r)
 	m.transfers = gometrics.NewRegisteredCounter("entry.transfers", r)
@@ -40,7 +39,7 @@
 }
 
 // record counts the end of a request.
-func (m *metrics) record(code result.Code, took time.Duration) {
+func (m *counters) record(code result.Code, took time.Duration) {
 	m.latency.Update(took.Microseconds())
 	counter, ok := m.codes.Load(code)
 	if !ok {
--- a/pkg/entry/setup.go
+++ b/pkg/entry/setup.go
@@ -3,16 +3,21 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiacove/sequoiacove/pkg/admin"
+	"github.com/sequoiacove/sequoiacove/pkg/admission"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 	"github.com/sequoiacove/sequoiacove/pkg/settings"
+	"github.com/sequoiacove/sequoiacove/pkg/upstream"
 )
 
 // closeTimeout bounds the close of the servers after the drain.
@@ -24,20 +29,21 @@
 	logger  *slog.Logger
 	peers   *peer.Server
 	client  *peer.Client
+	pools   *admission.Set
 	callers *fasthttp.Server
-	admin   *fasthttp.Server
 
 	callerListener net.Listener
 	adminListener  net.Listener
 }
 
 // NewProcess opens the sockets of an entry; Run serves them.
-func NewProcess(s *settings.Instance, logger *slog.Logger, admission Admission) (*Process, error) {
+func NewProcess(s *settings.Instance, logger *slog.Logger) (*Process, error) {
 	serverTLS, clientTLS, err := peer.LoadTLS(s.TLS)
 	if err != nil {
 		return nil, err
 	}
 	p := &Process{logger: logger}
+	registry := metrics.NewRegistry()
 	if p.callerListener, err = listen(s.Entry.CallerAddress); err != nil {
 		return nil, err
 	}
@@ -45,31 +51,41 @@
 		p.callerListener.Close()
 		return nil, err
 	}
-	p.peers, err = peer.NewServer(peer.ServerConfig{Address: s.Entry.PeerAddress, TLS: serverTLS, Logger: logger})
+	p.peers, err = peer.NewServer(peer.ServerConfig{Address: s.Entry.PeerAddress, TLS: serverTLS, Logger: logger, Registry: registry})
 	if err != nil {
 		p.callerListener.Close()
 		p.adminListener.Close()
 		return nil, err
 	}
-	p.client = peer.NewClient(peer.ClientConfig{TLS: clientTLS, Logger: logger})
+	p.client = peer.NewClient(peer.ClientConfig{
+		TLS: clientTLS, Logger: logger, Registry: registry, LocalAddress: s.Entry.PeerAddress,
+	})
+	p.pools = admission.New(admission.Config{
+		Domain:   s.Domain,
+		Settings: s.Admission,
+		Exchange: upstream.NewClient(upstream.Config{}),
+		Logger:   logger,
+		Seed:     rand.Uint64(),
+	})
 	p.Entry, err = New(Options{
 		Instance:      s.ID,
 		Region:        s.Region,
 		Domain:        s.Domain,
 		CallerAddress: p.callerListener.Addr().String(),
-		PeerAddress:   p.peers.Addr(),
+		PeerAddress:   s.Entry.AdvertisedAddress,
 		MaxConcurrent: s.Entry.MaxConcurrent,
 		DrainGrace:    s.Entry.DrainGrace,
-		Admission:     admission,
+		Admission:     ownedPools{p.pools},
 		Peers:         p.client,
 		Logger:        logger,
+		Registry:      registry,
 		Now:           time.Now,
 	})
 	if err != nil {
 		return nil, err
 	}
 	p.Entry.Register(p.peers)
-	p.callers, p.admin = p.Entry.NewServer(), p.Entry.newAdminServer()
+	p.callers = p.Entry.NewServer()
 	return p, nil
 }
 
@@ -93,8 +109,8 @@
 	}
 	start(func() { p.Entry.Run(work) })
 	start(func() { _ = p.peers.Serve(context.Background()) })
-	start(func() { p.serve(p.callers, p.callerListener) })
-	start(func() { p.serve(p.admin, p.adminListener) })
+	start(func() { p.logFailure(p.callerListener, p.callers.Serve(p.callerListener)) })
+	start(func() { p.logFailure(p.adminListener, p.serveAdmin(work)) })
 	select {
 	case <-ctx.Done():
 	case <-p.Entry.left:
@@ -106,8 +122,12 @@
 	event.Log(p.logger, event.ProcessStopped)
 }
 
-func (p *Process) serve(s *fasthttp.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil {
+func (p *Process) serveAdmin(ctx context.Context) error {
+	return admin.ServeListener(ctx, p.adminListener, p.Entry.state, p.Entry.metrics.registry)
+}
+
+func (p *Process) logFailure(l net.Listener, err error) {
+	if err != nil {
 		event.Log(p.logger, event.ListenerFailed, "address", l.Addr().String(), "error", err)
 	}
 }
@@ -119,6 +139,17 @@
 	defer cancel()
 	_ = p.callers.ShutdownWithContext(ctx)
 	_ = p.peers.Close(ctx)
-	_ = p.admin.ShutdownWithContext(ctx)
 	p.client.Close()
+	p.pools.Close()
+}
+
+// ownedPools adapts admission.Set, which declares its own pool type.
+type ownedPools struct{ *admission.Set }
+
+func (o ownedPools) Update(pools []Pool) {
+	configs := make([]admission.PoolConfig, 0, len(pools))
+	for _, p := range pools {
+		configs = append(configs, admission.PoolConfig(p))
+	}
+	o.Set.Update(configs)
 }
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -204,11 +204,16 @@
 	if agentVersion >= version.Number {
 		version.Body, version.PreviousBody = nil, nil
 	}
-	return &cluster.EntryReport{
+	report := &cluster.EntryReport{
 		Incarnation: e.incarnation,
 		Leaving:     e.gate.leaving.Load(),
 		Version:     version,
-		Shares:      e.routes.Shares(),
 		Pools:       e.opt.Admission.Reports(),
 	}
+	if e.gate.staleFor.Load() == 0 {
+		// Shares from before a pause would distort the mean that others
+		// adopt after theirs.
+		report.Shares = e.routes.Shares()
+	}
+	return report
 }
