Add the agent process

The agent joins platform client, configuration versions, membership, share checkpoints, the link to its entry and the operator API. A replaced entry on a running agent starts a new incarnation of the member, since leaving holds for a whole incarnation. Heard is now called for every record that made progress, so that a fetch that failed is tried again with the next heartbeat.

--- /dev/null
+++ b/pkg/agent/api.go
@@ -0,0 +1,178 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+const (
+	apiConcurrency = 256
+	apiIOTimeout   = 10 * time.Second
+	apiIdleTimeout = time.Minute
+	// apiCallTimeout bounds the work on one operator request; it is above the
+	// time that an accepted patch takes on a slow store.
+	apiCallTimeout    = 15 * time.Second
+	apiConnectionsPer = 64
+)
+
+// api serves the operator API.
+type api struct {
+	agent     *Agent
+	operators *operators
+	requests  metrics.Counter
+	refusals  metrics.Counter
+}
+
+func newAPI(a *Agent) *api {
+	return &api{
+		agent:     a,
+		operators: newOperators(a.settings.Agent.Operators, a.settings.Agent.OperatorRequestsPerSecond, time.Now),
+		requests:  metrics.GetOrRegisterCounter("operator.requests", a.registry),
+		refusals:  metrics.GetOrRegisterCounter("operator.refusals", a.registry),
+	}
+}
+
+// serve answers operators until ctx ends.
+func (p *api) serve(ctx context.Context, listener net.Listener) error {
+	server := &fasthttp.Server{
+		Name:               "sequoia-agent",
+		Handler:            p.handle,
+		Concurrency:        apiConcurrency,
+		MaxConnsPerIP:      apiConnectionsPer,
+		ReadTimeout:        apiIOTimeout,
+		WriteTimeout:       apiIOTimeout,
+		IdleTimeout:        apiIdleTimeout,
+		MaxRequestBodySize: operator.MaxBodyBytes,
+		CloseOnShutdown:    true,
+		ErrorHandler:       refuseUnread,
+		Logger:             discard{},
+	}
+	stop := context.AfterFunc(ctx, func() {
+		bounded, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		_ = server.ShutdownWithContext(bounded)
+	})
+	defer stop()
+	return server.Serve(listener)
+}
+
+// discard drops the server's log of malformed requests.
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
+
+// refuseUnread answers a request that could not be read.
+func refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	if err == fasthttp.ErrBodyTooLarge {
+		refuse(ctx, result.New(result.BodyTooLarge, "a request has at most %d bytes", operator.MaxBodyBytes), 0)
+		return
+	}
+	refuse(ctx, result.New(result.BadRequest, "%v", err), 0)
+}
+
+func refuse(ctx *fasthttp.RequestCtx, err error, current uint64) {
+	body, _ := json.Marshal(operator.NewErrorBody(err, current))
+	ctx.SetStatusCode(result.Lookup(result.CodeOf(err)).HTTPStatus)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+// call is one operator request.
+type call struct {
+	http *fasthttp.RequestCtx
+	ctx  context.Context
+	// operator is the name of the authorized operator.
+	operator string
+	// argument is the last part of the path of calls that name something.
+	argument string
+	// current is set to the current version for a conflict.
+	current uint64
+}
+
+func (c *call) query(name string) string { return string(c.http.QueryArgs().Peek(name)) }
+
+// handle authorizes a request and answers it.
+func (p *api) handle(http *fasthttp.RequestCtx) {
+	p.requests.Inc(1)
+	name, err := p.operators.authorize(string(http.Request.Header.Peek("Authorization")))
+	if err != nil {
+		p.refuseOperator(http, name, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), apiCallTimeout)
+	defer cancel()
+	c := &call{http: http, ctx: ctx, operator: name}
+	reply, err := p.route(c)
+	if err != nil {
+		p.refusals.Inc(1)
+		refuse(http, err, c.current)
+		return
+	}
+	body, err := json.Marshal(reply)
+	if err != nil {
+		refuse(http, result.New(result.Internal, "%v", err), 0)
+		return
+	}
+	http.SetContentType("application/json")
+	http.SetBody(body)
+}
+
+func (p *api) refuseOperator(http *fasthttp.RequestCtx, name string, err error) {
+	p.refusals.Inc(1)
+	if p.operators.refused.take() {
+		event.Log(p.agent.logger, event.OperatorRefused, "operator", name, "remote", http.RemoteAddr().String(), "error", result.Detail(err))
+	}
+	refuse(http, err, 0)
+}
+
+// route finds the handler of a request by method and path.
+func (p *api) route(c *call) (any, error) {
+	path := string(c.http.Path())
+	if c.http.IsPost() {
+		switch path {
+		case operator.PathPatches:
+			return p.patch(c)
+		case operator.PathValidate:
+			return p.validate(c)
+		}
+		return nil, result.New(result.NotFound, "POST %s", clip(path))
+	}
+	if !c.http.IsGet() {
+		return nil, result.New(result.BadRequest, "method %s", clip(string(c.http.Method())))
+	}
+	exact := map[string]func(*call) (any, error){
+		operator.PathCurrent:  p.current,
+		operator.PathVersions: p.versions,
+		operator.PathMembers:  p.members,
+		operator.PathExplain:  p.explain,
+		operator.PathState:    p.state,
+	}
+	if handler, ok := exact[path]; ok {
+		return handler(c)
+	}
+	byPrefix := map[string]func(*call) (any, error){
+		operator.PathVersions + "/": p.version,
+		operator.PathMoves:          p.move,
+		operator.PathDrains:         p.drain,
+	}
+	for prefix, handler := range byPrefix {
+		if argument, ok := strings.CutPrefix(path, prefix); ok && argument != "" {
+			c.argument = argument
+			return handler(c)
+		}
+	}
+	return nil, result.New(result.NotFound, "GET %s", clip(path))
+}
+
+// clip bounds text of a request that is repeated in an answer or log.
+func clip(s string) string { return s[:min(len(s), 128)] }
--- /dev/null
+++ b/pkg/agent/api_config.go
@@ -0,0 +1,134 @@
+package agent
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/sequoiacove/sequoiacove/pkg/configstore"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+const defaultVersions = 20
+
+func (c *call) proposal() (configstore.Proposal, error) {
+	var in operator.PatchRequest
+	if err := json.Unmarshal(c.http.PostBody(), &in); err != nil {
+		return configstore.Proposal{}, result.New(result.PatchMalformed, "%v", err)
+	}
+	if len(in.Patch) == 0 {
+		return configstore.Proposal{}, result.New(result.PatchMalformed, "patch is missing")
+	}
+	return configstore.Proposal{
+		BaseVersion: in.BaseVersion,
+		PatchID:     in.PatchID,
+		Kind:        in.Kind,
+		Patch:       in.Patch,
+		Operator:    c.operator,
+	}, nil
+}
+
+// patch accepts a patch and passes the new version on. It is in force here when
+// the answer is sent; the answer does not wait for the distribution.
+func (p *api) patch(c *call) (any, error) {
+	proposal, err := c.proposal()
+	if err != nil {
+		return nil, err
+	}
+	accepted, err := p.agent.store.Accept(c.ctx, proposal)
+	if err != nil {
+		c.current = accepted.Version.Number
+		p.refusedPatch(c, proposal, err)
+		return nil, err
+	}
+	version := accepted.Version
+	p.agent.sync.Offer(version)
+	if version.Number >= p.agent.sync.Current().Number {
+		// Another agent may have accepted the patch and died before its push.
+		p.agent.distribute(version)
+	}
+	if !accepted.Replayed {
+		event.Log(p.agent.logger, event.PatchAccepted, "version", version.Number, "operator", c.operator, "patch_id", proposal.PatchID)
+	}
+	return operator.PatchReply{Version: version.Number, Hash: version.Hash, Replayed: accepted.Replayed}, nil
+}
+
+func (p *api) refusedPatch(c *call, proposal configstore.Proposal, err error) {
+	id := event.PatchRefused
+	if result.OutcomeOf(err) == result.Unknown {
+		id = event.PatchUnknown
+	}
+	event.Log(p.agent.logger, id, "operator", c.operator, "patch_id", clip(proposal.PatchID), "error", result.Detail(err))
+}
+
+func (p *api) validate(c *call) (any, error) {
+	proposal, err := c.proposal()
+	if err != nil {
+		return nil, err
+	}
+	if proposal.PatchID == "" {
+		proposal.PatchID = "validate"
+	}
+	diff, err := p.agent.store.Validate(c.ctx, proposal)
+	if err != nil {
+		if result.CodeOf(err) == result.VersionConflict {
+			c.current = p.agent.sync.Current().Number
+		}
+		return nil, err
+	}
+	return operator.ValidateReply{Diff: append([]string{}, diff...)}, nil
+}
+
+// current returns the version in force at this agent, without the store.
+func (p *api) current(*call) (any, error) {
+	return operator.NewVersion(p.agent.sync.Current(), true), nil
+}
+
+func (p *api) versions(c *call) (any, error) {
+	before, err := c.number("before", 0)
+	if err != nil {
+		return nil, err
+	}
+	limit, err := c.number("limit", defaultVersions)
+	if err != nil {
+		return nil, err
+	}
+	history, err := p.agent.store.History(c.ctx, before, int(min(limit, configstore.MaxHistory)))
+	if err != nil {
+		return nil, err
+	}
+	reply := operator.VersionsReply{Versions: []operator.Version{}}
+	for _, v := range history {
+		reply.Versions = append(reply.Versions, operator.NewVersion(v, false))
+	}
+	return reply, nil
+}
+
+func (p *api) version(c *call) (any, error) {
+	number, err := strconv.ParseUint(c.argument, 10, 64)
+	if err != nil {
+		return nil, result.New(result.BadRequest, "%q is not a version number", clip(c.argument))
+	}
+	if current := p.agent.sync.Current(); number == current.Number {
+		return operator.NewVersion(current, true), nil
+	}
+	v, err := p.agent.store.Load(c.ctx, number)
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewVersion(v, true), nil
+}
+
+// number returns a query parameter as a whole number.
+func (c *call) number(name string, fallback uint64) (uint64, error) {
+	text := c.query(name)
+	if text == "" {
+		return fallback, nil
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, result.New(result.BadRequest, "%s must be a whole number", name)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/pkg/agent/run.go
@@ -0,0 +1,124 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/admin"
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/peer"
+)
+
+const (
+	// stopMargin is added to the entry's own bound for a graceful stop.
+	stopMargin = 10 * time.Second
+	stopCheck  = 100 * time.Millisecond
+	// orderTimeout bounds the order to the entry to leave.
+	orderTimeout = time.Second
+	closeTimeout = 2 * time.Second
+)
+
+func holderName(id string, incarnation uint64) string { return fmt.Sprintf("%s.%d", id, incarnation) }
+
+// Run serves until ctx ends; then the instance leaves, and Run returns when the
+// entry has gone or its bound for a graceful stop has passed.
+func (a *Agent) Run(ctx context.Context) error {
+	event.Log(a.logger, event.ProcessStarted, "incarnation", a.members.Self().Incarnation)
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = a.server.Serve(context.Background()) })
+	tasks.Go(func() { a.members.Run(work) })
+	tasks.Go(func() { a.instances.run(work) })
+	tasks.Go(func() { a.startVersions(work) })
+	tasks.Go(func() { a.lease.Run(work) })
+	tasks.Go(func() { a.checkpoints.runReads(work) })
+	tasks.Go(func() { a.checkpoints.runWrites(work) })
+	tasks.Go(func() { a.link.run(work) })
+	tasks.Go(func() {
+		if err := admin.ServeListener(work, a.adminListener, a.state, a.registry); err != nil {
+			event.Log(a.logger, event.ListenerFailed, "address", a.settings.Agent.AdminAddress, "error", err.Error())
+		}
+	})
+	tasks.Go(func() {
+		if err := a.api.serve(work, a.operatorListener); err != nil {
+			event.Log(a.logger, event.ListenerFailed, "address", a.settings.Agent.OperatorAddress, "error", err.Error())
+		}
+	})
+	<-ctx.Done()
+	a.leave()
+	stop()
+	a.close()
+	tasks.Wait()
+	event.Log(a.logger, event.ProcessStopped)
+	return nil
+}
+
+// startVersions finds the version in force, then polls the store.
+func (a *Agent) startVersions(ctx context.Context) {
+	_, _ = a.sync.Bootstrap(ctx, a.askable())
+	a.sync.Run(ctx)
+}
+
+// leave takes the instance out of use: the member leaves, the entry is ordered
+// to drain, and the agent keeps serving it until it has gone.
+func (a *Agent) leave() {
+	event.Log(a.logger, event.ProcessStopping)
+	a.link.stop()
+	a.members.Leave()
+	if a.link.entryIncarnation() == 0 {
+		return
+	}
+	a.orderLeave()
+	end := time.Now().Add(a.settings.Entry.DrainGrace + stopMargin)
+	for a.link.entryIncarnation() != 0 && time.Now().Before(end) {
+		time.Sleep(stopCheck)
+	}
+}
+
+// orderLeave tells the entry to drain; one that already does ignores it.
+func (a *Agent) orderLeave() {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	_ = a.client.Call(ctx, a.settings.Entry.PeerAddress, peer.Control, leaveOrder, nil)
+}
+
+func (a *Agent) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	a.sync.Close()
+	a.background.Wait()
+	_ = a.server.Close(ctx)
+	a.client.Close()
+}
+
+// state is the dump of the agent for operators.
+func (a *Agent) state() any {
+	version := a.sync.Current()
+	return struct {
+		Instance    string           `json:"instance"`
+		Version     uint64           `json:"version"`
+		Hash        string           `json:"hash"`
+		EntryAlive  bool             `json:"entry_alive"`
+		StoreDown   bool             `json:"store_down"`
+		LeaseHeld   bool             `json:"lease_held"`
+		Checkpoint  cluster.Shares   `json:"checkpoint"`
+		Members     []cluster.Member `json:"members"`
+		Upstreams   int              `json:"upstreams"`
+		Incarnation uint64           `json:"incarnation"`
+	}{
+		Instance:    a.settings.ID,
+		Version:     version.Number,
+		Hash:        version.Hash,
+		EntryAlive:  a.link.entryIncarnation() != 0,
+		StoreDown:   a.platform.Down(),
+		LeaseHeld:   a.lease.Held(),
+		Checkpoint:  a.checkpoints.current(),
+		Members:     a.members.Members(),
+		Upstreams:   len(a.instances.domainUpstreams()),
+		Incarnation: a.members.Self().Incarnation,
+	}
+}
--- /dev/null
+++ b/pkg/agent/shares.go
@@ -0,0 +1,68 @@
+package agent
+
+import (
+	"math"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+)
+
+// meanShares returns the mean effective shares of the live members other than
+// the one with id self. A peer counts only for the services that it has.
+func meanShares(members []cluster.Member, self string) cluster.Shares {
+	sums := make(cluster.Shares)
+	counts := make(map[string]float64)
+	for _, m := range members {
+		if m.ID == self || m.State == cluster.Dead || m.EntryIncarnation == 0 {
+			continue
+		}
+		for service, shares := range m.Shares {
+			if !proper(shares) {
+				continue
+			}
+			counts[service]++
+			if sums[service] == nil {
+				sums[service] = make(map[string]float64)
+			}
+			for domain, share := range shares {
+				sums[service][domain] += share
+			}
+		}
+	}
+	for service, shares := range sums {
+		for domain := range shares {
+			shares[domain] /= counts[service]
+		}
+	}
+	return sums
+}
+
+// shareSumTolerance is far above the rounding of a moving vector and far below
+// a share that matters.
+const shareSumTolerance = 1e-3
+
+// proper reports whether shares are non-negative and sum to 1.
+func proper(shares map[string]float64) bool {
+	var sum float64
+	for _, share := range shares {
+		if !(share >= 0 && share <= 1) {
+			return false
+		}
+		sum += share
+	}
+	return math.Abs(sum-1) <= shareSumTolerance
+}
+
+// sameShares reports whether two share vectors differ by less than limit.
+func sameShares(a, b map[string]float64, limit float64) bool {
+	for domain, share := range a {
+		if math.Abs(share-b[domain]) > limit {
+			return false
+		}
+	}
+	for domain, share := range b {
+		if math.Abs(share-a[domain]) > limit {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -22,6 +22,8 @@
 	MemberSuspect ID = 301
 	MemberDead    ID = 302
 	MemberLeaving ID = 303
+	EntrySilent   ID = 304
+	EntryAnswered ID = 305
 
 	EntryDetached     ID = 400
 	EntryAttached     ID = 401
@@ -62,6 +64,8 @@
 	{MemberSuspect, slog.LevelInfo, "member suspect", "None."},
 	{MemberDead, slog.LevelWarn, "member dead", "Check the instance if it was not replaced on purpose."},
 	{MemberLeaving, slog.LevelInfo, "member leaving", "None."},
+	{EntrySilent, slog.LevelWarn, "own entry does not answer", "Check the entry of this instance; peers send it nothing."},
+	{EntryAnswered, slog.LevelInfo, "own entry answers", "None."},
 
 	{EntryDetached, slog.LevelWarn, "entry detached from its agent", "Restart the agent of this instance."},
 	{EntryAttached, slog.LevelInfo, "entry attached to its agent", "None."},
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -73,8 +73,8 @@
 	Clock  Clock
 	Random *rand.Rand
 	Logger *slog.Logger
-	// Heard is called outside of locks with each peer record that came in with
-	// a version that the table did not have for that peer; it must not block.
+	// Heard is called outside of locks with each peer record that made
+	// progress; it must not block.
 	Heard func(cluster.Member)
 	// Registry receives the counters; nil keeps them private.
 	Registry metrics.Registry
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -15,7 +15,7 @@
 	maxListed    = maxMembers
 )
 
-// merge takes in the records of a peer and returns those with a new version.
+// merge takes in the records of a peer and returns those that made progress.
 func (t *Table) merge(records []Record, now time.Time) (heard []cluster.Member) {
 	for i := range records {
 		r := &records[i]
@@ -43,9 +43,8 @@
 	}
 }
 
-// mergePeer reports whether the record brought a version that was not known
-// for this peer.
-func (t *Table) mergePeer(r *Record, now time.Time) (newVersion bool) {
+// mergePeer reports whether the record is newer than the one known.
+func (t *Table) mergePeer(r *Record, now time.Time) (newer bool) {
 	e := t.peers[r.Member.ID]
 	if e == nil {
 		return t.add(r, now)
@@ -67,13 +66,13 @@
 			t.notify()
 		}
 		e.member, e.progress = m, now
+	case m.State == cluster.Leaving:
+		e.member.State = cluster.Leaving
 	default:
-		if m.State == cluster.Leaving {
-			e.member.State = cluster.Leaving
-		}
+		return false
 	}
 	t.setState(e, t.stateOf(e, now))
-	return e.member.Version != known.Version
+	return true
 }
 
 // add takes in a member that was not known. The sender's view of its age counts,
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -143,6 +143,22 @@
 	signal(t.kick)
 }
 
+// Rejoin starts a new incarnation that is serving, after the entry of a leaving
+// instance was replaced. Incarnations are start times in nanoseconds, so the
+// next one is above those of other runs too.
+func (t *Table) Rejoin() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.self.State != cluster.Leaving {
+		return
+	}
+	t.self.Incarnation = max(t.self.Incarnation+1, uint64(t.cfg.Clock.Now().UnixNano()))
+	t.self.State = cluster.Serving
+	t.self.Sequence++
+	t.notify()
+	signal(t.kick)
+}
+
 // step detects a pause of the own process and evaluates all liveness states.
 // Every use of the table passes through it, so that a pause is seen before the
 // old states are used.
