--- /dev/null
+++ b/pkg/agent/agent_test.go
@@ -0,0 +1,138 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/platform"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
+)
+
+// Guards against an accepted version that does not reach all entries while the
+// store fails right after the acceptance.
+func TestVersionReachesAllEntriesWithoutTheStore(t *testing.T) {
+	f := newFleet(t, 4)
+	f.settle()
+	reply := f.patch(0, "first", descriptionText)
+	require.EqualValues(t, 1, reply.Version)
+	f.platform.SetFaults(standin.PlatformFaults{Mode: standin.PlatformDown})
+	start := time.Now()
+	f.inForce(1)
+	require.Less(t, time.Since(start), 2*time.Second, "in force within 2 s")
+}
+
+// Guards against an agent that starts while the store is out staying without a
+// version although its entry or its peers have one.
+func TestAgentRestartsDuringAnOutage(t *testing.T) {
+	f := newFleet(t, 3)
+	f.settle()
+	f.patch(0, "first", descriptionText)
+	f.inForce(1)
+	f.platform.SetFaults(standin.PlatformFaults{Mode: standin.PlatformDown})
+	for _, nd := range f.nodes {
+		nd.kill()
+	}
+	for _, nd := range f.nodes {
+		f.startAgent(nd)
+	}
+	f.eventually("restarted agents learn the version", func() bool {
+		for _, nd := range f.nodes {
+			if nd.agent.sync.Current().Number != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	f.settle()
+}
+
+// Guards against peers using an instance whose entry died, and against losing
+// it for good.
+func TestEntryDiesAndReturns(t *testing.T) {
+	f := newFleet(t, 3)
+	f.settle()
+	f.nodes[1].entry.close()
+	start := time.Now()
+	f.eventually("peers see the entry dead", func() bool {
+		return len(liveEntries(f.nodes[0].entry.snapshot().Members)) == 2
+	})
+	require.Less(t, time.Since(start), 4*time.Second)
+	require.Equal(t, 3, counts(f.nodes[0].entry.snapshot())[cluster.Serving], "its agent is alive")
+	f.nodes[1].entry = f.startEntry(f.nodes[1], 2)
+	f.settle()
+}
+
+// Guards against a dead agent's instance staying in the snapshots of others.
+func TestAgentDies(t *testing.T) {
+	f := newFleet(t, 3)
+	f.settle()
+	f.nodes[2].kill()
+	start := time.Now()
+	f.eventually("peers see the member dead or leaving", func() bool {
+		return counts(f.nodes[0].entry.snapshot())[cluster.Serving] == 2
+	})
+	require.Less(t, time.Since(start), 5*time.Second)
+}
+
+// Guards against an agent that stops before its entry has drained, which would
+// detach the entry in the middle of its requests.
+func TestAgentOutlivesItsEntry(t *testing.T) {
+	f := newFleet(t, 2)
+	f.settle()
+	nd := f.nodes[1]
+	nd.stop()
+	f.eventually("peers see the member leaving", func() bool {
+		return counts(f.nodes[0].entry.snapshot())[cluster.Leaving] == 1
+	})
+	ordered := false
+	nd.entry.change(func() { ordered = nd.entry.ordered })
+	require.True(t, ordered, "the entry must be told to drain")
+	sequence := nd.entry.snapshot().Sequence
+	f.eventually("snapshots go on", func() bool { return nd.entry.snapshot().Sequence > sequence+5 })
+	select {
+	case <-nd.done:
+		t.Fatal("the agent stopped while its entry was still draining")
+	default:
+	}
+	nd.entry.close()
+	select {
+	case <-nd.done:
+	case <-time.After(patient):
+		t.Fatal("the agent did not stop after its entry had gone")
+	}
+}
+
+// Guards against the leaving state of a stopping entry not reaching the peers,
+// and against its successor staying leaving.
+func TestEntryIsReplaced(t *testing.T) {
+	f := newFleet(t, 2)
+	f.settle()
+	nd := f.nodes[1]
+	nd.entry.change(func() { nd.entry.report.Leaving = true })
+	f.eventually("peers see the member leaving", func() bool {
+		return counts(f.nodes[0].entry.snapshot())[cluster.Leaving] == 1
+	})
+	nd.entry.close()
+	nd.entry = f.startEntry(nd, 2)
+	f.settle()
+}
+
+// Guards against snapshots without the upstreams of the own domain, with those
+// of another, or with a listed state that is lost.
+func TestSnapshotHoldsTheDomainsUpstreams(t *testing.T) {
+	f := newFleet(t, 1)
+	for _, in := range []platform.Instance{
+		{ID: "u1", Role: platform.RoleUpstream, Service: "shop", Region: "north", Domain: "north-a", Address: "127.0.0.1:1", State: cluster.Serving, Slots: 4},
+		{ID: "u2", Role: platform.RoleUpstream, Service: "shop", Region: "north", Domain: "north-a", Address: "127.0.0.1:2", State: cluster.Leaving, Slots: 4},
+		{ID: "u3", Role: platform.RoleUpstream, Service: "shop", Region: "north", Domain: "north-b", Address: "127.0.0.1:3", State: cluster.Serving, Slots: 4},
+	} {
+		f.platform.PutInstance(in)
+	}
+	f.eventually("upstreams in the snapshot", func() bool { return len(f.nodes[0].entry.snapshot().Upstreams) == 2 })
+	got := f.nodes[0].entry.snapshot().Upstreams
+	require.Equal(t, "u1", got[0].ID)
+	require.Equal(t, cluster.Leaving, got[1].State)
+}
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -76,6 +76,9 @@
 // attempt sends one request to one agent. PeerUnreachable means that nothing
 // was sent.
 func (c *Client) attempt(ctx context.Context, addr, method, path string, body []byte) ([]byte, error) {
+	if len(body) > MaxBodyBytes {
+		return nil, result.New(result.DescriptionTooLarge, "request of %d bytes exceeds %d", len(body), MaxBodyBytes)
+	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
--- a/pkg/operator/patch.go
+++ b/pkg/operator/patch.go
@@ -76,7 +76,7 @@
 func final(err error, maySent bool) bool {
 	code := result.CodeOf(err)
 	switch code {
-	case result.VersionConflict, result.PatchIDReused, result.DescriptionInvalid, result.PatchMalformed:
+	case result.VersionConflict, result.PatchIDReused, result.DescriptionInvalid, result.DescriptionTooLarge, result.PatchMalformed:
 		return true
 	}
 	return !maySent && !elsewhere(err)
