--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -161,7 +161,7 @@
 
 // world is a set of entries with a common fake network.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	net     *fakeNet
 	clock   *clock
 	entries map[string]*Entry
@@ -171,7 +171,7 @@
 }
 
 // newWorld starts one entry per given "id=domain".
-func newWorld(t *testing.T, ids map[string]string) *world {
+func newWorld(t testing.TB, ids map[string]string) *world {
 	w := &world{t: t, clock: &clock{now: time.Now()}, entries: make(map[string]*Entry), adm: make(map[string]*fakeAdmission)}
 	w.net = &fakeNet{entries: make(map[string]*Entry)}
 	for id, domain := range ids {
@@ -253,7 +253,7 @@
 }
 
 // serve runs the caller API of an entry and returns its base address.
-func serve(t *testing.T, e *Entry) string {
+func serve(t testing.TB, e *Entry) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := e.NewServer()
--- a/pkg/routing/limiter.go
+++ b/pkg/routing/limiter.go
@@ -25,9 +25,6 @@
 	shareEpsilon = 1e-12
 )
 
-// Range is the lowest and highest share of a region among live peers.
-type Range struct{ Low, High float64 }
-
 // limiter moves one share vector to its goal under the caps.
 type limiter struct {
 	shares   vector
@@ -64,7 +61,7 @@
 
 // step moves the vector towards goal for the time dt. peers limits the lead
 // over live peers per region; nil means no limit.
-func (l *limiter) step(goal vector, r rates, dt time.Duration, peers map[string]Range) {
+func (l *limiter) step(goal vector, r rates, dt time.Duration, peers *peerShares) {
 	if math.IsInf(r.domain, 1) {
 		l.shares = l.rebalanced(goal)
 	}
@@ -127,15 +124,20 @@
 
 // holdLead reduces fraction so that no region's share runs ahead of a live
 // peer by more than the lead. It gives up when no peer moved for leadPatience.
-func (l *limiter) holdLead(delta vector, fraction float64, r rates, dt time.Duration, peers map[string]Range) float64 {
-	if len(peers) == 0 || math.IsInf(r.region, 1) {
+func (l *limiter) holdLead(delta vector, fraction float64, r rates, dt time.Duration, peers *peerShares) float64 {
+	changes := delta.byRegion(l.regionOf)
+	if math.IsInf(r.region, 1) || changes.still() {
+		return fraction
+	}
+	ranges := peers.ranges()
+	if ranges == nil {
 		return fraction
 	}
 	held := fraction
 	lead := r.region * leadTime.Seconds()
 	shares := l.shares.byRegion(l.regionOf)
-	for name, change := range delta.byRegion(l.regionOf) {
-		held = min(held, leadPart(shares[name], change, lead, peers[name]))
+	for name, change := range changes {
+		held = min(held, leadPart(shares[name], change, lead, ranges[name]))
 	}
 	if held >= leadProgress*fraction {
 		l.waited = 0
--- a/pkg/routing/service.go
+++ b/pkg/routing/service.go
@@ -15,7 +15,7 @@
 	regionOf  map[string]string
 	reachable map[string]bool
 	// peers limits the lead over live peers.
-	peers map[string]Range
+	peers *peerShares
 	// follow is the peers' mean while a live peer has a higher version, so
 	// that an instance that lacks the version does not lag; else nil.
 	follow vector
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -86,7 +86,7 @@
 		caps:      svc.Caps,
 		regionOf:  regionOf,
 		reachable: in.Reachable,
-		peers:     peerRanges(in, name, regionOf),
+		peers:     &peerShares{service: name, members: in.Peers, mean: in.PeerShares, regionOf: regionOf},
 	}
 	if in.Behind {
 		si.follow = vector(in.PeerShares[name])
@@ -94,42 +94,6 @@
 	return si
 }
 
-// peerRanges returns the lowest and highest share of each region among the
-// live peers that report shares of the service.
-func peerRanges(in Input, name string, regionOf map[string]string) map[string]Range {
-	var sums []vector
-	for i := range in.Peers {
-		if shares := in.Peers[i].Shares[name]; len(shares) > 0 {
-			sums = append(sums, vector(shares).byRegion(regionOf))
-		}
-	}
-	if mean := in.PeerShares[name]; len(sums) == 0 && len(mean) > 0 {
-		sums = append(sums, vector(mean).byRegion(regionOf))
-	}
-	if len(sums) == 0 {
-		return nil
-	}
-	ranges := make(map[string]Range)
-	for _, sum := range sums {
-		for r := range sum {
-			ranges[r] = Range{Low: 1}
-		}
-	}
-	for r := range ranges {
-		ranges[r] = rangeOf(r, sums)
-	}
-	return ranges
-}
-
-func rangeOf(region string, sums []vector) Range {
-	out := Range{Low: 1}
-	for _, sum := range sums {
-		out.Low = min(out.Low, sum[region])
-		out.High = max(out.High, sum[region])
-	}
-	return out
-}
-
 // start returns the first vector of a service: the peers' mean, else the
 // checkpoint, else the previous version's target moved at the caps since the
 // acceptance of this version, else the target.
--- a/pkg/routing/vector.go
+++ b/pkg/routing/vector.go
@@ -24,6 +24,16 @@
 	return sum
 }
 
+// still tells whether v, a vector of changes, changes nothing.
+func (v vector) still() bool {
+	for _, change := range v {
+		if math.Abs(change) > shareEpsilon {
+			return false
+		}
+	}
+	return true
+}
+
 // domains returns the keys in order, so that sums round the same way on every
 // instance.
 func (v vector) domains() []string {
