Keep an unknown outcome when later attempts did not run

Cause: TestDomainCutOff saw a request answered "not run" (1400) that an upstream had executed. Its first forward lost the answer; the request is idempotent, so it was tried at the next instance, and the failure of that attempt became the outcome. Before: TestLostAnswerThenUnreachable reports 1400. After: it reports the first attempt's unknown outcome.

--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -91,6 +91,30 @@
 	require.Greater(t, lost, before)
 }
 
+// Guards against "not run" for a request whose first attempt may have run, when
+// the attempts after it certainly did not.
+func TestLostAnswerThenUnreachable(t *testing.T) {
+	w := newWorld(t, map[string]string{"a1": "north-a", "s1": "south-a", "s2": "south-a"})
+	owner, _ := w.ownerOf("a1", "south-a")
+	w.net.setLose(func(string) bool { return true })
+	sent := false
+	w.net.setFail(func(addr string, _ peer.MessageType) error {
+		if sent {
+			return result.New(result.PeerUnreachable, "%s", addr)
+		}
+		sent = addr == "peer-"+owner
+		return nil
+	})
+	w.adm["a1"].set(func(context.Context, *request.Request) (*request.Response, error) {
+		return nil, result.New(result.QueueFull, "full")
+	})
+	for !sent {
+		_, err := w.do("a1", nil)
+		require.Equal(t, sent, result.OutcomeOf(err) == result.Unknown, "%v", err)
+	}
+	require.Equal(t, 1, w.adm[owner].count())
+}
+
 // Guards against an answer to another request reaching the caller.
 func TestAnswerToAnotherRequest(t *testing.T) {
 	w := newWorld(t, map[string]string{"a1": "north-a", "b1": "north-b", "s1": "south-a"})
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -27,6 +27,9 @@
 	view  *view
 	req   *request.Request
 	tried map[string]bool
+	// doubt is the last failure after which the request may have run. A later
+	// attempt that certainly ran nothing does not settle the request.
+	doubt error
 }
 
 // route runs a request in the domain that its service's shares choose. After a
@@ -39,12 +42,15 @@
 	a := &attempt{entry: e, view: v, req: req}
 	for {
 		resp, err := a.inDomain(ctx, domain)
-		if err == nil || !a.mayMove(ctx, err) {
-			return resp, err
+		if err == nil {
+			return resp, nil
+		}
+		if !a.mayMove(ctx, err) {
+			return nil, a.settled(err)
 		}
 		next, ok := a.next(domain)
 		if !ok {
-			return nil, err
+			return nil, a.settled(err)
 		}
 		e.metrics.transfers.Inc(1)
 		domain = next
@@ -70,6 +76,21 @@
 	return false
 }
 
+// note remembers a failure after which the request may have run.
+func (a *attempt) note(err error) {
+	if result.OutcomeOf(err) == result.Unknown {
+		a.doubt = err
+	}
+}
+
+// settled returns the outcome of the whole request for its last failure.
+func (a *attempt) settled(err error) error {
+	if a.doubt != nil && result.OutcomeOf(err) == result.NotRun {
+		return a.doubt
+	}
+	return err
+}
+
 // next transfers the request to another domain with credit.
 func (a *attempt) next(domain string) (string, bool) {
 	if a.tried == nil {
@@ -91,6 +112,7 @@
 			break
 		}
 		resp, err := a.atInstance(ctx, m, domain)
+		a.note(err)
 		if err == nil || !a.mayTryNext(ctx, err) {
 			return resp, err
 		}
