Add the operators' command line

sequoiactl submits, checks and shows versions, watches moves and drains, and makes certificates. It prints the patch id before it sends a patch, so that an unknown outcome can be settled later, and its exit status separates a refusal from an unknown outcome. The authority's key is kept next to its certificate, because certificates of later instances need the same authority.

Conclusion: the tests run command lines against a scripted agent.

--- /dev/null
+++ b/pkg/ctl/cluster.go
@@ -0,0 +1,171 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+func (c *command) registerCluster(app *kingpin.Application) {
+	members := app.Command("members", "List the instances as one agent sees them.")
+	members.Action(c.action(c.members))
+
+	move := app.Command("move", "Show how far the shares of a service are from their target.\n\nExample: sequoiactl move --watch reservas")
+	service := move.Arg("service", "Service.").Required().String()
+	moveWatch := watchFlags(move)
+	move.Action(c.action(func(client *operator.Client) error { return c.move(client, *service, moveWatch) }))
+
+	drain := app.Command("drain", "Show how far an upstream or instance is drained.\n\n"+
+		"A patch of drained_upstreams or drained_instances starts a drain.\n\nExample: sequoiactl drain --watch reservas-7")
+	id := drain.Arg("id", "Upstream or instance id.").Required().String()
+	drainWatch := watchFlags(drain)
+	drain.Action(c.action(func(client *operator.Client) error { return c.drain(client, *id, drainWatch) }))
+
+	state := app.Command("state", "Print the state dump of an agent and its entry as JSON.")
+	state.Action(c.action(c.state))
+
+	explain := app.Command("explain", "Show where a request would go from an instance and why.\n\nExample: sequoiactl explain reservas GET /search")
+	name := explain.Arg("service", "Service.").Required().String()
+	method := explain.Arg("method", "Method.").Default("GET").String()
+	path := explain.Arg("path", "Path.").Default("/").String()
+	explain.Action(c.action(func(client *operator.Client) error { return c.explain(client, *name, *method, *path) }))
+}
+
+// watch holds the flags of a command that can wait for its end.
+type watch struct {
+	on       bool
+	interval time.Duration
+}
+
+func watchFlags(cmd *kingpin.CmdClause) *watch {
+	w := &watch{}
+	cmd.Flag("watch", "Repeat until it is finished.").BoolVar(&w.on)
+	cmd.Flag("interval", "Time between two looks.").Default("1s").DurationVar(&w.interval)
+	return w
+}
+
+// until repeats look until it reports the end. While watching, a failure to
+// reach any agent is shown and does not end the wait.
+func (c *command) until(w *watch, look func() (finished bool, err error)) error {
+	for {
+		finished, err := look()
+		if !w.on || finished {
+			return err
+		}
+		if err != nil {
+			if result.Lookup(result.CodeOf(err)).HTTPStatus < 500 {
+				return err
+			}
+			fmt.Fprintln(c.stderr, "sequoiactl:", message(err))
+		}
+		select {
+		case <-c.ctx.Done():
+			return c.ctx.Err()
+		case <-time.After(w.interval):
+		}
+	}
+}
+
+func (c *command) members(client *operator.Client) error {
+	reply, err := client.Members(c.ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(reply, func(w io.Writer) {
+		table(w, "INSTANCE\tREGION\tDOMAIN\tSTATE\tVERSION\tENTRY\tIN USE\tQUEUED", func(t *tabwriter.Writer) {
+			for _, m := range reply.Members {
+				entry, inUse, queued := "up", 0, 0
+				if m.EntryIncarnation == 0 {
+					entry = "down"
+				}
+				for _, p := range m.Pools {
+					inUse, queued = inUse+p.InUse, queued+p.Queued
+				}
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\n", m.ID, m.Region, m.Domain, m.State, m.Version, entry, inUse, queued)
+			}
+		})
+	})
+}
+
+func (c *command) move(client *operator.Client, service string, w *watch) error {
+	return c.until(w, func() (bool, error) {
+		move, err := client.Move(c.ctx, service)
+		if err != nil {
+			return false, err
+		}
+		return move.Finished, c.print(move, func(out io.Writer) { printMove(out, move) })
+	})
+}
+
+func printMove(w io.Writer, move operator.Move) {
+	finished := 0
+	for _, i := range move.Instances {
+		if i.Finished {
+			finished++
+		}
+	}
+	fmt.Fprintf(w, "%s version %d: %d of %d instances at the target", move.Service, move.Version, finished, len(move.Instances))
+	if len(move.Unreachable) > 0 {
+		fmt.Fprintf(w, "; unreachable: %s", strings.Join(move.Unreachable, ", "))
+	}
+	fmt.Fprintln(w)
+	domains := make([]string, 0, len(move.Target))
+	for domain := range move.Target {
+		domains = append(domains, domain)
+	}
+	sort.Strings(domains)
+	table(w, "DOMAIN\tTARGET\tLOWEST\tHIGHEST", func(t *tabwriter.Writer) {
+		for _, domain := range domains {
+			low, high := spread(move.Instances, domain)
+			fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%.4f\n", domain, move.Target[domain], low, high)
+		}
+	})
+}
+
+// spread returns the lowest and highest share of a domain over all instances.
+func spread(instances []operator.MoveInstance, domain string) (low, high float64) {
+	for n, i := range instances {
+		share := i.Shares[domain]
+		if n == 0 || share < low {
+			low = share
+		}
+		high = max(high, share)
+	}
+	return low, high
+}
+
+func (c *command) drain(client *operator.Client, id string, w *watch) error {
+	return c.until(w, func() (bool, error) {
+		drain, err := client.Drain(c.ctx, id)
+		if err != nil {
+			return false, err
+		}
+		return drain.State == operator.DrainDrained, c.print(drain, func(out io.Writer) {
+			fmt.Fprintf(out, "%s %s, %d in flight\n", drain.ID, drain.State, drain.InFlight)
+		})
+	})
+}
+
+func (c *command) state(client *operator.Client) error {
+	reply, err := client.State(c.ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(reply, nil)
+}
+
+func (c *command) explain(client *operator.Client, service, method, path string) error {
+	reply, err := client.Explain(c.ctx, service, method, path)
+	if err != nil {
+		return err
+	}
+	return c.print(reply, nil)
+}
--- /dev/null
+++ b/pkg/ctl/config.go
@@ -0,0 +1,230 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// notGiven is the default of --base, which 0 cannot be.
+const notGiven = -1
+
+// patchArgs are the arguments of patch and validate.
+type patchArgs struct {
+	file     string
+	kind     string
+	base     int64
+	patchID  string
+	baseFile string
+}
+
+func (c *command) registerConfig(app *kingpin.Application) {
+	c.registerPatch(app)
+	c.registerValidate(app)
+
+	show := app.Command("show", "Print the description in force, or that of a version.\n\nExample: sequoiactl show --version 7 > before.json")
+	version := show.Flag("version", "Version number; the default is the version in force.").Uint64()
+	show.Action(c.action(func(client *operator.Client) error { return c.show(client, *version) }))
+
+	versions := app.Command("versions", "List accepted versions, newest first.")
+	before := versions.Flag("before", "Start below this version.").Uint64()
+	limit := versions.Flag("limit", "Number of versions.").Default("20").Int()
+	versions.Action(c.action(func(client *operator.Client) error { return c.versions(client, *before, *limit) }))
+
+	diff := app.Command("diff", "Print what changed between two versions.\n\nExample: sequoiactl diff 7 8")
+	from := diff.Arg("from", "Older version; 0 is the empty description.").Required().Uint64()
+	to := diff.Arg("to", "Newer version; the default is the version in force.").Uint64()
+	diff.Action(c.action(func(client *operator.Client) error { return c.diff(client, *from, *to) }))
+}
+
+func (c *command) registerPatch(app *kingpin.Application) {
+	var args patchArgs
+	cmd := app.Command("patch", "Submit a patch of the description and wait until its outcome is known.\n\n"+
+		"Prints the patch id first. When the outcome stays unknown, repeat the command with --patch-id and --base.\n\n"+
+		"Example: sequoiactl patch --base 7 --kind json move.json")
+	args.flags(cmd)
+	cmd.Flag("patch-id", "Patch id of an earlier submission; needs --base.").StringVar(&args.patchID)
+	cmd.Action(c.action(func(client *operator.Client) error { return c.patch(client, args) }))
+}
+
+func (c *command) registerValidate(app *kingpin.Application) {
+	var args patchArgs
+	cmd := app.Command("validate", "Check a patch and print what it would change.\n\n"+
+		"Example without an agent: sequoiactl validate --base-file current.json move.json")
+	args.flags(cmd)
+	cmd.Flag("base-file", "Description to apply the patch to, instead of asking an agent.").StringVar(&args.baseFile)
+	cmd.Action(func(ctx *kingpin.ParseContext) error {
+		if args.baseFile != "" {
+			return c.validateOffline(args)
+		}
+		return c.action(func(client *operator.Client) error { return c.validate(client, args) })(ctx)
+	})
+}
+
+func (a *patchArgs) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("kind", "merge (RFC 7386) or json (RFC 6902).").Default("merge").EnumVar(&a.kind, "merge", "json")
+	cmd.Flag("base", "Version that the patch is based on; the default is the version in force.").Default(fmt.Sprint(notGiven)).Int64Var(&a.base)
+	cmd.Arg("file", "File with the patch, or - for standard input.").Required().StringVar(&a.file)
+}
+
+// request reads the patch and completes its base version.
+func (c *command) request(client *operator.Client, a patchArgs) (operator.PatchRequest, error) {
+	patch := operator.PatchRequest{PatchID: a.patchID, Kind: description.PatchKind(a.kind)}
+	body, err := c.read(a.file)
+	if err != nil {
+		return patch, err
+	}
+	if !json.Valid(body) {
+		return patch, result.New(result.PatchMalformed, "%s is not JSON", a.file)
+	}
+	patch.Patch = body
+	if patch.PatchID == "" {
+		patch.PatchID = operator.NewPatchID()
+	}
+	if a.base != notGiven {
+		patch.BaseVersion = uint64(a.base)
+		return patch, nil
+	}
+	current, err := client.Current(c.ctx)
+	patch.BaseVersion = current.Version
+	return patch, err
+}
+
+func (c *command) patch(client *operator.Client, a patchArgs) error {
+	if a.patchID != "" && a.base == notGiven {
+		return fmt.Errorf("--patch-id needs the --base of the first submission")
+	}
+	patch, err := c.request(client, a)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.stderr, "patch id %s, base version %d\n", patch.PatchID, patch.BaseVersion)
+	reply, err := client.Patch(c.ctx, patch)
+	if err != nil {
+		return err
+	}
+	return c.print(reply, func(w io.Writer) {
+		note := ""
+		if reply.Replayed {
+			note = " (accepted earlier)"
+		}
+		fmt.Fprintf(w, "version %d %s%s\n", reply.Version, reply.Hash, note)
+	})
+}
+
+func (c *command) validate(client *operator.Client, a patchArgs) error {
+	patch, err := c.request(client, a)
+	if err != nil {
+		return err
+	}
+	reply, err := client.Validate(c.ctx, patch)
+	if err != nil {
+		return err
+	}
+	return c.print(reply, lines(reply.Diff))
+}
+
+func (c *command) validateOffline(a patchArgs) error {
+	base, err := c.read(a.baseFile)
+	if err != nil {
+		return err
+	}
+	patch, err := c.read(a.file)
+	if err != nil {
+		return err
+	}
+	_, body, err := description.Apply(base, description.PatchKind(a.kind), patch)
+	if err != nil {
+		return err
+	}
+	diff, err := description.Diff(base, body)
+	if err != nil {
+		return err
+	}
+	return c.print(operator.ValidateReply{Diff: diff}, lines(diff))
+}
+
+// lines prints a diff, or that there is none.
+func lines(diff []string) func(io.Writer) {
+	return func(w io.Writer) {
+		if len(diff) == 0 {
+			fmt.Fprintln(w, "no change")
+			return
+		}
+		fmt.Fprintln(w, strings.Join(diff, "\n"))
+	}
+}
+
+// load returns a version, or the one in force for number 0.
+func (c *command) load(client *operator.Client, number uint64) (operator.Version, error) {
+	if number == 0 {
+		return client.Current(c.ctx)
+	}
+	return client.Version(c.ctx, number)
+}
+
+func (c *command) show(client *operator.Client, number uint64) error {
+	v, err := c.load(client, number)
+	if err != nil {
+		return err
+	}
+	if c.json {
+		return c.print(v, nil)
+	}
+	fmt.Fprintf(c.stderr, "version %d by %s at %s\n", v.Version, v.Operator, when(v.AcceptedUnixMS))
+	if len(v.Description) == 0 {
+		v.Description = json.RawMessage("{}")
+	}
+	return c.print(v.Description, nil)
+}
+
+func (c *command) versions(client *operator.Client, before uint64, limit int) error {
+	reply, err := client.Versions(c.ctx, before, limit)
+	if err != nil {
+		return err
+	}
+	return c.print(reply, func(w io.Writer) {
+		table(w, "VERSION\tACCEPTED\tOPERATOR\tPATCH ID\tHASH", func(t *tabwriter.Writer) {
+			for _, v := range reply.Versions {
+				fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%.12s\n", v.Version, when(v.AcceptedUnixMS), v.Operator, v.PatchID, v.Hash)
+			}
+		})
+	})
+}
+
+func (c *command) diff(client *operator.Client, from, to uint64) error {
+	older := operator.Version{Description: json.RawMessage("{}")}
+	if from > 0 {
+		var err error
+		if older, err = c.load(client, from); err != nil {
+			return err
+		}
+	}
+	newer, err := c.load(client, to)
+	if err != nil {
+		return err
+	}
+	diff, err := description.Diff(older.Description, newer.Description)
+	if err != nil {
+		return err
+	}
+	return c.print(operator.ValidateReply{Diff: diff}, lines(diff))
+}
+
+func when(unixMS int64) string { return time.UnixMilli(unixMS).UTC().Format(time.RFC3339) }
+
+func table(w io.Writer, header string, rows func(*tabwriter.Writer)) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, header)
+	rows(t)
+	t.Flush()
+}
--- /dev/null
+++ b/pkg/ctl/ctl.go
@@ -0,0 +1,169 @@
+// Package ctl implements sequoiactl, the operators' command line.
+//
+// The exit status tells a script what is known: 0 done, 1 refused or not run,
+// 2 the outcome of a patch is unknown.
+package ctl
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// Exit statuses.
+const (
+	exitDone    = 0
+	exitRefused = 1
+	exitUnknown = 2
+)
+
+const help = `Operates a sequoiacove installation through any of its agents.
+
+Examples:
+  export SEQUOIA_ADDRESS=127.0.0.1:7004,127.0.0.1:7104 SEQUOIA_TOKEN=...
+  sequoiactl show
+  sequoiactl patch --base 7 move.json
+  echo '{"drained_upstreams": ["reservas-7"]}' | sequoiactl patch --base 8 -
+  sequoiactl move --watch reservas
+  sequoiactl drain --watch reservas-7
+  sequoiactl validate --base-file current.json move.json
+
+Exit status: 0 done, 1 refused or not run, 2 the outcome of a patch is unknown.`
+
+// command holds what all commands use.
+type command struct {
+	ctx    context.Context
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+
+	addresses string
+	token     string
+	authority string
+	timeout   time.Duration
+	json      bool
+}
+
+// exit is the panic value that carries kingpin's exit status to Run.
+type exit int
+
+// Run executes one command line and returns the exit status.
+func Run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) (status int) {
+	c := &command{ctx: ctx, stdin: stdin, stdout: stdout, stderr: stderr}
+	defer func() {
+		if r := recover(); r != nil {
+			code, ok := r.(exit)
+			if !ok {
+				panic(r)
+			}
+			status = int(code)
+		}
+	}()
+	app := kingpin.New("sequoiactl", help)
+	app.UsageWriter(stdout).ErrorWriter(stderr).Terminate(func(code int) { panic(exit(code)) })
+	c.register(app)
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintln(stderr, "sequoiactl:", message(err))
+		if result.CodeOf(err) == result.PatchOutcomeUnknown {
+			return exitUnknown
+		}
+		return exitRefused
+	}
+	return exitDone
+}
+
+func message(err error) string {
+	if remote, ok := err.(*operator.RemoteError); ok {
+		return remote.Error()
+	}
+	return err.Error()
+}
+
+func (c *command) register(app *kingpin.Application) {
+	app.Flag("address", "Operator addresses of agents, comma-separated, tried in order.").
+		Envar("SEQUOIA_ADDRESS").StringVar(&c.addresses)
+	app.Flag("token", "Operator token.").Envar("SEQUOIA_TOKEN").StringVar(&c.token)
+	app.Flag("authority", "PEM file of the authority of the agents' certificates; selects HTTPS.").
+		Envar("SEQUOIA_AUTHORITY").StringVar(&c.authority)
+	app.Flag("timeout", "Bound of each request.").Default("10s").DurationVar(&c.timeout)
+	app.Flag("json", "Print answers as JSON.").BoolVar(&c.json)
+	c.registerConfig(app)
+	c.registerCluster(app)
+	c.registerCertificates(app)
+}
+
+// client returns the client of the agents named by the flags.
+func (c *command) client() (*operator.Client, error) {
+	if c.addresses == "" {
+		return nil, fmt.Errorf("no agent address: use --address or SEQUOIA_ADDRESS")
+	}
+	if c.token == "" {
+		return nil, fmt.Errorf("no operator token: use --token or SEQUOIA_TOKEN")
+	}
+	cfg := operator.ClientConfig{Token: c.token, Timeout: c.timeout}
+	for _, addr := range strings.Split(c.addresses, ",") {
+		cfg.Addresses = append(cfg.Addresses, strings.TrimSpace(addr))
+	}
+	if c.authority != "" {
+		pem, err := os.ReadFile(c.authority)
+		if err != nil {
+			return nil, err
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, fmt.Errorf("no certificate in %s", c.authority)
+		}
+		cfg.TLS = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	}
+	return operator.NewClient(cfg), nil
+}
+
+// action runs a command that calls an agent.
+func (c *command) action(run func(*operator.Client) error) kingpin.Action {
+	return func(*kingpin.ParseContext) error {
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		return run(client)
+	}
+}
+
+// print writes value as JSON if that was asked for, else by text.
+func (c *command) print(value any, text func(io.Writer)) error {
+	if !c.json && text != nil {
+		text(c.stdout)
+		return nil
+	}
+	encoder := json.NewEncoder(c.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// maxInputBytes is above the bound of a patch, so that the size check names it.
+const maxInputBytes = operator.MaxBodyBytes + 1
+
+// read returns the content of a file, or of standard input for "-", which
+// kingpin passes on as an empty argument.
+func (c *command) read(path string) ([]byte, error) {
+	if path == "-" || path == "" {
+		return io.ReadAll(io.LimitReader(c.stdin, maxInputBytes))
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, maxInputBytes))
+}
--- /dev/null
+++ b/pkg/ctl/ctl_test.go
@@ -0,0 +1,193 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// answers serves canned answers by path; the last one of a path repeats.
+type answers struct {
+	mu    sync.Mutex
+	steps map[string][]any
+	posts []operator.PatchRequest
+	addr  string
+}
+
+func newAnswers(t *testing.T, steps map[string][]any) *answers {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	a := &answers{steps: steps, addr: listener.Addr().String()}
+	go fasthttp.Serve(listener, a.handle)
+	return a
+}
+
+func (a *answers) handle(ctx *fasthttp.RequestCtx) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ctx.IsPost() {
+		var p operator.PatchRequest
+		_ = json.Unmarshal(ctx.PostBody(), &p)
+		a.posts = append(a.posts, p)
+	}
+	steps := a.steps[string(ctx.Path())]
+	if len(steps) == 0 {
+		steps = []any{result.NotFound}
+	} else if len(steps) > 1 {
+		a.steps[string(ctx.Path())] = steps[1:]
+	}
+	value := steps[0]
+	if code, ok := value.(result.Code); ok {
+		ctx.SetStatusCode(result.Lookup(code).HTTPStatus)
+		value = operator.NewErrorBody(result.New(code, "refused"), 9)
+	}
+	body, _ := json.Marshal(value)
+	ctx.SetBody(body)
+}
+
+// run executes a command line against the agent.
+func (a *answers) run(t *testing.T, stdin string, args ...string) (status int, stdout, stderr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var out, errs bytes.Buffer
+	args = append([]string{"--address", a.addr, "--token", "secret-token-of-length"}, args...)
+	status = Run(ctx, args, strings.NewReader(stdin), &out, &errs)
+	return status, out.String(), errs.String()
+}
+
+const base = `{"regions": {"north": {"domains": ["north-a"]}}, "lookup": {"ttl_ms": 200}, "services": {}}`
+
+func file(t *testing.T, content string) string {
+	path := filepath.Join(t.TempDir(), "file.json")
+	require.NoError(t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+// Guards against a patch whose id the operator cannot find for a repeat.
+func TestPatchPrintsItsID(t *testing.T) {
+	a := newAnswers(t, map[string][]any{
+		operator.PathCurrent: {operator.Version{Version: 7}},
+		operator.PathPatches: {operator.PatchReply{Version: 8, Hash: "abc"}},
+	})
+	status, out, errs := a.run(t, `{"lookup": {"ttl_ms": 300}}`, "patch", "-")
+	require.Equal(t, exitDone, status, errs)
+	require.Equal(t, "version 8 abc\n", out)
+	require.Contains(t, errs, "patch id "+a.posts[0].PatchID+", base version 7")
+
+	_, _, _ = a.run(t, `{}`, "patch", "--patch-id", "mine", "--base", "5", "--kind", "json", "-")
+	require.Equal(t, "mine", a.posts[1].PatchID)
+	require.EqualValues(t, 5, a.posts[1].BaseVersion)
+	require.EqualValues(t, "json", a.posts[1].Kind)
+	status, _, errs = a.run(t, `{}`, "patch", "--patch-id", "mine", "-")
+	require.Equal(t, exitRefused, status)
+	require.Contains(t, errs, "--base")
+}
+
+// Guards against scripts that take an unknown outcome for a refusal.
+func TestExitStatus(t *testing.T) {
+	a := newAnswers(t, map[string][]any{operator.PathPatches: {result.PatchOutcomeUnknown}})
+	status, _, errs := a.run(t, `{}`, "patch", "--base", "7", "--patch-id", "mine", "-")
+	require.Equal(t, exitUnknown, status)
+	require.Contains(t, errs, "patch id mine")
+	require.Len(t, a.posts, 3, "an unknown outcome is repeated")
+
+	a = newAnswers(t, map[string][]any{operator.PathPatches: {result.VersionConflict}})
+	status, _, errs = a.run(t, `{}`, "patch", "--base", "7", "-")
+	require.Equal(t, exitRefused, status)
+	require.Contains(t, errs, "version_conflict")
+	require.Contains(t, errs, "current version 9")
+	status, _, _ = a.run(t, "", "nonsense")
+	require.Equal(t, exitRefused, status)
+	status, out, _ := a.run(t, "", "--help")
+	require.Equal(t, exitDone, status)
+	require.Contains(t, out, "Examples:")
+}
+
+// Guards against a check that needs an agent although a base file is given.
+func TestValidateOffline(t *testing.T) {
+	var out, errs bytes.Buffer
+	baseFile := file(t, base)
+	run := func(patch string) int {
+		out.Reset()
+		errs.Reset()
+		return Run(context.Background(), []string{"validate", "--base-file", baseFile, "-"}, strings.NewReader(patch), &out, &errs)
+	}
+	require.Equal(t, exitDone, run(`{"lookup": {"ttl_ms": 300}}`), errs.String())
+	require.Equal(t, "/lookup/ttl_ms: 200 -> 300\n", out.String())
+	require.Equal(t, exitRefused, run(`{"lookup": {"ttl_ms": 1}}`))
+	require.Contains(t, errs.String(), "lookup.ttl_ms")
+}
+
+// Guards against a watch that ends early, that never ends, or that an agent's
+// short outage ends.
+func TestWatch(t *testing.T) {
+	a := newAnswers(t, map[string][]any{
+		operator.PathMoves + "shop": {
+			operator.Move{Service: "shop", Target: map[string]float64{"north-a": 1}},
+			result.NoConfiguration,
+			operator.Move{Service: "shop", Target: map[string]float64{"north-a": 1}, Finished: true},
+		},
+		operator.PathDrains + "u1": {
+			operator.Drain{ID: "u1", State: operator.DrainDraining, InFlight: 2},
+			operator.Drain{ID: "u1", State: operator.DrainDrained},
+		},
+	})
+	status, out, errs := a.run(t, "", "move", "--watch", "--interval", "1ms", "shop")
+	require.Equal(t, exitDone, status)
+	require.Equal(t, 2, strings.Count(out, "shop version"))
+	require.Contains(t, errs, "no_configuration")
+	status, out, _ = a.run(t, "", "drain", "--watch", "--interval", "1ms", "u1")
+	require.Equal(t, exitDone, status)
+	require.Equal(t, "u1 draining, 2 in flight\nu1 drained, 0 in flight\n", out)
+	status, _, _ = a.run(t, "", "drain", "--watch", "none")
+	require.Equal(t, exitRefused, status, "an unknown id must end the watch")
+}
+
+// Guards against a diff with the wrong side first, and against version 0.
+func TestDiff(t *testing.T) {
+	a := newAnswers(t, map[string][]any{
+		operator.PathCurrent:         {operator.Version{Version: 8, Description: json.RawMessage(`{"a": 2}`)}},
+		operator.PathVersions + "/7": {operator.Version{Version: 7, Description: json.RawMessage(`{"a": 1}`)}},
+	})
+	_, out, _ := a.run(t, "", "diff", "7")
+	require.Equal(t, "/a: 1 -> 2\n", out)
+	_, out, _ = a.run(t, "", "diff", "0", "7")
+	require.Equal(t, "/a: (added) -> 1\n", out)
+}
+
+// Guards against a second call making a second authority, whose certificates
+// the instances of the first would refuse.
+func TestCertificatesShareTheAuthority(t *testing.T) {
+	dir := t.TempDir()
+	for _, name := range []string{"a", "b"} {
+		var out, errs bytes.Buffer
+		status := Run(context.Background(), []string{"certificates", "--dir", dir, "--ip", "127.0.0.1", name}, nil, &out, &errs)
+		require.Equal(t, exitDone, status, errs.String())
+	}
+	authority, err := os.ReadFile(filepath.Join(dir, "ca.pem"))
+	require.NoError(t, err)
+	pool := x509.NewCertPool()
+	require.True(t, pool.AppendCertsFromPEM(authority))
+	for _, name := range []string{"a", "b"} {
+		pair, err := tls.LoadX509KeyPair(filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"))
+		require.NoError(t, err)
+		_, err = pair.Leaf.Verify(x509.VerifyOptions{Roots: pool, DNSName: "127.0.0.1"})
+		require.NoError(t, err, name)
+	}
+}
--- a/pkg/peer/peertest/authority.go
+++ b/pkg/peer/peertest/authority.go
@@ -112,7 +112,7 @@
 	files := settings.TLS{
 		CertificateFile: filepath.Join(dir, name+".pem"),
 		KeyFile:         filepath.Join(dir, name+".key"),
-		AuthorityFile:   filepath.Join(dir, "ca.pem"),
+		AuthorityFile:   filepath.Join(dir, authorityFile),
 	}
 	certificate, err := a.Issue(name, addresses...)
 	if err != nil {
