Learn the instance list from peers while the platform is out

The process test TestRestartWithStoreDown showed an instance that restarted during an outage refusing 76 of 194 requests with no_upstream: it owned pools whose upstreams it did not know.

Conclusion: TestRestartWithStoreDown passes, and a test of the agent alone covers a platform that is down and one that is slow; it fails when peers are not asked.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -134,7 +134,10 @@
 		Table: a.platform, Name: checkpointLease, Holder: holderName(s.ID, incarnation),
 		Term: leaseTerm, Logger: a.logger,
 	})
-	a.instances = &instances{lister: a.platform, domain: s.Domain, live: a.liveAgents, changed: a.onList}
+	a.instances = &instances{
+		lister: a.platform, domain: s.Domain, live: a.liveAgents, changed: a.onList,
+		caller: a.client, peers: a.askable,
+	}
 	a.checkpoints = &checkpoints{
 		id: s.ID, table: a.platform, lease: a.lease, members: a.members.Members, now: time.Now,
 	}
@@ -147,6 +150,7 @@
 	a.server.Handle(peer.SyncMembers, a.members.HandleSync)
 	a.server.Handle(peer.PushVersion, a.sync.HandlePush)
 	a.server.Handle(peer.FetchVersion, a.sync.HandleFetch)
+	a.server.Handle(peer.FetchInstances, a.instances.handle)
 }
 
 // onVersion passes a new version on to the entry and, by the next heartbeat,
@@ -173,24 +177,30 @@
 	group.Wait()
 }
 
-// askable returns the agent addresses to ask for a version: live members first,
-// then seeds.
+// askable returns the agent addresses to ask for versions and lists: live
+// members of the own domain first, then the other ones, then seeds.
 func (a *Agent) askable() []string {
 	seen := make(map[string]bool)
 	var list []string
 	add := func(addr string) {
-		if !seen[addr] && len(list) < maxAsked {
+		if !seen[addr] && len(list) <= maxAsked {
 			seen[addr] = true
 			list = append(list, addr)
 		}
 	}
-	for _, m := range a.members.Live() {
-		add(m.AgentAddress)
+	add(a.settings.Agent.AdvertisedAddress)
+	live := a.members.Live()
+	for _, own := range []bool{true, false} {
+		for _, m := range live {
+			if (m.Domain == a.settings.Domain) == own {
+				add(m.AgentAddress)
+			}
+		}
 	}
 	for _, addr := range a.settings.Membership.Seeds {
 		add(addr)
 	}
-	return list
+	return list[1:]
 }
 
 // distribute pushes a version in the background.
--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -136,3 +136,35 @@
 	require.Equal(t, "u1", got[0].ID)
 	require.Equal(t, cluster.Leaving, got[1].State)
 }
+
+// Guards against an agent that restarts during an outage giving its entry an
+// empty list of upstreams, also in its first snapshot, although peers know them.
+func TestRestartedAgentLearnsUpstreamsFromPeers(t *testing.T) {
+	for _, mode := range []standin.PlatformMode{standin.PlatformDown, standin.PlatformSlow} {
+		f := newFleet(t, 2)
+		f.platform.PutInstance(platform.Instance{
+			ID: "u1", Role: platform.RoleUpstream, Service: "shop", Region: "north", Domain: "north-b",
+			Address: "127.0.0.1:1", State: cluster.Serving, Slots: 4,
+		})
+		f.patch(0, "first", descriptionText)
+		f.inForce(1)
+		f.eventually("upstream in the snapshot", func() bool { return len(f.nodes[1].entry.snapshot().Upstreams) == 1 })
+		f.eventually("all agents have read the list", func() bool {
+			_, ok := f.nodes[0].agent.instances.find("u1")
+			return ok
+		})
+		f.platform.SetFaults(standin.PlatformFaults{Mode: mode, DelayMS: 3000})
+		nd := f.nodes[1]
+		nd.kill()
+		f.startAgent(nd)
+		incarnation := nd.agent.members.Self().Incarnation
+		var first cluster.Snapshot
+		f.eventually("a snapshot of the new agent", func() bool {
+			nd.entry.change(func() { first = nd.entry.first[incarnation] })
+			return first.AgentIncarnation == incarnation
+		})
+		require.Len(t, first.Upstreams, 1, "platform %s", mode)
+		require.EqualValues(t, 1, first.Version.Number, "platform %s", mode)
+		require.Len(t, first.Members, 2, "platform %s", mode)
+	}
+}
--- a/pkg/agent/fixture_test.go
+++ b/pkg/agent/fixture_test.go
@@ -127,8 +127,10 @@
 type fakeEntry struct {
 	server *peer.Server
 
-	mu       sync.Mutex
-	last     cluster.Snapshot
+	mu   sync.Mutex
+	last cluster.Snapshot
+	// first holds the first snapshot of each agent incarnation.
+	first    map[uint64]cluster.Snapshot
 	report   cluster.EntryReport
 	inFlight map[string]int
 	ordered  bool
@@ -137,7 +139,7 @@
 func (f *fleet) startEntry(nd *node, incarnation uint64) *fakeEntry {
 	serverTLS, _, err := peer.LoadTLS(nd.settings.TLS)
 	require.NoError(f.t, err)
-	e := &fakeEntry{report: cluster.EntryReport{Incarnation: incarnation}, inFlight: make(map[string]int)}
+	e := &fakeEntry{report: cluster.EntryReport{Incarnation: incarnation}, inFlight: make(map[string]int), first: make(map[uint64]cluster.Snapshot)}
 	require.Eventually(f.t, func() bool {
 		e.server, err = peer.NewServer(peer.ServerConfig{Address: nd.settings.Entry.PeerAddress, TLS: serverTLS})
 		return err == nil
@@ -166,6 +168,9 @@
 		e.report.Version = s.Version
 	}
 	e.last = s
+	if _, ok := e.first[s.AgentIncarnation]; !ok {
+		e.first[s.AgentIncarnation] = s
+	}
 	report := e.report
 	return &report, nil
 }
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -19,6 +19,8 @@
 	// orderTimeout bounds the order to the entry to leave.
 	orderTimeout = time.Second
 	closeTimeout = 2 * time.Second
+	// prepareTimeout bounds the time to the first snapshot.
+	prepareTimeout = 2 * time.Second
 )
 
 func holderName(id string, incarnation uint64) string { return fmt.Sprintf("%s.%d", id, incarnation) }
@@ -33,11 +35,14 @@
 	tasks.Go(func() { _ = a.server.Serve(context.Background()) })
 	tasks.Go(func() { a.members.Run(work) })
 	tasks.Go(func() { a.instances.run(work) })
-	tasks.Go(func() { a.startVersions(work) })
+	tasks.Go(func() { a.sync.Run(work) })
 	tasks.Go(func() { a.lease.Run(work) })
 	tasks.Go(func() { a.checkpoints.runReads(work) })
 	tasks.Go(func() { a.checkpoints.runWrites(work) })
-	tasks.Go(func() { a.link.run(work) })
+	tasks.Go(func() {
+		a.prepare(work)
+		a.link.run(work)
+	})
 	tasks.Go(func() {
 		if err := admin.ServeListener(work, a.adminListener, a.state, a.registry); err != nil {
 			event.Log(a.logger, event.ListenerFailed, "address", a.settings.Agent.AdminAddress, "error", err.Error())
@@ -57,10 +62,18 @@
 	return nil
 }
 
-// startVersions finds the version in force, then polls the store.
-func (a *Agent) startVersions(ctx context.Context) {
-	_, _ = a.sync.Bootstrap(ctx, a.askable())
-	a.sync.Run(ctx)
+// prepare learns the members, the version and the instance list before the
+// first snapshot: an entry that gets a snapshot without its upstreams would own
+// pools that it cannot serve. The bound is below the 3 s after which an entry
+// detaches from an agent that restarts.
+func (a *Agent) prepare(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { _ = a.members.Resync(ctx) })
+	group.Go(func() { _, _ = a.sync.Bootstrap(ctx, a.askable()) })
+	group.Go(func() { _ = a.instances.read(ctx) })
+	group.Wait()
 }
 
 // leave takes the instance out of use: the member leaves, the entry is ordered
--- a/pkg/peer/metrics.go
+++ b/pkg/peer/metrics.go
@@ -11,7 +11,7 @@
 	Ping: "ping", PushSnapshot: "push_snapshot", Forward: "forward",
 	SyncMembers: "sync_members", PushVersion: "push_version",
 	FetchVersion: "fetch_version", Explain: "explain", Submit: "submit",
-	Control: "control", DumpState: "dump_state",
+	Control: "control", DumpState: "dump_state", FetchInstances: "fetch_instances",
 }
 
 // typeCounters counts the messages of one type in one role.
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -37,6 +37,8 @@
 	Control MessageType = 9
 	// DumpState: agent to entry, empty -> JSON bytes.
 	DumpState MessageType = 10
+	// FetchInstances: agent to agent, empty -> agent.InstanceList.
+	FetchInstances MessageType = 11
 )
 
 // Limits of one message and one connection.
