--- a/pkg/bench/drive.go
+++ b/pkg/bench/drive.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -64,7 +65,10 @@
 	resp, err := to(context.Background(), p.domain, req)
 	o.latency = time.Since(at)
 	o.code = result.CodeOf(err)
-	if err == nil {
+	if err == nil && resp.Status == http.StatusGatewayTimeout {
+		// The upstream gave up at the deadline before the caller did.
+		o.code = result.DeadlineAfterStart
+	} else if err == nil {
 		o.wrong = !answers(resp, o)
 	}
 	return o
--- a/pkg/bench/measure.go
+++ b/pkg/bench/measure.go
@@ -29,16 +29,23 @@
 	variant  variant
 	outcomes []observed
 	audit    *audit
-	// arrivals after the leaving bound, for the leaving scenario.
-	late int
 }
 
-// latencies returns the histogram of the complete answers that pass.
+// failedLatency is recorded for requests without a complete answer, so that a
+// policy does not improve its percentiles by refusing requests.
+const failedLatency = longDeadline
+
+// latencies returns the histogram of the requests that pass.
 func (r *run) latencies(pass func(*observed) bool) *hdrhistogram.Histogram {
 	h := newHistogram()
 	for i := range r.outcomes {
-		if o := &r.outcomes[i]; o.code == result.OK && pass(o) {
+		o := &r.outcomes[i]
+		switch {
+		case !pass(o):
+		case o.code == result.OK:
 			record(h, o.latency)
+		default:
+			record(h, failedLatency)
 		}
 	}
 	return h
--- a/pkg/standin/upstream_http.go
+++ b/pkg/standin/upstream_http.go
@@ -121,6 +121,8 @@
 		closeAfter(ctx, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nfirst half")
 	case result == UpstreamDone:
 		u.answerDone(ctx, e)
+	case !deadline.IsZero() && !time.Now().Before(deadline):
+		ctx.Error("deadline passed", http.StatusGatewayTimeout)
 	default:
 		ctx.Error("cancelled", statusClientClosed)
 	}
