--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -92,7 +92,9 @@
 			MinVersion:   tls.VersionTLS13,
 		})
 	}
-	a.client = peer.NewClient(peer.ClientConfig{TLS: clientTLS, Logger: logger, Registry: a.registry})
+	a.client = peer.NewClient(peer.ClientConfig{
+		TLS: clientTLS, Logger: logger, Registry: a.registry, LocalAddress: s.Agent.PeerAddress,
+	})
 	a.build()
 	return a, nil
 }
