Do not let a refused retry hide a lost answer

An idempotent request is tried at another instance after PeerNoAnswer, and the caller got the outcome of the last try alone.

Before: TestRefusedRetryDoesNotHideALostAnswer got not_run. After: unknown. Ruled out: the transport; it reported PeerNoAnswer for the first try.

--- /dev/null
+++ b/pkg/entry/outcome_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/peer"
+	"github.com/sequoiacove/sequoiacove/pkg/request"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// Guards against "not run" after a try whose answer was lost: the retry's
+// refusal says nothing about the execution of the first try.
+func TestRefusedRetryDoesNotHideALostAnswer(t *testing.T) {
+	w := newWorld(t, map[string]string{"n1": "north-a", "s1": "south-a", "s2": "south-a"})
+	delivered := false
+	w.net.setLose(func(string) bool { delivered = true; return true })
+	w.net.setFail(func(addr string, _ peer.MessageType) error {
+		if delivered {
+			return result.New(result.PeerUnreachable, "%s", addr)
+		}
+		return nil
+	})
+	w.adm["n1"].set(func(_ context.Context, _ *request.Request) (*request.Response, error) {
+		return nil, result.New(result.QueueFull, "full")
+	})
+	for !delivered {
+		_, err := w.do("n1", nil)
+		require.Error(t, err)
+		if delivered {
+			require.Equal(t, result.Unknown, result.OutcomeOf(err), "%v", err)
+		}
+	}
+}
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -27,6 +27,9 @@
 	view  *view
 	req   *request.Request
 	tried map[string]bool
+	// unknown is the first failure after which the request may have run. A
+	// later refusal must not hide it.
+	unknown error
 }
 
 // route runs a request in the domain that its service's shares choose. After a
@@ -39,18 +42,29 @@
 	a := &attempt{entry: e, view: v, req: req}
 	for {
 		resp, err := a.inDomain(ctx, domain)
-		if err == nil || !a.mayMove(ctx, err) {
-			return resp, err
+		if err == nil {
+			return resp, nil
+		}
+		if !a.mayMove(ctx, err) {
+			return nil, a.final(err)
 		}
 		next, ok := a.next(domain)
 		if !ok {
-			return nil, err
+			return nil, a.final(err)
 		}
 		e.metrics.transfers.Inc(1)
 		domain = next
 	}
 }
 
+// final returns what the caller learns when the last try ended with err.
+func (a *attempt) final(err error) error {
+	if a.unknown != nil && result.OutcomeOf(err) == result.NotRun {
+		return a.unknown
+	}
+	return err
+}
+
 // mayMove tells whether a failure allows another domain: the request did not
 // run, or it is idempotent and the instance it was sent to stopped answering.
 func (a *attempt) mayMove(ctx context.Context, err error) bool {
@@ -118,6 +132,14 @@
 }
 
 func (a *attempt) atInstance(ctx context.Context, m cluster.Member, domain string) (*request.Response, error) {
+	resp, err := a.exchange(ctx, m, domain)
+	if err != nil && a.unknown == nil && result.OutcomeOf(err) == result.Unknown {
+		a.unknown = err
+	}
+	return resp, err
+}
+
+func (a *attempt) exchange(ctx context.Context, m cluster.Member, domain string) (*request.Response, error) {
 	if m.ID == a.view.self.ID {
 		return a.entry.opt.Admission.Do(ctx, a.req)
 	}
