--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -13,6 +13,10 @@
 	maxPools     = 4096
 	maxServices  = 4096
 	maxListed    = maxMembers
+	// maxOrder bounds incarnations and sequences, so that no record blocks all
+	// later ones or makes the next number overflow. Incarnations are start
+	// times in nanoseconds and stay below it for a century.
+	maxOrder = 1 << 62
 )
 
 // merge takes in the records of a peer and returns those that made progress.
@@ -78,10 +82,10 @@
 // add takes in a member that was not known. The sender's view of its age counts,
 // so that a dead member is not taken for a new one.
 func (t *Table) add(r *Record, now time.Time) bool {
-	age := time.Duration(r.AgeMS) * time.Millisecond
-	if age >= t.cfg.DeadAfter || len(t.peers) >= maxMembers {
+	if r.AgeMS < 0 || r.AgeMS >= t.cfg.DeadAfter.Milliseconds() || len(t.peers) >= maxMembers {
 		return false
 	}
+	age := time.Duration(r.AgeMS) * time.Millisecond
 	e := &entry{member: r.Member, progress: now.Add(-age)}
 	t.peers[r.Member.ID] = e
 	t.setState(e, t.stateOf(e, now))
@@ -93,6 +97,9 @@
 	if m.State != cluster.Serving && m.State != cluster.Leaving {
 		return false
 	}
+	if m.Incarnation >= maxOrder || m.Sequence >= maxOrder {
+		return false
+	}
 	if m.ID == "" || m.Domain == "" || m.Region == "" {
 		return false
 	}
