Keep the outcome unknown when a refusal follows a lost answer

The router now remembers the first failure after which the request may have run. TestRefusalAfterALostAnswerIsUnknown fails before the change (not_run instead of unknown) and passes after it; go test -race ./pkg/entry passes.

--- a/pkg/entry/path_test.go
+++ b/pkg/entry/path_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -100,3 +101,25 @@
 	}
 	require.Equal(t, 1, total)
 }
+
+// Guards against "not run" for an idempotent request that ran in one domain,
+// whose answer was lost, and that another domain then refused.
+func TestRefusalAfterALostAnswerIsUnknown(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	base := serve(t, w.entries["a1"])
+	w.net.setLose(func(string) bool { return true })
+	for _, id := range []string{"a1", "a2", "b1"} {
+		w.adm[id].set(func(context.Context, *request.Request) (*request.Response, error) {
+			return nil, result.New(result.QueueFull, "full")
+		})
+	}
+	ran := func() int { return w.adm["s1"].count() + w.adm["s2"].count() }
+	for range 8 {
+		before := ran()
+		resp := call(t, "GET", base+"/v1/services/calls/p", "")
+		if ran() > before {
+			require.Equal(t, "unknown", string(resp.Header.Peek(request.HeaderOutcome)), string(resp.Body()))
+		}
+	}
+	require.Positive(t, ran())
+}
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -27,6 +27,24 @@
 	view  *view
 	req   *request.Request
 	tried map[string]bool
+	// lost is the first failure after which the request may have run. A later
+	// refusal must not hide it: "not run" would be untrue.
+	lost error
+}
+
+// failure returns the error for the caller when the last submission failed.
+func (a *attempt) failure(err error) error {
+	if a.lost != nil && result.OutcomeOf(err) == result.NotRun {
+		return a.lost
+	}
+	return err
+}
+
+// note remembers a failure after which the request may have run.
+func (a *attempt) note(err error) {
+	if a.lost == nil && result.OutcomeOf(err) == result.Unknown {
+		a.lost = err
+	}
 }
 
 // route runs a request in the domain that its service's shares choose. After a
@@ -39,12 +57,15 @@
 	a := &attempt{entry: e, view: v, req: req}
 	for {
 		resp, err := a.inDomain(ctx, domain)
-		if err == nil || !a.mayMove(ctx, err) {
-			return resp, err
+		if err == nil {
+			return resp, nil
+		}
+		if !a.mayMove(ctx, err) {
+			return nil, a.failure(err)
 		}
 		next, ok := a.next(domain)
 		if !ok {
-			return nil, err
+			return nil, a.failure(err)
 		}
 		e.metrics.transfers.Inc(1)
 		domain = next
@@ -91,8 +112,12 @@
 			break
 		}
 		resp, err := a.atInstance(ctx, m, domain)
-		if err == nil || !a.mayTryNext(ctx, err) {
-			return resp, err
+		if err == nil {
+			return resp, nil
+		}
+		a.note(err)
+		if !a.mayTryNext(ctx, err) {
+			return nil, err
 		}
 		last = err
 	}
