--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -27,9 +27,24 @@
 	view  *view
 	req   *request.Request
 	tried map[string]bool
-	// unknown is the first failure after which the request may have run. A
-	// later refusal must not hide it.
-	unknown error
+	// lost is the first failure after which the request may have run. A later
+	// refusal must not hide it: "not run" would be untrue.
+	lost error
+}
+
+// failure returns the error for the caller when the last submission failed.
+func (a *attempt) failure(err error) error {
+	if a.lost != nil && result.OutcomeOf(err) == result.NotRun {
+		return a.lost
+	}
+	return err
+}
+
+// note remembers a failure after which the request may have run.
+func (a *attempt) note(err error) {
+	if a.lost == nil && result.OutcomeOf(err) == result.Unknown {
+		a.lost = err
+	}
 }
 
 // route runs a request in the domain that its service's shares choose. After a
@@ -46,25 +61,17 @@
 			return resp, nil
 		}
 		if !a.mayMove(ctx, err) {
-			return nil, a.final(err)
+			return nil, a.failure(err)
 		}
 		next, ok := a.next(domain)
 		if !ok {
-			return nil, a.final(err)
+			return nil, a.failure(err)
 		}
 		e.metrics.transfers.Inc(1)
 		domain = next
 	}
 }
 
-// final returns what the caller learns when the last try ended with err.
-func (a *attempt) final(err error) error {
-	if a.unknown != nil && result.OutcomeOf(err) == result.NotRun {
-		return a.unknown
-	}
-	return err
-}
-
 // mayMove tells whether a failure allows another domain: the request did not
 // run, or it is idempotent and the instance it was sent to stopped answering.
 func (a *attempt) mayMove(ctx context.Context, err error) bool {
@@ -105,8 +112,12 @@
 			break
 		}
 		resp, err := a.atInstance(ctx, m, domain)
-		if err == nil || !a.mayTryNext(ctx, err) {
-			return resp, err
+		if err == nil {
+			return resp, nil
+		}
+		a.note(err)
+		if !a.mayTryNext(ctx, err) {
+			return nil, err
 		}
 		last = err
 	}
@@ -132,14 +143,6 @@
 }
 
 func (a *attempt) atInstance(ctx context.Context, m cluster.Member, domain string) (*request.Response, error) {
-	resp, err := a.exchange(ctx, m, domain)
-	if err != nil && a.unknown == nil && result.OutcomeOf(err) == result.Unknown {
-		a.unknown = err
-	}
-	return resp, err
-}
-
-func (a *attempt) exchange(ctx context.Context, m cluster.Member, domain string) (*request.Response, error) {
 	if m.ID == a.view.self.ID {
 		return a.entry.opt.Admission.Do(ctx, a.req)
 	}
