--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -27,9 +27,24 @@
 	view  *view
 	req   *request.Request
 	tried map[string]bool
-	// doubt is the last failure after which the request may have run. A later
-	// attempt that certainly ran nothing does not settle the request.
-	doubt error
+	// lost is the first failure after which the request may have run. A later
+	// refusal must not hide it: "not run" would be untrue.
+	lost error
+}
+
+// failure returns the error for the caller when the last submission failed.
+func (a *attempt) failure(err error) error {
+	if a.lost != nil && result.OutcomeOf(err) == result.NotRun {
+		return a.lost
+	}
+	return err
+}
+
+// note remembers a failure after which the request may have run.
+func (a *attempt) note(err error) {
+	if a.lost == nil && result.OutcomeOf(err) == result.Unknown {
+		a.lost = err
+	}
 }
 
 // route runs a request in the domain that its service's shares choose. After a
@@ -46,11 +61,11 @@
 			return resp, nil
 		}
 		if !a.mayMove(ctx, err) {
-			return nil, a.settled(err)
+			return nil, a.failure(err)
 		}
 		next, ok := a.next(domain)
 		if !ok {
-			return nil, a.settled(err)
+			return nil, a.failure(err)
 		}
 		e.metrics.transfers.Inc(1)
 		domain = next
@@ -76,21 +91,6 @@
 	return false
 }
 
-// note remembers a failure after which the request may have run.
-func (a *attempt) note(err error) {
-	if result.OutcomeOf(err) == result.Unknown {
-		a.doubt = err
-	}
-}
-
-// settled returns the outcome of the whole request for its last failure.
-func (a *attempt) settled(err error) error {
-	if a.doubt != nil && result.OutcomeOf(err) == result.NotRun {
-		return a.doubt
-	}
-	return err
-}
-
 // next transfers the request to another domain with credit.
 func (a *attempt) next(domain string) (string, bool) {
 	if a.tried == nil {
@@ -112,9 +112,12 @@
 			break
 		}
 		resp, err := a.atInstance(ctx, m, domain)
+		if err == nil {
+			return resp, nil
+		}
 		a.note(err)
-		if err == nil || !a.mayTryNext(ctx, err) {
-			return resp, err
+		if !a.mayTryNext(ctx, err) {
+			return nil, err
 		}
 		last = err
 	}
