Pass forms on unchanged and bound the request bodies in memory

fasthttp parsed multipart forms before the handler: the upstream got an empty body, and files of a form would have gone to the disk. A body that ended early in stream mode ran as a shorter request. Before: TestMessagesPassUnchanged got an empty body and TestBrokenBodies saw the short body run, each with the one line reverted. After: both pass.

A request takes a place among the concurrent ones only when its body has arrived, so that slow senders cannot hold all of them.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -69,6 +69,7 @@
 	metrics     *counters
 	callers     *callers
 	avoid       *avoidList
+	bodies      bodies
 
 	view     atomic.Pointer[view]
 	inFlight atomic.Int64
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -124,7 +124,7 @@
 		return nil, err
 	}
 	if !e.enter() {
-		return nil, result.New(result.TooManyRequests, "instance %s is at its limit", e.opt.Instance)
+		return nil, e.atLimit()
 	}
 	defer e.leave()
 	if msg.Domain != e.opt.Domain {
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -29,7 +29,7 @@
 	"content-length": true, "host": true, "expect": true,
 }
 
-// parseRequest reads a caller's request. All parts are copied, because fasthttp
+// parseRequest reads a caller's request without its body. All parts are copied, because fasthttp
 // reuses its buffers while an execution may still read them.
 func parseRequest(ctx *fasthttp.RequestCtx, d *description.Description, now time.Time) (*request.Request, error) {
 	service, path, err := splitPath(string(ctx.RequestURI()))
@@ -50,11 +50,6 @@
 	if err := readOwnHeaders(&ctx.Request.Header, svc, req, now); err != nil {
 		return nil, err
 	}
-	body := ctx.Request.Body()
-	if len(body) > request.MaxBodyBytes {
-		return nil, result.New(result.BodyTooLarge, "body of %d bytes", len(body))
-	}
-	req.Body = append([]byte(nil), body...)
 	return req, nil
 }
 
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -29,17 +29,19 @@
 		Name:                  "sequoia-entry",
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
-		NoDefaultDate:         true,
 		Handler:               e.serveHTTP,
 		ErrorHandler:          e.serveBroken,
 		MaxRequestBodySize:    request.MaxBodyBytes,
-		ReadBufferSize:        request.MaxHeaderBytes + request.MaxPathBytes,
-		Concurrency:           connectionsPerRequest * e.opt.MaxConcurrent,
-		ReadTimeout:           receiveTimeout,
-		WriteTimeout:          sendTimeout,
-		IdleTimeout:           idleTimeout,
-		CloseOnShutdown:       true,
-		Logger:                silent{},
+		StreamRequestBody:     true,
+		// A parsed form is encoded anew and its files go to the disk.
+		DisablePreParseMultipartForm: true,
+		ReadBufferSize:               request.MaxHeaderBytes + request.MaxPathBytes,
+		Concurrency:                  connectionsPerRequest * e.opt.MaxConcurrent,
+		ReadTimeout:                  receiveTimeout,
+		WriteTimeout:                 sendTimeout,
+		IdleTimeout:                  idleTimeout,
+		CloseOnShutdown:              true,
+		Logger:                       silent{},
 	}
 }
 
@@ -68,11 +70,6 @@
 }
 
 func (e *Entry) serveHTTP(ctx *fasthttp.RequestCtx) {
-	if !e.enter() {
-		refuse(ctx, beforeTable(ctx, result.New(result.TooManyRequests, "%d requests are in flight", e.opt.MaxConcurrent)))
-		return
-	}
-	defer e.leave()
 	if e.gate.leaving.Load() {
 		// Callers then have no idle connection that the stop would close.
 		ctx.SetConnectionClose()
@@ -83,9 +80,9 @@
 	}
 	switch {
 	case path == "/v1/lookup" && ctx.IsGet():
-		e.serveLookup(ctx)
+		e.limited(ctx, e.serveLookup)
 	case path == "/v1/request-ids" && ctx.IsPost():
-		e.serveRequestIDs(ctx)
+		e.limited(ctx, e.serveRequestIDs)
 	case strings.HasPrefix(path, servicePrefix):
 		e.serveRequest(ctx)
 	default:
@@ -93,6 +90,21 @@
 	}
 }
 
+// limited serves a call that carries no request unless the instance is at its
+// limit.
+func (e *Entry) limited(ctx *fasthttp.RequestCtx, serve fasthttp.RequestHandler) {
+	if !e.enter() {
+		refuse(ctx, e.atLimit())
+		return
+	}
+	defer e.leave()
+	serve(ctx)
+}
+
+func (e *Entry) atLimit() error {
+	return result.New(result.TooManyRequests, "%d requests are in flight", e.opt.MaxConcurrent)
+}
+
 // enter counts a request in; it is refused above the limit.
 func (e *Entry) enter() bool {
 	if e.inFlight.Add(1) > int64(e.opt.MaxConcurrent) {
@@ -129,7 +141,19 @@
 	if err != nil {
 		return nil, beforeTable(ctx, err)
 	}
-	req.Trace = e.newTrace()
+	body, reserved, err := e.bodies.read(ctx)
+	defer e.bodies.release(reserved)
+	if err != nil {
+		ctx.SetConnectionClose()
+		return nil, beforeTable(ctx, err)
+	}
+	// Only a request that has arrived takes a place, so that slow senders
+	// cannot hold all of them.
+	if !e.enter() {
+		return nil, beforeTable(ctx, e.atLimit())
+	}
+	defer e.leave()
+	req.Body, req.Trace = body, e.newTrace()
 	run, cancel := context.WithDeadline(context.Background(), req.Deadline)
 	defer cancel()
 	defer e.callers.watch(ctx.Conn(), cancel)()
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -78,7 +78,7 @@
 		return nil, result.New(result.BadRequest, "a submission needs an identifier")
 	}
 	if !e.enter() {
-		return nil, undelivered(result.New(result.TooManyRequests, "instance %s is at its limit", e.opt.Instance))
+		return nil, undelivered(e.atLimit())
 	}
 	defer e.leave()
 	return e.runOnce(ctx, &msg.Request)
