Pass over owners that do not answer and refuse queued work after a pause

- After a pause the pools are given up, so that queued requests do not go to upstreams that left in the meantime.
- Ranks and look-up answers are kept while no member changes.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"hash/fnv"
 	"log/slog"
 	"strconv"
 	"sync"
@@ -106,7 +107,7 @@
 	e := &Entry{
 		opt:         opt,
 		incarnation: incarnation,
-		routes:      routing.NewTable(),
+		routes:      routing.NewTable(seedOf(opt.Instance)),
 		budgets:     linkbudget.New(opt.Region),
 		ids:         requestid.New(opt.Instance, incarnation, key, requestid.DefaultLimits, opt.Now),
 		metrics:     newCounters(opt.Registry),
@@ -146,3 +147,10 @@
 	}
 	return instance + "." + strconv.FormatUint(incarnation, 36) + "."
 }
+
+// seedOf returns a number that differs between instances.
+func seedOf(instance string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(instance))
+	return h.Sum64()
+}
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -55,11 +55,8 @@
 // callFailed turns the failure of a call into a coded error. A call that ended
 // with its context may have been carried out.
 func (e *Entry) callFailed(ctx context.Context, m cluster.Member, err error) error {
-	code := result.CodeOf(err)
-	if code == result.PeerUnreachable || code == result.PeerNoAnswer {
-		if ctx.Err() == nil {
-			e.avoidPeer(m)
-		}
+	if result.CodeOf(err) == result.PeerUnreachable && ctx.Err() == nil {
+		e.avoidPeer(m)
 	}
 	if ctx.Err() == nil || result.OutcomeOf(err) == result.NotRun {
 		return err
@@ -133,23 +130,29 @@
 	if msg.Region != e.opt.Region && !e.budgets.Take(msg.Region, 0, e.opt.Now()) {
 		return nil, result.New(result.LinkBudgetExhausted, "link from %s to %s", e.opt.Region, msg.Region)
 	}
-	if v.owns(msg.Request.Service) {
-		return e.opt.Admission.Do(ctx, &msg.Request)
-	}
 	return e.passOn(ctx, v, msg)
 }
 
 // passOn sends a request to the owner that this instance sees. A sender whose
-// view is older may not know that owner. When the owner cannot be reached and
+// view is older may not know that owner. When the owner gives no answer and
 // this instance is next in rank, it takes the pool over and runs the request.
 func (e *Entry) passOn(ctx context.Context, v *view, msg *peer.ForwardRequest) (*request.Response, error) {
-	ranked := v.ranked(msg.Request.Service, e.opt.Domain)
-	if msg.Hops >= maxHops || len(ranked) == 0 {
+	service := msg.Request.Service
+	owner := v.ranked(service, e.opt.Domain)
+	if len(owner) > 0 && owner[0].ID == msg.Failed && !v.owns(service) {
+		e.avoidPeer(owner[0])
+		v = e.view.Load()
+		owner = v.ranked(service, e.opt.Domain)
+	}
+	if v.owns(service) {
+		return e.opt.Admission.Do(ctx, &msg.Request)
+	}
+	if msg.Hops >= maxHops || len(owner) == 0 {
 		return nil, result.New(result.NotOwner, "instance %s does not own the pool", e.opt.Instance)
 	}
-	next := &peer.ForwardRequest{Request: msg.Request, Domain: msg.Domain, Hops: msg.Hops + 1}
-	resp, err := e.forward(ctx, ranked[0], next)
-	if result.CodeOf(err) != result.PeerUnreachable || !e.view.Load().owns(msg.Request.Service) {
+	next := &peer.ForwardRequest{Request: msg.Request, Domain: msg.Domain, Failed: msg.Failed, Hops: msg.Hops + 1}
+	resp, err := e.forward(ctx, owner[0], next)
+	if result.CodeOf(err) != result.PeerUnreachable || !e.view.Load().owns(service) {
 		return resp, err
 	}
 	return e.opt.Admission.Do(ctx, &msg.Request)
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -78,7 +78,7 @@
 		e.routes.Step(now)
 	}
 	if e.avoid.expire(now) {
-		e.refreshView(now)
+		e.refreshView()
 	}
 	silent := e.gate.since(now)-e.gate.lastSnapshot.Load() > int64(detachAfter)
 	if silent == e.gate.detached.Load() || e.view.Load() == nil {
@@ -87,11 +87,15 @@
 	e.setDetached(silent)
 }
 
+// checkPause gives up the pools and waits for fresh snapshots after a pause.
 func (e *Entry) checkPause(now time.Time) {
 	paused := e.gate.noticePause(now)
 	if paused == 0 {
 		return
 	}
+	// Requests that wait in a queue must not go to upstreams that may have left
+	// during the pause. Without its pools the instance refuses them.
+	e.opt.Admission.Update(nil)
 	e.metrics.pauses.Inc(1)
 	event.Log(e.opt.Logger, event.EntryResumed, "paused_ms", paused.Milliseconds())
 }
@@ -104,23 +108,23 @@
 		id = event.EntryDetached
 	}
 	event.Log(e.opt.Logger, id)
-	e.refreshView(e.opt.Now())
+	e.refreshView()
 }
 
 // refreshView rebuilds the view after a change that no snapshot brought.
-func (e *Entry) refreshView(now time.Time) {
+func (e *Entry) refreshView() {
 	e.applyMu.Lock()
 	defer e.applyMu.Unlock()
 	if e.description != nil {
-		e.rebuildView(now)
+		e.rebuildView()
 	}
 }
 
-// avoidPeer makes this instance pass over a peer that did not answer. In the
+// avoidPeer makes this instance pass over a peer that it could not reach. In the
 // own domain this may change the owner of a pool at once.
 func (e *Entry) avoidPeer(m cluster.Member) {
 	if e.avoid.add(m.ID, e.opt.Now()) && m.Domain == e.opt.Domain {
-		e.refreshView(e.opt.Now())
+		e.refreshView()
 	}
 }
 
--- a/pkg/entry/lookup.go
+++ b/pkg/entry/lookup.go
@@ -119,8 +119,8 @@
 // answer lists the instances for one key: the owners of the pools in the
 // nearest region, then its other instances, then those of other regions.
 func (v *view) answer(key lookupKey) lookupAnswer {
-	near := v.listed(key, func(region string) bool { return region == key.region })
-	far := v.listed(key, func(region string) bool { return region != key.region })
+	near := v.listed(key, maxListed, func(region string) bool { return region == key.region })
+	far := v.listed(key, maxListed, func(region string) bool { return region != key.region })
 	near = near[:min(len(near), max(nearListed, maxListed-len(far)))]
 	list := append(near, far[:min(len(far), maxListed-len(near))]...)
 	answer := lookupAnswer{TTLMS: v.description.Lookup.TTLMS, Version: v.version.Number, Instances: []lookupMember{}}
@@ -130,12 +130,13 @@
 	return answer
 }
 
-// listed returns the instances of the matching regions that stay, owners first.
-// The domains start at the variant, so that callers spread over the owners.
-func (v *view) listed(key lookupKey, match func(region string) bool) []cluster.Member {
+// listed returns up to limit instances of the matching regions that stay, owners
+// first. The domains start at the variant, so that callers spread over the
+// owners.
+func (v *view) listed(key lookupKey, limit int, match func(region string) bool) []cluster.Member {
 	var owners, others []cluster.Member
 	domains := v.domainsOf(match)
-	for i := range domains {
+	for i := 0; i < len(domains) && len(owners) < limit; i++ {
 		domain := domains[(i+int(key.variant))%len(domains)]
 		ranked := v.ranked(key.service, domain)
 		for j, m := range rotate(ranked, int(key.variant)/len(domains)) {
@@ -148,7 +149,8 @@
 			}
 		}
 	}
-	return append(owners, others...)
+	list := append(owners, others...)
+	return list[:min(len(list), limit)]
 }
 
 // rotate keeps the owner first and turns the order of the rest.
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -30,6 +30,8 @@
 	// lost is the first failure after which the request may have run. A later
 	// refusal must not hide it: "not run" would be untrue.
 	lost error
+	// failed is the last instance that gave no answer.
+	failed string
 }
 
 // failure returns the error for the caller when the last submission failed.
@@ -106,8 +108,12 @@
 // inDomain runs the request in one domain: at the owner of the pool or, when
 // the owner cannot be used, at the next instance in rank.
 func (a *attempt) inDomain(ctx context.Context, domain string) (*request.Response, error) {
+	ranked := a.view.ranked(a.req.Service, domain)
+	if len(ranked) == 0 {
+		return nil, result.New(result.NoDestination, "no entry instance in domain %s", domain)
+	}
 	var last error
-	for i, m := range a.entry.avoid.order(a.view.ranked(a.req.Service, domain), a.entry.opt.Now()) {
+	for i, m := range a.entry.avoid.order(ranked, a.entry.opt.Now()) {
 		if i >= maxInstances {
 			break
 		}
@@ -116,17 +122,26 @@
 			return resp, nil
 		}
 		a.note(err)
+		if noAnswer(err) {
+			a.failed = m.ID
+		}
 		if !a.mayTryNext(ctx, err) {
 			return nil, err
 		}
 		last = err
 	}
 	if last == nil {
-		last = result.New(result.NoDestination, "no entry instance in domain %s", domain)
+		last = result.New(result.PeerUnreachable, "no entry instance of domain %s could be reached", domain)
 	}
 	return nil, last
 }
 
+// noAnswer tells whether a peer did not answer at all.
+func noAnswer(err error) bool {
+	code := result.CodeOf(err)
+	return code == result.PeerUnreachable || code == result.PeerNoAnswer
+}
+
 // mayTryNext tells whether a failure concerns the instance and not the pool.
 func (a *attempt) mayTryNext(ctx context.Context, err error) bool {
 	if ctx.Err() != nil {
@@ -146,7 +161,7 @@
 	if m.ID == a.view.self.ID {
 		return a.entry.opt.Admission.Do(ctx, a.req)
 	}
-	return a.entry.forward(ctx, m, &peer.ForwardRequest{Request: *a.req, Domain: domain})
+	return a.entry.forward(ctx, m, &peer.ForwardRequest{Request: *a.req, Domain: domain, Failed: a.failed})
 }
 
 // remaining returns the whole milliseconds until a deadline.
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -114,7 +114,7 @@
 	if e.gate.detached.CompareAndSwap(true, false) {
 		event.Log(e.opt.Logger, event.EntryAttached)
 	}
-	v := e.rebuildView(now)
+	v := e.rebuildView()
 	e.noteReachable(v)
 	e.routes.Update(e.routingInput(s, v), now)
 	e.budgets.Update(e.description.Links, v.instancesIn(e.opt.Region), now)
@@ -122,7 +122,7 @@
 
 // rebuildView puts a view of the last snapshot into force, with the present own
 // state and without the owners that this instance cannot reach.
-func (e *Entry) rebuildView(now time.Time) *view {
+func (e *Entry) rebuildView() *view {
 	v := newView(viewInput{
 		version:     e.version,
 		description: e.description,
@@ -130,9 +130,12 @@
 		members:     e.members,
 		self:        e.self(),
 		detached:    e.gate.detached.Load(),
-		silent:      e.avoid.current(now),
+		silent:      e.avoid.current(),
+		last:        e.view.Load(),
 	})
-	e.opt.Admission.Update(e.ownedPools(v))
+	if e.gate.staleFor.Load() == 0 {
+		e.opt.Admission.Update(e.ownedPools(v))
+	}
 	e.view.Store(v)
 	return v
 }
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -22,7 +22,7 @@
 	}
 	close(e.left)
 	event.Log(e.opt.Logger, event.ProcessStopping)
-	e.refreshView(e.opt.Now())
+	e.refreshView()
 }
 
 // drainTimes returns how long callers may use cached look-up answers that name
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
@@ -36,8 +37,11 @@
 	members     []cluster.Member
 	self        cluster.Member
 	detached    bool
-	// silent holds the instances that did not answer this one lately.
+	// silent holds the instances that this one could not reach lately.
 	silent map[string]bool
+	// last is the view before, whose caches are kept while nothing changed
+	// that they depend on; most snapshots change only shares and loads.
+	last *view
 }
 
 // newView builds a view. The own record replaces the one in the snapshot, which
@@ -60,9 +64,36 @@
 		}
 	}
 	v.add(in.self)
+	if v.ranksLike(in.last) {
+		v.caches = in.last.caches
+	}
 	return v
 }
 
+// ranksLike tells whether owners and look-up answers are the same in two views.
+func (v *view) ranksLike(last *view) bool {
+	if last == nil || v.description != last.description || v.detached != last.detached ||
+		len(v.byID) != len(last.byID) || !maps.Equal(v.silent, last.silent) {
+		return false
+	}
+	for id, m := range v.byID {
+		if old, ok := last.byID[id]; !ok || placeOf(m) != placeOf(old) {
+			return false
+		}
+	}
+	return true
+}
+
+// place is the part of a member record that ranks and answers depend on.
+type place struct {
+	region, domain, caller, entry string
+	state                         cluster.State
+}
+
+func placeOf(m cluster.Member) place {
+	return place{m.Region, m.Domain, m.CallerAddress, m.EntryAddress, m.State}
+}
+
 func (v *view) add(m cluster.Member) {
 	m.Shares, m.Pools = nil, nil
 	if m.State == cluster.Dead || m.EntryIncarnation == 0 {
--- a/pkg/peer/forward.go
+++ b/pkg/peer/forward.go
@@ -9,6 +9,9 @@
 	Domain string `cbor:"d"`
 	// Region is the sender's region, to which the receiver charges its answer.
 	Region string `cbor:"rg"`
+	// Failed is the instance of the domain that the sender tried before without
+	// an answer, so that the receiver does not pass the request on to it.
+	Failed string `cbor:"f,omitempty"`
 	// RemainingMS is the time to the deadline when the message was sent.
 	RemainingMS int64 `cbor:"ms"`
 	// Hops counts forwards, so that disagreement about owners cannot loop.
--- a/pkg/routing/service.go
+++ b/pkg/routing/service.go
@@ -31,10 +31,13 @@
 	plan    *plan
 }
 
-func newService(name string, start vector, in serviceInput, now time.Time) *service {
+func newService(name string, start vector, in serviceInput, skip int, now time.Time) *service {
 	s := &service{name: name, chooser: newChooser()}
 	s.limiter = limiter{shares: start, last: now}
 	s.set(in)
+	for range skip {
+		s.chooser.choose(s.plan)
+	}
 	return s
 }
 
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"hash/fnv"
 	"sync"
 	"time"
 
@@ -30,12 +31,26 @@
 
 // Table holds the routing state of all services.
 type Table struct {
+	seed     uint64
 	mu       sync.RWMutex
 	services map[string]*service
 }
 
-// NewTable returns a table without services.
-func NewTable() *Table { return &Table{services: make(map[string]*service)} }
+// NewTable returns a table without services. The seed differs between instances
+// and decides where in the sequence of destinations each service starts:
+// otherwise the first requests of all instances would go to one destination.
+func NewTable(seed uint64) *Table {
+	return &Table{seed: seed, services: make(map[string]*service)}
+}
+
+// maxSkip is the number of places at which the sequences may start.
+const maxSkip = 64
+
+func (t *Table) skip(service string) int {
+	h := fnv.New64a()
+	h.Write([]byte(service))
+	return int((t.seed * (h.Sum64() | 1)) >> 32 % maxSkip)
+}
 
 // Update puts a snapshot into force. Services that are new here start at the
 // vector that start returns; others keep theirs.
@@ -54,7 +69,7 @@
 			s.set(si)
 			continue
 		}
-		t.services[name] = newService(name, start(in, name, si), si, now)
+		t.services[name] = newService(name, start(in, name, si), si, t.skip(name), now)
 	}
 }
 
