--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -174,6 +174,79 @@
 	require.Equal(t, result.StoreUnavailable, result.CodeOf(err))
 }
 
+// readHook runs before the first read of the head.
+type readHook struct {
+	platform.Table
+	hook func()
+}
+
+func (r *readHook) Get(ctx context.Context, key string) (platform.Row, error) {
+	if hook := r.hook; key == headKey && hook != nil {
+		r.hook = nil
+		hook()
+	}
+	return r.Table.Get(ctx, key)
+}
+
+// Guards against one patch id for two versions when both patches are in flight
+// at once and the second is based on the version of the first.
+func TestPatchIDRace(t *testing.T) {
+	s, server := seeded(t)
+	ctx := context.Background()
+	hooked := newStore(&readHook{Table: server.Direct(), hook: func() {
+		_, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
+		require.NoError(t, err)
+	}}, server.Direct().Objects())
+	_, err := hooked.Accept(ctx, ttlPatch(2, "p", 3000))
+	require.Equal(t, result.PatchIDReused, result.CodeOf(err))
+	require.Equal(t, []uint64{2, 1}, numbers(t, s, 0, 10))
+}
+
+// Guards against a conflict that is reported for a patch that won the race
+// against its own second submission.
+func TestSamePatchTwiceAtOnce(t *testing.T) {
+	s, server := seeded(t)
+	ctx := context.Background()
+	hooked := newStore(&readHook{Table: server.Direct(), hook: func() {
+		_, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
+		require.NoError(t, err)
+	}}, server.Direct().Objects())
+	got, err := hooked.Accept(ctx, ttlPatch(1, "p", 2000))
+	require.NoError(t, err)
+	require.True(t, got.Replayed)
+	require.EqualValues(t, 2, got.Version.Number)
+}
+
+// Guards against rows and objects from the store that crash the agent or pass
+// as a version although they are damaged.
+func FuzzRows(f *testing.F) {
+	f.Add([]byte(`{"version":1,"hash":"44136fa355b3678a1146ad16f7e8649e94fb4fc21fe77e8310c060f61caaff8a"}`), []byte(`{"version":1,"digest":"x"}`))
+	f.Add([]byte(`{"version":18446744073709551615,"hash":"","previous_hash":"../x"}`), []byte(`null`))
+	f.Add([]byte(`[]`), []byte(`{"version":2,"digest":"44136fa355b3678a1146ad16f7e8649e94fb4fc21fe77e8310c060f61caaff8a"}`))
+	f.Fuzz(func(t *testing.T, version, patch []byte) {
+		server := standin.NewPlatform(time.Now)
+		ctx := context.Background()
+		s := newStore(server.Direct(), server.Direct().Objects())
+		require.NoError(t, s.objects.Put(ctx, description.Hash(emptyBody), emptyBody))
+		_, err := s.table.Transact(ctx, platform.Transaction{Writes: []platform.Write{
+			{Key: headKey, Value: version}, {Key: versionKey(1), Value: version}, {Key: patchKey("p"), Value: patch}}})
+		require.NoError(t, err)
+		for _, load := range []func() (uint64, string, []byte, error){
+			func() (uint64, string, []byte, error) { v, err := s.Current(ctx); return v.Number, v.Hash, v.Body, err },
+			func() (uint64, string, []byte, error) { v, err := s.Load(ctx, 1); return v.Number, v.Hash, v.Body, err },
+		} {
+			number, hash, body, err := load()
+			if err == nil {
+				require.NotZero(t, number)
+				require.Equal(t, description.Hash(body), hash)
+			}
+		}
+		_, _ = s.History(ctx, 0, 10)
+		_, err = s.Accept(ctx, ttlPatch(1, "p", 2000))
+		require.Error(t, err)
+	})
+}
+
 // presentObjects skips uploads, so that a fault hits the transaction alone.
 type presentObjects struct{ platform.Objects }
 
--- a/pkg/configsync/distribute.go
+++ b/pkg/configsync/distribute.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
@@ -16,12 +17,13 @@
 	// pushTimeout bounds a push to one agent: a new connection between regions
 	// takes about 3 round trips of 55 ms.
 	pushTimeout = 500 * time.Millisecond
-	// relayTimeout leaves a relay time to push within its domain before it answers.
-	relayTimeout = 1200 * time.Millisecond
-	// relayHedge starts the next relay while the first has not answered; it is
-	// above pushTimeout, because a relay with a dead agent in its domain
-	// answers only after that time.
-	relayHedge = 600 * time.Millisecond
+	// relayWait is how long a relay waits for the agents of its domain before
+	// it answers; a connection inside a domain takes a few milliseconds.
+	relayWait = 150 * time.Millisecond
+	// relayHedge starts a further relay while none has answered: a new
+	// connection and relayWait come to about 320 ms.
+	relayHedge   = 350 * time.Millisecond
+	relayTimeout = 700 * time.Millisecond
 	// maxRelays bounds the relays that are tried in one domain.
 	maxRelays = 5
 	// maxParallel bounds the pushes that one agent has in flight.
@@ -33,34 +35,36 @@
 	// Acknowledged counts the agents that confirmed to this agent.
 	Acknowledged int
 	// Missed counts agents and whole domains without a confirmation, and the
-	// agents that relays reported as missed.
+	// agents that had not confirmed to their relay when it answered.
 	Missed int
 }
 
-func (r *Reach) add(other Reach) {
-	r.Acknowledged += other.Acknowledged
-	r.Missed += other.Missed
-}
-
 // Distribute puts v into force here and pushes it to all other agents. It
 // returns when all pushes have ended.
 func (s *Syncer) Distribute(ctx context.Context, v cluster.Version) Reach {
 	s.Offer(v)
 	own, others := s.targets(v.Number)
-	var total Reach
-	var mu sync.Mutex
+	var acknowledged, missed atomic.Int64
 	var group sync.WaitGroup
-	collect := func(r Reach) {
-		mu.Lock()
-		defer mu.Unlock()
-		total.add(r)
-	}
 	for domain, candidates := range others {
-		group.Go(func() { collect(s.pushDomain(ctx, v, domain, candidates)) })
+		group.Go(func() {
+			ack, err := s.pushDomain(ctx, v, domain, candidates)
+			if err != nil {
+				missed.Add(1)
+				return
+			}
+			acknowledged.Add(1)
+			missed.Add(int64(ack.Missed))
+		})
 	}
-	group.Go(func() { collect(s.pushAll(ctx, v, own)) })
+	var ownAcknowledged atomic.Int64
+	s.pushAll(ctx, v, own, &ownAcknowledged)
 	group.Wait()
-	return total
+	reached := int(ownAcknowledged.Load())
+	return Reach{
+		Acknowledged: int(acknowledged.Load()) + reached,
+		Missed:       int(missed.Load()) + len(own) - reached,
+	}
 }
 
 // targets returns the agents of the own domain and those of every other domain
@@ -81,33 +85,25 @@
 	return own, others
 }
 
-// pushAll pushes v to each of the members.
-func (s *Syncer) pushAll(ctx context.Context, v cluster.Version, members []cluster.Member) Reach {
-	var reach Reach
-	var mu sync.Mutex
+// pushAll pushes v to each of the members and counts the confirmations.
+func (s *Syncer) pushAll(ctx context.Context, v cluster.Version, members []cluster.Member, acknowledged *atomic.Int64) {
 	var group sync.WaitGroup
 	slots := make(chan struct{}, maxParallel)
 	for _, m := range members {
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
-			_, err := s.push(ctx, m, Push{Version: v}, pushTimeout)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				reach.Missed++
-				return
+			if _, err := s.push(ctx, m, Push{Version: v}, pushTimeout); err == nil {
+				acknowledged.Add(1)
 			}
-			reach.Acknowledged++
 		})
 	}
 	group.Wait()
-	return reach
 }
 
 // pushDomain gives v to a relay of the domain. The next relay follows when one
 // fails or has not answered for relayHedge.
-func (s *Syncer) pushDomain(ctx context.Context, v cluster.Version, domain string, candidates []cluster.Member) Reach {
+func (s *Syncer) pushDomain(ctx context.Context, v cluster.Version, domain string, candidates []cluster.Member) (Ack, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	relays := rankRelays(domain, v.Number, candidates)
@@ -125,21 +121,21 @@
 		}()
 	}
 	startNext()
-	hedge := time.NewTimer(relayHedge)
+	hedge := time.NewTicker(relayHedge)
 	defer hedge.Stop()
 	for pending > 0 {
 		select {
 		case got := <-answers:
 			pending--
 			if got.err == nil {
-				return Reach{Acknowledged: 1, Missed: got.ack.Missed}
+				return got.ack, nil
 			}
 			startNext()
 		case <-hedge.C:
 			startNext()
 		}
 	}
-	return Reach{Missed: 1}
+	return Ack{}, result.New(result.PeerUnreachable, "no relay of domain %q answered", domain)
 }
 
 type relayAnswer struct {
@@ -185,20 +181,44 @@
 	return ack, nil
 }
 
-// HandlePush answers peer.PushVersion. A relay answers after it has pushed to
-// its domain, so that the sender notices a relay that dies on the way; it goes
-// on when the sender dies.
+// HandlePush answers peer.PushVersion.
 func (s *Syncer) HandlePush(_ context.Context, body []byte) (any, error) {
 	push, err := decodePush(body)
 	if err != nil {
 		return nil, err
 	}
-	s.Offer(push.Version)
+	if push.Version.Number > s.Current().Number {
+		if err := Check(push.Version); err != nil {
+			return nil, err
+		}
+		s.adopt(push.Version)
+	}
+	current := s.Current()
 	missed := 0
 	if push.Relay {
-		own, _ := s.targets(push.Version.Number)
-		missed = s.pushAll(s.ctx, push.Version, own).Missed
+		missed = s.relay(current)
 	}
-	current := s.Current()
 	return Ack{Number: current.Number, Hash: current.Hash, Missed: missed}, nil
 }
+
+// relay pushes v to the own domain and returns how many agents have not
+// confirmed it after relayWait. The wait lets the sender notice a relay that
+// dies at its start; the pushes go on after it and when the sender is gone.
+func (s *Syncer) relay(v cluster.Version) (missed int) {
+	own, _ := s.targets(v.Number)
+	var acknowledged atomic.Int64
+	done := make(chan struct{})
+	started := s.spawn(func() {
+		defer close(done)
+		s.pushAll(s.ctx, v, own, &acknowledged)
+	})
+	if started {
+		timer := time.NewTimer(relayWait)
+		defer timer.Stop()
+		select {
+		case <-done:
+		case <-timer.C:
+		}
+	}
+	return len(own) - int(acknowledged.Load())
+}
--- a/pkg/configsync/fetch.go
+++ b/pkg/configsync/fetch.go
@@ -49,16 +49,19 @@
 		s.reportMismatch(number, current.Hash, hash, addr)
 		return
 	}
-	if number <= current.Number || s.ctx.Err() != nil || !s.fetches.begin(addr) {
+	if number <= current.Number || !s.fetches.begin(addr) {
 		return
 	}
-	s.tasks.Go(func() {
+	started := s.spawn(func() {
 		defer s.fetches.end(addr)
 		v, err := s.fetch(s.ctx, addr, current.Number+1)
 		if err == nil {
 			s.Offer(v)
 		}
 	})
+	if !started {
+		s.fetches.end(addr)
+	}
 }
 
 // reportMismatch logs once for each version number, because every heartbeat
--- a/pkg/configsync/messages.go
+++ b/pkg/configsync/messages.go
@@ -59,7 +59,10 @@
 	if err := decoding.Unmarshal(body, &push); err != nil {
 		return push, result.New(result.PeerRefused, "push: %v", err)
 	}
-	return push, Check(push.Version)
+	if push.Version.Number == 0 {
+		return push, result.New(result.PeerRefused, "version 0 is not distributed")
+	}
+	return push, nil
 }
 
 func decodeFetch(body []byte) (Fetch, error) {
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -46,7 +46,7 @@
 	OnVersion func(cluster.Version)
 	Now       func() time.Time
 	Sleep     func(ctx context.Context, d time.Duration) error
-	// Random returns numbers from 0 to below 1.
+	// Random returns numbers from 0 to below 1; calls may be concurrent.
 	Random  func() float64
 	Metrics metrics.Registry
 	Logger  *slog.Logger
@@ -86,7 +86,9 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	tasks  sync.WaitGroup
+	// starting keeps tasks from starting after Close.
+	starting sync.Mutex
+	tasks    sync.WaitGroup
 }
 
 type meters struct {
@@ -114,12 +116,25 @@
 	return s
 }
 
-// Close stops background fetches and waits for them.
+// Close stops background fetches and pushes and waits for them.
 func (s *Syncer) Close() {
+	s.starting.Lock()
 	s.cancel()
+	s.starting.Unlock()
 	s.tasks.Wait()
 }
 
+// spawn runs task in the background unless the syncer is closed.
+func (s *Syncer) spawn(task func()) bool {
+	s.starting.Lock()
+	defer s.starting.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.tasks.Go(task)
+	return true
+}
+
 // Current returns the version in force; Number 0 means none. The bodies are
 // shared and must not be changed.
 func (s *Syncer) Current() cluster.Version { return *s.current.Load() }
@@ -127,9 +142,11 @@
 // Offer puts v into force if it is valid and its number is higher than the
 // current one, and tells whether it did.
 func (s *Syncer) Offer(v cluster.Version) bool {
-	if v.Number <= s.Current().Number || Check(v) != nil {
-		return false
-	}
+	return v.Number > s.Current().Number && Check(v) == nil && s.adopt(v)
+}
+
+// adopt puts a checked version into force if its number is higher.
+func (s *Syncer) adopt(v cluster.Version) bool {
 	v.Body = append([]byte(nil), v.Body...)
 	v.PreviousBody = append([]byte(nil), v.PreviousBody...)
 	s.adopting.Lock()
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -44,7 +44,7 @@
 	Term  time.Duration
 	Now   func() time.Time
 	Sleep func(ctx context.Context, d time.Duration) error
-	// Random returns numbers from 0 to below 1.
+	// Random returns numbers from 0 to below 1; calls may be concurrent.
 	Random func() float64
 	Logger *slog.Logger
 }
--- a/pkg/platform/bucket.go
+++ b/pkg/platform/bucket.go
@@ -43,13 +43,13 @@
 	b.last = now
 }
 
-// drain empties the bucket, so that the first calls after an outage start at
-// the sustained rate without a burst.
-func (b *bucket) drain(now time.Time) {
+// drain leaves at most keep tokens, so that calls after an outage start near
+// the sustained rate and without a burst.
+func (b *bucket) drain(now time.Time, keep float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	b.tokens = min(b.tokens, 0)
+	b.tokens = min(b.tokens, keep)
 }
 
 func (b *bucket) setRate(now time.Time, rate float64) {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -36,6 +36,10 @@
 	fleetReadsPerSecond  = 1500
 	fleetWritesPerSecond = 200
 	minRate              = 0.05
+	// An outage leaves tokens for the acceptance of one patch, which takes two
+	// writes and three reads besides the call that found the store up.
+	keepReads  = 3
+	keepWrites = 2
 )
 
 // ClientConfig configures a Client. Zero values of the optional fields select
@@ -50,7 +54,7 @@
 	WritesPerSecond float64
 	Now             func() time.Time
 	Sleep           func(ctx context.Context, d time.Duration) error
-	// Random returns numbers from 0 to below 1.
+	// Random returns numbers from 0 to below 1; calls may be concurrent.
 	Random  func() float64
 	Metrics metrics.Registry
 	Logger  *slog.Logger
@@ -127,8 +131,8 @@
 // drainTokens makes calls after an outage start without a burst.
 func (c *Client) drainTokens() {
 	now := c.config.Now()
-	c.readTokens.drain(now)
-	c.writeTokens.drain(now)
+	c.readTokens.drain(now, keepReads)
+	c.writeTokens.drain(now, keepWrites)
 }
 
 // Get implements Table.
--- a/pkg/platform/endpoint.go
+++ b/pkg/platform/endpoint.go
@@ -19,6 +19,9 @@
 	// maxAnswerBytes bounds every answer; the largest is a list of 1,000 rows.
 	maxAnswerBytes = 32 << 20
 	maxConnections = 16
+	// The sample covers about the last five minutes.
+	sampleSize  = 1028
+	sampleDecay = 0.015
 	// idleConnection closes pooled connections before a component between the
 	// two ends is likely to have dropped their state.
 	idleConnection = time.Second
@@ -45,12 +48,14 @@
 	health  health
 	reads   fasthttp.HostClient
 	writes  fasthttp.HostClient
+	// transport sends one request once; tests replace it.
+	transport func(write bool, timeout time.Duration, prepare func(*fasthttp.Request)) (answer, error)
 
 	calls    metrics.Counter
 	failures metrics.Counter
 	refused  metrics.Counter
 	up       metrics.Gauge
-	latency  metrics.Timer
+	latency  metrics.Histogram
 }
 
 func newEndpoint(c *Client, name, address string) *endpoint {
@@ -62,9 +67,12 @@
 		failures: metrics.GetOrRegisterCounter("platform."+name+".failures", registry),
 		refused:  metrics.GetOrRegisterCounter("platform."+name+".refused", registry),
 		up:       metrics.GetOrRegisterGauge("platform."+name+".up", registry),
-		latency:  metrics.GetOrRegisterTimer("platform."+name+".latency", registry),
+		// A metrics.Timer would start a goroutine that never ends.
+		latency: metrics.GetOrRegisterHistogram("platform."+name+".latency_us", registry,
+			metrics.NewExpDecaySample(sampleSize, sampleDecay)),
 	}
 	e.up.Update(1)
+	e.transport = e.send
 	e.configure(&e.reads)
 	e.configure(&e.writes)
 	return e
@@ -94,6 +102,7 @@
 
 // exchange sends one request once. prepare fills in method, path and body.
 func (e *endpoint) exchange(ctx context.Context, write bool, prepare func(*fasthttp.Request)) (answer, error) {
+	config := &e.client.config
 	probe, err := e.admit(ctx, write)
 	if err != nil {
 		e.refused.Inc(1)
@@ -104,7 +113,10 @@
 		e.health.abandon(probe)
 		return answer{}, err
 	}
-	got, err := e.send(write, timeout, prepare)
+	e.calls.Inc(1)
+	start := config.Now()
+	got, err := e.transport(write, timeout, prepare)
+	e.latency.Update(config.Now().Sub(start).Microseconds())
 	e.record(got, err, probe)
 	if err != nil {
 		return answer{}, classify(e.name, write, err)
@@ -159,11 +171,7 @@
 		client = &e.writes
 		req.SetConnectionClose()
 	}
-	e.calls.Inc(1)
-	start := time.Now()
-	err := client.DoTimeout(req, resp, timeout)
-	e.latency.UpdateSince(start)
-	if err != nil {
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		return answer{}, err
 	}
 	notRun := string(resp.Header.Peek(request.HeaderNotRun)) == "1"
