Ping idle connections once a second

Between 12 idle agents, pings at the interval of connections in use were 23 of 29 messages a second and agent. Without calls in flight a ping is now due after 1 s without an answer; a call on a connection that went silent while idle still fails within 2 s, which a new test holds.

Heartbeats are counted in messages and bytes, and a test bounds their rate.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
@@ -168,3 +169,20 @@
 		require.Len(t, first.Members, 2, "platform %s", mode)
 	}
 }
+
+// Guards against heartbeats that are not counted, or that are sent more often
+// than the interval and the fan-out allow.
+func TestHeartbeatsAreCounted(t *testing.T) {
+	f := newFleet(t, 4)
+	f.settle()
+	count := func(name string) int64 {
+		return f.nodes[0].agent.registry.Get("peer.client.sync_members." + name).(metrics.Counter).Count()
+	}
+	start, messages, sent, received := time.Now(), count("messages"), count("bytes_sent"), count("bytes_received")
+	f.eventually("20 heartbeats", func() bool { return count("messages") >= messages+20 })
+	// Three peers each 450 ms or more, and one round that was already due.
+	most := 3 * (1 + int64(time.Since(start)/(450*time.Millisecond)))
+	require.LessOrEqual(t, count("messages")-messages, most)
+	require.Greater(t, count("bytes_sent")-sent, 20*int64(100))
+	require.Greater(t, count("bytes_received")-received, 20*int64(5))
+}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -21,9 +21,13 @@
 	dialTimeout = time.Second
 	// redialPause is the time in which calls share the failure of a dial.
 	redialPause = 100 * time.Millisecond
-	// pingInterval and pingTimeout replace a silent connection within 1.25 s.
+	// pingInterval and pingTimeout replace a silent connection within 1.25 s
+	// while a call waits on it.
 	pingInterval = 250 * time.Millisecond
 	pingTimeout  = time.Second
+	// idlePingInterval is the interval without calls in flight; pings at the
+	// short interval were four of five messages between 12 idle agents.
+	idlePingInterval = time.Second
 	// keepUnused is the time after which a connection without calls is closed
 	// instead of pinged.
 	keepUnused = 10 * time.Second
@@ -147,6 +151,10 @@
 		stream.CancelRead(cancelled)
 	})
 	defer stop()
+	if typ != Ping {
+		conn.inFlight.Add(1)
+		defer conn.inFlight.Add(-1)
+	}
 	count := c.counters.of(typ)
 	count.calls.Inc(1)
 	count.sent.Inc(int64(len(frame)))
--- a/pkg/peer/connection.go
+++ b/pkg/peer/connection.go
@@ -31,6 +31,7 @@
 	start      time.Time
 	lastUse    atomic.Int64
 	lastAnswer atomic.Int64
+	inFlight   atomic.Int64
 }
 
 func newConnection(client *Client, addr string) *connection {
@@ -110,7 +111,7 @@
 			c.close(closedNormally, "unused")
 			return
 		}
-		if c.sinceAnswer() < pingInterval || c.ping() {
+		if c.sinceAnswer() < c.pingDue() || c.ping() {
 			continue
 		}
 		c.replace()
@@ -118,6 +119,14 @@
 	}
 }
 
+// pingDue returns the time without an answer after which a ping is due.
+func (c *connection) pingDue() time.Duration {
+	if c.inFlight.Load() > 0 {
+		return pingInterval
+	}
+	return idlePingInterval
+}
+
 // ping reports whether the peer answered an application ping in time.
 func (c *connection) ping() bool {
 	sent := time.Now()
--- a/pkg/peer/silent_test.go
+++ b/pkg/peer/silent_test.go
@@ -43,6 +43,31 @@
 	require.EqualValues(t, 1, replaced.Count())
 }
 
+// Guards against a connection that went silent while it was idle holding up the
+// first call after that for longer than one with calls in flight.
+func TestSilenceOfAnIdleConnection(t *testing.T) {
+	f := newFixture(t, echo, nil)
+	r := newRelay(t, f.server.Addr())
+	require.NoError(t, f.client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
+	r.silence()
+	time.Sleep(300 * time.Millisecond)
+	start := time.Now()
+	err := f.client.Call(within(t, 30*time.Second), r.addr(), testType, "x", nil)
+	require.Equal(t, result.PeerNoAnswer, result.CodeOf(err))
+	require.NoError(t, f.client.Call(within(t, time.Second), r.addr(), testType, "x", nil))
+	require.Less(t, time.Since(start), 2*time.Second)
+}
+
+// Guards against pings that outnumber the messages on idle connections.
+func TestIdlePings(t *testing.T) {
+	f := newFixture(t, echo, nil)
+	require.NoError(t, f.client.Call(within(t, 5*time.Second), f.server.Addr(), testType, "x", nil))
+	time.Sleep(3 * time.Second)
+	pings := f.registry.Get("peer.client.ping.messages").(metrics.Counter).Count()
+	require.GreaterOrEqual(t, pings, int64(1))
+	require.LessOrEqual(t, pings, int64(3))
+}
+
 // Guards against long calls on a healthy connection being taken for silence.
 func TestLongCallSurvivesPings(t *testing.T) {
 	f := newFixture(t, func(context.Context, []byte) (any, error) {
