Use slow and cold upstreams when waiting is longer, and rescue silent ones

Cause: suspect upstreams were avoided for 5 s after they had recovered, slow start left idle slots beside a queue, executions that missed their deadline took a tenth of an overloaded pool, and long requests of a route that was not yet known made their upstream look slow. Slots on silent connections stayed occupied until the deadline.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -22,6 +22,7 @@
 	*Set
 	t         *testing.T
 	client    *upstream.Client
+	silencer  *silencer
 	upstreams []*standin.Upstream
 	records   []cluster.UpstreamRecord
 	serial    int
@@ -35,7 +36,8 @@
 }
 
 func newRig(t *testing.T, upstreams, slots int, s settings.Admission) *rig {
-	r := &rig{t: t, client: upstream.NewClient(upstream.Config{})}
+	r := &rig{t: t, silencer: &silencer{}}
+	r.client = upstream.NewClient(upstream.Config{Dial: r.silencer.dial})
 	for i := range upstreams {
 		u, err := standin.StartUpstream(standin.UpstreamConfig{
 			ID: fmt.Sprintf("u%d", i), Slots: slots, ServiceTime: 5 * time.Millisecond, Seed: uint64(i)})
@@ -88,8 +90,15 @@
 	return executions, maxInFlight, shed
 }
 
-func (r *rig) idle() {
-	require.Eventually(r.t, func() bool { return r.Reports()[0].InUse == 0 }, 10*time.Second, time.Millisecond)
+func (r *rig) idle(limit time.Duration) {
+	require.Eventually(r.t, func() bool { return r.Reports()[0].InUse == 0 }, limit, time.Millisecond)
+}
+
+// learn sends short requests until the costs of their route are known.
+func (r *rig) learn() {
+	errs := r.start(4*enoughSamples, "GET", "/a?work_ms=5", 10*time.Second)()
+	require.Equal(r.t, map[result.Code]int{result.OK: 4 * enoughSamples}, codes(errs))
+	r.idle(5 * time.Second)
 }
 
 func codes(errs []error) map[result.Code]int {
--- a/pkg/admission/choose.go
+++ b/pkg/admission/choose.go
@@ -11,34 +11,44 @@
 	jitter         = 0.01
 )
 
+// probePause is the time between two probes of a suspect upstream. A probe is a
+// request that may be hedged, and it tells when the upstream is fast again.
+const probePause = 200 * time.Millisecond
+
 // choose returns the best upstream with an idle slot for t, or nil when there
-// is none or waiting for another slot is faster. waiting is the number of
-// requests in the queue.
+// is none or waiting for another slot is faster. Upstreams that are suspect or
+// in slow start are a reserve. waiting is the number of requests in the queue.
 func (p *pool) choose(t *task, now time.Time, waiting int) *target {
-	var best *target
-	var bestScore float64
+	var best, reserve *target
+	var bestScore, reserveScore float64
 	for _, u := range p.targets {
-		if u.inUse() >= p.limitOf(u, now) {
+		if u.inUse() >= u.limit(now) {
 			continue
 		}
 		score := p.score(u, t, now)
-		if best == nil || score < bestScore {
-			best, bestScore = u, score
+		if p.preferred(u, t, now) {
+			if best == nil || score < bestScore {
+				best, bestScore = u, score
+			}
+			continue
 		}
+		score += u.slowness(now)
+		if reserve == nil || score < reserveScore {
+			reserve, reserveScore = u, score
+		}
+	}
+	if best != nil || reserve == nil {
+		return best
 	}
-	if best == nil || !p.worthStarting(best, now, waiting) {
-		return nil
+	if p.worthStarting(reserve, now, waiting) {
+		return reserve
 	}
-	return best
+	return nil
 }
 
 func (p *pool) score(u *target, t *task, now time.Time) float64 {
 	score := (float64(u.inUse()) + u.load.weight(now)) / float64(u.slots)
-	overdue := u.overdue(now)
-	score += overduePenalty * float64(overdue)
-	if u.health.suspect(now, overdue) {
-		score += u.health.median(now)
-	}
+	score += overduePenalty * float64(u.overdue(now))
 	if now.Before(u.health.errorUntil) {
 		score += errorPenalty
 	}
@@ -48,28 +58,26 @@
 	return score + jitter*p.random.Float64()
 }
 
-// limitOf returns the slots of u that may be occupied. Slow start does not
-// apply when more than half of the pool would be limited by it, because the
-// others could not carry the load.
-func (p *pool) limitOf(u *target, now time.Time) int {
-	if u.ramp.active && 2*p.ramping > len(p.targets) && u.limit(now) > 0 {
-		return u.slots
+// preferred tells whether u is as fast as others, or due for a probe by t.
+func (p *pool) preferred(u *target, t *task, now time.Time) bool {
+	if u.inUse() >= u.ramp.limit(u.slots) {
+		return false
+	}
+	if !p.suspect(u, now) {
+		return true
 	}
-	return u.limit(now)
+	due := !now.Before(u.probedAt.Add(probePause)) || u.health.lastFast()
+	return due && u.inUse() == 0 && t.req.Idempotent && !t.hasTried(u)
 }
 
-// worthStarting tells whether starting on u ends earlier than waiting for a
-// slot of an upstream that is not suspect.
+// worthStarting tells whether starting on the reserve u ends earlier than
+// waiting for a slot of a preferred upstream.
 func (p *pool) worthStarting(u *target, now time.Time, waiting int) bool {
-	if !u.health.suspect(now, u.overdue(now)) {
-		return true
-	}
 	fast := p.fastBusy(now)
 	if fast == 0 {
 		return true
 	}
-	wait := 1 + float64(waiting)/float64(fast)
-	return wait >= u.health.median(now)
+	return 1+float64(waiting)/float64(fast) >= u.slowness(now)
 }
 
 // fastBusy counts the occupied slots of upstreams that are not suspect; each of
@@ -77,9 +85,26 @@
 func (p *pool) fastBusy(now time.Time) int {
 	n := 0
 	for _, u := range p.targets {
-		if u.limit(now) > 0 && !u.health.suspect(now, u.overdue(now)) {
+		if u.limit(now) > 0 && !p.suspect(u, now) {
 			n += u.inUse()
 		}
 	}
 	return n
 }
+
+// rampSlowness is the assumed slowness of an upstream in slow start that has
+// answered nothing yet.
+const rampSlowness = 1.5
+
+// slowness returns how many times longer than usual an execution on u takes.
+func (u *target) slowness(now time.Time) float64 {
+	slowness := u.health.latest(now)
+	if u.ramp.active {
+		slowness = max(slowness, rampSlowness)
+	}
+	return slowness
+}
+
+func (p *pool) suspect(u *target, now time.Time) bool {
+	return u.health.suspect(now, u.overdue(now), u.inUse())
+}
--- a/pkg/admission/cost.go
+++ b/pkg/admission/cost.go
@@ -14,9 +14,13 @@
 	// maxSamples bounds the weight of the past: the counts are halved when
 	// their sum reaches it.
 	maxSamples = 4000
-	// enoughSamples is how many samples a quantile needs; below it the pool's
-	// costs are used for a route.
+	// enoughSamples is how many samples high quantiles need; below it, a multiple
+	// of the largest sample stands for them.
 	enoughSamples = 30
+	// fewSamples is how many samples a median needs; below it the pool's costs
+	// are used for a route. Long requests are rare, so that a higher number
+	// leaves a long route unknown for half a minute in a small pool.
+	fewSamples = 4
 )
 
 // costs is a decaying histogram of execution times.
@@ -55,7 +59,7 @@
 	c.sum /= 2
 }
 
-func (c *costs) known() bool { return c.total >= enoughSamples }
+func (c *costs) known() bool { return c.total >= fewSamples }
 
 func (c *costs) mean() time.Duration {
 	if c.total == 0 {
@@ -64,6 +68,14 @@
 	return time.Duration(c.sum / c.total)
 }
 
+// high returns a quantile above the median.
+func (c *costs) high(q float64) time.Duration {
+	if c.total < enoughSamples {
+		return 2 * c.quantile(1)
+	}
+	return c.quantile(q)
+}
+
 func (c *costs) quantile(q float64) time.Duration {
 	if c.total == 0 {
 		return 0
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -12,6 +12,7 @@
 	defer p.mu.Unlock()
 	now := p.config.Clock.Now()
 	t.expected = p.routes.estimate(t.route)
+	p.work.add(t.expected.mean, t.expected.long, p.slots())
 	if err := p.refusal(t, now); err != nil {
 		p.counts.Refused++
 		return err
@@ -41,7 +42,7 @@
 		return nil
 	}
 	wait := p.expectedWait(t, slots)
-	if now.Add(wait + t.expected.high).After(t.deadline) {
+	if now.Add(wait + t.need()).After(t.deadline) {
 		return p.overload(result.DeadlineUnreachable, "expected wait is %v", wait)
 	}
 	return nil
@@ -72,9 +73,13 @@
 func (p *pool) expectedWait(t *task, slots int) time.Duration {
 	ahead := p.normal.before(t.deadline) + p.long.before(t.deadline)
 	mean := p.routes.all.figures.mean
-	return time.Duration(float64(ahead+1) * float64(mean) / float64(max(slots, 1)))
+	return time.Duration(waitMargin * float64(ahead+1) * float64(mean) / float64(max(slots, 1)))
 }
 
+// waitMargin makes up for the spread of the execution times ahead, so that
+// requests are refused on arrival and not after a wait.
+const waitMargin = 1.15
+
 // dispatch gives idle slots to waiting tasks in order of their deadlines.
 func (p *pool) dispatch(now time.Time) {
 	for p.limit == 0 || p.inUse < p.limit {
@@ -88,13 +93,21 @@
 			t.granted <- grant{err: p.overload(result.DeadlineUnreachable, "the remaining time is too short")}
 			continue
 		}
-		u := p.choose(t, now, p.queued())
-		if u == nil {
+		e := p.startable(t, now)
+		if e == nil {
 			return
 		}
 		q.remove(t)
-		t.granted <- grant{execution: p.bind(u, t, now, false)}
+		t.granted <- grant{execution: e}
+	}
+}
+
+// startable occupies a slot for t, or returns nil when t has to wait.
+func (p *pool) startable(t *task, now time.Time) *execution {
+	if u := p.choose(t, now, p.queued()); u != nil {
+		return p.bind(u, t, now, false)
 	}
+	return p.rescueWaiting(t, now)
 }
 
 // next returns the task to start next and its queue.
@@ -113,18 +126,21 @@
 	}
 }
 
-// longSlots returns how many slots tasks of long routes may hold.
-func (p *pool) longSlots() int {
-	return max(1, int(p.config.Settings.LongRouteSlots*float64(p.slots())))
-}
-
 // canFinish tells whether t can meet its deadline when it starts now. When
 // others wait for the slot, t needs time for its route's high cost, because an
 // answer after the deadline would waste the slot.
 func (t *task) canFinish(now time.Time, waiting int) bool {
 	need := t.expected.median
 	if waiting > 1 {
-		need = t.expected.high
+		need = t.need()
 	}
 	return now.Add(need).Before(t.deadline)
 }
+
+// need returns the time that t should have left at its start in a saturated
+// pool: nearly always enough, but not more than half of the time that the
+// caller gave unless the route usually takes as long.
+func (t *task) need() time.Duration {
+	half := t.deadline.Sub(t.arrived) / 2
+	return min(t.expected.full, max(half, t.expected.high))
+}
--- a/pkg/admission/eject.go
+++ b/pkg/admission/eject.go
@@ -16,6 +16,10 @@
 		return
 	}
 	reason := u.health.verdict(now, u.overdue(now), p.medianRatio(now))
+	if reason == slowReason && u.ramp.active {
+		// A cold upstream warms up only by running requests.
+		return
+	}
 	if reason == "" || !p.mayEject(now) {
 		return
 	}
@@ -59,15 +63,11 @@
 
 // readmit returns upstreams whose ejection has ended to use, with slow start.
 func (p *pool) readmit(now time.Time) {
-	p.ramping = 0
 	for _, u := range p.targets {
 		if u.health.reason != "" && !u.health.ejected(now) {
 			u.health.readmit()
 			u.ramp.begin()
 			event.Log(p.config.Logger, event.UpstreamReturned, "service", p.service, "upstream", u.id)
 		}
-		if u.ramp.active {
-			p.ramping++
-		}
 	}
 }
--- a/pkg/admission/execute.go
+++ b/pkg/admission/execute.go
@@ -26,30 +26,17 @@
 
 // exchange runs e on its upstream and accounts for the outcome.
 func (p *pool) exchange(ctx context.Context, e *execution) (*request.Response, error) {
+	if e.hedge || e.rescue {
+		ctx = upstream.WithNewConnection(ctx)
+	}
 	resp, err := p.config.Exchange.Do(ctx, e.target.address, e.task.req, e.id)
 	p.finish(e, resp, err)
-	if err == nil && p.cancelledByCheck(e) {
-		return nil, result.New(result.UpstreamNoAnswer, "%s was cancelled after it answered nothing for long", e.id)
-	}
 	if resp != nil {
 		resp.Upstream = e.target.id
 	}
 	return resp, err
 }
 
-// cancelledByCheck tells whether the answer to e is that of an execution that
-// was cancelled by a check for silence. It waits for the check to end.
-func (p *pool) cancelledByCheck(e *execution) bool {
-	p.mu.Lock()
-	inquiry := e.inquiry
-	p.mu.Unlock()
-	if inquiry == nil {
-		return false
-	}
-	<-inquiry
-	return e.cancelled
-}
-
 // finish records the outcome of the exchange of e and frees its slot when the
 // outcome shows that nothing runs any more.
 func (p *pool) finish(e *execution, resp *request.Response, err error) {
@@ -104,11 +91,14 @@
 	if hasField(resp, request.HeaderLeaving) {
 		p.markLeaving(u)
 	}
+	if e.rescue {
+		p.observeRescue(e)
+	}
 	if e.abandoned {
 		return
 	}
 	latency := now.Sub(e.started)
-	if !u.health.suspect(now, u.overdue(now)) {
+	if !p.suspect(u, now) {
 		p.routes.add(e.task.route, latency)
 	}
 	p.observeLatency(e, now)
@@ -166,13 +156,12 @@
 
 // mayRetry decides whether t gets another attempt after err.
 func (p *pool) mayRetry(ctx context.Context, t *task, err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if ctx.Err() != nil || t.attempts >= maxAttempts {
 		return false
 	}
-	code := result.CodeOf(err)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch code {
+	switch result.CodeOf(err) {
 	case result.UpstreamRefused, result.UpstreamConnect:
 		return p.take(&p.repeats, &p.counts.Retries)
 	case result.UpstreamNoAnswer, result.UpstreamTruncated:
--- a/pkg/admission/health.go
+++ b/pkg/admission/health.go
@@ -84,13 +84,49 @@
 	return slow, total
 }
 
-// suspect tells whether most of what was observed lately was slow.
-func (h *health) suspect(now time.Time, overdue int) bool {
-	slow, total := h.slow(now, overdue)
-	return slow >= minSlow/2 && 2*slow >= total
+// latestCount is the number of executions that decide whether an upstream is
+// suspect; few, so that an upstream is used again soon after it recovers.
+const latestCount = 4
+
+// latestRatios returns the latency ratios of the latest executions.
+func (h *health) latestRatios(now time.Time) []float64 {
+	var ratios []float64
+	for i := 1; i <= latestCount; i++ {
+		o := h.recent[(h.next+ratioMemory-i)%ratioMemory]
+		if !o.at.IsZero() && now.Sub(o.at) <= ratioLifetime {
+			ratios = append(ratios, o.ratio)
+		}
+	}
+	return ratios
 }
 
-// median returns the median latency ratio of the last executions, or 1.
+// suspect tells whether the upstream seems to be slow now: most of its latest
+// executions were slow, or all in flight are overdue. A single overdue execution
+// is more likely a long request.
+func (h *health) suspect(now time.Time, overdue, inFlight int) bool {
+	if overdue >= 2 && overdue == inFlight {
+		return true
+	}
+	slow := 0
+	for i := 1; i <= latestCount; i++ {
+		o := &h.recent[(h.next+ratioMemory-i)%ratioMemory]
+		if o.ratio > slowRatio && now.Sub(o.at) <= ratioLifetime {
+			slow++
+		}
+	}
+	return 2*slow > latestCount
+}
+
+// lastFast tells whether the latest execution was not slow.
+func (h *health) lastFast() bool {
+	o := h.recent[(h.next+ratioMemory-1)%ratioMemory]
+	return !o.at.IsZero() && o.ratio <= slowRatio
+}
+
+// latest returns the median latency ratio of the latest executions, or 1.
+func (h *health) latest(now time.Time) float64 { return medianOf(h.latestRatios(now)) }
+
+// median returns the median latency ratio of the remembered executions, or 1.
 func (h *health) median(now time.Time) float64 {
 	var ratios []float64
 	for _, o := range h.recent {
@@ -98,22 +134,32 @@
 			ratios = append(ratios, o.ratio)
 		}
 	}
+	return medianOf(ratios)
+}
+
+func medianOf(ratios []float64) float64 {
 	if len(ratios) == 0 {
 		return 1
 	}
 	sort.Float64s(ratios)
-	return ratios[len(ratios)/2]
+	return ratios[(len(ratios)-1)/2]
 }
 
+// Reasons of an ejection.
+const (
+	errorReason = "errors"
+	slowReason  = "latency"
+)
+
 // verdict returns why the upstream should be ejected, or "". poolRatio is the
 // median latency ratio over the pool.
 func (h *health) verdict(now time.Time, overdue int, poolRatio float64) string {
 	if h.errors >= maxErrors {
-		return "errors"
+		return errorReason
 	}
 	slow, total := h.slow(now, overdue)
 	if slow >= minSlow && 2*slow >= total && h.median(now) > slowRatio*poolRatio/2 {
-		return "latency"
+		return slowReason
 	}
 	return ""
 }
--- a/pkg/admission/hedge.go
+++ b/pkg/admission/hedge.go
@@ -6,7 +6,6 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/request"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
-	"github.com/sequoiacove/sequoiacove/pkg/upstream"
 )
 
 // Figures for hedging.
@@ -99,7 +98,7 @@
 		return max(delay/hedgeRetryPart, time.Millisecond)
 	}
 	h.hedges++
-	h.start(upstream.WithNewConnection(ctx), hedge)
+	h.start(ctx, hedge)
 	return delay
 }
 
@@ -156,6 +155,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.config.Clock.Now()
+	if e := p.rescueHedge(t, primary, now); e != nil {
+		return e
+	}
 	if p.closed || p.queued() > 0 || p.limit > 0 && p.inUse >= p.limit {
 		return nil
 	}
@@ -173,7 +175,3 @@
 	defer p.mu.Unlock()
 	return p.suspect(u, p.config.Clock.Now())
 }
-
-func (p *pool) suspect(u *target, now time.Time) bool {
-	return u.health.suspect(now, u.overdue(now))
-}
--- a/pkg/admission/poll.go
+++ b/pkg/admission/poll.go
@@ -10,15 +10,12 @@
 
 // Figures for the checks that run besides requests.
 const (
-	// checkInterval is the time between two looks for silent executions.
+	// checkInterval is the time between two checks.
 	checkInterval = 200 * time.Millisecond
 	// checksPerPoll makes a status poll follow every fifth check.
 	checksPerPoll = 5
 	// pollLimit bounds a status call.
 	pollLimit = 800 * time.Millisecond
-	// minSilence is the shortest time without any answer after which the
-	// connections to an upstream are checked.
-	minSilence = 300 * time.Millisecond
 )
 
 // poll checks the upstreams until ctx ends.
@@ -41,57 +38,13 @@
 	}
 }
 
-// check returns ejected upstreams to use, starts what can start and looks for
-// silent connections.
+// check returns ejected upstreams to use and starts what can start.
 func (p *pool) check() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.config.Clock.Now()
 	p.readmit(now)
 	p.dispatch(now)
-	silent := p.silent(now)
-	p.mu.Unlock()
-	for _, e := range silent {
-		go p.checkSilence(e)
-	}
-}
-
-// silent returns, for each upstream that has answered nothing for a while, its
-// oldest idempotent execution, if all its executions are overdue. An inquiry
-// about that execution needs no slot, so it also helps when silent connections
-// hold all slots.
-func (p *pool) silent(now time.Time) []*execution {
-	var found []*execution
-	for _, u := range p.targets {
-		if u.inUse() == 0 || u.overdue(now) < u.inUse() || now.Sub(u.lastAnswer) < minSilence {
-			continue
-		}
-		if e := u.oldest(); e != nil && e.inquiry == nil && now.Sub(e.started) > minSilence {
-			e.inquiry = make(chan struct{})
-			found = append(found, e)
-		}
-	}
-	return found
-}
-
-// checkSilence inquires about e, whose answer is still wanted.
-func (p *pool) checkSilence(e *execution) {
-	defer close(e.inquiry)
-	e.cancelled = p.inquire(e) == upstream.StateCancelled
-}
-
-// oldest returns the execution that has waited longest for its answer among
-// those that may be cancelled and run again.
-func (u *target) oldest() *execution {
-	var found *execution
-	for e := range u.executions {
-		if e.ended || e.abandoned || !e.task.req.Idempotent {
-			continue
-		}
-		if found == nil || e.started.Before(found.started) {
-			found = e
-		}
-	}
-	return found
 }
 
 func (p *pool) pollStatus(ctx context.Context) {
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -31,10 +31,9 @@
 	// retries of requests that did not run.
 	extra     budget
 	repeats   budget
+	work      work
 	inUse     int
 	longInUse int
-	// ramping counts the upstreams in slow start.
-	ramping int
 	// ratio is the pool's median latency ratio as of ratioAt.
 	ratio   float64
 	ratioAt time.Time
@@ -146,6 +145,8 @@
 }
 
 func (p *pool) complete(resp *request.Response, t *task) *request.Response {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	resp.Domain = p.config.Domain
 	resp.Attempts = t.started
 	return resp
@@ -188,6 +189,7 @@
 func (p *pool) bind(u *target, t *task, now time.Time, hedge bool) *execution {
 	e := &execution{id: t.executionID(), task: t, target: u, started: now, expected: t.expected, hedge: hedge, done: make(chan struct{})}
 	u.executions[e] = true
+	u.probedAt = now
 	p.inUse++
 	if e.expected.long {
 		p.longInUse++
@@ -235,7 +237,7 @@
 	now := p.config.Clock.Now()
 	total := 0
 	for _, u := range p.targets {
-		total += p.limitOf(u, now)
+		total += u.limit(now)
 	}
 	if p.limit > 0 {
 		total = min(total, p.limit)
--- a/pkg/admission/route.go
+++ b/pkg/admission/route.go
@@ -22,8 +22,11 @@
 	long   bool
 	median time.Duration
 	mean   time.Duration
-	high   time.Duration
-	hedge  time.Duration
+	// high is what nearly all executions stay below; overdue ones exceed it.
+	high time.Duration
+	// full is what an execution needs to have time for in a saturated pool.
+	full  time.Duration
+	hedge time.Duration
 }
 
 // route is what a pool learned about one route.
@@ -69,7 +72,7 @@
 func (r *routes) addTo(route *route, d time.Duration) {
 	route.costs.add(d)
 	route.pending++
-	if route.pending < refreshEvery && route.figures.known {
+	if route.pending < refreshEvery && route.costs.total > enoughSamples {
 		return
 	}
 	route.pending = 0
@@ -78,15 +81,20 @@
 		known:  c.known(),
 		median: c.quantile(0.5),
 		mean:   c.mean(),
-		high:   c.quantile(highQuantile),
-		hedge:  c.quantile(r.hedgeQuantile),
+		high:   c.high(highQuantile),
+		full:   c.high(fullQuantile),
+		hedge:  c.high(r.hedgeQuantile),
 	}
 	route.figures.long = route != &r.all && float64(route.figures.median) > longFactor*float64(r.all.figures.median)
 }
 
-// highQuantile is the cost that a request must have time for when the pool is
-// saturated; a lower one wastes slots on answers that come too late.
-const highQuantile = 0.95
+// Quantiles of the figures of a route.
+const (
+	highQuantile = 0.95
+	// fullQuantile is high because executions that miss their deadline are the
+	// longest ones: at 0.95 they took 13% of the capacity of an overloaded pool.
+	fullQuantile = 0.999
+)
 
 // estimate returns the figures of a route, or the pool's when the route has too
 // few samples.
--- a/pkg/admission/settle.go
+++ b/pkg/admission/settle.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/upstream"
 )
 
@@ -15,6 +14,9 @@
 	// silenceLimit is how long the answer to a finished execution may take
 	// before its connection counts as silent.
 	silenceLimit = 100 * time.Millisecond
+	// openLimit is how long after its start an execution may have opened the
+	// connection that it uses.
+	openLimit = 50 * time.Millisecond
 )
 
 // settle frees the slot of e once the upstream confirms that e no longer runs,
@@ -85,7 +87,8 @@
 // inquire cancels e over a new connection while its exchange is still open and
 // returns the state of e at the upstream. When the upstream has finished e or
 // never saw it and yet the exchange stays without an answer, the connection is
-// silent, and all connections to the upstream that are as old are retired.
+// silent, and all connections to the upstream that are as old are retired. An
+// exchange on one of them then fails as unknown.
 func (p *pool) inquire(e *execution) string {
 	ctx, cancel := context.WithDeadline(context.Background(), e.task.deadline)
 	defer cancel()
@@ -106,14 +109,7 @@
 	select {
 	case <-e.done:
 	case <-elapsed:
-		p.retire(e)
+		p.retire(e.target, e.started.Add(openLimit))
 	}
 	return state
 }
-
-func (p *pool) retire(e *execution) {
-	closed := p.config.Exchange.Retire(e.target.address, e.started)
-	if closed > 0 {
-		event.Log(p.config.Logger, event.ConnectionsRetired, "service", p.service, "upstream", e.target.id, "connections", closed)
-	}
-}
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -26,6 +26,10 @@
 	leavingAt  time.Time
 	// warmed means that the current cold start was already seen.
 	warmed bool
+	// probedAt is the start of the last execution, for the pause of probes.
+	probedAt time.Time
+	// rescuedAt is the time of the last rescue.
+	rescuedAt time.Time
 }
 
 // execution is one attempt to run a task on an upstream. It occupies a slot
@@ -37,6 +41,8 @@
 	started  time.Time
 	expected estimate
 	hedge    bool
+	// rescue means that the execution was started beyond the slots.
+	rescue bool
 	// ended means that the exchange is over, although the slot may still be
 	// occupied.
 	ended bool
@@ -44,11 +50,6 @@
 	abandoned bool
 	// released means that the slot is free.
 	released bool
-	// inquiry is closed when a check for silence has cancelled the execution or
-	// found that it ended; nil means that there was no check.
-	inquiry chan struct{}
-	// cancelled is the result of the check.
-	cancelled bool
 	// done is closed when the exchange is over.
 	done chan struct{}
 }
@@ -67,12 +68,13 @@
 
 func (u *target) leaving() bool { return u.listLeaving || u.seenLeaving || u.gone }
 
-// limit returns how many slots of the upstream may be occupied now.
+// limit returns how many slots of the upstream may be occupied now. Slow start
+// does not lower it; it only makes the upstream a reserve.
 func (u *target) limit(now time.Time) int {
 	if u.leaving() || u.health.ejected(now) || now.Before(u.health.shedUntil) {
 		return 0
 	}
-	return u.ramp.limit(u.slots)
+	return u.slots
 }
 
 // overdueFactor is how many times its expected high cost an execution must have
@@ -94,7 +96,7 @@
 	return e.expected.known && now.Sub(e.started) > time.Duration(overdueFactor*float64(e.expected.high))
 }
 
-// ramp limits the slots of an upstream that is new, returned or cold until it
+// ramp limits the preferred slots of an upstream that is new, returned or cold until it
 // has answered some requests (slow start).
 type ramp struct {
 	active bool
--- a/pkg/admission/task.go
+++ b/pkg/admission/task.go
@@ -13,6 +13,7 @@
 type task struct {
 	req      *request.Request
 	route    string
+	arrived  time.Time
 	deadline time.Time
 	expected estimate
 	// index is the position in the queue, or -1.
@@ -37,7 +38,7 @@
 	if deadline.IsZero() {
 		deadline = now.Add(request.DefaultDeadline)
 	}
-	return &task{req: req, route: req.Route(), deadline: deadline, index: -1, granted: make(chan grant, 1)}
+	return &task{req: req, route: req.Route(), arrived: now, deadline: deadline, index: -1, granted: make(chan grant, 1)}
 }
 
 func (t *task) executionID() string {
