Keep pools until other instances know the next owner

Cause: an instance that leaves, is drained or loses its agent gave its pools up at once, while the others still took it for the owner; their requests were refused as not_owner (1204) until the change had spread. Before: TestPoolsAreHandedOverWithoutGap fails with 1204.

--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -198,6 +198,7 @@
 		}
 	}
 	w.entries[owner].Leave()
+	w.advance(spreadTime)
 	for range 8 {
 		_, err := w.do("a1", post)
 		require.NoError(t, err)
@@ -240,6 +241,7 @@
 	require.True(t, w.adm[owner].owned["calls"])
 	w.advance(detachAfter + tickInterval)
 	require.True(t, w.entries[owner].gate.detached.Load())
+	w.advance(spreadTime)
 	require.False(t, w.adm[owner].owned["calls"], "a detached entry gives up its pools")
 	require.True(t, w.adm["a1"].owned["calls"], "a detached entry that is alone keeps its pools")
 	w.push()
@@ -405,7 +407,13 @@
 	w := newWorld(t, twoRegions)
 	owner, other := w.ownerOf("a1", "south-a")
 	w.setVersion(2, fmt.Sprintf(`%s, "drained_instances": [%q]}`, testDescription[:len(testDescription)-1], owner))
+	w.pushTo(owner, w.members())
+	for range 8 {
+		_, err := w.do("a1", post)
+		require.NoError(t, err, "before others know the version")
+	}
 	w.push()
+	w.advance(spreadTime)
 	require.False(t, w.adm[owner].owned["calls"])
 	require.True(t, w.adm[other].owned["calls"])
 	_, err := w.entries[owner].issue("calls", "1")
@@ -440,3 +448,45 @@
 		t.Fatal("not drained")
 	}
 }
+
+// Guards against a pool without an owner between the moment at which an
+// instance leaves, or loses its agent, and the one at which others know it.
+func TestPoolsAreHandedOverWithoutGap(t *testing.T) {
+	for _, how := range []string{"leaving", "detached"} {
+		w := newWorld(t, twoRegions)
+		owner, other := w.ownerOf("a1", "south-a")
+		all := func(when string) {
+			for range 8 {
+				_, err := w.do("a1", post)
+				require.NoError(t, err, "%s %s", how, when)
+			}
+		}
+		silent := w.members()
+		if how == "leaving" {
+			w.entries[owner].Leave()
+		} else {
+			for range 31 {
+				w.advance(tickInterval)
+				for id := range w.entries {
+					if id != owner {
+						w.pushTo(id, silent)
+					}
+				}
+			}
+			require.True(t, w.entries[owner].gate.detached.Load())
+		}
+		all("before others know")
+		for i := range silent {
+			if silent[i].ID == owner {
+				silent[i].State = cluster.Leaving
+			}
+		}
+		w.pushTo(other, silent)
+		w.pushTo("a1", silent)
+		require.True(t, w.adm[other].owned["calls"])
+		all("when others know")
+		w.advance(spreadTime + tickInterval)
+		require.False(t, w.adm[owner].owned["calls"], how)
+		all("at the end")
+	}
+}
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -33,6 +33,9 @@
 	staleFor atomic.Int32
 	// pausedAt is the last tick before the pause.
 	pausedAt atomic.Int64
+	// yieldAt is when the pools are given up after the instance has lost its
+	// agent or started to leave; 0 means that it keeps them.
+	yieldAt  atomic.Int64
 	detached atomic.Bool
 	leaving  atomic.Bool
 	stopped  atomic.Bool
@@ -80,6 +83,9 @@
 	if e.avoid.expire(now) {
 		e.refreshView()
 	}
+	if e.gate.yielded(now) {
+		e.refreshView()
+	}
 	silent := e.gate.since(now)-e.gate.lastSnapshot.Load() > int64(detachAfter)
 	if silent == e.gate.detached.Load() || e.view.Load() == nil {
 		return
@@ -100,12 +106,35 @@
 	event.Log(e.opt.Logger, event.EntryResumed, "paused_ms", paused.Milliseconds())
 }
 
+// yield lets the pools go after spreadTime. Until then other instances may not
+// know that they own them; two owners at a time do no harm.
+func (g *gate) yield(now time.Time) {
+	g.yieldAt.CompareAndSwap(0, g.since(now)+int64(spreadTime))
+}
+
+// yields tells whether the pools are kept for the time being.
+func (g *gate) yields(now time.Time) bool { return g.yieldAt.Load() > g.since(now) }
+
+// yielded tells once that the time to keep the pools is over.
+func (g *gate) yielded(now time.Time) bool {
+	at := g.yieldAt.Load()
+	return at > 0 && at <= g.since(now) && g.yieldAt.CompareAndSwap(at, -1)
+}
+
+// keepPools ends the yield unless the instance leaves for good.
+func (g *gate) keepPools() {
+	if !g.leaving.Load() {
+		g.yieldAt.Store(0)
+	}
+}
+
 // setDetached changes the detached state and re-ranks the owners of the pools.
 func (e *Entry) setDetached(detached bool) {
 	e.gate.detached.Store(detached)
 	id := event.EntryAttached
 	if detached {
 		id = event.EntryDetached
+		e.gate.yield(e.opt.Now())
 	}
 	event.Log(e.opt.Logger, id)
 	e.refreshView()
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -100,6 +100,11 @@
 	}
 	e.version, e.description = version, d
 	e.blocks = newBlockTable(d.Lookup.Blocks)
+	if d.InstanceDrained(e.opt.Instance) {
+		e.gate.yield(e.opt.Now())
+	} else {
+		e.gate.keepPools()
+	}
 	event.Log(e.opt.Logger, event.VersionInForce, "version", version.Number, "hash", version.Hash)
 	return nil
 }
@@ -112,6 +117,7 @@
 		return
 	}
 	if e.gate.detached.CompareAndSwap(true, false) {
+		e.gate.keepPools()
 		event.Log(e.opt.Logger, event.EntryAttached)
 	}
 	v := e.rebuildView()
@@ -130,6 +136,7 @@
 		members:     e.members,
 		self:        e.self(),
 		detached:    e.gate.detached.Load(),
+		yields:      e.gate.yields(e.opt.Now()),
 		silent:      e.avoid.current(),
 		last:        e.view.Load(),
 	})
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -14,12 +14,13 @@
 	drainCheck = 20 * time.Millisecond
 )
 
-// Leave marks the instance as leaving: look-ups drop it and its pools go to
-// other instances, while it keeps serving.
+// Leave marks the instance as leaving: look-ups drop it and, after spreadTime,
+// its pools go to other instances, while it keeps serving.
 func (e *Entry) Leave() {
 	if !e.gate.leaving.CompareAndSwap(false, true) {
 		return
 	}
+	e.gate.yield(e.opt.Now())
 	close(e.left)
 	event.Log(e.opt.Logger, event.ProcessStopping)
 	e.refreshView()
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -15,6 +15,7 @@
 	blocks      *blockTable
 	self        cluster.Member
 	detached    bool
+	yields      bool
 	silent      map[string]bool
 	// live holds the members whose entries answer, by failure domain.
 	live map[string][]cluster.Member
@@ -37,6 +38,9 @@
 	members     []cluster.Member
 	self        cluster.Member
 	detached    bool
+	// yields is set while this instance keeps its pools although it is
+	// detached or leaving.
+	yields bool
 	// silent holds the instances that this one could not reach lately.
 	silent map[string]bool
 	// last is the view before, whose caches are kept while nothing changed
@@ -53,6 +57,7 @@
 		blocks:      in.blocks,
 		self:        in.self,
 		detached:    in.detached,
+		yields:      in.yields,
 		silent:      in.silent,
 		live:        make(map[string][]cluster.Member),
 		byID:        make(map[string]cluster.Member, len(in.members)+1),
@@ -72,7 +77,7 @@
 
 // ranksLike tells whether owners and look-up answers are the same in two views.
 func (v *view) ranksLike(last *view) bool {
-	if last == nil || v.description != last.description || v.detached != last.detached ||
+	if last == nil || v.description != last.description || v.detached != last.detached || v.yields != last.yields ||
 		len(v.byID) != len(last.byID) || !maps.Equal(v.silent, last.silent) {
 		return false
 	}
@@ -128,6 +133,8 @@
 	var staying, others []cluster.Member
 	for _, m := range v.live[domain] {
 		switch {
+		case m.ID == v.self.ID && v.yields:
+			staying = append(staying, m)
 		case m.ID == v.self.ID && v.detached:
 		case domain == v.self.Domain && v.silent[m.ID]:
 			others = append(others, m)
