--- a/pkg/entry/path_test.go
+++ b/pkg/entry/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -123,3 +124,32 @@
 	}
 	require.Positive(t, ran())
 }
+
+// Guards against a link that carries more than the instance's part, on the way
+// there and back.
+func TestLinkBudget(t *testing.T) {
+	w := newWorld(t, map[string]string{"a1": "north-a", "b1": "north-b", "s1": "south-a"})
+	// 280 Mbit/s over two instances in 100 ms are 1.75 MB.
+	big := func(req *request.Request) { post(req); req.Body = make([]byte, 4<<20) }
+	exhausted := 0
+	for range 12 {
+		if _, err := w.do("a1", big); err != nil {
+			require.Equal(t, result.LinkBudgetExhausted, outcome(err))
+			exhausted++
+		}
+	}
+	require.Equal(t, 1, w.adm["s1"].count(), "one request puts the link into debt")
+	require.Positive(t, exhausted)
+	w.clock.Add(500 * time.Millisecond)
+	for _, e := range w.entries {
+		e.Tick(w.clock.Now())
+	}
+	w.adm["s1"].set(func(context.Context, *request.Request) (*request.Response, error) {
+		return &request.Response{Status: 200, Body: make([]byte, 16<<20), Domain: "south-a"}, nil
+	})
+	ran := w.adm["s1"].count()
+	for range 12 {
+		_, _ = w.do("a1", post)
+	}
+	require.Equal(t, 1, w.adm["s1"].count()-ran, "one answer puts the link back into debt")
+}
--- /dev/null
+++ b/pkg/routing/churn_test.go
@@ -0,0 +1,107 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a sum over all instances that breaks the cap while versions
+// arrive late and instances pause, restart and exchange traffic.
+func TestSumOverFleetHolds(t *testing.T) {
+	for seed := range uint64(6) {
+		for _, steady := range []bool{true, false} {
+			sums, spread := runChurn(seed, steady)
+			bound := tolerance
+			if !steady {
+				bound = spread
+			}
+			for _, window := range []time.Duration{time.Second, 5 * time.Second, 20 * time.Second} {
+				require.LessOrEqual(t, worstExcess(sums, window, simCap), bound, "seed %d steady %v window %v", seed, steady, window)
+			}
+			// The lead, and the way that a peer can move the other way before
+			// its shares are known.
+			require.LessOrEqual(t, spread, simCap*5.5, "seed %d steady %v", seed, steady)
+		}
+	}
+}
+
+// runChurn simulates six instances for 200 s. With a steady mix, no instance
+// pauses or restarts, because that changes the mix.
+func runChurn(seed uint64, steady bool) (sums []vector, spread float64) {
+	r := rand.New(rand.NewPCG(seed, 3))
+	f := newFleet(6, twoRegions(0.5, simCap))
+	delay := make(map[string]time.Duration)
+	f.arrival = func(n *node, v int) time.Duration {
+		key := fmt.Sprint(n.id, v)
+		if _, ok := delay[key]; !ok && v > 0 {
+			delay[key] = time.Duration(r.IntN(8000)) * time.Millisecond
+		}
+		return f.accepted[v] + delay[key]
+	}
+	for i, share := range randomShares(r, len(f.nodes)) {
+		f.nodes[i].weight = share
+	}
+	for range 2000 {
+		if r.IntN(200) == 0 {
+			f.accept(twoRegions(float64(r.IntN(11))/10, simCap))
+		}
+		if !steady {
+			f.churn(r)
+		}
+		sums = append(sums, f.tick())
+		spread = max(spread, f.spread())
+	}
+	return sums, spread
+}
+
+// churn pauses, restarts or re-weighs instances now and then.
+func (f *fleet) churn(r *rand.Rand) {
+	n := f.nodes[r.IntN(len(f.nodes))]
+	if n.served > 0 {
+		return
+	}
+	switch r.IntN(150) {
+	case 0:
+		f.pause(n, time.Duration(1+r.IntN(30))*time.Second)
+	case 1:
+		n.table, n.history, n.version = NewTable(0), nil, -1
+		f.update(n)
+	case 2:
+		for i, share := range randomShares(r, len(f.nodes)) {
+			f.nodes[i].weight = share
+		}
+	default:
+		return
+	}
+	serving := 0.0
+	for _, n := range f.nodes {
+		if f.now < n.pausedUntil {
+			n.weight = 0
+		}
+		serving += n.weight
+	}
+	for _, n := range f.nodes {
+		if serving == 0 && f.now >= n.pausedUntil {
+			n.weight, serving = 1, 1
+		}
+	}
+	for _, n := range f.nodes {
+		n.weight /= max(serving, tolerance)
+	}
+}
+
+// spread returns the largest distance between the serving instances.
+func (f *fleet) spread() float64 {
+	low, high := 1.0, 0.0
+	for _, n := range f.nodes {
+		if f.now >= n.pausedUntil && n.served == 0 {
+			x := vector(n.table.Shares()["s"]).byRegion(n.table.services["s"].in.regionOf)["x"]
+			low, high = min(low, x), max(high, x)
+		}
+	}
+	return high - low
+}
