Serve requests in their own region where the shares allow it

Cause: every instance used the same share vector, so with equal demand and shares most requests crossed a link of 55 ms for no reason.

Change: locality "nearest" gives each region a row derived from the demand that instances report; requests beyond the reported demand use plain shares.

Conclusion: kept as an option per service; "none" stays the default because it holds the caps for any change of the traffic mix.

--- a/pkg/agent/link.go
+++ b/pkg/agent/link.go
@@ -196,7 +196,7 @@
 	current := l.cfg.Versions.Current()
 	l.cfg.Members.Update(func(m *cluster.Member) {
 		m.EntryIncarnation = report.Incarnation
-		m.Shares, m.Pools = report.Shares, report.Pools
+		m.Shares, m.Pools, m.Demand = report.Shares, report.Pools, report.Demand
 		m.Version, m.Hash = current.Number, current.Hash
 	})
 	if rejoin {
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -22,6 +22,10 @@
 // shares of one service sum to 1.
 type Shares map[string]map[string]float64
 
+// Demand maps a service to the requests per second that callers send to one
+// instance.
+type Demand map[string]float64
+
 // Member is the record of one instance of the system. Only the instance itself
 // raises Sequence, and a restart raises Incarnation.
 type Member struct {
@@ -44,6 +48,7 @@
 	Hash             string       `cbor:"vh" json:"hash"`
 	Shares           Shares       `cbor:"sh,omitempty" json:"shares,omitempty"`
 	Pools            []PoolReport `cbor:"po,omitempty" json:"pools,omitempty"`
+	Demand           Demand       `cbor:"de,omitempty" json:"demand,omitempty"`
 }
 
 // PoolReport is the load of one pool as its owner sees it.
@@ -103,6 +108,7 @@
 	Version     Version      `cbor:"ver" json:"version"`
 	Shares      Shares       `cbor:"sh,omitempty" json:"shares,omitempty"`
 	Pools       []PoolReport `cbor:"po,omitempty" json:"pools,omitempty"`
+	Demand      Demand       `cbor:"de,omitempty" json:"demand,omitempty"`
 }
 
 // Owner returns the member that owns key among candidates by rendezvous
--- a/pkg/description/description.go
+++ b/pkg/description/description.go
@@ -62,11 +62,25 @@
 	Caps    Caps                 `json:"caps"`
 	// MaxRequestMS is the longest deadline of a request, in milliseconds.
 	MaxRequestMS int `json:"max_request_ms"`
+	// Locality is LocalityNone or LocalityNearest; empty means LocalityNone.
+	Locality string `json:"locality,omitempty"`
 	// IdempotentMethods are the HTTP methods that are idempotent unless a
 	// request says otherwise.
 	IdempotentMethods []string `json:"idempotent_methods,omitempty"`
 }
 
+// Ways to split a service's shares over the instances that receive its traffic.
+const (
+	// LocalityNone gives every instance the same shares. The sum holds the
+	// shares and caps for any mix of traffic between instances.
+	LocalityNone = "none"
+	// LocalityNearest serves requests in their own region as far as the shares
+	// allow. The sum holds the shares for the demand that the instances report,
+	// so a sudden drop of a region's demand shows in the shares until the
+	// reports have followed.
+	LocalityNearest = "nearest"
+)
+
 // Placement is the part of a service's traffic that a region may take.
 type Placement struct {
 	// Share is the region's part of the service's traffic, 0 to 1.
--- a/pkg/description/validate.go
+++ b/pkg/description/validate.go
@@ -147,6 +147,9 @@
 	checkCap(p, path+".caps.region_share_per_second", s.Caps.RegionSharePerSecond)
 	checkCap(p, path+".caps.domain_share_per_second", s.Caps.DomainSharePerSecond)
 	checkCap(p, path+".caps.failover_share_per_second", s.Caps.FailoverSharePerSecond)
+	if s.Locality != "" && s.Locality != LocalityNone && s.Locality != LocalityNearest {
+		p.add(path+".locality", "must be %s or %s", LocalityNone, LocalityNearest)
+	}
 	if s.MaxRequestMS <= 0 || s.MaxRequest() > request.MaxDeadline {
 		p.add(path+".max_request_ms", "must be 1 to %d", request.MaxDeadline.Milliseconds())
 	}
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -186,8 +186,12 @@
 		Reachable:        v.reachable(),
 		PeerShares:       s.PeerShares,
 		CheckpointShares: s.CheckpointShares,
+		Home:             e.opt.Region,
 	}
 	for _, m := range s.Members {
+		if m.ID == e.opt.Instance {
+			in.Own = m.Demand
+		}
 		if m.ID == e.opt.Instance || m.State == cluster.Dead || m.EntryIncarnation == 0 {
 			continue
 		}
@@ -209,6 +213,7 @@
 		Leaving:     e.gate.leaving.Load(),
 		Version:     version,
 		Pools:       e.opt.Admission.Reports(),
+		Demand:      e.routes.Demand(),
 	}
 	if e.gate.staleFor.Load() == 0 {
 		// Shares from before a pause would distort the mean that others
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -108,7 +108,7 @@
 			return false
 		}
 	}
-	if len(m.Pools) > maxPools || len(m.Shares) > maxServices {
+	if len(m.Pools) > maxPools || len(m.Shares) > maxServices || len(m.Demand) > maxServices {
 		return false
 	}
 	_, err := netip.ParseAddrPort(m.AgentAddress)
--- /dev/null
+++ b/pkg/routing/locality_test.go
@@ -0,0 +1,161 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+)
+
+// localityFleet holds four instances in each of three regions that know each
+// other's demand gossipDelay late.
+type localityFleet struct {
+	tables  []*Table
+	regions []string
+	reports [][]cluster.Demand
+	random  *rand.Rand
+	now     time.Time
+	service description.Service
+}
+
+const (
+	gossipSteps = 15 // of 100 ms, the age of gossiped records
+	perRegion   = 4
+)
+
+func newLocalityFleet(locality string) *localityFleet {
+	f := &localityFleet{random: rand.New(rand.NewPCG(3, 4)), now: time.Unix(0, 0)}
+	f.service = description.Service{Locality: locality, Caps: description.Caps{RegionSharePerSecond: 0.02}}
+	f.aim(0.5, 0.25, 0.25)
+	for _, r := range []string{"north", "south", "west"} {
+		for range perRegion {
+			f.tables = append(f.tables, NewTable())
+			f.regions = append(f.regions, r)
+		}
+	}
+	f.gossip()
+	return f
+}
+
+func (f *localityFleet) aim(north, south, west float64) {
+	f.service.Regions = map[string]description.Placement{
+		"north": {Share: north, Domains: map[string]float64{"north-a": 1}},
+		"south": {Share: south, Domains: map[string]float64{"south-a": 1}},
+		"west":  {Share: west, Domains: map[string]float64{"west-a": 1}},
+	}
+}
+
+func (f *localityFleet) gossip() {
+	d := &description.Description{
+		Regions:  map[string]description.Region{"north": {Domains: []string{"north-a"}}, "south": {Domains: []string{"south-a"}}, "west": {Domains: []string{"west-a"}}},
+		Services: map[string]description.Service{"s": f.service},
+	}
+	var known []cluster.Demand
+	if len(f.reports) > gossipSteps {
+		known = f.reports[len(f.reports)-gossipSteps]
+	}
+	for i, t := range f.tables {
+		in := Input{Description: d, Home: f.regions[i], Reachable: map[string]bool{"north-a": true, "south-a": true, "west-a": true}}
+		for j := range f.tables {
+			if known == nil {
+				break
+			}
+			if j == i {
+				in.Own = known[j]
+				continue
+			}
+			in.Peers = append(in.Peers, cluster.Member{Region: f.regions[j], Domain: f.regions[j] + "-a", Demand: known[j]})
+		}
+		t.Update(in, f.now)
+	}
+}
+
+// second runs one second with the given requests per second of each region and
+// returns the shares of the regions and the part that left its region.
+func (f *localityFleet) second(t *testing.T, rates map[string]float64) (shares vector, crossing float64) {
+	counts := make(vector)
+	var total, crossed float64
+	for range 10 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		report := make([]cluster.Demand, len(f.tables))
+		for i, table := range f.tables {
+			for range f.poisson(rates[f.regions[i]] / perRegion / 10) {
+				domain, err := table.Choose("s")
+				require.NoError(t, err)
+				region := domain[:len(domain)-2]
+				counts[region]++
+				total++
+				if region != f.regions[i] {
+					crossed++
+				}
+			}
+			table.Step(f.now)
+			report[i] = table.Demand()
+		}
+		f.reports = append(f.reports, report)
+		f.gossip()
+	}
+	for r := range counts {
+		counts[r] /= total
+	}
+	return counts, crossed / total
+}
+
+func (f *localityFleet) poisson(mean float64) int {
+	n, p, limit := 0, f.random.Float64(), math.Exp(-mean)
+	for p > limit {
+		p *= f.random.Float64()
+		n++
+	}
+	return n
+}
+
+// run returns the part of requests that left their region and the largest
+// excess of a region's share over the effective share.
+func (f *localityFleet) run(t *testing.T, seconds int, rates map[string]float64) (crossing, excess float64) {
+	for range seconds {
+		effective := vector(f.tables[0].Shares()["s"]).byRegion(regions(nil, &description.Description{Regions: map[string]description.Region{
+			"north": {Domains: []string{"north-a"}}, "south": {Domains: []string{"south-a"}}, "west": {Domains: []string{"west-a"}}}}))
+		shares, c := f.second(t, rates)
+		crossing += c / float64(seconds)
+		for r, s := range shares {
+			excess = max(excess, s-effective[r])
+		}
+	}
+	return crossing, excess
+}
+
+// Guards against requests that leave their region without need, and against
+// shares above the effective ones while the demand is steady or grows.
+func TestNearestLocalityHoldsShares(t *testing.T) {
+	steady := map[string]float64{"north": 400, "south": 200, "west": 200}
+	surge := map[string]float64{"north": 1200, "south": 200, "west": 200}
+	// One second of the cap, two requests for each instance and region, and
+	// the randomness of arrivals in one second.
+	const slack = 0.02 + 0.04
+	for _, locality := range []string{description.LocalityNone, description.LocalityNearest} {
+		f := newLocalityFleet(locality)
+		f.run(t, 15, steady)
+		crossing, excess := f.run(t, 20, steady)
+		t.Log(fmt.Sprintf("%-8s steady: %.3f leave their region, excess %.3f", locality, crossing, excess))
+		require.LessOrEqual(t, excess, slack, "steady demand")
+		if locality == description.LocalityNearest {
+			require.LessOrEqual(t, crossing, 0.1, "the shares equal the demand, so few requests need to leave")
+		}
+		f.aim(0.3, 0.35, 0.35)
+		crossing, excess = f.run(t, 20, steady)
+		t.Log(fmt.Sprintf("%-8s move:   %.3f leave their region, excess %.3f", locality, crossing, excess))
+		require.LessOrEqual(t, excess, slack, "move at the cap")
+		crossing, excess = f.run(t, 10, surge)
+		t.Log(fmt.Sprintf("%-8s surge:  %.3f leave their region, excess %.3f", locality, crossing, excess))
+		require.LessOrEqual(t, excess, slack, "demand of one region grows threefold")
+		crossing, excess = f.run(t, 10, map[string]float64{"north": 40, "south": 200, "west": 200})
+		t.Log(fmt.Sprintf("%-8s drop:   %.3f leave their region, excess %.3f", locality, crossing, excess))
+	}
+}
--- /dev/null
+++ b/pkg/routing/nearest_test.go
@@ -0,0 +1,54 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against rows that keep requests near at the cost of the shares.
+func TestNearestRowsSumToTheShares(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	names := []string{"north", "south", "west"}
+	for i := range 1000 {
+		shares, demand := make(vector), make(vector)
+		for _, n := range names {
+			shares[n], demand[n] = random.Float64(), random.Float64()
+		}
+		if i%5 == 0 {
+			shares["west"] = 0
+		}
+		if i%7 == 0 {
+			demand["south"] = 0
+		}
+		require.True(t, shares.normalize())
+		require.True(t, demand.normalize())
+		sum := make(vector)
+		var crossing float64
+		for _, home := range names {
+			row := nearestRow(home, shares, demand)
+			require.InDelta(t, 1, row.sum(), 1e-9, "case %d: row of %s", i, home)
+			for q, part := range row {
+				require.GreaterOrEqual(t, part, 0.0)
+				sum[q] += demand[home] * part
+				if q != home {
+					crossing += demand[home] * part
+				}
+			}
+		}
+		var least float64
+		for _, n := range names {
+			require.InDelta(t, shares[n], sum[n], 1e-9, "case %d: region %s", i, n)
+			least += max(0, demand[n]-shares[n])
+		}
+		require.InDelta(t, least, crossing, 1e-9, "case %d: more requests leave their region than must", i)
+	}
+}
+
+// Guards against a row that leaves the shares when the demand is not known.
+func TestNearestRowWithoutDemand(t *testing.T) {
+	shares := vector{"north": 0.7, "south": 0.3}
+	require.Equal(t, shares, nearestRow("north", shares, nil))
+	require.Equal(t, shares, nearestRow("north", shares, vector{"south": 5}))
+}
--- a/pkg/routing/service.go
+++ b/pkg/routing/service.go
@@ -19,6 +19,12 @@
 	// follow is the peers' mean while a live peer has a higher version, so
 	// that an instance that lacks the version does not lag; else nil.
 	follow vector
+	// home is the own region when requests prefer it, else empty.
+	home string
+	// demand holds the requests per second of each region, ownDemand those of
+	// this instance, both as all instances know them.
+	demand    vector
+	ownDemand float64
 }
 
 // service is the routing state of one service.
@@ -28,12 +34,20 @@
 	in      serviceInput
 	limiter limiter
 	chooser *chooser
-	plan    *plan
+	// plan holds the shares of all requests without locality. near holds those
+	// of requests that the known demand covers, or nil.
+	plan *plan
+	near *plan
+	// meter measures the own demand; known counts the requests that the known
+	// demand covers and that have not come yet.
+	meter meter
+	known float64
 }
 
 func newService(name string, start vector, in serviceInput, now time.Time) *service {
 	s := &service{name: name, chooser: newChooser()}
 	s.limiter = limiter{shares: start, last: now}
+	s.meter.last = now
 	s.set(in)
 	return s
 }
@@ -55,7 +69,18 @@
 	in.regionOf = regionOf
 	s.in = in
 	s.limiter.regionOf = regionOf
-	s.plan = newPlan(s.limiter.shares, regionOf)
+	s.replan()
+}
+
+// replan prepares the shares for choosing.
+func (s *service) replan() {
+	s.plan = newPlan(s.limiter.shares, s.in.regionOf)
+	s.near = nil
+	if s.in.home == "" || s.in.demand[s.in.home] <= 0 {
+		return
+	}
+	row := nearestRow(s.in.home, s.limiter.shares.byRegion(s.in.regionOf), s.in.demand)
+	s.near = newPlan(withinRegions(row, s.limiter.shares, s.in.regionOf), s.in.regionOf)
 }
 
 // goal returns the vector to move to; ok is false when no domain with a share
@@ -81,6 +106,7 @@
 func (s *service) step(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.known = min(s.known+s.in.ownDemand*s.meter.step(now), s.in.ownDemand*demandBurst.Seconds())
 	dt := s.limiter.elapsed(now)
 	goal, ok := s.goal()
 	if !ok {
@@ -94,7 +120,7 @@
 		peers = nil
 	}
 	s.limiter.step(goal, ratesFor(s.in.caps, failover), dt, peers)
-	s.plan = newPlan(s.limiter.shares, s.in.regionOf)
+	s.replan()
 }
 
 // rejoin moves the vector to the peers' mean by at most the caps times the time
@@ -107,13 +133,13 @@
 	}
 	s.limiter.step(mean, ratesFor(s.in.caps, false), max(now.Sub(served), 0), nil)
 	s.limiter.last = now
-	s.plan = newPlan(s.limiter.shares, s.in.regionOf)
+	s.replan()
 }
 
 func (s *service) choose() (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	domain, ok := s.chooser.choose(s.plan)
+	domain, ok := s.chooser.choose(s.nextPlan())
 	if !ok {
 		return "", result.New(result.NoDestination, "service %s has no shares", s.name)
 	}
@@ -126,6 +152,18 @@
 	return "", result.New(result.ShareExhausted, "the share of %s on %s is still moving", s.name, domain)
 }
 
+// nextPlan returns the shares for the next request. Requests beyond the known
+// demand are spread by the plain shares: a surge in one region then does not
+// change the sum over all regions before the others know of it.
+func (s *service) nextPlan() *plan {
+	s.meter.count++
+	if s.near == nil || s.known < 1 {
+		return s.plan
+	}
+	s.known--
+	return s.near
+}
+
 // transfer moves the charge of a request to the reachable domain with the
 // largest credit that is not excluded; prefer goes first if it has credit.
 func (s *service) transfer(from, prefer string, excluded map[string]bool) (string, bool) {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -24,6 +24,10 @@
 	CheckpointShares cluster.Shares
 	// Peers are the live peers; their shares limit the lead of this instance.
 	Peers []cluster.Member
+	// Home is the region of this instance.
+	Home string
+	// Own is the demand of this instance as its peers know it.
+	Own cluster.Demand
 	// Behind is set while a live peer has a higher version.
 	Behind bool
 }
@@ -88,6 +92,11 @@
 		reachable: in.Reachable,
 		peers:     &peerShares{service: name, members: in.Peers, mean: in.PeerShares, regionOf: regionOf},
 	}
+	if svc.Locality == description.LocalityNearest {
+		si.home = in.Home
+		si.ownDemand = in.Own[name]
+		si.demand = demandByRegion(in, name)
+	}
 	if in.Behind {
 		si.follow = vector(in.PeerShares[name])
 	}
