Let an agent that finds a version by polling push it to its domain

Cause: when the accepting agent dies before its first push, only polls find the version, and their interval grows with the number of agents.

--- a/pkg/configsync/store.go
+++ b/pkg/configsync/store.go
@@ -94,10 +94,13 @@
 	}
 }
 
-// Poll reads the head once and takes a higher version from the store.
+// Poll reads the head once and takes a higher version from the store. A version
+// that arrives this way was not pushed, for example because the accepting agent
+// died, so the agent pushes it to its domain.
 func (s *Syncer) Poll(ctx context.Context) {
-	if v, err := s.load(ctx); err == nil && v.Number > 0 {
-		s.Offer(v)
+	v, err := s.load(ctx)
+	if err == nil && v.Number > 0 && s.Offer(v) {
+		s.relay(v)
 	}
 }
 
--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -99,6 +99,26 @@
 	require.Equal(t, result.StoreUnavailable, result.CodeOf(err), "no connection: nothing was sent")
 }
 
+// Guards against a late answer that is taken as the answer to the next call.
+func TestLateAnswerIsDiscarded(t *testing.T) {
+	var answered atomic.Bool
+	address, _ := rawServer(t, func(c net.Conn) {
+		if !answered.Swap(true) {
+			time.Sleep(250 * time.Millisecond)
+		}
+		_, _ = c.Write([]byte("HTTP/1.1 200 X\r\nContent-Length: 24\r\n\r\n{\"key\":\"k\",\"revision\":7}"))
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = c.Write([]byte("HTTP/1.1 200 X\r\nContent-Length: 24\r\n\r\n{\"key\":\"k\",\"revision\":8}"))
+	})
+	client := testClient(address, frozen)
+	_, err := client.Get(context.Background(), "k")
+	require.Equal(t, result.StoreUnavailable, result.CodeOf(err))
+	time.Sleep(100 * time.Millisecond)
+	row, err := client.Get(context.Background(), "k")
+	require.NoError(t, err)
+	require.EqualValues(t, 7, row.Revision, "the second call is the first on a new connection")
+}
+
 // Guards against pressing a store that is down, and against staying away after it returns.
 func TestDownAndUp(t *testing.T) {
 	now := frozen()
