Keep connections with calls in flight and bound those calls

A connection was closed as unused 10 s after its last call had begun, which cut off requests that run longer. Calls in flight now keep it, and the check and the close are one step, so no call can begin in between. A call that was cancelled before its first byte is reported as not sent.

Conclusion: a call of 1.5 s on a client that closes unused connections after 0.3 s failed before and completes now.

--- a/pkg/agent/fixture_test.go
+++ b/pkg/agent/fixture_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,12 +75,22 @@
 	return f
 }
 
-// freePort returns a loopback address that was free for TCP and UDP.
+// nextPort counts through ports below the range from which the system takes
+// the ports of clients, which would collide with an address that is not open yet.
+var nextPort = func() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(uint32(os.Getpid()))
+	return &n
+}()
+
+// freePort returns a loopback address that is free for TCP and UDP.
 func (f *fleet) freePort() string {
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(f.t, err)
-		addr := l.Addr().String()
+		addr := fmt.Sprintf("127.0.0.1:%d", 20_000+nextPort.Add(1)%12_000)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
 		u, err := net.ListenPacket("udp", addr)
 		l.Close()
 		if err == nil {
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -31,6 +31,10 @@
 	// keepUnused is the time after which a connection without calls is closed
 	// instead of pinged.
 	keepUnused = 10 * time.Second
+	// streamHeadroom is the factor by which a server allows more streams than a
+	// client uses: a finished call keeps its stream for another round trip, and
+	// a ping must always get one.
+	streamHeadroom = 2
 	// maxDials is the number of connections that one call may try before
 	// anything was sent.
 	maxDials = 2
@@ -53,6 +57,9 @@
 type Client struct {
 	cfg      ClientConfig
 	counters *counters
+	// maxCalls and keepUnused are constants that tests shorten.
+	maxCalls   int64
+	keepUnused time.Duration
 
 	mu     sync.Mutex
 	conns  map[string]*connection
@@ -70,6 +77,9 @@
 		cfg:      cfg,
 		counters: newCounters(cfg.Registry, "client"),
 		conns:    make(map[string]*connection),
+
+		maxCalls:   MaxStreamsPerConn,
+		keepUnused: keepUnused,
 	}
 }
 
@@ -84,6 +94,7 @@
 		c.counters.fails.Inc(1)
 		return err
 	}
+	defer conn.end()
 	err = c.exchange(ctx, conn, stream, typ, appendFrame(byte(typ), body), reply)
 	if err != nil {
 		c.counters.fails.Inc(1)
@@ -91,8 +102,9 @@
 	return err
 }
 
-// open returns a stream on a usable connection. A connection that has ended is
-// replaced, because nothing was sent on it yet.
+// open returns a stream on a usable connection, which counts the call until
+// its end. A connection that has ended is replaced, because nothing was sent on
+// it yet.
 func (c *Client) open(ctx context.Context, addr string) (*connection, *quic.Stream, error) {
 	var last error
 	for range maxDials {
@@ -100,13 +112,12 @@
 		if err != nil {
 			return nil, nil, result.New(result.PeerUnreachable, "%s: %v", addr, err)
 		}
-		stream, err := conn.quic.OpenStreamSync(ctx)
+		stream, err := conn.openStream(ctx)
 		if err == nil {
-			conn.used()
 			return conn, stream, nil
 		}
-		if ctx.Err() != nil {
-			return nil, nil, result.New(result.PeerUnreachable, "%s: %v", addr, ctx.Err())
+		if err == errBusy || ctx.Err() != nil {
+			return nil, nil, result.New(result.PeerUnreachable, "%s: %v", addr, err)
 		}
 		c.remove(conn)
 		last = err
@@ -151,10 +162,6 @@
 		stream.CancelRead(cancelled)
 	})
 	defer stop()
-	if typ != Ping {
-		conn.inFlight.Add(1)
-		defer conn.inFlight.Add(-1)
-	}
 	count := c.counters.of(typ)
 	count.calls.Inc(1)
 	count.sent.Inc(int64(len(frame)))
--- a/pkg/peer/connection.go
+++ b/pkg/peer/connection.go
@@ -25,7 +25,6 @@
 	ready     chan struct{}
 	quic      *quic.Conn
 	dialError error
-	failedAt  time.Time
 
 	// lastUse and lastAnswer are times since start.
 	start      time.Time
@@ -46,6 +45,59 @@
 	}
 }
 
+// retired makes inFlight negative, whatever calls begin on the connection.
+const retired = -1 << 40
+
+var (
+	errBusy  = errors.New("too many calls in flight")
+	errEnded = errors.New("the connection was unused and is being closed")
+)
+
+// begin counts a call, unless the connection has as many as it may or is being
+// closed.
+func (c *connection) begin() error {
+	n := c.inFlight.Add(1)
+	if n > 0 && n <= c.client.maxCalls {
+		c.used()
+		return nil
+	}
+	c.inFlight.Add(-1)
+	if n <= 0 {
+		return errEnded
+	}
+	return errBusy
+}
+
+// retire ends an unused connection for new calls; it fails when a call has
+// begun, which must not be cut off.
+func (c *connection) retire() bool {
+	return c.sinceUse() > c.client.keepUnused && c.inFlight.CompareAndSwap(0, retired)
+}
+
+// openStream opens the stream of a call, which end must end.
+func (c *connection) openStream(ctx context.Context) (*quic.Stream, error) {
+	if err := c.begin(); err != nil {
+		return nil, err
+	}
+	stream, err := c.quic.OpenStreamSync(ctx)
+	if err == nil && ctx.Err() == nil {
+		return stream, nil
+	}
+	c.end()
+	if err == nil {
+		stream.CancelWrite(cancelled)
+		stream.CancelRead(cancelled)
+		err = ctx.Err()
+	}
+	return nil, err
+}
+
+// end ends a call that begin counted.
+func (c *connection) end() {
+	c.used()
+	c.inFlight.Add(-1)
+}
+
 func (c *connection) used()     { c.lastUse.Store(int64(time.Since(c.start))) }
 func (c *connection) answered() { c.lastAnswer.Store(int64(time.Since(c.start))) }
 
@@ -64,10 +116,7 @@
 	default:
 		return false
 	}
-	if c.dialError != nil {
-		return time.Since(c.failedAt) > redialPause
-	}
-	return c.quic.Context().Err() != nil
+	return c.dialError == nil && c.quic.Context().Err() != nil
 }
 
 // run dials and then pings until the connection ends.
@@ -81,11 +130,11 @@
 	}
 	c.dialError = err
 	cancel()
-	c.failedAt = time.Now()
 	c.used()
 	c.answered()
 	close(c.ready)
 	if c.dialError != nil {
+		time.AfterFunc(redialPause, func() { c.client.remove(c) })
 		return
 	}
 	c.client.counters.opened.Inc(1)
@@ -106,12 +155,13 @@
 			return
 		case <-ticker.C:
 		}
-		if c.sinceUse() > keepUnused {
+		if c.retire() {
 			c.client.remove(c)
 			c.close(closedNormally, "unused")
 			return
 		}
-		if c.sinceAnswer() < c.pingDue() || c.ping() {
+		// An answer to a call during the ping is as good as the ping's own.
+		if c.sinceAnswer() < c.pingDue() || c.ping() || c.sinceAnswer() < pingTimeout {
 			continue
 		}
 		c.replace()
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -126,6 +126,19 @@
 	require.Equal(t, result.PeerUnreachable, result.CodeOf(err))
 }
 
+// Guards against a call that was cancelled before it was sent being reported as
+// possibly run.
+func TestCancelledBeforeSendingIsUnreachable(t *testing.T) {
+	f := newFixture(t, echo, nil)
+	require.NoError(t, f.client.Call(within(t, 5*time.Second), f.server.Addr(), testType, "x", nil))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		err := f.client.Call(ctx, f.server.Addr(), testType, "x", nil)
+		require.Equal(t, result.PeerUnreachable, result.CodeOf(err))
+	}
+}
+
 // Guards against a call being reported as not sent although its handler ran.
 func TestLostAnswerIsNoAnswer(t *testing.T) {
 	var ran atomic.Int32
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -122,7 +122,7 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:           dialTimeout,
 		MaxIdleTimeout:                 idleTimeout,
-		MaxIncomingStreams:             MaxStreamsPerConn,
+		MaxIncomingStreams:             streamHeadroom * MaxStreamsPerConn,
 		MaxIncomingUniStreams:          -1,
 		MaxStreamReceiveWindow:         4 << 20,
 		MaxConnectionReceiveWindow:     16 << 20,
--- a/pkg/peer/silent_test.go
+++ b/pkg/peer/silent_test.go
@@ -77,6 +77,48 @@
 	require.NoError(t, f.client.Call(within(t, 10*time.Second), f.server.Addr(), testType, "x", nil))
 }
 
+// Guards against a long call being cut off because no other call uses its
+// connection, and against unused connections that stay open.
+func TestLongCallKeepsItsConnection(t *testing.T) {
+	f := newFixture(t, func(context.Context, []byte) (any, error) {
+		time.Sleep(1500 * time.Millisecond)
+		return nil, nil
+	}, nil)
+	f.client.SetLimits(10, 300*time.Millisecond)
+	require.NoError(t, f.client.Call(within(t, 10*time.Second), f.server.Addr(), testType, "x", nil))
+	opened := f.registry.Get("peer.client.connections_opened").(metrics.Counter)
+	require.EqualValues(t, 1, opened.Count())
+	time.Sleep(time.Second)
+	require.NoError(t, f.client.Call(within(t, 10*time.Second), f.server.Addr(), testType, "x", nil))
+	require.EqualValues(t, 2, opened.Count(), "the unused connection must have been closed")
+}
+
+// Guards against calls beyond the bound holding up pings and the calls in
+// flight, or waiting instead of being refused as not run.
+func TestBoundOfCallsInFlight(t *testing.T) {
+	started, release := make(chan struct{}, 20), make(chan struct{})
+	f := newFixture(t, func(context.Context, []byte) (any, error) {
+		started <- struct{}{}
+		<-release
+		return nil, nil
+	}, nil)
+	f.client.SetLimits(20, time.Minute)
+	results := make(chan error, 20)
+	for range 20 {
+		go func() { results <- f.client.Call(within(t, 20*time.Second), f.server.Addr(), testType, "x", nil) }()
+	}
+	for range 20 {
+		<-started
+	}
+	err := f.client.Call(within(t, 20*time.Second), f.server.Addr(), testType, "x", nil)
+	require.Equal(t, result.PeerUnreachable, result.CodeOf(err))
+	close(release)
+	for range 20 {
+		require.NoError(t, <-results)
+	}
+	require.NoError(t, f.client.Call(within(t, 20*time.Second), f.server.Addr(), testType, "x", nil))
+}
+
 // Guards against lost datagrams ending connections that still work.
 func TestLostDatagrams(t *testing.T) {
 	f := newFixture(t, echo, nil)
