--- a/pkg/load/shares.go
+++ b/pkg/load/shares.go
@@ -98,20 +98,26 @@
 	return highest
 }
 
+// RoundingWithTransfers is the rounding of one entry instance, in requests,
+// while it transfers requests between domains: a place's credit is at least -2
+// after a transfer and at most 1. Without transfers it is 1.
+const RoundingWithTransfers = 3
+
 // CheckCap compares every pair of windows: the share of a place may differ by
 // at most the cap times the time between the windows, and by the rounding of
-// the choosers, which is one request per entry instance in each window.
+// the choosers in each window, which is one request for each entry instance.
 func CheckCap(windows []Window, places []string, capPerSecond, windowSeconds float64, entries int) []string {
 	return check(windows, places, capPerSecond*windowSeconds, entries, math.Abs)
 }
 
 // CheckGrowth is CheckCap for rising shares alone. While a place is
 // unreachable its requests are refused, so its executed share falls at once.
+// Some of them are transferred to other places.
 func CheckGrowth(windows []Window, places []string, capPerSecond, windowSeconds float64, entries int) []string {
-	return check(windows, places, capPerSecond*windowSeconds, entries, func(moved float64) float64 { return moved })
+	return check(windows, places, capPerSecond*windowSeconds, entries*RoundingWithTransfers, func(moved float64) float64 { return moved })
 }
 
-func check(windows []Window, places []string, capPerWindow float64, entries int, size func(float64) float64) []string {
+func check(windows []Window, places []string, capPerWindow float64, requests int, size func(float64) float64) []string {
 	var broken []string
 	for i, early := range windows {
 		for j := i + 1; j < len(windows); j++ {
@@ -119,7 +125,7 @@
 			if early.Total == 0 || late.Total == 0 {
 				continue
 			}
-			rounding := float64(entries)/float64(early.Total) + float64(entries)/float64(late.Total)
+			rounding := float64(requests)/float64(early.Total) + float64(requests)/float64(late.Total)
 			allowed := capPerWindow*float64(j-i) + rounding
 			for _, place := range places {
 				if moved := size(late.Share(place) - early.Share(place)); moved > allowed {
