--- a/pkg/harness/relays.go
+++ b/pkg/harness/relays.go
@@ -151,3 +151,14 @@
 func (c *Cluster) LoseTransaction(domain string) {
 	c.relays.platform[domain].LoseAnswersTo("POST /table/transactions", 1)
 }
+
+// DisturbPeers loses and reorders the given parts of the datagrams to and from
+// all instances.
+func (c *Cluster) DisturbPeers(loss, reorder float64) {
+	for _, list := range c.relays.peers {
+		for _, relay := range list {
+			relay.SetLoss(loss)
+			relay.SetReorder(reorder)
+		}
+	}
+}
--- a/test/process/network_test.go
+++ b/test/process/network_test.go
@@ -104,3 +104,16 @@
 	require.LessOrEqual(t, highest[north], 24)
 	require.LessOrEqual(t, highest[south], 12)
 }
+
+// Guards against answers that are mixed up, cut or lost when datagrams between
+// instances are lost and overtake each other.
+func TestReorderedAndLostDatagrams(t *testing.T) {
+	c := newCluster(t, withRelays)
+	c.DisturbPeers(0.02, 0.2)
+	cfg := mixed(77, 4*time.Second)
+	cfg.BodyBytes = 40_000
+	report := c.StartLoad(cfg).Wait()
+	c.DisturbPeers(0, 0)
+	requireSound(t, c, report)
+	requireComplete(t, report, "with lost and reordered datagrams", all)
+}
