--- a/pkg/routing/locality_test.go
+++ b/pkg/routing/locality_test.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -35,7 +34,7 @@
 	f.aim(0.5, 0.25, 0.25)
 	for _, r := range []string{"north", "south", "west"} {
 		for range perRegion {
-			f.tables = append(f.tables, NewTable())
+			f.tables = append(f.tables, NewTable(uint64(len(f.tables))))
 			f.regions = append(f.regions, r)
 		}
 	}
@@ -143,19 +142,19 @@
 		f := newLocalityFleet(locality)
 		f.run(t, 15, steady)
 		crossing, excess := f.run(t, 20, steady)
-		t.Log(fmt.Sprintf("%-8s steady: %.3f leave their region, excess %.3f", locality, crossing, excess))
+		t.Logf("%-8s steady: %.3f leave their region, excess %.3f", locality, crossing, excess)
 		require.LessOrEqual(t, excess, slack, "steady demand")
 		if locality == description.LocalityNearest {
 			require.LessOrEqual(t, crossing, 0.1, "the shares equal the demand, so few requests need to leave")
 		}
 		f.aim(0.3, 0.35, 0.35)
 		crossing, excess = f.run(t, 20, steady)
-		t.Log(fmt.Sprintf("%-8s move:   %.3f leave their region, excess %.3f", locality, crossing, excess))
+		t.Logf("%-8s move:   %.3f leave their region, excess %.3f", locality, crossing, excess)
 		require.LessOrEqual(t, excess, slack, "move at the cap")
 		crossing, excess = f.run(t, 10, surge)
-		t.Log(fmt.Sprintf("%-8s surge:  %.3f leave their region, excess %.3f", locality, crossing, excess))
+		t.Logf("%-8s surge:  %.3f leave their region, excess %.3f", locality, crossing, excess)
 		require.LessOrEqual(t, excess, slack, "demand of one region grows threefold")
 		crossing, excess = f.run(t, 10, map[string]float64{"north": 40, "south": 200, "west": 200})
-		t.Log(fmt.Sprintf("%-8s drop:   %.3f leave their region, excess %.3f", locality, crossing, excess))
+		t.Logf("%-8s drop:   %.3f leave their region, excess %.3f", locality, crossing, excess)
 	}
 }
