Ignore white space when a repeated patch is compared

Cause: the digest of a patch covered its bytes, and sequoiactl's client compacts the JSON, so a repeat of a patch sent by other means was refused as PatchIDReused. TestLostStoreAnswer of pkg/agent failed once lost uploads were settled and the first submission was accepted.

Before: TestLostStoreAnswer fails after 15 s. After: passes. Conclusion: the digest covers the compacted patch.

--- a/pkg/configstore/accept.go
+++ b/pkg/configstore/accept.go
@@ -1,9 +1,11 @@
 package configstore
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"regexp"
 
@@ -34,10 +36,16 @@
 }
 
 // digest identifies what a proposal would do; the operator is not part of it.
+// White space does not count, because a client may lay out a repeat differently.
 func (p Proposal) digest() string {
+	patch := p.Patch
+	var compact bytes.Buffer
+	if json.Compact(&compact, p.Patch) == nil {
+		patch = compact.Bytes()
+	}
 	h := sha256.New()
 	fmt.Fprintf(h, "%d\n%s\n", p.BaseVersion, p.Kind)
-	h.Write(p.Patch)
+	h.Write(patch)
 	return hex.EncodeToString(h.Sum(nil))
 }
 
