Let one agent per domain contend for the checkpoint lease; report shared ids

Every agent read the lease row every 5 s, which is 660 reads a second at 3,300 instances, a third of what the platform serves. One instance per failure domain contends now, chosen by rendezvous hashing, so any domain that reaches the platform has a contender. Two live processes with one instance id raise their incarnations in turn; the third time is logged as event 306.

--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -36,7 +36,7 @@
 	tasks.Go(func() { a.members.Run(work) })
 	tasks.Go(func() { a.instances.run(work) })
 	tasks.Go(func() { a.sync.Run(work) })
-	tasks.Go(func() { a.lease.Run(work) })
+	tasks.Go(func() { runWhile(work, contendInterval, a.contends, a.lease.Run) })
 	tasks.Go(func() { a.checkpoints.runReads(work) })
 	tasks.Go(func() { a.checkpoints.runWrites(work) })
 	tasks.Go(func() {
@@ -62,6 +62,11 @@
 	return nil
 }
 
+// contends reports whether this agent contends for the lease of checkpoints.
+func (a *Agent) contends() bool {
+	return contends(checkpointLease, a.settings.ID, a.settings.Domain, a.members.Members())
+}
+
 // prepare learns the members, the version and the instance list before the
 // first snapshot: an entry that gets a snapshot without its upstreams would own
 // pools that it cannot serve. The bound is below the 3 s after which an entry
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -24,6 +24,7 @@
 	MemberLeaving ID = 303
 	EntrySilent   ID = 304
 	EntryAnswered ID = 305
+	IDConflict    ID = 306
 
 	EntryDetached     ID = 400
 	EntryAttached     ID = 401
@@ -66,6 +67,7 @@
 	{MemberLeaving, slog.LevelInfo, "member leaving", "None."},
 	{EntrySilent, slog.LevelWarn, "own entry does not answer", "Check the entry of this instance; peers send it nothing."},
 	{EntryAnswered, slog.LevelInfo, "own entry answers", "None."},
+	{IDConflict, slog.LevelWarn, "another process uses the id of this instance", "Give each instance an id of its own and restart it."},
 
 	{EntryDetached, slog.LevelWarn, "entry detached from its agent", "Restart the agent of this instance."},
 	{EntryAttached, slog.LevelInfo, "entry attached to its agent", "None."},
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/platform"
 )
 
@@ -13,6 +14,9 @@
 	maxPools     = 4096
 	maxServices  = 4096
 	maxListed    = maxMembers
+	// conflictAfter is the number of raised incarnations that only another live
+	// process with the same id explains; a clock that was set back causes one.
+	conflictAfter = 3
 	// maxOrder bounds incarnations and sequences, so that no record blocks all
 	// later ones or makes the next number overflow. Incarnations are start
 	// times in nanoseconds and stay below it for a century.
@@ -44,6 +48,10 @@
 		t.self.Incarnation = m.Incarnation + 1
 		t.self.Sequence++
 		t.notify()
+		t.raised++
+		if t.raised == conflictAfter {
+			event.Log(t.cfg.Logger, event.IDConflict, "member", t.self.ID, "other", m.AgentAddress)
+		}
 	}
 }
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -20,6 +20,8 @@
 
 	mu   sync.Mutex
 	self cluster.Member
+	// raised counts how often peers knew a higher incarnation of this instance.
+	raised int
 	// peers holds all other known members by id.
 	peers map[string]*entry
 	// listed holds the agent addresses in the platform's list, and
--- a/pkg/membership/table_test.go
+++ b/pkg/membership/table_test.go
@@ -1,13 +1,17 @@
 package membership
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
 	"github.com/sequoiacove/sequoiacove/pkg/platform"
 )
@@ -201,3 +205,14 @@
 	s.advance(2 * time.Second)
 	s.requireAll(cluster.Serving, 3, "after Rejoin")
 }
+
+// Guards against two instances with one id replacing each other unnoticed.
+func TestTwoInstancesWithOneID(t *testing.T) {
+	s := newSim(t, 4)
+	var log bytes.Buffer
+	s.order[1].table.cfg.Logger = event.NewLogger(&log, slog.LevelInfo, "agent", "i01")
+	twin := s.order[2].table
+	twin.self.ID, twin.self.Incarnation = "i01", 5
+	s.advance(5 * time.Second)
+	require.Contains(t, log.String(), fmt.Sprintf(`"event":%d`, event.IDConflict))
+}
