Use the reserve of slow and cold upstreams earlier

Cause: a request waited for a fast slot until the wait equalled the slow execution, although taking the slow slot also shortens the wait of the others.

--- a/pkg/admission/choose.go
+++ b/pkg/admission/choose.go
@@ -70,14 +70,20 @@
 	return due && u.inUse() == 0 && t.req.Idempotent && !t.hasTried(u)
 }
 
-// worthStarting tells whether starting on the reserve u ends earlier than
-// waiting for a slot of a preferred upstream.
+// reserveEagerness is how many times longer than the wait an execution on the
+// reserve may take. It is above 1 because a request that takes the reserve also
+// shortens the wait of all behind it.
+const reserveEagerness = 3
+
+// worthStarting tells whether starting on the reserve u is better than waiting
+// for a slot of a preferred upstream.
 func (p *pool) worthStarting(u *target, now time.Time, waiting int) bool {
 	fast := p.fastBusy(now)
 	if fast == 0 {
 		return true
 	}
-	return 1+float64(waiting)/float64(fast) >= u.slowness(now)
+	wait := 1 + float64(waiting)/float64(fast)
+	return waiting > 0 && reserveEagerness*wait >= u.slowness(now)
 }
 
 // fastBusy counts the occupied slots of upstreams that are not suspect; each of
--- a/pkg/bench/fleet.go
+++ b/pkg/bench/fleet.go
@@ -118,6 +118,8 @@
 
 // update gives the owners the current records.
 func (d *domain) update() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for i := range d.owners {
 		o := &d.owners[i]
 		if len(d.owners) == 1 {
@@ -136,19 +138,23 @@
 
 // do sends a request to one of the owners, weighted by their upstreams.
 func (d *domain) do(ctx context.Context, req *request.Request) (*request.Response, error) {
+	return d.pick().Do(ctx, req)
+}
+
+func (d *domain) pick() *admission.Set {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	total := 0
 	for _, o := range d.owners {
 		total += o.to - o.from
 	}
-	d.mu.Lock()
 	ticket := d.random.IntN(total)
-	d.mu.Unlock()
 	for _, o := range d.owners {
 		if ticket -= o.to - o.from; ticket < 0 {
-			return o.set.Do(ctx, req)
+			return o.set
 		}
 	}
-	return d.owners[0].set.Do(ctx, req)
+	return d.owners[0].set
 }
 
 // settle waits until no slot is occupied, so that the logs are complete.
