Close connections of removed upstreams; keep capacity during a shed pause

Connections to upstreams that left the list stayed open, and a pool whose only upstream had just shed a request counted no slots and refused waiting work. Both have tests. go test -race ./pkg/admission passes.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -33,6 +33,8 @@
 	Cancel(ctx context.Context, address, execution string) (string, error)
 	Status(ctx context.Context, address string) (upstream.Status, error)
 	Retire(address string, before time.Time) int
+	// Forget closes the idle connections of an upstream that is no longer used.
+	Forget(address string)
 }
 
 // Config holds the inputs of a Set.
--- a/pkg/admission/choose.go
+++ b/pkg/admission/choose.go
@@ -22,7 +22,7 @@
 	var best, reserve *target
 	var bestScore, reserveScore float64
 	for _, u := range p.targets {
-		if u.inUse() >= u.limit(now) {
+		if u.inUse() >= u.limit(now) || now.Before(u.health.shedUntil) {
 			continue
 		}
 		score := p.score(u, t, now)
--- a/pkg/admission/fault_test.go
+++ b/pkg/admission/fault_test.go
@@ -166,4 +166,22 @@
 	}, 3*time.Second, 50*time.Millisecond)
 }
 
+// Guards against connections to upstreams that left the list staying open.
+func TestConnectionsOfRemovedUpstreamAreClosed(t *testing.T) {
+	r := newRig(t, 2, 1, testSettings())
+	forgotten := &forgetCounter{Exchanger: r.client}
+	r.pools["shop"].config.Exchange = forgotten
+	r.records = r.records[1:]
+	r.update(0)
+	require.Equal(t, []string{r.upstreams[0].Address()}, forgotten.addresses)
+	require.Equal(t, 1, r.Reports()[0].Slots)
+}
+
+type forgetCounter struct {
+	Exchanger
+	addresses []string
+}
+
+func (f *forgetCounter) Forget(address string) { f.addresses = append(f.addresses, address) }
+
 var _ Exchanger = (*upstream.Client)(nil)
--- a/pkg/admission/policy_test.go
+++ b/pkg/admission/policy_test.go
@@ -196,6 +196,18 @@
 	require.Equal(t, 0.5, report.weight(epoch.Add(3*time.Second)))
 }
 
+// Guards against a refusal of waiting work because the only upstream shed one
+// request a moment ago.
+func TestShedPauseDoesNotCountAsLostCapacity(t *testing.T) {
+	d := newDesk(1, 4)
+	for range 4 {
+		d.submitAll(1, "/a", time.Second)
+	}
+	d.targets[0].health.shedUntil = d.clock.now.Add(shedPause)
+	_, refused := d.submitAll(10, "/a", 250*time.Millisecond)
+	require.Zero(t, refused)
+}
+
 // Guards against more extra executions than the settings allow.
 func TestBudgetHoldsFromTheStart(t *testing.T) {
 	b := budget{rate: 0.05}
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -90,8 +90,11 @@
 func (p *pool) keepDraining() {
 	var draining []*target
 	for _, u := range append(p.draining, p.targets...) {
-		if u.gone && u.inUse() > 0 {
+		switch {
+		case u.gone && u.inUse() > 0:
 			draining = append(draining, u)
+		case u.gone:
+			p.config.Exchange.Forget(u.address)
 		}
 	}
 	p.draining = draining
@@ -101,6 +104,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	for _, u := range p.targets {
+		p.config.Exchange.Forget(u.address)
+	}
 	for t := p.pop(); t != nil; t = p.pop() {
 		t.granted <- grant{err: result.New(result.NotOwner, "the pool moved to another instance")}
 	}
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -71,7 +71,7 @@
 // limit returns how many slots of the upstream may be occupied now. Slow start
 // does not lower it; it only makes the upstream a reserve.
 func (u *target) limit(now time.Time) int {
-	if u.leaving() || u.health.ejected(now) || now.Before(u.health.shedUntil) {
+	if u.leaving() || u.health.ejected(now) {
 		return 0
 	}
 	return u.slots
