--- a/pkg/admission/policy_test.go
+++ b/pkg/admission/policy_test.go
@@ -118,10 +118,10 @@
 	started, _ := d.submitAll(3, "/a", time.Second)
 	require.Equal(t, 3, started, "two warm slots and one cold slot")
 	require.Equal(t, 1, cold.inUse())
+	require.Equal(t, 2, d.targets[0].inUse(), "an idle warm slot comes before the second cold one")
 	started, _ = d.submitAll(1, "/a", time.Second)
-	require.Zero(t, started, "a warm slot is idle soon")
-	d.submitAll(3, "/a", time.Second)
-	require.Equal(t, 2, cold.inUse(), "with a queue the cold slot is used")
+	require.Equal(t, 1, started, "a cold slot comes before a wait")
+	require.Equal(t, 2, cold.inUse())
 }
 
 // Guards against executions that start in an overloaded pool and end after
@@ -196,6 +196,18 @@
 	require.Equal(t, 0.5, report.weight(epoch.Add(3*time.Second)))
 }
 
+// Guards against a refusal of waiting work because the only upstream shed one
+// request a moment ago.
+func TestShedPauseDoesNotCountAsLostCapacity(t *testing.T) {
+	d := newDesk(1, 4)
+	for range 4 {
+		d.submitAll(1, "/a", time.Second)
+	}
+	d.targets[0].health.shedUntil = d.clock.now.Add(shedPause)
+	_, refused := d.submitAll(10, "/a", 250*time.Millisecond)
+	require.Zero(t, refused)
+}
+
 // Guards against more extra executions than the settings allow.
 func TestBudgetHoldsFromTheStart(t *testing.T) {
 	b := budget{rate: 0.05}
