--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -116,6 +116,9 @@
 	if errors.As(err, &dialing) {
 		return result.New(result.PeerUnreachable, "%s: %v", addr, dialing.error)
 	}
+	if errors.Is(err, fasthttp.ErrConnectionClosed) {
+		return result.New(result.PeerNoAnswer, "%s: connection closed without an answer; check whether the agent expects HTTPS (--authority)", addr)
+	}
 	return result.New(result.PeerNoAnswer, "%s: %v", addr, err)
 }
 
