--- a/pkg/configsync/distribute.go
+++ b/pkg/configsync/distribute.go
@@ -40,7 +40,8 @@
 }
 
 // Distribute puts v into force here and pushes it to all other agents. It
-// returns when all pushes have ended.
+// returns when all pushes have ended; ctx must outlive the operator's request,
+// because its end stops them.
 func (s *Syncer) Distribute(ctx context.Context, v cluster.Version) Reach {
 	s.Offer(v)
 	own, others := s.targets(v.Number)
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -63,6 +63,9 @@
 	server   *fasthttp.Server
 	listener net.Listener
 	done     chan struct{}
+
+	connecting  sync.Mutex
+	connections map[net.Conn]bool
 }
 
 // NewPlatform returns a platform with empty stores; now is the clock for the
@@ -74,6 +77,8 @@
 		table:   newPlatformTable(),
 		objects: make(map[string][]byte),
 		done:    make(chan struct{}),
+
+		connections: make(map[net.Conn]bool),
 	}
 	p.server = &fasthttp.Server{
 		Handler:               p.handle,
@@ -81,6 +86,7 @@
 		ReadTimeout:           platformIdleTimeout,
 		NoDefaultServerHeader: true,
 		Logger:                platformSilentLogger{},
+		ConnState:             p.track,
 	}
 	return p
 }
@@ -111,13 +117,29 @@
 // Address returns the address that Start listens on.
 func (p *Platform) Address() string { return p.listener.Addr().String() }
 
-// Close stops the server.
+// Close stops the server and closes all connections at once, as a crash would.
 func (p *Platform) Close() {
 	_ = p.listener.Close()
+	p.connecting.Lock()
+	for conn := range p.connections {
+		_ = conn.Close()
+	}
+	p.connecting.Unlock()
 	_ = p.server.Shutdown()
 	<-p.done
 }
 
+func (p *Platform) track(conn net.Conn, state fasthttp.ConnState) {
+	p.connecting.Lock()
+	defer p.connecting.Unlock()
+	switch state {
+	case fasthttp.StateNew:
+		p.connections[conn] = true
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(p.connections, conn)
+	}
+}
+
 // SetFaults replaces the faults.
 func (p *Platform) SetFaults(faults PlatformFaults) {
 	p.mu.Lock()
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -150,3 +151,23 @@
 	_, body = call("GET", "/stats", "")
 	require.JSONEq(t, `{"reads":3,"writes":2,"dropped":0}`, body)
 }
+
+// Guards against a stop that waits for clients with open connections.
+func TestPlatformCloseIsPrompt(t *testing.T) {
+	server := standin.NewPlatform(time.Now)
+	require.NoError(t, server.Start("127.0.0.1:0"))
+	conn, err := net.Dial("tcp", server.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("GET /stats HTTP/1.1\r\nHost: x\r\n\r\n"))
+	require.NoError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	require.NoError(t, err)
+	closed := make(chan struct{})
+	go func() { server.Close(); close(closed) }()
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("Close waits for an idle connection")
+	}
+}
