Use the shared relay in peer tests and log only unplanned silence

The relay of pkg/faultproxy drops established flows and loses datagrams, so the one in pkg/peer is not needed. An entry that was leaving when it fell silent has stopped as planned and is not worth a warning.

--- a/pkg/agent/link.go
+++ b/pkg/agent/link.go
@@ -159,12 +159,16 @@
 	l.mu.Lock()
 	l.reported = 0
 	silent := l.incarnation != 0 && l.cfg.Clock.Now().Sub(l.lastReport) >= entrySilence
+	// An entry that was leaving has stopped as planned.
+	planned := l.stopping || l.left == l.incarnation
 	if silent {
 		l.incarnation = 0
 	}
 	l.mu.Unlock()
-	if silent {
+	if silent && !planned {
 		event.Log(l.cfg.Logger, event.EntrySilent, "address", l.cfg.Address)
+	}
+	if silent {
 		l.cfg.Members.Update(func(m *cluster.Member) { m.EntryIncarnation = 0 })
 	}
 }
--- a/pkg/peer/silent_test.go
+++ b/pkg/peer/silent_test.go
@@ -8,10 +8,18 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/sequoiacove/sequoiacove/pkg/faultproxy"
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
+func newRelay(t *testing.T, target string) *faultproxy.UDP {
+	relay, err := faultproxy.NewUDP(target, 1)
+	require.NoError(t, err)
+	t.Cleanup(relay.Close)
+	return relay
+}
+
 // Guards against a connection that went silent holding up calls: they must fail
 // within the ping bounds, and the next call must work at once.
 func TestSilentConnectionIsReplaced(t *testing.T) {
@@ -28,17 +36,17 @@
 	}, nil)
 	defer close(hang)
 	r := newRelay(t, f.server.Addr())
-	require.NoError(t, f.client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
+	require.NoError(t, f.client.Call(within(t, 5*time.Second), r.Addr(), testType, "x", nil))
 
 	failed := make(chan error, 1)
-	go func() { failed <- f.client.Call(within(t, 30*time.Second), r.addr(), testType, "hang", nil) }()
+	go func() { failed <- f.client.Call(within(t, 30*time.Second), r.Addr(), testType, "hang", nil) }()
 	time.Sleep(50 * time.Millisecond)
-	r.silence()
+	require.Equal(t, 1, r.Silence())
 	start := time.Now()
 	err := <-failed
 	require.Equal(t, result.PeerNoAnswer, result.CodeOf(err))
 	require.Less(t, time.Since(start), 2*time.Second, "calls on a silent connection must fail within 2 s")
-	require.NoError(t, f.client.Call(within(t, time.Second), r.addr(), testType, "x", nil), "a new connection must work at once")
+	require.NoError(t, f.client.Call(within(t, time.Second), r.Addr(), testType, "x", nil), "a new connection must work at once")
 	replaced := f.registry.Get("peer.client.connections_replaced").(metrics.Counter)
 	require.EqualValues(t, 1, replaced.Count())
 }
@@ -48,13 +56,13 @@
 func TestSilenceOfAnIdleConnection(t *testing.T) {
 	f := newFixture(t, echo, nil)
 	r := newRelay(t, f.server.Addr())
-	require.NoError(t, f.client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
-	r.silence()
+	require.NoError(t, f.client.Call(within(t, 5*time.Second), r.Addr(), testType, "x", nil))
+	require.Equal(t, 1, r.Silence())
 	time.Sleep(300 * time.Millisecond)
 	start := time.Now()
-	err := f.client.Call(within(t, 30*time.Second), r.addr(), testType, "x", nil)
+	err := f.client.Call(within(t, 30*time.Second), r.Addr(), testType, "x", nil)
 	require.Equal(t, result.PeerNoAnswer, result.CodeOf(err))
-	require.NoError(t, f.client.Call(within(t, time.Second), r.addr(), testType, "x", nil))
+	require.NoError(t, f.client.Call(within(t, time.Second), r.Addr(), testType, "x", nil))
 	require.Less(t, time.Since(start), 2*time.Second)
 }
 
@@ -123,10 +131,10 @@
 func TestLostDatagrams(t *testing.T) {
 	f := newFixture(t, echo, nil)
 	r := newRelay(t, f.server.Addr())
-	require.NoError(t, f.client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
-	r.setLoss(0.05)
+	require.NoError(t, f.client.Call(within(t, 5*time.Second), r.Addr(), testType, "x", nil))
+	r.SetLoss(0.05)
 	for range 50 {
-		require.NoError(t, f.client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
+		require.NoError(t, f.client.Call(within(t, 5*time.Second), r.Addr(), testType, "x", nil))
 	}
 }
 
@@ -150,17 +158,17 @@
 	r := newRelay(t, first.Addr())
 	client := peer.NewClient(peer.ClientConfig{TLS: clientTLS})
 	defer client.Close()
-	require.NoError(t, client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil))
-	r.setLoss(1)
+	require.NoError(t, client.Call(within(t, 5*time.Second), r.Addr(), testType, "x", nil))
+	r.SetLoss(1)
 	stopFirst()
 	require.Eventually(t, func() bool { return first.Closed() }, 5*time.Second, time.Millisecond)
 	second, stopSecond := start(first.Addr())
 	defer stopSecond()
 	defer second.Close(within(t, time.Second))
-	r.setLoss(0)
+	r.SetLoss(0)
 	began := time.Now()
 	require.Eventually(t, func() bool {
-		return client.Call(within(t, 5*time.Second), r.addr(), testType, "x", nil) == nil
+		return client.Call(within(t, 5*time.Second), r.Addr(), testType, "x", nil) == nil
 	}, 5*time.Second, time.Millisecond)
 	require.Less(t, time.Since(began), time.Second)
 }
