Test lost datagrams and a one-way cut between agents; space pushes

Three agents whose relays lose 10% of the datagrams, one of them reachable only by its own calls, keep each other live and get a new version. The package comment of pkg/peer holds the frame format and the meaning of failures.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -8,7 +8,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/faultproxy"
 	"github.com/sequoiacove/sequoiacove/pkg/platform"
+	"github.com/sequoiacove/sequoiacove/pkg/settings"
 	"github.com/sequoiacove/sequoiacove/pkg/standin"
 )
 
@@ -186,3 +188,29 @@
 	require.Greater(t, count("bytes_sent")-sent, 20*int64(100))
 	require.Greater(t, count("bytes_received")-received, 20*int64(5))
 }
+
+// Guards against lost datagrams or a cut in one direction making live members
+// dead or keeping a version from them: an agent that can only be heard when it
+// calls still exchanges records and fetches versions.
+func TestLostDatagramsAndOneWayCut(t *testing.T) {
+	var relays []*faultproxy.UDP
+	f := newFleetWith(t, 3, func(s *settings.Instance) {
+		relay, err := faultproxy.NewUDP(s.Agent.PeerAddress, uint64(len(relays)))
+		require.NoError(t, err)
+		t.Cleanup(relay.Close)
+		relays = append(relays, relay)
+		s.Agent.AdvertisedAddress = relay.Addr()
+	})
+	f.settle()
+	for _, relay := range relays[:2] {
+		relay.SetLoss(0.1)
+	}
+	relays[2].Set(faultproxy.Faults{Cut: true})
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(tick) {
+		for _, nd := range f.nodes {
+			require.Zero(t, counts(nd.entry.snapshot())[cluster.Dead], "%s sees a live member dead", nd.settings.ID)
+		}
+	}
+	f.patch(0, "first", descriptionText)
+	f.inForce(1)
+}
--- a/pkg/agent/fixture_test.go
+++ b/pkg/agent/fixture_test.go
@@ -55,7 +55,10 @@
 	client   *operator.Client
 }
 
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t *testing.T, n int) *fleet { return newFleetWith(t, n, func(*settings.Instance) {}) }
+
+// newFleetWith starts n agents whose settings change may alter.
+func newFleetWith(t *testing.T, n int, change func(*settings.Instance)) *fleet {
 	authority, err := peertest.NewAuthority(time.Hour)
 	require.NoError(t, err)
 	f := &fleet{t: t, platform: standin.NewPlatform(time.Now), authority: authority, dir: t.TempDir()}
@@ -64,7 +67,8 @@
 	var seeds []string
 	for i := range n {
 		s := f.settings(i)
-		seeds = append(seeds, s.Agent.PeerAddress)
+		change(s)
+		seeds = append(seeds, s.Agent.AdvertisedAddress)
 		f.nodes = append(f.nodes, &node{settings: s})
 	}
 	for _, nd := range f.nodes {
--- a/pkg/agent/link.go
+++ b/pkg/agent/link.go
@@ -15,6 +15,8 @@
 const (
 	// pushInterval is the longest time between two snapshots.
 	pushInterval = 200 * time.Millisecond
+	// pushGap bounds the pushes during a burst of changes.
+	pushGap = 20 * time.Millisecond
 	// entrySilence is the time without a report after which the entry counts
 	// as dead; it also bounds one push.
 	entrySilence = time.Second
@@ -83,7 +85,11 @@
 		l.push(ctx)
 		select {
 		case <-ctx.Done():
-		case <-l.cfg.Clock.After(pushInterval):
+		case <-l.cfg.Clock.After(pushGap):
+		}
+		select {
+		case <-ctx.Done():
+		case <-l.cfg.Clock.After(pushInterval - pushGap):
 		case <-l.cfg.Members.Changed():
 		case <-l.poke:
 		}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -1,10 +1,21 @@
 // Package peer carries messages between the processes of the system over QUIC
 // with mutual TLS.
 //
-// Each call uses a stream of its own: a message type, a length and a CBOR body
-// in each direction. A connection whose peer answers no application ping in
+// Each call uses a stream of its own. The request is a frame of the message
+// type (one byte), the length of the body (four bytes, big-endian) and the body
+// in CBOR. The reply is a frame whose first byte is 0 for an answer or 1 for an
+// error with a result code. The sender keeps its side of the stream open until
+// it has read the reply; closing it confirms the reply, and resetting it cancels
+// the handler's context.
+//
+// Both sides present certificates of one authority with the name
+// AuthenticatedSANName. A connection whose peer answers no application ping in
 // time is replaced, because a path can stop delivering packets for one
-// connection while new connections work.
+// connection while new connections work. Every connection has a UDP socket of
+// its own for the same reason.
+//
+// A failed call tells what is known: PeerUnreachable and PeerRefused mean that
+// the receiver did nothing with the message, PeerNoAnswer that it may have.
 package peer
 
 import (
