--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -202,6 +202,8 @@
 
 func convert(message *fasthttp.Response) *request.Response {
 	resp := &request.Response{Status: message.StatusCode()}
+	// The codec would otherwise add a type that the upstream did not send.
+	message.Header.SetNoDefaultContentType(true)
 	for key, value := range message.Header.All() {
 		name := string(key)
 		if passed(name) || name == request.HeaderLeaving {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -262,3 +262,37 @@
 		require.False(t, passed(name), name)
 	}
 }
+
+// Guards against header fields or bodies that are lost, added or changed on the
+// way to and from the upstream.
+func TestHeadersAndBodyPassUnchanged(t *testing.T) {
+	seen := make(chan string, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		buffer := make([]byte, 4096)
+		n, _ := c.Read(buffer)
+		seen <- string(buffer[:n])
+		_, _ = io.WriteString(c, "HTTP/1.1 201 Made\r\nX-A: 1\r\nSet-Cookie: a=b\r\nSet-Cookie: c=d; Path=/\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")
+	}()
+	client := NewClient(Config{})
+	defer client.Close()
+	req := &request.Request{Method: "GET", Path: "//a?x=%20y", Body: []byte("body"), Deadline: time.Now().Add(time.Second),
+		Header: []request.Field{{Name: "X-B", Value: "2"}, {Name: "Cookie", Value: "k=v"}, {Name: "User-Agent", Value: "t"}}}
+	resp, err := client.Do(context.Background(), listener.Addr().String(), req, "x-1")
+	require.NoError(t, err)
+	sent := <-seen
+	require.True(t, strings.HasPrefix(sent, "GET //a?x=%20y HTTP/1.1\r\n"), sent)
+	for _, part := range []string{"\r\nX-B: 2\r\n", "\r\nCookie: k=v\r\n", "\r\nUser-Agent: t\r\n", "\r\nSequoia-Execution: x-1\r\n", "\r\nContent-Length: 4\r\n", "\r\n\r\nbody"} {
+		require.Contains(t, sent, part)
+	}
+	require.NotContains(t, sent, "Content-Type")
+	require.Equal(t, 201, resp.Status)
+	require.ElementsMatch(t, []request.Field{{Name: "X-A", Value: "1"}, {Name: "Set-Cookie", Value: "a=b"}, {Name: "Set-Cookie", Value: "c=d; Path=/"}}, resp.Header)
+}
