--- a/pkg/event/event_test.go
+++ b/pkg/event/event_test.go
@@ -5,8 +5,11 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -55,3 +58,25 @@
 	require.Equal(t, "e1", line["instance"])
 	require.EqualValues(t, 20, line["backoff_ms"])
 }
+
+// Guards against a event that is documented but that no code uses.
+func TestEveryEventIsUsed(t *testing.T) {
+	var source strings.Builder
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		source.Write(text)
+		return err
+	})
+	require.NoError(t, err)
+	constants, err := os.ReadFile("events.go")
+	require.NoError(t, err)
+	names := regexp.MustCompile(`(?m)^\s+(\w+)\s+ID = `).FindAllStringSubmatch(string(constants), -1)
+	require.NotEmpty(t, names)
+	for _, name := range names {
+		used := regexp.MustCompile(`\bevent\.` + name[1] + `\b`)
+		require.True(t, used.MatchString(source.String()), "%s is not used", name[1])
+	}
+}
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -26,7 +26,6 @@
 	NotOwner             Code = 1204
 	UpstreamRefused      Code = 1205
 	CancelledBeforeStart Code = 1206
-	RetryBudgetExhausted Code = 1207
 
 	UpstreamConnect     Code = 1300
 	UpstreamNoAnswer    Code = 1301
@@ -67,11 +66,9 @@
 	StoreProtocol    Code = 2103
 	ObjectCorrupt    Code = 2104
 	LeaseLost        Code = 2105
-	RowNotFound      Code = 2106
 	ObjectNotFound   Code = 2107
 
 	Unauthorized Code = 2200
-	Forbidden    Code = 2201
 	NotFound     Code = 2202
 	RateLimited  Code = 2203
 )
@@ -99,7 +96,6 @@
 	{NotOwner, "not_owner", NotRun, 503, "The receiving instance does not own the pool; the sender retries with the owner."},
 	{UpstreamRefused, "upstream_refused", NotRun, 503, "The upstreams shed the request without running it."},
 	{CancelledBeforeStart, "cancelled_before_start", NotRun, 499, "The caller cancelled before the request was sent to an upstream."},
-	{RetryBudgetExhausted, "retry_budget_exhausted", NotRun, 503, "The request did not run and the retry budget allows no further attempt."},
 
 	{UpstreamConnect, "upstream_connect", NotRun, 502, "No connection to the upstream could be opened; nothing was sent."},
 	{UpstreamNoAnswer, "upstream_no_answer", Unknown, 502, "The connection failed after bytes of the request may have been sent."},
@@ -139,11 +135,9 @@
 	{StoreProtocol, "store_protocol", Unknown, 502, "The platform store's answer is malformed."},
 	{ObjectCorrupt, "object_corrupt", NotRun, 502, "An object's content does not match its hash."},
 	{LeaseLost, "lease_lost", NotRun, 409, "Another holder has the lease; the fenced write was refused."},
-	{RowNotFound, "row_not_found", NotRun, 404, "The table has no row with this key."},
 	{ObjectNotFound, "object_not_found", NotRun, 404, "The object store has no object with this hash."},
 
 	{Unauthorized, "unauthorized", NotRun, 401, "The operator token is missing or unknown."},
-	{Forbidden, "forbidden", NotRun, 403, "The operator may not perform this action."},
 	{NotFound, "not_found", NotRun, 404, "No such resource."},
 	{RateLimited, "rate_limited", NotRun, 429, "Too many operator requests; try again later."},
 }
--- a/pkg/result/result_test.go
+++ b/pkg/result/result_test.go
@@ -3,7 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -64,3 +67,25 @@
 	require.Equal(t, "pool a", Detail(err))
 	require.Equal(t, Unknown, OutcomeOf(errors.New("plain")), "an uncoded error must not claim that nothing ran")
 }
+
+// Guards against a code that is documented but that no code uses.
+func TestEveryCodeIsUsed(t *testing.T) {
+	var source strings.Builder
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		source.Write(text)
+		return err
+	})
+	require.NoError(t, err)
+	constants, err := os.ReadFile("codes.go")
+	require.NoError(t, err)
+	names := regexp.MustCompile(`(?m)^\s+(\w+)\s+Code = `).FindAllStringSubmatch(string(constants), -1)
+	require.NotEmpty(t, names)
+	for _, name := range names {
+		used := regexp.MustCompile(`\bresult\.` + name[1] + `\b`)
+		require.True(t, used.MatchString(source.String()), "%s is not used", name[1])
+	}
+}
