--- a/pkg/agent/fixture_test.go
+++ b/pkg/agent/fixture_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,7 +55,10 @@
 	client   *operator.Client
 }
 
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t *testing.T, n int) *fleet { return newFleetWith(t, n, func(*settings.Instance) {}) }
+
+// newFleetWith starts n agents whose settings change may alter.
+func newFleetWith(t *testing.T, n int, change func(*settings.Instance)) *fleet {
 	authority, err := peertest.NewAuthority(time.Hour)
 	require.NoError(t, err)
 	f := &fleet{t: t, platform: standin.NewPlatform(time.Now), authority: authority, dir: t.TempDir()}
@@ -62,7 +67,8 @@
 	var seeds []string
 	for i := range n {
 		s := f.settings(i)
-		seeds = append(seeds, s.Agent.PeerAddress)
+		change(s)
+		seeds = append(seeds, s.Agent.AdvertisedAddress)
 		f.nodes = append(f.nodes, &node{settings: s})
 	}
 	for _, nd := range f.nodes {
@@ -73,12 +79,22 @@
 	return f
 }
 
-// freePort returns a loopback address that was free for TCP and UDP.
+// nextPort counts through ports below the range from which the system takes
+// the ports of clients, which would collide with an address that is not open yet.
+var nextPort = func() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(uint32(os.Getpid()))
+	return &n
+}()
+
+// freePort returns a loopback address that is free for TCP and UDP.
 func (f *fleet) freePort() string {
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(f.t, err)
-		addr := l.Addr().String()
+		addr := fmt.Sprintf("127.0.0.1:%d", 20_000+nextPort.Add(1)%12_000)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
 		u, err := net.ListenPacket("udp", addr)
 		l.Close()
 		if err == nil {
--- a/pkg/configsync/messages.go
+++ b/pkg/configsync/messages.go
@@ -13,6 +13,10 @@
 	Version cluster.Version `cbor:"v"`
 	// Relay asks the receiver to push the version to the agents of its domain.
 	Relay bool `cbor:"r"`
+	// Delta is a merge patch that makes the body out of the one with BaseHash;
+	// Version has no bodies then.
+	Delta    []byte `cbor:"d,omitempty"`
+	BaseHash string `cbor:"b,omitempty"`
 }
 
 // Ack answers a Push with the version that the receiver now holds.
@@ -22,6 +26,8 @@
 	// Missed counts the agents of the receiver's domain that a relay did not
 	// reach; heartbeats repair them.
 	Missed int `cbor:"m"`
+	// NeedBody asks for the whole version because the delta did not fit.
+	NeedBody bool `cbor:"f,omitempty"`
 }
 
 // Fetch is the body of peer.FetchVersion; the answer is a cluster.Version.
@@ -62,6 +68,9 @@
 	if push.Version.Number == 0 {
 		return push, result.New(result.PeerRefused, "version 0 is not distributed")
 	}
+	if len(push.Version.PatchID) > maxFieldBytes || len(push.Version.Operator) > maxFieldBytes {
+		return push, result.New(result.PeerRefused, "version %d: field too large", push.Version.Number)
+	}
 	return push, nil
 }
 
@@ -77,17 +86,22 @@
 }
 
 // Check tells whether a version from outside is whole and valid: its body has
-// its hash and is a valid description.
+// its hash, and both bodies are valid descriptions.
 func Check(v cluster.Version) error {
 	if v.Number == 0 {
 		return result.New(result.PeerRefused, "version 0 is not distributed")
 	}
-	if len(v.PatchID) > maxFieldBytes || len(v.Operator) > maxFieldBytes || len(v.PreviousBody) > description.MaxBytes {
+	if len(v.PatchID) > maxFieldBytes || len(v.Operator) > maxFieldBytes {
 		return result.New(result.PeerRefused, "version %d: field too large", v.Number)
 	}
 	if description.Hash(v.Body) != v.Hash {
 		return result.New(result.PeerRefused, "version %d: the body does not have the hash", v.Number)
 	}
+	if len(v.PreviousBody) > 0 {
+		if _, err := description.Parse(v.PreviousBody); err != nil {
+			return err
+		}
+	}
 	_, err := description.Parse(v.Body)
 	return err
 }
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -82,7 +82,11 @@
 	fetches  fetchSet
 	// mismatch is the last version number for which a mismatch was logged.
 	mismatch atomic.Uint64
-	meters   meters
+	// behind is the last version number for which an older store was logged.
+	behind atomic.Uint64
+	// refused is the last version number that was refused as invalid.
+	refused atomic.Uint64
+	meters  meters
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -92,8 +96,8 @@
 }
 
 type meters struct {
-	adopted, pushed, pushFailed, fetched, fetchFailed, split metrics.Counter
-	version                                                  metrics.Gauge
+	adopted, pushed, pushFailed, fetched, fetchFailed, split, deltaMissed metrics.Counter
+	version                                                               metrics.Gauge
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -103,7 +107,8 @@
 	return meters{
 		adopted: counter("adopted"), pushed: counter("pushes"), pushFailed: counter("push_failures"),
 		fetched: counter("fetches"), fetchFailed: counter("fetch_failures"), split: counter("hash_mismatches"),
-		version: metrics.GetOrRegisterGauge("configsync.version", r),
+		deltaMissed: counter("delta_misses"),
+		version:     metrics.GetOrRegisterGauge("configsync.version", r),
 	}
 }
 
@@ -142,7 +147,16 @@
 // Offer puts v into force if it is valid and its number is higher than the
 // current one, and tells whether it did.
 func (s *Syncer) Offer(v cluster.Version) bool {
-	return v.Number > s.Current().Number && Check(v) == nil && s.adopt(v)
+	return v.Number > s.Current().Number && s.check(v) == nil && s.adopt(v)
+}
+
+// check refuses an invalid version and logs it once for each number.
+func (s *Syncer) check(v cluster.Version) error {
+	err := Check(v)
+	if err != nil && s.refused.Swap(v.Number) != v.Number {
+		event.Log(s.config.Logger, event.VersionRefused, "version", v.Number, "hash", v.Hash, "error", err.Error())
+	}
+	return err
 }
 
 // adopt puts a checked version into force if its number is higher.
--- a/pkg/standin/platform_test.go
+++ b/pkg/standin/platform_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/description"
@@ -116,3 +118,56 @@
 	require.NoError(t, err)
 	require.Equal(t, []platform.Instance{instance}, list)
 }
+
+// Guards against control calls that differ from docs/protocols.md.
+func TestPlatformControlCalls(t *testing.T) {
+	server, _ := start(t, time.Now)
+	call := func(method, path, body string) (int, string) {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.Header.SetMethod(method)
+		req.SetRequestURI("http://" + server.Address() + path)
+		req.SetBodyString(body)
+		require.NoError(t, fasthttp.DoTimeout(req, resp, 2*time.Second))
+		return resp.StatusCode(), string(resp.Body())
+	}
+	status, _ := call("PUT", "/instances/u", `{"role":"upstream","service":"s","region":"r","domain":"d","address":"127.0.0.1:1","state":"serving","slots":4}`)
+	require.Equal(t, 200, status)
+	_, body := call("GET", "/instances", "")
+	require.JSONEq(t, `{"instances":[{"id":"u","role":"upstream","service":"s","region":"r","domain":"d","address":"127.0.0.1:1","state":"serving","slots":4}]}`, body)
+	status, _ = call("DELETE", "/instances/u", "")
+	require.Equal(t, 200, status)
+	_, body = call("GET", "/instances", "")
+	require.JSONEq(t, `{"instances":[]}`, body)
+	_, body = call("GET", "/table/rows?key=K", "")
+	require.JSONEq(t, `{"key":"K","value":null,"revision":0}`, body)
+	status, body = call("POST", "/table/transactions", `{"conditions":[{"key":"K","revision":3}],"writes":[{"key":"K","value":"dg=="}]}`)
+	require.Equal(t, 409, status)
+	require.JSONEq(t, `{"key":"K","revision":0}`, body)
+	status, body = call("POST", "/table/transactions", `{"writes":[{"key":"K","value":"dg=="}]}`)
+	require.Equal(t, 200, status)
+	require.JSONEq(t, `{"revision":1}`, body)
+	status, _ = call("POST", "/faults", `{"mode":"down"}`)
+	require.Equal(t, 200, status)
+	_, body = call("GET", "/stats", "")
+	require.JSONEq(t, `{"reads":3,"writes":2,"dropped":0}`, body)
+}
+
+// Guards against a stop that waits for clients with open connections.
+func TestPlatformCloseIsPrompt(t *testing.T) {
+	server := standin.NewPlatform(time.Now)
+	require.NoError(t, server.Start("127.0.0.1:0"))
+	conn, err := net.Dial("tcp", server.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("GET /stats HTTP/1.1\r\nHost: x\r\n\r\n"))
+	require.NoError(t, err)
+	_, err = conn.Read(make([]byte, 1))
+	require.NoError(t, err)
+	closed := make(chan struct{})
+	go func() { server.Close(); close(closed) }()
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("Close waits for an idle connection")
+	}
+}
