--- a/pkg/entry/bench_test.go
+++ b/pkg/entry/bench_test.go
@@ -119,7 +119,6 @@
 			s.Version.Body = nil
 			body, err := cbor.Marshal(s)
 			require.NoError(b, err)
-			b.ReportMetric(float64(len(body)), "message-bytes")
 			b.ReportAllocs()
 			for b.Loop() {
 				e.applied = order{}
@@ -127,6 +126,7 @@
 					b.Fatal(err)
 				}
 			}
+			b.ReportMetric(float64(len(body)), "message-bytes")
 		})
 	}
 }
--- a/pkg/routing/churn_test.go
+++ b/pkg/routing/churn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -14,7 +15,12 @@
 func TestSumOverFleetHolds(t *testing.T) {
 	for seed := range uint64(6) {
 		for _, steady := range []bool{true, false} {
-			sums, spread := runChurn(seed, steady)
+			sums, spread, c := runChurn(seed, steady)
+			for name := range c.due {
+				// Each chooser, also one that a restart ends, errs by 1.5.
+				limit := 1.5 * float64(c.choosers)
+				require.LessOrEqual(t, math.Abs(c.got[name]-c.due[name]), limit, "count of region %s, seed %d", name, seed)
+			}
 			bound := tolerance
 			if !steady {
 				bound = spread
@@ -31,7 +37,7 @@
 
 // runChurn simulates six instances for 200 s. With a steady mix, no instance
 // pauses or restarts, because that changes the mix.
-func runChurn(seed uint64, steady bool) (sums []vector, spread float64) {
+func runChurn(seed uint64, steady bool) (sums []vector, spread float64, c counts) {
 	r := rand.New(rand.NewPCG(seed, 3))
 	f := newFleet(6, twoRegions(0.5, simCap))
 	delay := make(map[string]time.Duration)
@@ -45,24 +51,35 @@
 	for i, share := range randomShares(r, len(f.nodes)) {
 		f.nodes[i].weight = share
 	}
+	c = counts{due: make(vector), got: make(vector), choosers: len(f.nodes)}
 	for range 2000 {
 		if r.IntN(200) == 0 {
 			f.accept(twoRegions(float64(r.IntN(11))/10, simCap))
 		}
 		if !steady {
-			f.churn(r)
+			c.choosers += f.churn(r)
 		}
 		sums = append(sums, f.tick())
 		spread = max(spread, f.spread())
+		for _, n := range f.nodes {
+			countRequests(n.table.services["s"], int(20*n.weight), c.due, c.got)
+		}
 	}
-	return sums, spread
+	return sums, spread, c
+}
+
+// counts holds the requests due and made per region over all choosers.
+type counts struct {
+	due, got vector
+	choosers int
 }
 
-// churn pauses, restarts or re-weighs instances now and then.
-func (f *fleet) churn(r *rand.Rand) {
+// churn pauses, restarts or re-weighs instances now and then and returns the
+// number of restarts.
+func (f *fleet) churn(r *rand.Rand) (restarts int) {
 	n := f.nodes[r.IntN(len(f.nodes))]
 	if n.served > 0 {
-		return
+		return 0
 	}
 	switch r.IntN(150) {
 	case 0:
@@ -70,12 +87,13 @@
 	case 1:
 		n.table, n.history, n.version = NewTable(0), nil, -1
 		f.update(n)
+		restarts = 1
 	case 2:
 		for i, share := range randomShares(r, len(f.nodes)) {
 			f.nodes[i].weight = share
 		}
 	default:
-		return
+		return 0
 	}
 	serving := 0.0
 	for _, n := range f.nodes {
@@ -92,6 +110,7 @@
 	for _, n := range f.nodes {
 		n.weight /= max(serving, tolerance)
 	}
+	return restarts
 }
 
 // spread returns the largest distance between the serving instances.
