Skip the steps of services that do not move

Each step computed goal and plan anew, ten times a second for each service. The goal now changes only with the input. BenchmarkStepAtRest with 60 domains, five runs each on a busy machine: 110 to 132 us before, 1.3 to 1.6 us after.

--- a/pkg/routing/service.go
+++ b/pkg/routing/service.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -38,6 +39,10 @@
 	// of requests that the known demand covers, or nil.
 	plan *plan
 	near *plan
+	// goal is the vector to move to; goalOK is false when no domain with a
+	// share is reachable.
+	goal   vector
+	goalOK bool
 	// meter measures the own demand; known counts the requests that the known
 	// demand covers and that have not come yet.
 	meter meter
@@ -72,6 +77,7 @@
 	in.regionOf = regionOf
 	s.in = in
 	s.limiter.regionOf = regionOf
+	s.setGoal()
 	s.replan()
 }
 
@@ -86,14 +92,12 @@
 	s.near = newPlan(withinRegions(row, s.limiter.shares, s.in.regionOf), s.in.regionOf)
 }
 
-// goal returns the vector to move to; ok is false when no domain with a share
-// is reachable.
-func (s *service) goal() (vector, bool) {
+func (s *service) setGoal() {
 	target := s.in.target
 	if len(s.in.follow) > 0 {
 		target = s.in.follow
 	}
-	return reachableTarget(target, s.in.reachable)
+	s.goal, s.goalOK = reachableTarget(target, s.in.reachable)
 }
 
 // stranded tells whether a share is on an unreachable domain.
@@ -111,8 +115,7 @@
 	defer s.mu.Unlock()
 	s.known = min(s.known+s.in.ownDemand*s.meter.step(now), s.in.ownDemand*demandBurst.Seconds())
 	dt := s.limiter.elapsed(now)
-	goal, ok := s.goal()
-	if !ok {
+	if !s.goalOK || maps.Equal(s.limiter.shares, s.goal) {
 		return
 	}
 	failover := s.stranded()
@@ -122,7 +125,7 @@
 		// would prolong the refusals.
 		peers = nil
 	}
-	s.limiter.step(goal, ratesFor(s.in.caps, failover), dt, peers)
+	s.limiter.step(s.goal, ratesFor(s.in.caps, failover), dt, peers)
 	s.replan()
 }
 
@@ -149,7 +152,7 @@
 	if s.in.reachable[domain] {
 		return domain, nil
 	}
-	if _, ok := s.goal(); !ok {
+	if !s.goalOK {
 		return "", result.New(result.NoDestination, "no domain with a share of %s is reachable", s.name)
 	}
 	return "", result.New(result.ShareExhausted, "the share of %s on %s is still moving", s.name, domain)
