--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -47,17 +47,21 @@
 
 // HandleSnapshot decodes and applies a snapshot and returns the entry's report.
 func (e *Entry) HandleSnapshot(body []byte) (*cluster.EntryReport, error) {
-	var s cluster.Snapshot
-	if err := snapshotDecoder.Unmarshal(body, &s); err != nil {
-		return nil, result.New(result.PeerProtocol, "snapshot: %v", err)
+	s, shares, err := decodeSnapshot(body)
+	if err != nil {
+		return nil, err
 	}
-	return e.Apply(&s)
+	return e.apply(s, shares)
 }
 
 // Apply replaces the view by a snapshot. A snapshot that is not newer than the
 // last one changes nothing; an older version inside a newer snapshot keeps the
 // version in force.
 func (e *Entry) Apply(s *cluster.Snapshot) (*cluster.EntryReport, error) {
+	return e.apply(s, &lateShares{decoded: make(map[string]cluster.Shares)})
+}
+
+func (e *Entry) apply(s *cluster.Snapshot, shares *lateShares) (*cluster.EntryReport, error) {
 	if len(s.Members) > maxMembers || len(s.Upstreams) > maxUpstreams {
 		return nil, result.New(result.PeerProtocol, "snapshot with %d members and %d upstreams", len(s.Members), len(s.Upstreams))
 	}
@@ -74,7 +78,7 @@
 	now := e.opt.Now()
 	e.checkPause(now)
 	resumed := e.gate.snapshot(now)
-	e.replaceView(s, now)
+	e.replaceView(s, shares, now)
 	if resumed {
 		e.routes.Rejoin(s.PeerShares, e.gate.origin.Add(time.Duration(e.gate.pausedAt.Load())), now)
 	}
@@ -111,7 +115,7 @@
 
 // replaceView builds the view of a snapshot and hands it to routing, budgets
 // and admission. Without a version there is nothing to route yet.
-func (e *Entry) replaceView(s *cluster.Snapshot, now time.Time) {
+func (e *Entry) replaceView(s *cluster.Snapshot, shares *lateShares, now time.Time) {
 	e.members, e.upstreams = s.Members, s.Upstreams
 	if e.description == nil {
 		return
@@ -122,7 +126,9 @@
 	}
 	v := e.rebuildView()
 	e.noteReachable(v)
-	e.routes.Update(e.routingInput(s, v), now)
+	in := e.routingInput(s, v)
+	in.SharesOf = shares.of
+	e.routes.Update(in, now)
 	e.budgets.Update(e.description.Links, v.instancesIn(e.opt.Region), now)
 }
 
--- a/pkg/entry/view_test.go
+++ b/pkg/entry/view_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
@@ -194,3 +196,25 @@
 		all("at the end")
 	}
 }
+
+// Guards against shares of peers that are lost between the message and the lead
+// limit.
+func TestPeersSharesAreDecodedWhenNeeded(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	members := w.members()
+	for i := range members {
+		members[i].Shares = cluster.Shares{"calls": {"north-a": 0.25, "north-b": 0.25, "south-a": 0.5}}
+	}
+	w.setVersion(2, strings.NewReplacer(
+		`"north": {"share": 0.5`, `"north": {"share": 0.9`, `"share": 0.5, "domains": {"south-a"`, `"share": 0.1, "domains": {"south-a"`,
+	).Replace(testDescription))
+	body, err := cbor.Marshal(&cluster.Snapshot{AgentIncarnation: 1, Sequence: 99, Version: w.version, Members: members})
+	require.NoError(t, err)
+	e := w.entries["a1"]
+	_, err = e.HandleSnapshot(body)
+	require.NoError(t, err)
+	require.Len(t, e.view.Load().byID, 5)
+	w.advance(9 * time.Second)
+	// The peers stand still at 0.5, so the lead of 3 s at 0.02 is reached.
+	require.InDelta(t, 0.44, e.routes.Shares()["calls"]["south-a"], 1e-9)
+}
--- a/pkg/routing/peers.go
+++ b/pkg/routing/peers.go
@@ -11,6 +11,7 @@
 type peerShares struct {
 	service  string
 	members  []cluster.Member
+	of       func(*cluster.Member) cluster.Shares
 	mean     cluster.Shares
 	regionOf map[string]string
 	cached   map[string]Range
@@ -25,7 +26,7 @@
 	count := 0
 	ranges := make(map[string]Range)
 	for i := range p.members {
-		if shares := p.members[i].Shares[p.service]; len(shares) > 0 {
+		if shares := p.sharesOf(&p.members[i])[p.service]; len(shares) > 0 {
 			p.add(ranges, shares, count)
 			count++
 		}
@@ -37,6 +38,13 @@
 	return p.cachedRanges()
 }
 
+func (p *peerShares) sharesOf(m *cluster.Member) cluster.Shares {
+	if p.of == nil {
+		return m.Shares
+	}
+	return p.of(m)
+}
+
 func (p *peerShares) cachedRanges() map[string]Range {
 	if p == nil || len(p.cached) == 0 {
 		return nil
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -25,6 +25,8 @@
 	CheckpointShares cluster.Shares
 	// Peers are the live peers; their shares limit the lead of this instance.
 	Peers []cluster.Member
+	// SharesOf returns the shares of a peer; nil means those in its record.
+	SharesOf func(*cluster.Member) cluster.Shares
 	// Home is the region of this instance.
 	Home string
 	// Own is the demand of this instance as its peers know it.
@@ -105,7 +107,7 @@
 		caps:      svc.Caps,
 		regionOf:  regionOf,
 		reachable: in.Reachable,
-		peers:     &peerShares{service: name, members: in.Peers, mean: in.PeerShares, regionOf: regionOf},
+		peers:     &peerShares{service: name, members: in.Peers, of: in.SharesOf, mean: in.PeerShares, regionOf: regionOf},
 	}
 	if svc.Locality == description.LocalityNearest {
 		si.home = in.Home
