--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxDomains bounds the domains that one request may try. One retry gives
-	// most of the gain; more of them only add load while all are full.
+	// maxDomains bounds the domains that one request may try, because each try
+	// adds load while all domains are full.
 	maxDomains = 3
 	// maxInstances bounds the instances of one domain that a request tries.
 	maxInstances = 3
