--- a/pkg/membership/failure_test.go
+++ b/pkg/membership/failure_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/peer"
 )
 
 // split cuts the instances below index k off from the rest.
@@ -131,3 +132,27 @@
 	require.Error(t, late.table.exchange(context.Background(), s.order[1].addr))
 	require.Equal(t, cluster.Suspect, late.states()["i01"])
 }
+
+// Guards against a seed that does not answer holding up the first snapshot
+// although others have answered.
+func TestResyncDoesNotWaitForASilentPeer(t *testing.T) {
+	s := newSim(t, 3)
+	n := s.start(9, 1)
+	n.table.cfg.Seeds = append(n.table.cfg.Seeds, "silent")
+	n.table.cfg.Caller = silentCaller{n}
+	start := time.Now()
+	require.NoError(t, n.table.Resync(context.Background()))
+	require.Less(t, time.Since(start), exchangeTimeout)
+	require.GreaterOrEqual(t, len(n.states()), 2)
+}
+
+// silentCaller gives no answer from the address "silent".
+type silentCaller struct{ *node }
+
+func (c silentCaller) Call(ctx context.Context, addr string, typ peer.MessageType, msg, reply any) error {
+	if addr == "silent" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return c.node.Call(ctx, addr, typ, msg, reply)
+}
--- a/pkg/membership/run.go
+++ b/pkg/membership/run.go
@@ -19,6 +19,10 @@
 	contactEvery = 2
 	// resyncFanout is the number of peers asked after a pause.
 	resyncFanout = 3
+	// resyncGrace is the further wait after the first answer, so that a peer that
+	// is gone does not hold up the first snapshot for the whole timeout; it
+	// covers three round trips of 55 ms and a handshake.
+	resyncGrace = 250 * time.Millisecond
 )
 
 // Run sends heartbeats until ctx ends.
@@ -150,12 +154,7 @@
 	for _, addr := range targets {
 		go func() { results <- t.exchangeOnce(ctx, addr) }()
 	}
-	answered := 0
-	for range targets {
-		if <-results {
-			answered++
-		}
-	}
+	answered := collect(results, len(targets))
 	t.release()
 	if answered == 0 {
 		return result.New(result.PeerUnreachable, "none of %d peers answered after a pause", len(targets))
@@ -163,6 +162,27 @@
 	return nil
 }
 
+// collect waits for n results and returns how many were good. After the first
+// good one it waits for the others for resyncGrace only.
+func collect(results <-chan bool, n int) (good int) {
+	var grace <-chan time.Time
+	for range n {
+		select {
+		case ok := <-results:
+			if !ok {
+				continue
+			}
+			good++
+			if grace == nil {
+				grace = time.After(resyncGrace)
+			}
+		case <-grace:
+			return good
+		}
+	}
+	return good
+}
+
 // release ends the time after a pause in which nobody is declared dead.
 func (t *Table) release() {
 	t.mu.Lock()
