--- a/pkg/demo/judge.go
+++ b/pkg/demo/judge.go
@@ -39,7 +39,8 @@
 	}
 	report := d.reports[bookings]
 	windows := load.Windows(report.Records, executions, d.cluster.RegionOf, time.Second.Microseconds())
-	d.say("\nshare of %s by second; a move may change it by %.0f points per second:", bookings, regionCap*100)
+	d.say("\nshare of %s by second; the cap is %.0f points per second, counted to one request per entry instance:",
+		bookings, regionCap*100)
 	if err := d.printWindows(windows); err != nil {
 		return err
 	}
@@ -56,18 +57,25 @@
 // printWindows prints the seconds of the move and counts the others.
 func (d *run) printWindows(windows []load.Window) error {
 	table := tabwriter.NewWriter(d.out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(table, "second\trequests\t%s\t%s\tchange\t\n", home, away)
+	fmt.Fprintf(table, "second\trequests\t%s\t%s\tchange\tallowed\t\n", home, away)
 	first := int(steady/time.Second) - 1
 	last := min(first+int(moveTime/time.Second), len(windows)-1)
 	for n := first; n <= last; n++ {
 		w := windows[n]
 		change := w.Share(home) - windows[n-1].Share(home)
-		fmt.Fprintf(table, "%d\t%d\t%.1f%%\t%.1f%%\t%+.1f\t\n", n, w.Total, 100*w.Share(home), 100*w.Share(away), 100*change)
+		allowed := regionCap + d.rounding(w) + d.rounding(windows[n-1])
+		fmt.Fprintf(table, "%d\t%d\t%.1f%%\t%.1f%%\t%+.1f\t%.1f\t\n",
+			n, w.Total, 100*w.Share(home), 100*w.Share(away), 100*change, 100*allowed)
 	}
-	fmt.Fprintf(table, "%d more\t\t\t\t\t\n", len(windows)-(last-first+1))
+	fmt.Fprintf(table, "%d more\t\t\t\t\t\t\n", len(windows)-(last-first+1))
 	return table.Flush()
 }
 
+// rounding is the share of one request per entry instance.
+func (d *run) rounding(w load.Window) float64 {
+	return float64(len(d.cluster.Instances)) / float64(max(w.Total, 1))
+}
+
 func (d *run) printLatency() {
 	table := tabwriter.NewWriter(d.out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "\nservice\trequests\tcount\tp50 ms\tp99 ms\tp99.9 ms\tmax ms\t")
