--- a/pkg/demo/play.go
+++ b/pkg/demo/play.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/harness"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
 )
 
 const inForce = 2 * time.Second
@@ -110,7 +111,7 @@
 		if err != nil {
 			return err
 		}
-		if state.State != "drained" || state.InFlight > 0 {
+		if state.State != operator.DrainDrained || state.InFlight > 0 {
 			return fmt.Errorf("%s reports %s with %d in flight", i.ID, state.State, state.InFlight)
 		}
 	}
--- a/pkg/harness/http.go
+++ b/pkg/harness/http.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
@@ -27,15 +28,8 @@
 // Error implements error.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %.500s", e.Status, e.Body) }
 
-// refusal is the body of a coded refusal.
-type refusal struct {
-	Code           result.Code `json:"code"`
-	Outcome        string      `json:"outcome"`
-	CurrentVersion uint64      `json:"current_version"`
-}
-
-func (e *StatusError) refusal() refusal {
-	var r refusal
+func (e *StatusError) refusal() operator.ErrorBody {
+	var r operator.ErrorBody
 	_ = json.Unmarshal(e.Body, &r)
 	return r
 }
--- a/pkg/harness/platform.go
+++ b/pkg/harness/platform.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/sequoiacove/sequoiacove/pkg/platform"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
 )
 
 // Platform is the running stand-in platform.
@@ -12,21 +13,6 @@
 	Address string
 }
 
-// PlatformFaults is the body of the stand-in's fault call.
-type PlatformFaults struct {
-	// Mode is none, down, slow or lose_answers.
-	Mode            string `json:"mode"`
-	DelayMS         int    `json:"delay_ms,omitempty"`
-	ListLagMS       int    `json:"list_lag_ms,omitempty"`
-	DropAfterWrites int    `json:"drop_after_writes,omitempty"`
-}
-
-// PlatformStats counts the calls that the table and the object store received.
-type PlatformStats struct {
-	Reads  int64 `json:"reads"`
-	Writes int64 `json:"writes"`
-}
-
 // Register puts an instance into the platform's list.
 func (p *Platform) Register(i platform.Instance) error {
 	return call(http.MethodPut, "http://"+p.Address+"/instances/"+i.ID, "", i, nil)
@@ -38,13 +24,13 @@
 }
 
 // Fault changes the platform's faults.
-func (p *Platform) Fault(f PlatformFaults) error {
+func (p *Platform) Fault(f standin.PlatformFaults) error {
 	return call(http.MethodPost, "http://"+p.Address+"/faults", "", f, nil)
 }
 
 // Stats returns the counts of calls so far.
-func (p *Platform) Stats() (PlatformStats, error) {
-	var stats PlatformStats
+func (p *Platform) Stats() (standin.PlatformStats, error) {
+	var stats standin.PlatformStats
 	err := call(http.MethodGet, "http://"+p.Address+"/stats", "", nil, &stats)
 	return stats, err
 }
--- a/pkg/harness/upstream.go
+++ b/pkg/harness/upstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/load"
 	"github.com/sequoiacove/sequoiacove/pkg/platform"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
 )
 
 // Upstream is a running stand-in upstream.
@@ -16,18 +17,6 @@
 	Address string
 }
 
-// UpstreamControl is the body of the stand-in's control call; it replaces all
-// earlier settings.
-type UpstreamControl struct {
-	Leaving            bool    `json:"leaving"`
-	StatusLeavingLagMS int     `json:"status_leaving_lag_ms,omitempty"`
-	SlowFactor         float64 `json:"slow_factor,omitempty"`
-	StatusLagMS        int     `json:"status_lag_ms,omitempty"`
-	StatusFalse        bool    `json:"status_false,omitempty"`
-	// Fail is none, close_after_read, half_answer, refuse or hang.
-	Fail string `json:"fail,omitempty"`
-}
-
 // UpstreamLog is the upstream's own log of executions.
 type UpstreamLog struct {
 	Executions  []load.Execution `json:"executions"`
@@ -36,9 +25,9 @@
 	MaxInFlight int              `json:"max_in_flight"`
 }
 
-// Control changes the behaviour of the upstream.
-func (u *Upstream) Control(c UpstreamControl) error {
-	return call(http.MethodPost, "http://"+u.Address+"/control", "", c, nil)
+// Control replaces the faults of the upstream.
+func (u *Upstream) Control(f standin.UpstreamFault) error {
+	return call(http.MethodPost, "http://"+u.Address+"/control", "", f, nil)
 }
 
 // Log returns the upstream's own log.
--- a/test/process/operators_test.go
+++ b/test/process/operators_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/harness"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
@@ -33,7 +34,7 @@
 	}
 }
 
-func race(c *harness.Cluster, base uint64) (winners []harness.Accepted, refusals []error) {
+func race(c *harness.Cluster, base uint64) (winners []operator.PatchReply, refusals []error) {
 	var mu sync.Mutex
 	var both sync.WaitGroup
 	for side, i := range []*harness.Instance{c.Instances[0], c.Instances[5]} {
--- a/test/process/pause_test.go
+++ b/test/process/pause_test.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/harness"
 	"github.com/sequoiacove/sequoiacove/pkg/load"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
 )
 
 // pause is above every timeout of the system but short for a test.
@@ -32,7 +33,7 @@
 	}
 	_, err := other.Merge(1, "during-pause", map[string]any{"lookup": map[string]any{"ttl_ms": 700}})
 	require.NoError(t, err)
-	require.NoError(t, left.Control(harness.UpstreamControl{Leaving: true}))
+	require.NoError(t, left.Control(standin.UpstreamFault{Leaving: true}))
 	gone := left.Record
 	gone.State = cluster.Leaving
 	require.NoError(t, c.Platform.Register(gone))
--- a/test/process/platform_test.go
+++ b/test/process/platform_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/harness"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
 )
 
 const (
@@ -24,13 +26,13 @@
 	c := newCluster(t, nil)
 	traffic := c.StartLoad(mixed(41, 12*time.Second))
 	time.Sleep(time.Second)
-	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "down"}))
+	require.NoError(t, c.Platform.Fault(standin.PlatformFaults{Mode: "down"}))
 	time.Sleep(5 * time.Second)
 	_, err := c.Instances[0].Merge(1, "refused", shorterTTL)
 	require.Error(t, err, "a patch without the store must not be accepted")
-	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "slow", DelayMS: 1500}))
+	require.NoError(t, c.Platform.Fault(standin.PlatformFaults{Mode: "slow", DelayMS: 1500}))
 	time.Sleep(3 * time.Second)
-	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "none"}))
+	require.NoError(t, c.Platform.Fault(standin.PlatformFaults{Mode: "none"}))
 	requireNoSurge(t, c, 3*time.Second)
 	report := traffic.Wait()
 	requireSound(t, c, report)
@@ -56,7 +58,7 @@
 func TestStoreFailsRightAfterAcceptance(t *testing.T) {
 	c := newCluster(t, nil)
 	// The body of the version and the transaction are the two writes.
-	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "none", DropAfterWrites: 2}))
+	require.NoError(t, c.Platform.Fault(standin.PlatformFaults{Mode: "none", DropAfterWrites: 2}))
 	accepted, err := c.Instances[1].Merge(1, "last-before-outage", shorterTTL)
 	require.NoError(t, err)
 	require.EqualValues(t, 2, accepted.Version)
@@ -67,7 +69,7 @@
 		_, err := c.AwaitVersion(2, 0)
 		require.NoError(t, err, "the version reverted")
 	}
-	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "none"}))
+	require.NoError(t, c.Platform.Fault(standin.PlatformFaults{Mode: "none"}))
 	again, err := acceptEventually(c.Instances[4], 1, "last-before-outage")
 	require.NoError(t, err)
 	require.EqualValues(t, 2, again.Version)
@@ -75,7 +77,7 @@
 }
 
 // acceptEventually repeats a patch with the same id until the store answers.
-func acceptEventually(i *harness.Instance, base uint64, id string) (accepted harness.Accepted, err error) {
+func acceptEventually(i *harness.Instance, base uint64, id string) (accepted operator.PatchReply, err error) {
 	_, err = harness.Await(10*time.Second, "patch "+id, func() error {
 		accepted, err = i.Merge(base, id, shorterTTL)
 		return err
@@ -103,9 +105,9 @@
 // a second version, while the store loses all answers to writes.
 func TestStoreLosesAllAnswers(t *testing.T) {
 	c := newCluster(t, nil)
-	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "lose_answers"}))
+	require.NoError(t, c.Platform.Fault(standin.PlatformFaults{Mode: "lose_answers"}))
 	_, err := c.Instances[0].Merge(1, "answer-lost", shorterTTL)
-	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "none"}))
+	require.NoError(t, c.Platform.Fault(standin.PlatformFaults{Mode: "none"}))
 	var refused *harness.StatusError
 	if errors.As(err, &refused) && refused.Outcome() != unknown {
 		time.Sleep(inForce)
@@ -141,7 +143,7 @@
 	_, err = c.AwaitVersion(2, inForce)
 	require.NoError(t, err)
 	traffic := c.StartLoad(mixed(42, 8*time.Second))
-	require.NoError(t, c.Platform.Fault(harness.PlatformFaults{Mode: "down"}))
+	require.NoError(t, c.Platform.Fault(standin.PlatformFaults{Mode: "down"}))
 	victim := owner(t, c, southBlock)
 	require.NoError(t, victim.Entry.Kill())
 	require.NoError(t, victim.Agent.Kill())
--- a/test/process/upstream_test.go
+++ b/test/process/upstream_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/harness"
 	"github.com/sequoiacove/sequoiacove/pkg/load"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
 )
 
 // Guards against answers that are cut, mixed up, duplicated or lost when
@@ -18,7 +20,7 @@
 	c := newCluster(t, nil)
 	traffic := c.StartLoad(mixed(51, 10*time.Second))
 	time.Sleep(time.Second)
-	faults := map[string]harness.UpstreamControl{
+	faults := map[string]standin.UpstreamFault{
 		service + "-north-a-1": {Fail: "close_after_read"},
 		service + "-north-b-1": {Fail: "half_answer"},
 		service + "-south-a-1": {SlowFactor: 20, StatusLagMS: 3000},
@@ -30,7 +32,7 @@
 	}
 	time.Sleep(4 * time.Second)
 	for id := range faults {
-		require.NoError(t, c.Upstream(id).Control(harness.UpstreamControl{}))
+		require.NoError(t, c.Upstream(id).Control(standin.UpstreamFault{}))
 	}
 	report := traffic.Wait()
 	requireSound(t, c, report)
@@ -57,7 +59,7 @@
 	u := c.Upstream(service + "-north-a-1")
 	traffic := c.StartLoad(mixed(53, 8*time.Second))
 	time.Sleep(time.Second)
-	require.NoError(t, u.Control(harness.UpstreamControl{Leaving: true, StatusLeavingLagMS: 20_000}))
+	require.NoError(t, u.Control(standin.UpstreamFault{Leaving: true, StatusLeavingLagMS: 20_000}))
 	left := time.Now()
 	report := traffic.Wait()
 	requireSound(t, c, report)
@@ -93,7 +95,7 @@
 			if err != nil {
 				return err
 			}
-			if state.State != "drained" || state.InFlight != 0 {
+			if state.State != operator.DrainDrained || state.InFlight != 0 {
 				return fmt.Errorf("%s: %s with %d in flight", i.ID, state.State, state.InFlight)
 			}
 		}
