--- a/test/process/pause_test.go
+++ b/test/process/pause_test.go
@@ -103,3 +103,30 @@
 	requireSound(t, c, report)
 	requireComplete(t, report, "while an agent was paused", all)
 }
+
+// Guards against an entry that was paused alone and then uses an upstream that
+// was drained meanwhile, an old version, or a pool that moved.
+func TestEntryPausedAndResumed(t *testing.T) {
+	c := newCluster(t, nil)
+	victim := owner(t, c, northBlock)
+	out := c.Upstream(service + "-" + victim.Domain + "-2")
+	traffic := c.StartLoad(mixed(24, 10*time.Second))
+	time.Sleep(time.Second)
+	require.NoError(t, victim.Entry.Pause())
+	paused := time.Now()
+	_, err := victim.Merge(1, "during-pause", map[string]any{"drained_upstreams": []string{out.Record.ID}})
+	require.NoError(t, err)
+	time.Sleep(detection + time.Second)
+	straight := c.StartLoad(direct(25, 3*time.Second, victim))
+	time.Sleep(time.Second)
+	require.NoError(t, victim.Entry.Resume())
+	resumed := time.Now()
+	requireNoOldVersion(t, c, victim, 2)
+	early := straight.Wait()
+	report := traffic.Wait()
+	requireMembers(t, c)
+	requireSound(t, c, report, early)
+	requireComplete(t, report, "after the detection time", after(paused.Add(detection+time.Second)))
+	requireComplete(t, early, "a second after the pause", after(resumed.Add(time.Second)))
+	requireNoStarts(t, c, out, paused.Add(3*time.Second))
+}
