--- a/pkg/harness/harness.go
+++ b/pkg/harness/harness.go
@@ -94,6 +94,14 @@
 	return p
 }
 
+// Tool makes a process of a binary with arguments, such as sequoia-load. Its
+// output goes to its log file, and Close ends it.
+func (c *Cluster) Tool(name, binary string, args ...string) *Process {
+	p := c.process(name, binary, args...)
+	p.tool = true
+	return p
+}
+
 // Close ends all processes and relays. It removes the folder unless keep is set.
 func (c *Cluster) Close(keep bool) {
 	c.mu.Lock()
