Exchange digests of member tables and only the bodies that are missing

Cause: each exchange carried all member records whole, 800 bytes per member, although only the sequences change with each heartbeat. A node at 12 members spent 115 KB/s against a target of 12 KB/s.

A digest holds about 13 bytes per member: a 64-bit hash of id and incarnation, the sequence, and the revision of the body with the leaving mark. The reply holds what is newer and the keys that the replying side lacks; a second message brings those.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -27,14 +27,17 @@
 type Demand map[string]float64
 
 // Member is the record of one instance of the system. Only the instance itself
-// raises Sequence, and a restart raises Incarnation.
+// raises Sequence and Revision, and a restart raises Incarnation.
 type Member struct {
 	ID          string `cbor:"id" json:"id"`
 	Incarnation uint64 `cbor:"inc" json:"incarnation"`
 	Sequence    uint64 `cbor:"seq" json:"sequence"`
-	Region      string `cbor:"reg" json:"region"`
-	Domain      string `cbor:"dom" json:"domain"`
-	State       State  `cbor:"st" json:"state"`
+	// Revision rises with each change of the body, which is everything but the
+	// identity and Sequence.
+	Revision uint64 `cbor:"rev" json:"revision"`
+	Region   string `cbor:"reg" json:"region"`
+	Domain   string `cbor:"dom" json:"domain"`
+	State    State  `cbor:"st" json:"state"`
 	// CallerAddress serves callers over HTTP.
 	CallerAddress string `cbor:"ca" json:"caller_address"`
 	// EntryAddress serves forwarded requests over QUIC.
@@ -71,14 +74,20 @@
 }
 
 // Snapshot is what an agent pushes to the entry of its instance; each snapshot
-// replaces the one before as a whole.
+// replaces the one before, except that its members may be a delta.
 type Snapshot struct {
 	// AgentIncarnation and Sequence order snapshots.
-	AgentIncarnation uint64  `cbor:"ai" json:"agent_incarnation"`
-	Sequence         uint64  `cbor:"seq" json:"sequence"`
-	Version          Version `cbor:"ver" json:"version"`
-	// Members holds all known members including the own one.
+	AgentIncarnation uint64 `cbor:"ai" json:"agent_incarnation"`
+	Sequence         uint64 `cbor:"seq" json:"sequence"`
+	// Base is the sequence of the snapshot of the same incarnation that Members
+	// and Removed change; 0 means that Members is complete.
+	Base    uint64  `cbor:"bs,omitempty" json:"base,omitempty"`
+	Version Version `cbor:"ver" json:"version"`
+	// Members holds all known members including the own one, or those that
+	// changed since Base. A changed Sequence alone is no change.
 	Members []Member `cbor:"mem" json:"members"`
+	// Removed holds the ids of members that were forgotten since Base.
+	Removed []string `cbor:"rm,omitempty" json:"removed,omitempty"`
 	// Upstreams holds the upstreams of the own failure domain.
 	Upstreams []UpstreamRecord `cbor:"ups" json:"upstreams"`
 	// PeerShares is the mean of the effective shares of the live peers.
@@ -103,12 +112,17 @@
 
 // EntryReport is the entry's answer to a snapshot.
 type EntryReport struct {
-	Incarnation uint64       `cbor:"inc" json:"incarnation"`
-	Leaving     bool         `cbor:"lv" json:"leaving"`
-	Version     Version      `cbor:"ver" json:"version"`
-	Shares      Shares       `cbor:"sh,omitempty" json:"shares,omitempty"`
-	Pools       []PoolReport `cbor:"po,omitempty" json:"pools,omitempty"`
-	Demand      Demand       `cbor:"de,omitempty" json:"demand,omitempty"`
+	Incarnation uint64 `cbor:"inc" json:"incarnation"`
+	// AppliedIncarnation and AppliedSequence name the last snapshot that the
+	// entry applied. An agent whose snapshot they do not name sends a full one.
+	AppliedIncarnation uint64 `cbor:"api,omitempty" json:"applied_incarnation,omitempty"`
+	AppliedSequence    uint64 `cbor:"aps,omitempty" json:"applied_sequence,omitempty"`
+
+	Leaving bool         `cbor:"lv" json:"leaving"`
+	Version Version      `cbor:"ver" json:"version"`
+	Shares  Shares       `cbor:"sh,omitempty" json:"shares,omitempty"`
+	Pools   []PoolReport `cbor:"po,omitempty" json:"pools,omitempty"`
+	Demand  Demand       `cbor:"de,omitempty" json:"demand,omitempty"`
 }
 
 // Owner returns the member that owns key among candidates by rendezvous
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -2,9 +2,10 @@
 // between agents.
 //
 // Each instance owns one record, which it alone changes: every change and every
-// heartbeat raises the record's sequence, and a restart raises its incarnation.
-// Agents exchange their tables with a few random peers per interval; a record
-// with a higher incarnation or sequence replaces the one known. An instance
+// heartbeat raises the record's sequence, every change its revision, and a
+// restart its incarnation. Agents exchange digests of their tables with a few
+// random peers per interval: a higher sequence is progress, and only records
+// with a higher incarnation or revision travel whole. An instance
 // whose record makes no progress is suspect, then dead, and is forgotten later.
 // These states are each agent's own view and are not passed on: a cut-off part
 // sees the rest as dead and the rest sees the part as dead. Leaving is part of
@@ -73,8 +74,9 @@
 	Clock  Clock
 	Random *rand.Rand
 	Logger *slog.Logger
-	// Heard is called outside of locks with each peer record that made
-	// progress; it must not block.
+	// Heard is called outside of locks with each peer record that made progress
+	// and has another version than the own one, unless that is lower; it must
+	// not block.
 	Heard func(cluster.Member)
 	// Registry receives the counters; nil keeps them private.
 	Registry metrics.Registry
--- a/pkg/membership/fuzz_test.go
+++ b/pkg/membership/fuzz_test.go
@@ -26,6 +26,16 @@
 		require.NoError(f, err)
 		f.Add(body)
 	}
+	own := liveness{key: keyOf(&cluster.Member{ID: "i00", Incarnation: 1}), sequence: 1 << 40, revision: 1 << 40, leaving: true}
+	for _, in := range []Sync{
+		{Digest: livenessOf(keyOf(&m), &m).appendTo(own.appendTo(nil)), Records: []Record{{Member: m}}},
+		{Digest: livenessOf(keyOf(&last), &last).appendTo(nil), Want: []uint64{0, own.key, own.key}},
+		{Digest: []byte{1, 2, 3, 4, 5, 6, 7, 8, 0xff}},
+	} {
+		body, err := peer.Encode(&in)
+		require.NoError(f, err)
+		f.Add(body)
+	}
 	f.Add([]byte{0xa1, 0x61, 'r', 0x9a, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, body []byte) {
 		s := newSim(t, 1)
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -17,13 +17,13 @@
 	// conflictAfter is the number of raised incarnations that only another live
 	// process with the same id explains; a clock that was set back causes one.
 	conflictAfter = 3
-	// maxOrder bounds incarnations and sequences, so that no record blocks all
+	// maxOrder bounds incarnations, sequences and revisions, so that no record blocks all
 	// later ones or makes the next number overflow. Incarnations are start
 	// times in nanoseconds and stay below it for a century.
 	maxOrder = 1 << 62
 )
 
-// merge takes in the records of a peer and returns those that made progress.
+// merge takes in the records of a peer and returns those that Heard gets.
 func (t *Table) merge(records []Record, now time.Time) (heard []cluster.Member) {
 	for i := range records {
 		r := &records[i]
@@ -34,19 +34,68 @@
 			t.mergeSelf(&r.Member)
 			continue
 		}
-		if t.mergePeer(r, now) {
+		if t.mergePeer(r, now) && t.isNews(&r.Member) {
 			heard = append(heard, r.Member)
 		}
 	}
 	return heard
 }
 
+// isNews reports whether a member has another version than this instance and
+// not a lower one.
+func (t *Table) isNews(m *cluster.Member) bool {
+	return m.Version > t.self.Version || m.Version == t.self.Version && m.Hash != t.self.Hash
+}
+
+// mergeDigest takes in the liveness of the members that a peer knows. It marks
+// them with what the peer has and returns the keys of bodies that are missing.
+func (t *Table) mergeDigest(digest []liveness, now time.Time) (heard []cluster.Member, want []uint64) {
+	t.mark++
+	t.selfTold = liveness{}
+	self := keyOf(&t.self)
+	for _, l := range digest {
+		if l.key == self {
+			t.selfTold = l
+			continue
+		}
+		e := t.byKey[l.key]
+		if e == nil || l.revision > e.member.Revision {
+			want = append(want, l.key)
+		}
+		if e == nil {
+			continue
+		}
+		e.mark, e.told = t.mark, l
+		if t.mergeLiveness(e, l, now) && t.isNews(&e.member) {
+			heard = append(heard, e.member)
+		}
+	}
+	return heard, want
+}
+
+// mergeLiveness reports whether l is newer than what is known of its member.
+func (t *Table) mergeLiveness(e *entry, l liveness, now time.Time) (newer bool) {
+	if l.sequence > e.member.Sequence {
+		e.member.Sequence, e.progress = l.sequence, now
+		newer = true
+	}
+	if l.leaving && e.member.State != cluster.Leaving {
+		e.member.State = cluster.Leaving
+		newer = true
+	}
+	if newer {
+		t.setState(e, t.stateOf(e, now))
+	}
+	return newer
+}
+
 // mergeSelf raises the own incarnation above one that peers know from an
 // earlier run of this instance, for instance when the clock was set back.
 func (t *Table) mergeSelf(m *cluster.Member) {
 	if m.Incarnation > t.self.Incarnation {
 		t.self.Incarnation = m.Incarnation + 1
 		t.self.Sequence++
+		t.changedAt = t.lastStep
 		t.notify()
 		t.raised++
 		if t.raised == conflictAfter {
@@ -61,32 +110,49 @@
 	if e == nil {
 		return t.add(r, now)
 	}
-	known, m := e.member, r.Member
-	switch {
-	case m.Incarnation > known.Incarnation:
-		e.member, e.progress = m, now
-		if e.state != cluster.Dead {
-			t.notify()
-		}
-	case m.Incarnation < known.Incarnation:
-		return false
-	case m.Sequence > known.Sequence:
-		if known.State == cluster.Leaving {
-			m.State = cluster.Leaving
-		}
-		if m.EntryIncarnation != known.EntryIncarnation {
-			t.notify()
-		}
-		e.member, e.progress = m, now
-	case m.State == cluster.Leaving:
-		e.member.State = cluster.Leaving
-	default:
+	m := &r.Member
+	if m.Incarnation < e.member.Incarnation {
 		return false
 	}
+	if m.Incarnation == e.member.Incarnation {
+		body := t.mergeBody(e, m)
+		return t.mergeLiveness(e, livenessOf(e.key, m), now) || body
+	}
+	if e.state != cluster.Dead {
+		t.notify()
+	}
+	delete(t.byKey, e.key)
+	e.member, e.progress = *m, now
+	t.index(e)
 	t.setState(e, t.stateOf(e, now))
 	return true
 }
 
+// mergeBody takes in a body of the same incarnation with a higher revision. The
+// sequence stays, because it may have arrived on another path.
+func (t *Table) mergeBody(e *entry, m *cluster.Member) (newer bool) {
+	known := e.member
+	if m.Revision <= known.Revision {
+		return false
+	}
+	e.member = *m
+	e.member.Sequence = known.Sequence
+	if known.State == cluster.Leaving {
+		e.member.State = cluster.Leaving
+	}
+	if m.EntryIncarnation != known.EntryIncarnation {
+		t.notify()
+	}
+	t.setState(e, t.stateOf(e, t.lastStep))
+	return true
+}
+
+// index makes a peer known under the key of its incarnation.
+func (t *Table) index(e *entry) {
+	e.key = keyOf(&e.member)
+	t.byKey[e.key] = e
+}
+
 // add takes in a member that was not known. The sender's view of its age counts,
 // so that a dead member is not taken for a new one.
 func (t *Table) add(r *Record, now time.Time) bool {
@@ -96,6 +162,7 @@
 	age := time.Duration(r.AgeMS) * time.Millisecond
 	e := &entry{member: r.Member, progress: now.Add(-age)}
 	t.peers[r.Member.ID] = e
+	t.index(e)
 	t.setState(e, t.stateOf(e, now))
 	return true
 }
@@ -105,7 +172,7 @@
 	if m.State != cluster.Serving && m.State != cluster.Leaving {
 		return false
 	}
-	if m.Incarnation >= maxOrder || m.Sequence >= maxOrder {
+	if m.Incarnation >= maxOrder || m.Sequence >= maxOrder || m.Revision >= maxOrder {
 		return false
 	}
 	if m.ID == "" || m.Domain == "" || m.Region == "" {
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -20,10 +20,18 @@
 
 	mu   sync.Mutex
 	self cluster.Member
+	// changedAt is the time of the last change of the own body.
+	changedAt time.Time
 	// raised counts how often peers knew a higher incarnation of this instance.
 	raised int
 	// peers holds all other known members by id.
 	peers map[string]*entry
+	// byKey holds the peers by the key of their incarnation.
+	byKey map[uint64]*entry
+	// mark numbers the digests that were merged, and selfTold is what the last
+	// one said about this instance.
+	mark     uint64
+	selfTold liveness
 	// listed holds the agent addresses in the platform's list, and
 	// listedLeaving the incarnation to which its leaving mark applies.
 	listed        []string
@@ -40,6 +48,10 @@
 // entry is the record of a peer and its liveness.
 type entry struct {
 	member cluster.Member
+	key    uint64
+	// told is what the digest with number mark said about the member.
+	told liveness
+	mark uint64
 	// progress is the local time of the last higher incarnation or sequence.
 	progress time.Time
 	// state is the state that was last reported to the log.
@@ -51,13 +63,15 @@
 	cfg.setDefaults()
 	self := cfg.Self
 	self.State = cluster.Serving
-	self.Sequence = 1
+	self.Sequence, self.Revision = 1, 1
 	return &Table{
 		cfg:           cfg,
 		changed:       make(chan struct{}, 1),
 		kick:          make(chan struct{}, 1),
 		self:          self,
+		changedAt:     cfg.Clock.Now(),
 		peers:         make(map[string]*entry),
+		byKey:         make(map[uint64]*entry),
 		listedLeaving: make(map[string]uint64),
 		inFlight:      make(map[string]bool),
 		lastStep:      cfg.Clock.Now(),
@@ -117,19 +131,31 @@
 }
 
 // Update changes the own record; a changed entry incarnation is passed on at
-// once. Identity, incarnation, sequence and state are
-// kept; maps and slices must be replaced, not changed in place.
+// once, and changes of shares and loads that are small or too frequent are held
+// back until a later call. Identity, incarnation, sequence and state are kept;
+// maps and slices must be replaced, not changed in place.
 func (t *Table) Update(change func(*cluster.Member)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.self
 	change(&m)
 	m.ID, m.Incarnation, m.State = t.self.ID, t.self.Incarnation, t.self.State
-	m.Sequence = t.self.Sequence + 1
+	m.Sequence, m.Revision = t.self.Sequence, t.self.Revision
+	if !due(&t.self, &m, t.cfg.Clock.Now().Sub(t.changedAt)) {
+		return
+	}
 	if m.EntryIncarnation != t.self.EntryIncarnation {
 		signal(t.kick)
 	}
 	t.self = m
+	t.revise()
+}
+
+// revise counts a change of the own body.
+func (t *Table) revise() {
+	t.self.Sequence++
+	t.self.Revision++
+	t.changedAt = t.cfg.Clock.Now()
 }
 
 // Leave marks the own member as leaving for the rest of its incarnation.
@@ -140,7 +166,7 @@
 		return
 	}
 	t.self.State = cluster.Leaving
-	t.self.Sequence++
+	t.revise()
 	t.notify()
 	signal(t.kick)
 }
@@ -156,7 +182,7 @@
 	}
 	t.self.Incarnation = max(t.self.Incarnation+1, uint64(t.cfg.Clock.Now().UnixNano()))
 	t.self.State = cluster.Serving
-	t.self.Sequence++
+	t.revise()
 	t.notify()
 	signal(t.kick)
 }
@@ -173,6 +199,7 @@
 	for id, e := range t.peers {
 		if now.Sub(e.progress) > t.cfg.ForgetAfter && !t.holding(now) {
 			delete(t.peers, id)
+			delete(t.byKey, e.key)
 			delete(t.listedLeaving, id)
 			continue
 		}
