--- /dev/null
+++ b/pkg/agent/delta.go
@@ -0,0 +1,89 @@
+package agent
+
+import "github.com/sequoiacove/sequoiacove/pkg/cluster"
+
+// memberKey differs between two records of a member that the entry must tell
+// apart. State is the own view, which the revision does not count.
+type memberKey struct {
+	incarnation, revision uint64
+	state                 cluster.State
+}
+
+func keyOf(m *cluster.Member) memberKey { return memberKey{m.Incarnation, m.Revision, m.State} }
+
+// memberDelta fills snapshots with the members that changed since the last
+// snapshot that the entry acknowledged. Without one the next snapshot is full.
+type memberDelta struct {
+	// incarnation and sequence name the acknowledged snapshot; sequence 0 means
+	// none. known holds its members.
+	incarnation, sequence uint64
+	known                 map[string]memberKey
+	// mean holds the shares of the peers in the last snapshot.
+	mean cluster.Shares
+}
+
+// reset makes the next snapshot a full one.
+func (d *memberDelta) reset() {
+	d.sequence, d.known, d.mean = 0, nil, nil
+}
+
+// fill sets the members of a snapshot and what is derived from them.
+func (d *memberDelta) fill(s *cluster.Snapshot, members []cluster.Member, self string) {
+	if d.sequence == 0 || d.incarnation != s.AgentIncarnation {
+		d.reset()
+		s.Members = members
+	} else {
+		s.Base = d.sequence
+		s.Members, s.Removed = d.changes(members)
+	}
+	if s.Base == 0 || len(s.Members)+len(s.Removed) > 0 {
+		d.mean = meanShares(members, self)
+	}
+	s.PeerShares = d.mean
+}
+
+func (d *memberDelta) changes(members []cluster.Member) (changed []cluster.Member, removed []string) {
+	kept := 0
+	for i := range members {
+		key, ok := d.known[members[i].ID]
+		if ok {
+			kept++
+		}
+		if !ok || key != keyOf(&members[i]) {
+			changed = append(changed, members[i])
+		}
+	}
+	if kept == len(d.known) {
+		return changed, nil
+	}
+	present := make(map[string]bool, len(members))
+	for i := range members {
+		present[members[i].ID] = true
+	}
+	for id := range d.known {
+		if !present[id] {
+			removed = append(removed, id)
+		}
+	}
+	return changed, removed
+}
+
+// answered takes in the answer to a snapshot. It reports whether the entry
+// applied it or has a full one anyway; if not, it needs a full one now.
+func (d *memberDelta) answered(s *cluster.Snapshot, report *cluster.EntryReport) bool {
+	if report.AppliedIncarnation != s.AgentIncarnation || report.AppliedSequence != s.Sequence {
+		d.reset()
+		return s.Base == 0
+	}
+	d.incarnation, d.sequence = s.AgentIncarnation, s.Sequence
+	if d.known == nil {
+		d.known = make(map[string]memberKey, len(s.Members))
+	}
+	for i := range s.Members {
+		d.known[s.Members[i].ID] = keyOf(&s.Members[i])
+	}
+	for _, id := range s.Removed {
+		delete(d.known, id)
+	}
+	return true
+}
--- a/pkg/agent/link.go
+++ b/pkg/agent/link.go
@@ -64,6 +64,8 @@
 	lastReport time.Time
 	// resumed is the end of the last pause after which peers were asked.
 	resumed time.Time
+	// delta leaves out the members that the entry has. Only run uses it.
+	delta memberDelta
 }
 
 func newEntryLink(cfg linkConfig) *entryLink {
@@ -102,6 +104,7 @@
 	snapshot := l.snapshot()
 	if l.paused() {
 		// The records in the snapshot are from before a pause.
+		l.delta.reset()
 		l.notify()
 		return
 	}
@@ -109,9 +112,13 @@
 	defer cancel()
 	var report cluster.EntryReport
 	if err := l.cfg.Caller.Call(call, l.cfg.Address, peer.PushSnapshot, snapshot, &report); err != nil {
+		l.delta.reset()
 		l.failed()
 		return
 	}
+	if !l.delta.answered(snapshot, &report) {
+		l.notify()
+	}
 	l.took(&report, snapshot.Version.Number)
 }
 
@@ -148,15 +155,15 @@
 	if version.Number <= l.reported {
 		version.Body, version.PreviousBody = nil, nil
 	}
-	return &cluster.Snapshot{
+	snapshot := &cluster.Snapshot{
 		AgentIncarnation: self.Incarnation,
 		Sequence:         l.sequence,
 		Version:          version,
-		Members:          members,
 		Upstreams:        l.cfg.Upstreams(),
-		PeerShares:       meanShares(members, self.ID),
 		CheckpointShares: l.cfg.Checkpoint(),
 	}
+	l.delta.fill(snapshot, members, self.ID)
+	return snapshot
 }
 
 // failed handles a push without a report. The entry may have restarted, so the
--- a/pkg/entry/bench_test.go
+++ b/pkg/entry/bench_test.go
@@ -131,6 +131,33 @@
 	}
 }
 
+// BenchmarkSnapshotDelta measures a push that changes the shares of no or one
+// member, from decoding to the report.
+func BenchmarkSnapshotDelta(b *testing.B) {
+	for _, n := range []int{12, 100, 1000, 3300} {
+		for changes := range 2 {
+			b.Run(fmt.Sprintf("members=%d/changes=%d", n, changes), func(b *testing.B) {
+				s, _ := largeSnapshot(n)
+				e := newWorld(b, nil).start("instance-0000", "r00-a")
+				_, err := e.Apply(s)
+				require.NoError(b, err)
+				s.Version.Body = nil
+				s.Base, s.Sequence, s.Members = 1, 2, s.Members[n/2:n/2+changes]
+				body, err := cbor.Marshal(s)
+				require.NoError(b, err)
+				b.ReportMetric(float64(len(body)), "message-bytes")
+				b.ReportAllocs()
+				for b.Loop() {
+					e.applied = order{s.AgentIncarnation, s.Base}
+					if _, err := e.HandleSnapshot(body); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Guards against a look-up table of 200,000 blocks that does not fit the memory
 // target of a node, and against wrong matches.
 func TestBlockTableSize(t *testing.T) {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -91,6 +91,12 @@
 	blocks      *blockTable
 	members     []cluster.Member
 	upstreams   []cluster.UpstreamRecord
+	// generation counts the changes of members that views depend on.
+	generation uint64
+	// routed is the view that routing has, or nil after a change of members,
+	// and the shares are those that it has.
+	routed                       *view
+	peerShares, checkpointShares cluster.Shares
 	// lost holds the domains that were unreachable in the last snapshot.
 	lost map[string]bool
 }
--- a/pkg/entry/fuzz_test.go
+++ b/pkg/entry/fuzz_test.go
@@ -89,6 +89,8 @@
 	body := []byte(testDescription)
 	for _, s := range []cluster.Snapshot{
 		{AgentIncarnation: 2, Sequence: 1},
+		{AgentIncarnation: 1, Sequence: 9, Base: 1, Removed: []string{"b1", "b1", "?"},
+			Members: []cluster.Member{{ID: "a1"}, {ID: "z", Domain: "south-a", EntryIncarnation: 1}, {ID: "z"}}},
 		{AgentIncarnation: 2, Sequence: 2, Version: cluster.Version{Number: 3, Hash: description.Hash(body), Body: body, PreviousBody: []byte("{")},
 			Members:    []cluster.Member{{ID: "z", Domain: "south-a", Region: "south", EntryIncarnation: 1, Shares: cluster.Shares{"calls": {"south-a": -1}}}},
 			Upstreams:  []cluster.UpstreamRecord{{ID: "u", Service: "calls", Domain: "north-a", Slots: -1}},
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -55,18 +56,22 @@
 }
 
 // Apply replaces the view by a snapshot. A snapshot that is not newer than the
-// last one changes nothing; an older version inside a newer snapshot keeps the
-// version in force.
+// last one, or whose base is another one, changes nothing; an older version
+// inside a newer snapshot keeps the version in force.
 func (e *Entry) Apply(s *cluster.Snapshot) (*cluster.EntryReport, error) {
-	if len(s.Members) > maxMembers || len(s.Upstreams) > maxUpstreams {
+	if len(s.Members) > maxMembers || len(s.Removed) > maxMembers || len(s.Upstreams) > maxUpstreams {
 		return nil, result.New(result.PeerProtocol, "snapshot with %d members and %d upstreams", len(s.Members), len(s.Upstreams))
 	}
 	e.applyMu.Lock()
 	defer e.applyMu.Unlock()
 	at := order{s.AgentIncarnation, s.Sequence}
-	if !e.applied.before(at) {
+	if !e.applied.before(at) || !e.extends(s) {
 		return e.report(s.Version.Number), nil
 	}
+	update, err := e.updateOf(s)
+	if err != nil {
+		return nil, err
+	}
 	if err := e.adopt(s.Version); err != nil {
 		return nil, err
 	}
@@ -74,7 +79,7 @@
 	now := e.opt.Now()
 	e.checkPause(now)
 	resumed := e.gate.snapshot(now)
-	e.replaceView(s, now)
+	e.replaceView(s, update, now)
 	if resumed {
 		e.routes.Rejoin(s.PeerShares, e.gate.origin.Add(time.Duration(e.gate.pausedAt.Load())), now)
 	}
@@ -105,9 +110,16 @@
 }
 
 // replaceView builds the view of a snapshot and hands it to routing, budgets
-// and admission. Without a version there is nothing to route yet.
-func (e *Entry) replaceView(s *cluster.Snapshot, now time.Time) {
-	e.members, e.upstreams = s.Members, s.Upstreams
+// and admission, as far as the snapshot changes what they use. Without a version
+// there is nothing to route yet.
+func (e *Entry) replaceView(s *cluster.Snapshot, update memberUpdate, now time.Time) {
+	e.members, e.upstreams = update.members, s.Upstreams
+	if update.moved {
+		e.generation++
+	}
+	if update.changed {
+		e.routed = nil
+	}
 	if e.description == nil {
 		return
 	}
@@ -115,24 +127,43 @@
 		event.Log(e.opt.Logger, event.EntryAttached)
 	}
 	v := e.rebuildView()
+	e.updateRouting(s, v, now)
+}
+
+// updateRouting hands a view and the shares of a snapshot to routing unless it
+// has just these.
+func (e *Entry) updateRouting(s *cluster.Snapshot, v *view, now time.Time) {
+	if e.routed == v && sharesEqual(e.peerShares, s.PeerShares) && sharesEqual(e.checkpointShares, s.CheckpointShares) {
+		return
+	}
 	e.noteReachable(v)
 	e.routes.Update(e.routingInput(s, v), now)
 	e.budgets.Update(e.description.Links, v.instancesIn(e.opt.Region), now)
+	e.routed, e.peerShares, e.checkpointShares = v, s.PeerShares, s.CheckpointShares
+}
+
+func sharesEqual(a, b cluster.Shares) bool {
+	return maps.EqualFunc(a, b, maps.Equal[map[string]float64, map[string]float64])
 }
 
 // rebuildView puts a view of the last snapshot into force, with the present own
 // state and without the owners that this instance cannot reach.
 func (e *Entry) rebuildView() *view {
-	v := newView(viewInput{
+	in := viewInput{
 		version:     e.version,
 		description: e.description,
 		blocks:      e.blocks,
 		members:     e.members,
+		generation:  e.generation,
 		self:        e.self(),
 		detached:    e.gate.detached.Load(),
 		silent:      e.avoid.current(),
 		last:        e.view.Load(),
-	})
+	}
+	v := in.last
+	if !e.upToDate(v, &in) {
+		v = newView(in)
+	}
 	if e.gate.staleFor.Load() == 0 {
 		e.opt.Admission.Update(e.ownedPools(v))
 	}
@@ -191,7 +222,8 @@
 		CheckpointShares: s.CheckpointShares,
 		Home:             e.opt.Region,
 	}
-	for _, m := range s.Members {
+	in.Peers = make([]cluster.Member, 0, len(e.members))
+	for _, m := range e.members {
 		if m.ID == e.opt.Instance {
 			in.Own = m.Demand
 		}
@@ -212,11 +244,14 @@
 		version.Body, version.PreviousBody = nil, nil
 	}
 	report := &cluster.EntryReport{
-		Incarnation: e.incarnation,
-		Leaving:     e.gate.leaving.Load(),
-		Version:     version,
-		Pools:       e.opt.Admission.Reports(),
-		Demand:      e.routes.Demand(),
+		Incarnation:        e.incarnation,
+		AppliedIncarnation: e.applied.incarnation,
+		AppliedSequence:    e.applied.sequence,
+
+		Leaving: e.gate.leaving.Load(),
+		Version: version,
+		Pools:   e.opt.Admission.Reports(),
+		Demand:  e.routes.Demand(),
 	}
 	if e.gate.staleFor.Load() == 0 {
 		// Shares from before a pause would distort the mean that others
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -16,9 +16,12 @@
 	self        cluster.Member
 	detached    bool
 	silent      map[string]bool
+	generation  uint64
 	// live holds the members whose entries answer, by failure domain.
 	live map[string][]cluster.Member
 	byID map[string]cluster.Member
+	// perRegion counts the members in byID.
+	perRegion map[string]int
 	// caches holds what is derived from the members on first use.
 	caches *caches
 }
@@ -35,6 +38,7 @@
 	description *description.Description
 	blocks      *blockTable
 	members     []cluster.Member
+	generation  uint64
 	self        cluster.Member
 	detached    bool
 	// silent holds the instances that this one could not reach lately.
@@ -54,6 +58,8 @@
 		self:        in.self,
 		detached:    in.detached,
 		silent:      in.silent,
+		generation:  in.generation,
+		perRegion:   make(map[string]int),
 		live:        make(map[string][]cluster.Member),
 		byID:        make(map[string]cluster.Member, len(in.members)+1),
 		caches:      &caches{},
@@ -84,21 +90,26 @@
 	return true
 }
 
-// place is the part of a member record that ranks and answers depend on.
+// place is the part of a member record that views use. Ranks and answers keep
+// whole records, so they depend on all of it.
 type place struct {
 	region, domain, caller, entry string
 	state                         cluster.State
+	incarnation, entryIncarnation uint64
 }
 
 func placeOf(m cluster.Member) place {
-	return place{m.Region, m.Domain, m.CallerAddress, m.EntryAddress, m.State}
+	return place{m.Region, m.Domain, m.CallerAddress, m.EntryAddress, m.State, m.Incarnation, m.EntryIncarnation}
 }
 
 func (v *view) add(m cluster.Member) {
-	m.Shares, m.Pools = nil, nil
+	m.Shares, m.Pools, m.Demand = nil, nil, nil
 	if m.State == cluster.Dead || m.EntryIncarnation == 0 {
 		return
 	}
+	if _, known := v.byID[m.ID]; !known {
+		v.perRegion[m.Region]++
+	}
 	v.byID[m.ID] = m
 	v.live[m.Domain] = append(v.live[m.Domain], m)
 }
@@ -163,13 +174,7 @@
 
 // instancesIn counts the live instances of a region.
 func (v *view) instancesIn(region string) int {
-	n := 0
-	for _, m := range v.byID {
-		if m.Region == region {
-			n++
-		}
-	}
-	return n
+	return v.perRegion[region]
 }
 
 // shared returns the domains that have a share of some service.
