--- a/pkg/agent/delta_test.go
+++ b/pkg/agent/delta_test.go
@@ -108,3 +108,38 @@
 		require.NotZero(t, f.pushAcked().Base, name)
 	}
 }
+
+// Guards against a mean that keeps the shares of a peer that changed, died or
+// lost its entry.
+func TestMeanFollowsChangedPeers(t *testing.T) {
+	members := []cluster.Member{
+		{ID: "a", Revision: 1, State: cluster.Serving, EntryIncarnation: 1, Shares: cluster.Shares{"s": {"x": 1}}},
+		{ID: "b", Revision: 1, State: cluster.Serving, EntryIncarnation: 1, Shares: cluster.Shares{"s": {"x": 0.5, "y": 0.5}}},
+		{ID: "c", Revision: 1, State: cluster.Serving, EntryIncarnation: 1, Shares: cluster.Shares{"s": {"y": 1}}},
+	}
+	var d memberDelta
+	sequence := uint64(0)
+	fill := func(want float64, msg string) {
+		sequence++
+		s := &cluster.Snapshot{AgentIncarnation: 1, Sequence: sequence}
+		d.fill(s, append([]cluster.Member(nil), members...), "a")
+		require.InDelta(t, want, s.PeerShares["s"]["x"], 1e-12, msg)
+		require.Equal(t, sequence-1, s.Base, msg)
+		require.True(t, d.answered(s, &cluster.EntryReport{AppliedIncarnation: 1, AppliedSequence: sequence}, "a"))
+	}
+	fill(0.25, "two peers")
+	members[1].Revision, members[1].Demand = 2, cluster.Demand{"s": 1}
+	fill(0.25, "a changed demand")
+	members[1].Revision, members[1].Shares = 3, cluster.Shares{"s": {"x": 1}}
+	fill(0.5, "changed shares")
+	members[2].State = cluster.Dead
+	fill(1, "a dead peer")
+	members[2].State = cluster.Serving
+	fill(0.5, "a peer that returned")
+	members[1].Revision, members[1].EntryIncarnation = 4, 0
+	fill(0, "a silent entry")
+	members[1].Revision, members[1].EntryIncarnation = 5, 2
+	fill(0.5, "a new entry")
+	members = members[:2]
+	fill(1, "a forgotten peer")
+}
--- a/pkg/agent/link.go
+++ b/pkg/agent/link.go
@@ -116,7 +116,7 @@
 		l.failed()
 		return
 	}
-	if !l.delta.answered(snapshot, &report) {
+	if !l.delta.answered(snapshot, &report, l.cfg.Members.Self().ID) {
 		l.notify()
 	}
 	l.took(&report, snapshot.Version.Number)
--- a/pkg/agent/shares.go
+++ b/pkg/agent/shares.go
@@ -11,11 +11,11 @@
 func meanShares(members []cluster.Member, self string) cluster.Shares {
 	sums := make(cluster.Shares)
 	counts := make(map[string]float64)
-	for _, m := range members {
-		if m.ID == self || m.State == cluster.Dead || m.EntryIncarnation == 0 {
+	for i := range members {
+		if !isLivePeer(&members[i], self) {
 			continue
 		}
-		for service, shares := range m.Shares {
+		for service, shares := range members[i].Shares {
 			if !proper(shares) {
 				continue
 			}
@@ -36,6 +36,11 @@
 	return sums
 }
 
+// isLivePeer reports whether a member other than self has an entry that answers.
+func isLivePeer(m *cluster.Member, self string) bool {
+	return m.ID != self && m.State != cluster.Dead && m.EntryIncarnation != 0
+}
+
 // shareSumTolerance is far above the rounding of a moving vector and far below
 // a share that matters.
 const shareSumTolerance = 1e-3
--- a/pkg/entry/delta_test.go
+++ b/pkg/entry/delta_test.go
@@ -31,21 +31,40 @@
 
 	changed := w.entries["b1"].self()
 	changed.State = cluster.Leaving
+	require.True(t, deltaTo(w, "a1", 1, base+2, base+1, []cluster.Member{changed}))
+	require.Equal(t, cluster.Leaving, e.view.Load().byID["b1"].State)
 	added := cluster.Member{ID: "n1", Region: "south", Domain: "south-a", State: cluster.Serving, EntryIncarnation: 3}
-	require.True(t, deltaTo(w, "a1", 1, base+2, base+1, []cluster.Member{changed, added}, "s1"))
+	require.True(t, deltaTo(w, "a1", 1, base+3, base+2, []cluster.Member{added}))
+	require.Contains(t, e.view.Load().byID, "n1")
+	require.True(t, deltaTo(w, "a1", 1, base+4, base+3, nil, "s1"))
 	v := e.view.Load()
-	require.Equal(t, cluster.Leaving, v.byID["b1"].State)
-	require.Contains(t, v.byID, "n1")
 	require.NotContains(t, v.byID, "s1")
 	require.Len(t, v.byID, len(before.byID))
-
 	changed.Shares = cluster.Shares{"calls": {"north-a": 1}}
-	changed.Version = w.version.Number + 1
-	require.True(t, deltaTo(w, "a1", 1, base+3, base+2, []cluster.Member{changed}))
+	require.True(t, deltaTo(w, "a1", 1, base+5, base+4, []cluster.Member{changed}))
 	require.Same(t, v, e.view.Load(), "shares alone must not rebuild the view")
-	require.Nil(t, e.routed.byID["b1"].Shares)
-	in := e.routingInput(&cluster.Snapshot{}, v)
-	require.True(t, in.Behind, "routing must see the new record")
+}
+
+// Guards against a changed record that no view holds not reaching routing: an
+// instance that is behind must follow its peers.
+func TestDeltaReachesRouting(t *testing.T) {
+	w := newWorld(t, twoRegions)
+	e := w.entries["a1"]
+	s := &cluster.Snapshot{
+		AgentIncarnation: 2, Sequence: 1, Version: w.version, Members: w.members(),
+		PeerShares: cluster.Shares{"calls": {"south-a": 1}},
+	}
+	apply := func() float64 {
+		_, err := e.Apply(s)
+		require.NoError(t, err)
+		w.advance(time.Second)
+		return e.routes.Shares()["calls"]["south-a"]
+	}
+	before := apply()
+	ahead := w.entries["b1"].self()
+	ahead.Version = w.version.Number + 1
+	s.Base, s.Sequence, s.Members = 1, 2, []cluster.Member{ahead}
+	require.Greater(t, apply(), before)
 }
 
 // Guards against a delta put on another base: after a lost snapshot, a restart
--- a/pkg/membership/digest_test.go
+++ b/pkg/membership/digest_test.go
@@ -23,10 +23,11 @@
 		n.table.Update(func(m *cluster.Member) { m.Shares, m.Pools, m.Hash = body.Shares, body.Pools, body.Hash })
 	}
 	s.advance(5 * time.Second)
-	s.bytes = 0
+	s.bytes, s.records = 0, 0
 	s.advance(10 * time.Second)
 	// Each exchange costs both of its sides.
 	require.Less(t, 2*s.bytes/12/10, 12_000, "bytes per second and node")
+	require.Zero(t, s.records, "bodies that did not change")
 	require.NotEmpty(t, s.order[0].table.peers["i07"].member.Shares)
 }
 
@@ -36,6 +37,11 @@
 	s := newSim(t, 6)
 	s.advance(5 * time.Second)
 	s.lose = isFollowUp
+	// Only i00 hears of i02, so the others depend on its replies.
+	s.blocked = func(from, to string) bool {
+		ends := map[string]bool{from: true, to: true}
+		return ends[s.order[2].addr] && !ends[s.order[0].addr]
+	}
 	s.advance(time.Second)
 	s.order[2].table.Update(func(m *cluster.Member) { m.Version = 7 })
 	s.advance(4 * time.Second)
@@ -70,16 +76,21 @@
 	s.advance(2 * time.Second)
 	table := s.order[0].table
 	m, _ := s.order[0].member("i01")
-	first, second := m, m
-	first.Revision, first.Version, first.Sequence = m.Revision+1, 1, m.Sequence+9
-	second.Revision, second.Version, second.Sequence = m.Revision+2, 2, m.Sequence+4
-	for _, r := range []cluster.Member{second, first, second} {
-		table.merge([]Record{{Member: r}}, s.now)
+	older, newer := m, m
+	for i, newerFirst := range []bool{true, false} {
+		older.Revision, older.Version, older.Sequence = m.Revision+uint64(2*i)+1, uint64(2*i)+1, m.Sequence+uint64(20*i)+9
+		newer.Revision, newer.Version, newer.Sequence = older.Revision+1, older.Version+1, older.Sequence-5
+		order := []cluster.Member{older, newer}
+		if newerFirst {
+			order = []cluster.Member{newer, older}
+		}
+		for _, r := range order {
+			table.merge([]Record{{Member: r}}, s.now)
+		}
 		known := table.peers["i01"].member
-		require.EqualValues(t, 2, known.Version)
-		require.GreaterOrEqual(t, known.Sequence, second.Sequence)
+		require.Equal(t, newer.Version, known.Version, "newer first: %v", newerFirst)
+		require.Equal(t, older.Sequence, known.Sequence, "newer first: %v", newerFirst)
 	}
-	require.Equal(t, first.Sequence, table.peers["i01"].member.Sequence)
 }
 
 // Guards against a leaving member being used until its body arrives.
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -162,6 +162,7 @@
 	age := time.Duration(r.AgeMS) * time.Millisecond
 	e := &entry{member: r.Member, progress: now.Add(-age)}
 	t.peers[r.Member.ID] = e
+	t.ordered = nil
 	t.index(e)
 	t.setState(e, t.stateOf(e, now))
 	return true
--- a/pkg/membership/sim_test.go
+++ b/pkg/membership/sim_test.go
@@ -29,8 +29,9 @@
 	loss    float64
 	blocked func(from, to string) bool
 	// lose tells which messages are lost.
-	lose  func(*Sync) bool
-	bytes int
+	lose func(*Sync) bool
+	// bytes and records count what exchanges carried.
+	bytes, records int
 }
 
 type node struct {
@@ -103,6 +104,7 @@
 	answer, err := peer.Encode(out)
 	require.NoError(s.t, err)
 	s.bytes += len(body) + len(answer)
+	s.records += len(msg.(*Sync).Records) + len(out.(*Sync).Records)
 	return cbor.Unmarshal(answer, reply)
 }
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -26,6 +26,8 @@
 	raised int
 	// peers holds all other known members by id.
 	peers map[string]*entry
+	// ordered holds the peers by id; nil means that peers were added or removed.
+	ordered []*entry
 	// byKey holds the peers by the key of their incarnation.
 	byKey map[uint64]*entry
 	// mark numbers the digests that were merged, and selfTold is what the last
@@ -108,16 +110,34 @@
 	defer t.mu.Unlock()
 	t.step()
 	list := make([]cluster.Member, 0, len(t.peers)+1)
-	list = append(list, t.self)
-	for _, e := range t.peers {
-		m := e.member
-		m.State = e.state
-		list = append(list, m)
+	own := false
+	for _, e := range t.inOrder() {
+		if !own && t.self.ID < e.member.ID {
+			own = true
+			list = append(list, t.self)
+		}
+		list = append(list, e.member)
+		list[len(list)-1].State = e.state
+	}
+	if !own {
+		list = append(list, t.self)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
 }
 
+// inOrder returns the peers in the order of their ids.
+func (t *Table) inOrder() []*entry {
+	if t.ordered != nil {
+		return t.ordered
+	}
+	t.ordered = make([]*entry, 0, len(t.peers))
+	for _, e := range t.peers {
+		t.ordered = append(t.ordered, e)
+	}
+	sort.Slice(t.ordered, func(i, j int) bool { return t.ordered[i].member.ID < t.ordered[j].member.ID })
+	return t.ordered
+}
+
 // Live returns the members that are serving or leaving, without the own one.
 func (t *Table) Live() []cluster.Member {
 	var live []cluster.Member
@@ -200,6 +220,7 @@
 		if now.Sub(e.progress) > t.cfg.ForgetAfter && !t.holding(now) {
 			delete(t.peers, id)
 			delete(t.byKey, e.key)
+			t.ordered = nil
 			delete(t.listedLeaving, id)
 			continue
 		}
