--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -17,9 +17,12 @@
 	detached    bool
 	yields      bool
 	silent      map[string]bool
+	generation  uint64
 	// live holds the members whose entries answer, by failure domain.
 	live map[string][]cluster.Member
 	byID map[string]cluster.Member
+	// perRegion counts the members in byID.
+	perRegion map[string]int
 	// caches holds what is derived from the members on first use.
 	caches *caches
 }
@@ -36,6 +39,7 @@
 	description *description.Description
 	blocks      *blockTable
 	members     []cluster.Member
+	generation  uint64
 	self        cluster.Member
 	detached    bool
 	// yields is set while this instance keeps its pools although it is
@@ -59,6 +63,8 @@
 		detached:    in.detached,
 		yields:      in.yields,
 		silent:      in.silent,
+		generation:  in.generation,
+		perRegion:   make(map[string]int),
 		live:        make(map[string][]cluster.Member),
 		byID:        make(map[string]cluster.Member, len(in.members)+1),
 		caches:      &caches{},
@@ -89,21 +95,26 @@
 	return true
 }
 
-// place is the part of a member record that ranks and answers depend on.
+// place is the part of a member record that views use. Ranks and answers keep
+// whole records, so they depend on all of it.
 type place struct {
 	region, domain, caller, entry string
 	state                         cluster.State
+	incarnation, entryIncarnation uint64
 }
 
 func placeOf(m cluster.Member) place {
-	return place{m.Region, m.Domain, m.CallerAddress, m.EntryAddress, m.State}
+	return place{m.Region, m.Domain, m.CallerAddress, m.EntryAddress, m.State, m.Incarnation, m.EntryIncarnation}
 }
 
 func (v *view) add(m cluster.Member) {
-	m.Shares, m.Pools = nil, nil
+	m.Shares, m.Pools, m.Demand = nil, nil, nil
 	if m.State == cluster.Dead || m.EntryIncarnation == 0 {
 		return
 	}
+	if _, known := v.byID[m.ID]; !known {
+		v.perRegion[m.Region]++
+	}
 	v.byID[m.ID] = m
 	v.live[m.Domain] = append(v.live[m.Domain], m)
 }
@@ -170,13 +181,7 @@
 
 // instancesIn counts the live instances of a region.
 func (v *view) instancesIn(region string) int {
-	n := 0
-	for _, m := range v.byID {
-		if m.Region == region {
-			n++
-		}
-	}
-	return n
+	return v.perRegion[region]
 }
 
 // shared returns the domains that have a share of some service.
