Split the submission of a patch and share code of the operator commands

Client.Patch held two nested loops and six exits; its state is now a small struct with one function for a round and one for an attempt. sequoiactl repeated the client's rule for errors that another agent may not have, which is now operator.Retryable, and held the printing of a diff twice. The function message returned the same text in both branches.

--- a/pkg/ctl/cluster.go
+++ b/pkg/ctl/cluster.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -11,7 +12,6 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/sequoiacove/sequoiacove/pkg/operator"
-	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
 func (c *command) registerCluster(app *kingpin.Application) {
@@ -61,10 +61,10 @@
 			return err
 		}
 		if err != nil {
-			if result.Lookup(result.CodeOf(err)).HTTPStatus < 500 {
+			if !operator.Retryable(err) {
 				return err
 			}
-			fmt.Fprintln(c.stderr, "sequoiactl:", message(err))
+			fmt.Fprintln(c.stderr, "sequoiactl:", err)
 		}
 		select {
 		case <-c.ctx.Done():
@@ -117,13 +117,8 @@
 		fmt.Fprintf(w, "; unreachable: %s", strings.Join(move.Unreachable, ", "))
 	}
 	fmt.Fprintln(w)
-	domains := make([]string, 0, len(move.Target))
-	for domain := range move.Target {
-		domains = append(domains, domain)
-	}
-	sort.Strings(domains)
 	table(w, "DOMAIN\tTARGET\tLOWEST\tHIGHEST", func(t *tabwriter.Writer) {
-		for _, domain := range domains {
+		for _, domain := range slices.Sorted(maps.Keys(move.Target)) {
 			low, high := spread(move.Instances, domain)
 			fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%.4f\n", domain, move.Target[domain], low, high)
 		}
--- a/pkg/ctl/config.go
+++ b/pkg/ctl/config.go
@@ -146,7 +146,12 @@
 	if err != nil {
 		return err
 	}
-	diff, err := description.Diff(base, body)
+	return c.printDiff(base, body)
+}
+
+// printDiff prints what changed between two descriptions.
+func (c *command) printDiff(before, after []byte) error {
+	diff, err := description.Diff(before, after)
 	if err != nil {
 		return err
 	}
@@ -213,11 +218,7 @@
 	if err != nil {
 		return err
 	}
-	diff, err := description.Diff(older.Description, newer.Description)
-	if err != nil {
-		return err
-	}
-	return c.print(operator.ValidateReply{Diff: diff}, lines(diff))
+	return c.printDiff(older.Description, newer.Description)
 }
 
 func when(unixMS int64) string { return time.UnixMilli(unixMS).UTC().Format(time.RFC3339) }
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -74,7 +74,7 @@
 	app.UsageWriter(stdout).ErrorWriter(stderr).Terminate(func(code int) { panic(exit(code)) })
 	c.register(app)
 	if _, err := app.Parse(args); err != nil {
-		fmt.Fprintln(stderr, "sequoiactl:", message(err))
+		fmt.Fprintln(stderr, "sequoiactl:", err)
 		if result.CodeOf(err) == result.PatchOutcomeUnknown {
 			return exitUnknown
 		}
@@ -83,13 +83,6 @@
 	return exitDone
 }
 
-func message(err error) string {
-	if remote, ok := err.(*operator.RemoteError); ok {
-		return remote.Error()
-	}
-	return err.Error()
-}
-
 func (c *command) register(app *kingpin.Application) {
 	app.Flag("address", "Operator addresses of agents, comma-separated, tried in order.").
 		Envar("SEQUOIA_ADDRESS").StringVar(&c.addresses)
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiacove/sequoiacove/pkg/platform"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
@@ -22,7 +23,9 @@
 	// patchRounds is how often a patch goes through all addresses while its
 	// outcome is unknown.
 	patchRounds = 3
-	patchPause  = 500 * time.Millisecond
+	// patchPause doubles with each round: 1 s before the second and 2 s before
+	// the third.
+	patchPause = 500 * time.Millisecond
 )
 
 // ClientConfig configures a Client.
@@ -44,13 +47,13 @@
 	http *fasthttp.Client
 }
 
-// NewClient returns a client.
+// NewClient returns a client; it connects with the first call.
 func NewClient(cfg ClientConfig) *Client {
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
 	if cfg.Sleep == nil {
-		cfg.Sleep = sleep
+		cfg.Sleep = platform.Sleep
 	}
 	return &Client{cfg: cfg, http: &fasthttp.Client{
 		Name:                      "sequoiactl",
@@ -62,17 +65,6 @@
 	}}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // attempt sends one request to one agent. PeerUnreachable means that nothing
 // was sent.
 func (c *Client) attempt(ctx context.Context, addr, method, path string, body []byte) ([]byte, error) {
@@ -111,6 +103,7 @@
 
 func (e dialError) Unwrap() error { return e.error }
 
+// connectionError tells a request that was not sent from one without an answer.
 func connectionError(addr string, err error) error {
 	var dialing dialError
 	if errors.As(err, &dialing) {
@@ -122,6 +115,7 @@
 	return result.New(result.PeerNoAnswer, "%s: %v", addr, err)
 }
 
+// remoteError returns the refusal in the body of an answer.
 func remoteError(addr string, status int, body []byte) error {
 	var e ErrorBody
 	if err := json.Unmarshal(body, &e); err != nil || e.Code == result.OK || e.Code == 0 {
@@ -130,21 +124,26 @@
 	return &RemoteError{Body: e, Address: addr}
 }
 
-// elsewhere reports whether another agent may succeed where one failed.
-func elsewhere(err error) bool {
+// Retryable reports whether another agent, or the same one later, may succeed
+// where a call failed.
+func Retryable(err error) bool {
 	return result.Lookup(result.CodeOf(err)).HTTPStatus >= 500
 }
 
+func errNoAddress() error {
+	return result.New(result.PeerUnreachable, "no agent address is given")
+}
+
 // read tries the agents in order until one answers or refuses for good.
 func (c *Client) read(ctx context.Context, method, path string, body []byte, reply any) error {
-	last := result.New(result.PeerUnreachable, "no agent address is given")
+	last := errNoAddress()
 	for _, addr := range c.cfg.Addresses {
 		answer, err := c.attempt(ctx, addr, method, path, body)
 		if err == nil {
 			return decode(addr, answer, reply)
 		}
 		last = err
-		if !elsewhere(err) || ctx.Err() != nil {
+		if !Retryable(err) || ctx.Err() != nil {
 			break
 		}
 	}
@@ -157,7 +156,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(body, reply); err != nil {
-		return result.New(result.PeerProtocol, "%s: %v", addr, err)
+		return result.New(result.PeerProtocol, "%s: the answer cannot be decoded: %v", addr, err)
 	}
 	return nil
 }
--- a/pkg/operator/patch.go
+++ b/pkg/operator/patch.go
@@ -13,6 +13,8 @@
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
+// dialTimeout is below the timeout of an attempt, so that an unreachable agent
+// delays the next one less.
 const dialTimeout = 3 * time.Second
 
 func dial(addr string) (net.Conn, error) {
@@ -37,36 +39,56 @@
 	if err != nil {
 		return PatchReply{}, result.New(result.PatchMalformed, "%v", err)
 	}
-	maySent := false
-	last := result.New(result.PeerUnreachable, "no agent address is given")
+	s := submission{client: c, body: body, last: errNoAddress()}
 	for round := range patchRounds {
 		if round > 0 && c.cfg.Sleep(ctx, patchPause<<round) != nil {
 			break
 		}
-		for _, addr := range c.cfg.Addresses {
-			var reply PatchReply
-			answer, err := c.attempt(ctx, addr, fasthttp.MethodPost, PathPatches, body)
-			if err == nil {
-				err = decode(addr, answer, &reply)
-			}
-			if err == nil {
-				return reply, nil
-			}
-			if final(err, maySent) {
-				return PatchReply{}, err
-			}
-			maySent = maySent || result.OutcomeOf(err) == result.Unknown
-			last = err
+		reply, settled, err := s.round(ctx)
+		if settled {
+			return reply, err
 		}
-		if !maySent {
-			return PatchReply{}, last
+		if !s.maySent {
+			return PatchReply{}, s.last
 		}
 	}
-	if maySent {
-		return PatchReply{}, result.New(result.PatchOutcomeUnknown,
-			"repeat with patch id %s: %v", patch.PatchID, last)
+	return PatchReply{}, result.New(result.PatchOutcomeUnknown,
+		"repeat with patch id %s: %v", patch.PatchID, s.last)
+}
+
+// submission is the state of a patch over all attempts to submit it.
+type submission struct {
+	client *Client
+	body   []byte
+	// maySent tells that an agent may have received the patch.
+	maySent bool
+	// last is the error of the last attempt.
+	last error
+}
+
+// round tries all agents once; settled tells that the outcome is known.
+func (s *submission) round(ctx context.Context) (reply PatchReply, settled bool, err error) {
+	for _, addr := range s.client.cfg.Addresses {
+		reply, err := s.attempt(ctx, addr)
+		if err == nil {
+			return reply, true, nil
+		}
+		if final(err, s.maySent) {
+			return PatchReply{}, true, err
+		}
+		s.maySent = s.maySent || result.OutcomeOf(err) == result.Unknown
+		s.last = err
+	}
+	return PatchReply{}, false, nil
+}
+
+func (s *submission) attempt(ctx context.Context, addr string) (reply PatchReply, err error) {
+	answer, err := s.client.attempt(ctx, addr, fasthttp.MethodPost, PathPatches, s.body)
+	if err != nil {
+		return PatchReply{}, err
 	}
-	return PatchReply{}, last
+	err = decode(addr, answer, &reply)
+	return reply, err
 }
 
 // final reports whether err settles the outcome of a patch. After an attempt
@@ -79,5 +101,5 @@
 	case result.VersionConflict, result.PatchIDReused, result.DescriptionInvalid, result.DescriptionTooLarge, result.PatchMalformed:
 		return true
 	}
-	return !maySent && !elsewhere(err)
+	return !maySent && !Retryable(err)
 }
