Make the agent's checks and start easier to read

The operators were kept in three parallel slices that had to stay in step; they are one slice of records now, and the comparison of tokens is a function of its own. Refusals of the operator API now name what was wrong with the request.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -162,6 +162,7 @@
 	a.link.notify()
 }
 
+// onList passes a new instance list on to the members and the entry.
 func (a *Agent) onList(list []platform.Instance) {
 	a.members.MergeList(list)
 	a.platform.SetLive(a.liveAgents())
@@ -170,8 +171,8 @@
 
 func (a *Agent) liveAgents() int { return len(a.members.Live()) + 1 }
 
-// resync exchanges records and versions with peers after a pause, for at most
-// 2 s, so that a cut-off instance serves again.
+// resync exchanges records and versions with peers at start and after a pause.
+// It takes at most 2 s, so that a cut-off instance serves again.
 func (a *Agent) resync(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { _ = a.members.Resync(ctx) })
@@ -190,6 +191,8 @@
 			list = append(list, addr)
 		}
 	}
+	// The own address is listed first and cut off at the end, so that it is not
+	// asked when it is among the seeds.
 	add(a.settings.Agent.AdvertisedAddress)
 	live := a.members.Live()
 	for _, own := range []bool{true, false} {
--- a/pkg/agent/api.go
+++ b/pkg/agent/api.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"strings"
 	"time"
@@ -21,8 +23,10 @@
 	apiIdleTimeout = time.Minute
 	// apiCallTimeout bounds the work on one operator request; it is above the
 	// time that an accepted patch takes on a slow store.
-	apiCallTimeout    = 15 * time.Second
-	apiConnectionsPer = 64
+	apiCallTimeout = 15 * time.Second
+	// apiConnectionsPerIP is a quarter of apiConcurrency, so that one address
+	// cannot take all connections.
+	apiConnectionsPerIP = 64
 )
 
 // api serves the operator API.
@@ -48,14 +52,15 @@
 		Name:               "sequoia-agent",
 		Handler:            p.handle,
 		Concurrency:        apiConcurrency,
-		MaxConnsPerIP:      apiConnectionsPer,
+		MaxConnsPerIP:      apiConnectionsPerIP,
 		ReadTimeout:        apiIOTimeout,
 		WriteTimeout:       apiIOTimeout,
 		IdleTimeout:        apiIdleTimeout,
 		MaxRequestBodySize: operator.MaxBodyBytes,
 		CloseOnShutdown:    true,
 		ErrorHandler:       refuseUnread,
-		Logger:             discard{},
+		// The server would log every malformed request.
+		Logger: log.New(io.Discard, "", 0),
 	}
 	stop := context.AfterFunc(ctx, func() {
 		bounded, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -66,20 +71,16 @@
 	return server.Serve(listener)
 }
 
-// discard drops the server's log of malformed requests.
-type discard struct{}
-
-func (discard) Printf(string, ...any) {}
-
 // refuseUnread answers a request that could not be read.
 func refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	if err == fasthttp.ErrBodyTooLarge {
 		refuse(ctx, result.New(result.BodyTooLarge, "a request has at most %d bytes", operator.MaxBodyBytes), 0)
 		return
 	}
-	refuse(ctx, result.New(result.BadRequest, "%v", err), 0)
+	refuse(ctx, result.New(result.BadRequest, "the request could not be read: %v", err), 0)
 }
 
+// refuse answers with the result code of err.
 func refuse(ctx *fasthttp.RequestCtx, err error, current uint64) {
 	body, _ := json.Marshal(operator.NewErrorBody(err, current))
 	ctx.SetStatusCode(result.Lookup(result.CodeOf(err)).HTTPStatus)
@@ -120,7 +121,7 @@
 	}
 	body, err := json.Marshal(reply)
 	if err != nil {
-		refuse(http, result.New(result.Internal, "%v", err), 0)
+		refuse(http, result.New(result.Internal, "encoding the answer: %v", err), 0)
 		return
 	}
 	http.SetContentType("application/json")
@@ -145,10 +146,10 @@
 		case operator.PathValidate:
 			return p.validate(c)
 		}
-		return nil, result.New(result.NotFound, "POST %s", clip(path))
+		return nil, result.New(result.NotFound, "no such resource: POST %s", clip(path))
 	}
 	if !c.http.IsGet() {
-		return nil, result.New(result.BadRequest, "method %s", clip(string(c.http.Method())))
+		return nil, result.New(result.BadRequest, "method %s is not supported; use GET or POST", clip(string(c.http.Method())))
 	}
 	exact := map[string]func(*call) (any, error){
 		operator.PathCurrent:  p.current,
@@ -171,8 +172,10 @@
 			return handler(c)
 		}
 	}
-	return nil, result.New(result.NotFound, "GET %s", clip(path))
+	return nil, result.New(result.NotFound, "no such resource: GET %s", clip(path))
 }
 
-// clip bounds text of a request that is repeated in an answer or log.
-func clip(s string) string { return s[:min(len(s), 128)] }
+// maxClippedBytes bounds text of a request that is repeated in an answer or log.
+const maxClippedBytes = 128
+
+func clip(s string) string { return s[:min(len(s), maxClippedBytes)] }
--- a/pkg/agent/api_cluster.go
+++ b/pkg/agent/api_cluster.go
@@ -18,12 +18,10 @@
 	// entryTimeout bounds a question to an entry.
 	entryTimeout = 2 * time.Second
 	// shareTolerance is the distance to the target at which a move counts as
-	// finished.
+	// finished; it is above the rounding of float64 shares.
 	shareTolerance = 1e-4
 )
 
-var leaveOrder = entry.ControlRequest{Action: entry.ControlLeave}
-
 func (p *api) members(*call) (any, error) {
 	return operator.MembersReply{Instance: p.agent.settings.ID, Members: p.agent.members.Members()}, nil
 }
@@ -45,7 +43,7 @@
 	}
 	service, ok := d.Services[c.argument]
 	if !ok {
-		return nil, result.New(result.UnknownService, "%q", clip(c.argument))
+		return nil, result.New(result.UnknownService, "version %d has no service %q", version.Number, clip(c.argument))
 	}
 	return newMove(c.argument, version.Number, service.DomainShares(), p.agent.members.Members()), nil
 }
@@ -73,6 +71,7 @@
 	return move
 }
 
+// liveEntries returns the members whose entry is known to run.
 func liveEntries(members []cluster.Member) []cluster.Member {
 	var live []cluster.Member
 	for _, m := range members {
@@ -129,6 +128,7 @@
 	return answer, nil
 }
 
+// askEntry sends a message to an entry and waits at most entryTimeout.
 func (a *Agent) askEntry(ctx context.Context, addr string, typ peer.MessageType, msg, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
 	defer cancel()
@@ -138,7 +138,7 @@
 func (p *api) state(c *call) (any, error) {
 	own, err := json.Marshal(p.agent.state())
 	if err != nil {
-		return nil, result.New(result.Internal, "%v", err)
+		return nil, result.New(result.Internal, "encoding the agent's state: %v", err)
 	}
 	reply := operator.State{Agent: own}
 	var dump []byte
--- a/pkg/agent/api_config.go
+++ b/pkg/agent/api_config.go
@@ -10,8 +10,10 @@
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
+// defaultVersions is the length of a page of the history without a limit.
 const defaultVersions = 20
 
+// proposal reads the patch of a request.
 func (c *call) proposal() (configstore.Proposal, error) {
 	var in operator.PatchRequest
 	if err := json.Unmarshal(c.http.PostBody(), &in); err != nil {
--- a/pkg/agent/auth.go
+++ b/pkg/agent/auth.go
@@ -12,47 +12,59 @@
 
 // operators checks the tokens and the rates of operators.
 type operators struct {
-	names   []string
-	hashes  [][sha256.Size]byte
-	buckets []*bucket
+	list []operatorAccess
 	// refused bounds the log of requests without a valid token.
 	refused *bucket
 }
 
+// operatorAccess is the token and the rate of one operator.
+type operatorAccess struct {
+	name      string
+	tokenHash [sha256.Size]byte
+	requests  *bucket
+}
+
+// refusedLogsPerSecond keeps a sender without a token from filling the log.
 const refusedLogsPerSecond = 1
 
 func newOperators(tokens map[string]string, rate float64, now func() time.Time) *operators {
 	o := &operators{refused: newBucket(refusedLogsPerSecond, now)}
 	for name, token := range tokens {
-		o.names = append(o.names, name)
-		o.hashes = append(o.hashes, sha256.Sum256([]byte(token)))
-		o.buckets = append(o.buckets, newBucket(rate, now))
+		o.list = append(o.list, operatorAccess{
+			name:      name,
+			tokenHash: sha256.Sum256([]byte(token)),
+			requests:  newBucket(rate, now),
+		})
 	}
 	return o
 }
 
-// authorize returns the name of the operator that the header belongs to. Every
-// token is compared, in constant time, so that the time of the answer tells
-// nothing about the tokens.
+// authorize returns the name of the operator that the header belongs to.
 func (o *operators) authorize(header string) (name string, err error) {
 	token, ok := strings.CutPrefix(header, "Bearer ")
 	if !ok {
 		return "", result.New(result.Unauthorized, "a bearer token is required")
 	}
-	sum := sha256.Sum256([]byte(token))
-	found := -1
-	for i := range o.hashes {
-		if subtle.ConstantTimeCompare(o.hashes[i][:], sum[:]) == 1 {
-			found = i
-		}
-	}
-	if found < 0 {
+	found := o.find(token)
+	if found == nil {
 		return "", result.New(result.Unauthorized, "unknown token")
 	}
-	if !o.buckets[found].take() {
-		return o.names[found], result.New(result.RateLimited, "operator %s is at the limit of requests per second", o.names[found])
+	if !found.requests.take() {
+		return found.name, result.New(result.RateLimited, "operator %s is at the limit of requests per second", found.name)
+	}
+	return found.name, nil
+}
+
+// find compares every token, in constant time, so that the time of the answer
+// tells nothing about the tokens.
+func (o *operators) find(token string) (found *operatorAccess) {
+	sum := sha256.Sum256([]byte(token))
+	for i := range o.list {
+		if subtle.ConstantTimeCompare(o.list[i].tokenHash[:], sum[:]) == 1 {
+			found = &o.list[i]
+		}
 	}
-	return o.names[found], nil
+	return found
 }
 
 // bucket is a token bucket that holds one second's requests, at least one.
--- a/pkg/agent/checkpoint.go
+++ b/pkg/agent/checkpoint.go
@@ -21,7 +21,8 @@
 	// together stay under readsPerSecond.
 	readInterval   = time.Minute
 	readsPerSecond = 20
-	retryInterval  = 2 * time.Second
+	// retryInterval follows a failed read: a starting instance may wait for it.
+	retryInterval = 2 * time.Second
 )
 
 // fencedWriter is the part of lease.Lease that checkpoints use.
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/admin"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/entry"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
 )
@@ -15,7 +16,8 @@
 const (
 	// stopMargin is added to the entry's own bound for a graceful stop.
 	stopMargin = 10 * time.Second
-	stopCheck  = 100 * time.Millisecond
+	// stopCheck is the interval in which a leaving agent looks for its entry.
+	stopCheck = 100 * time.Millisecond
 	// orderTimeout bounds the order to the entry to leave.
 	orderTimeout = time.Second
 	closeTimeout = 2 * time.Second
@@ -23,6 +25,8 @@
 	prepareTimeout = 2 * time.Second
 )
 
+// holderName is different after each restart, so that the lease tells a process
+// from the one before it.
 func holderName(id string, incarnation uint64) string { return fmt.Sprintf("%s.%d", id, incarnation) }
 
 // Run serves until ctx ends; then the instance leaves, and Run returns when the
@@ -44,14 +48,12 @@
 		a.link.run(work)
 	})
 	tasks.Go(func() {
-		if err := admin.ServeListener(work, a.adminListener, a.state, a.registry); err != nil {
-			event.Log(a.logger, event.ListenerFailed, "address", a.settings.Agent.AdminAddress, "error", err.Error())
-		}
+		err := admin.ServeListener(work, a.adminListener, a.state, a.registry)
+		a.logListener(a.settings.Agent.AdminAddress, err)
 	})
 	tasks.Go(func() {
-		if err := a.api.serve(work, a.operatorListener); err != nil {
-			event.Log(a.logger, event.ListenerFailed, "address", a.settings.Agent.OperatorAddress, "error", err.Error())
-		}
+		err := a.api.serve(work, a.operatorListener)
+		a.logListener(a.settings.Agent.OperatorAddress, err)
 	})
 	<-ctx.Done()
 	a.leave()
@@ -62,6 +64,13 @@
 	return nil
 }
 
+// logListener logs the error with which a listener ended, if any.
+func (a *Agent) logListener(address string, err error) {
+	if err != nil {
+		event.Log(a.logger, event.ListenerFailed, "address", address, "error", err.Error())
+	}
+}
+
 // contends reports whether this agent contends for the lease of checkpoints.
 func (a *Agent) contends() bool {
 	return contends(checkpointLease, a.settings.ID, a.settings.Domain, a.members.Members())
@@ -75,8 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	group.Go(func() { _ = a.members.Resync(ctx) })
-	group.Go(func() { _, _ = a.sync.Bootstrap(ctx, a.askable()) })
+	group.Go(func() { a.resync(ctx) })
 	group.Go(func() { _ = a.instances.read(ctx) })
 	group.Wait()
 }
@@ -101,7 +109,8 @@
 func (a *Agent) orderLeave() {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	_ = a.client.Call(ctx, a.settings.Entry.PeerAddress, peer.Control, leaveOrder, nil)
+	order := entry.ControlRequest{Action: entry.ControlLeave}
+	_ = a.client.Call(ctx, a.settings.Entry.PeerAddress, peer.Control, order, nil)
 }
 
 func (a *Agent) close() {
--- a/pkg/agent/shares.go
+++ b/pkg/agent/shares.go
@@ -11,8 +11,8 @@
 func meanShares(members []cluster.Member, self string) cluster.Shares {
 	sums := make(cluster.Shares)
 	counts := make(map[string]float64)
-	for _, m := range members {
-		if m.ID == self || m.State == cluster.Dead || m.EntryIncarnation == 0 {
+	for _, m := range liveEntries(members) {
+		if m.ID == self {
 			continue
 		}
 		for service, shares := range m.Shares {
@@ -52,7 +52,8 @@
 	return math.Abs(sum-1) <= shareSumTolerance
 }
 
-// sameShares reports whether two share vectors differ by less than limit.
+// sameShares reports whether two share vectors differ by at most limit in
+// every domain.
 func sameShares(a, b map[string]float64, limit float64) bool {
 	for domain, share := range a {
 		if math.Abs(share-b[domain]) > limit {
