--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"time"
 
@@ -15,11 +17,14 @@
 )
 
 const (
+	// maxConnections is enough for a few collectors of metrics.
 	maxConnections = 64
 	// ioTimeout bounds one request and one answer.
 	ioTimeout = 10 * time.Second
 	// maxRequestBytes is enough for a request without body.
 	maxRequestBytes = 4 << 10
+	// shutdownTimeout bounds the wait for answers in flight when ctx ends.
+	shutdownTimeout = time.Second
 )
 
 // Serve answers GET /metrics with the registry and GET /state with the value
@@ -45,10 +50,11 @@
 		MaxRequestBodySize: maxRequestBytes,
 		GetOnly:            true,
 		CloseOnShutdown:    true,
-		Logger:             discard{},
+		// The server would log every malformed request.
+		Logger: log.New(io.Discard, "", 0),
 	}
 	stop := context.AfterFunc(ctx, func() {
-		bounded, cancel := context.WithTimeout(context.Background(), time.Second)
+		bounded, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		_ = server.ShutdownWithContext(bounded)
 	})
@@ -56,11 +62,6 @@
 	return server.Serve(listener)
 }
 
-// discard drops the server's log of malformed requests.
-type discard struct{}
-
-func (discard) Printf(string, ...any) {}
-
 func handler(state func() any, registry metrics.Registry) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -6,6 +6,8 @@
 package standin
 
 import (
+	"io"
+	"log"
 	"net"
 	"sync"
 	"time"
@@ -48,6 +50,12 @@
 	Dropped int64 `json:"dropped"`
 }
 
+const (
+	// platformMaxBodyBytes is above platform.MaxObjectBytes.
+	platformMaxBodyBytes = 4 << 20
+	platformIdleTimeout  = time.Minute
+)
+
 // Platform is the stand-in platform server.
 type Platform struct {
 	mu      sync.Mutex
@@ -82,24 +90,15 @@
 	}
 	p.server = &fasthttp.Server{
 		Handler:               p.handle,
-		MaxRequestBodySize:    platformMaxBody,
+		MaxRequestBodySize:    platformMaxBodyBytes,
 		ReadTimeout:           platformIdleTimeout,
 		NoDefaultServerHeader: true,
-		Logger:                platformSilentLogger{},
+		Logger:                log.New(io.Discard, "", 0),
 		ConnState:             p.track,
 	}
 	return p
 }
 
-const (
-	platformMaxBody     = 4 << 20
-	platformIdleTimeout = time.Minute
-)
-
-type platformSilentLogger struct{}
-
-func (platformSilentLogger) Printf(string, ...any) {}
-
 // Start listens on address, for example "127.0.0.1:0", and serves until Close.
 func (p *Platform) Start(address string) error {
 	listener, err := net.Listen("tcp", address)
--- a/pkg/standin/platform_http.go
+++ b/pkg/standin/platform_http.go
@@ -21,7 +21,7 @@
 	case path == "/faults" && ctx.IsPost():
 		p.handleFaults(ctx)
 	case path == "/stats" && ctx.IsGet():
-		platformReply(ctx, fasthttp.StatusOK, p.Stats())
+		replyJSON(ctx, fasthttp.StatusOK, p.Stats())
 	case strings.HasPrefix(path, "/instances/"):
 		p.handleInstance(ctx, strings.TrimPrefix(path, "/instances/"))
 	default:
@@ -36,7 +36,7 @@
 		return
 	}
 	p.SetFaults(faults)
-	platformReply(ctx, fasthttp.StatusOK, faults)
+	replyJSON(ctx, fasthttp.StatusOK, faults)
 }
 
 func (p *Platform) handleInstance(ctx *fasthttp.RequestCtx, id string) {
@@ -55,7 +55,7 @@
 		ctx.Error("use PUT or DELETE", fasthttp.StatusMethodNotAllowed)
 		return
 	}
-	platformReply(ctx, fasthttp.StatusOK, struct{}{})
+	replyJSON(ctx, fasthttp.StatusOK, struct{}{})
 }
 
 // handleData carries out one call on the table, the objects or the list.
@@ -104,16 +104,16 @@
 	hash, isObject := strings.CutPrefix(path, "/objects/")
 	switch {
 	case path == "/table/rows":
-		platformReply(ctx, fasthttp.StatusOK, p.table.get(string(args.Peek("key"))))
+		replyJSON(ctx, fasthttp.StatusOK, p.table.get(string(args.Peek("key"))))
 	case path == "/table/list":
 		limit := args.GetUintOrZero("limit")
 		if limit == 0 {
 			limit = platformDefaultListLimit
 		}
 		rows := p.table.scan(string(args.Peek("prefix")), string(args.Peek("after")), min(limit, platform.MaxListRows))
-		platformReply(ctx, fasthttp.StatusOK, map[string][]platform.Row{"rows": rows})
+		replyJSON(ctx, fasthttp.StatusOK, map[string][]platform.Row{"rows": rows})
 	case path == "/instances":
-		platformReply(ctx, fasthttp.StatusOK, map[string][]platform.Instance{"instances": p.list.read(p.now())})
+		replyJSON(ctx, fasthttp.StatusOK, map[string][]platform.Instance{"instances": p.list.read(p.now())})
 	case isObject && p.objects[hash] != nil:
 		ctx.SetBody(p.objects[hash])
 	default:
@@ -149,14 +149,15 @@
 	}
 	revision, failed := p.table.transact(tx)
 	if failed != nil {
-		platformReply(ctx, fasthttp.StatusConflict, platform.Condition{Key: failed.Key, Revision: failed.Revision})
+		replyJSON(ctx, fasthttp.StatusConflict, platform.Condition{Key: failed.Key, Revision: failed.Revision})
 		return false
 	}
-	platformReply(ctx, fasthttp.StatusOK, map[string]uint64{"revision": revision})
+	replyJSON(ctx, fasthttp.StatusOK, map[string]uint64{"revision": revision})
 	return true
 }
 
-func platformReply(ctx *fasthttp.RequestCtx, status int, body any) {
+// replyJSON answers with a status and a body in JSON.
+func replyJSON(ctx *fasthttp.RequestCtx, status int, body any) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
--- a/pkg/standin/upstream.go
+++ b/pkg/standin/upstream.go
@@ -70,6 +70,9 @@
 	log     upstreamLog
 }
 
+// upstreamMaxBodyBytes is above the largest request body of the system.
+const upstreamMaxBodyBytes = 8 << 20
+
 // StartUpstream starts a stand-in upstream.
 func StartUpstream(config UpstreamConfig) (*Upstream, error) {
 	config.Slots = max(config.Slots, 1)
@@ -90,7 +93,7 @@
 		cold:     config.Cold,
 		known:    make(map[string]*upstreamExecution),
 	}
-	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, NoDefaultDate: true, MaxRequestBodySize: 8 << 20}
+	u.server = &fasthttp.Server{Handler: u.handle, NoDefaultServerHeader: true, NoDefaultDate: true, MaxRequestBodySize: upstreamMaxBodyBytes}
 	go func() { _ = u.server.Serve(listener) }()
 	return u, nil
 }
--- a/pkg/standin/upstream_http.go
+++ b/pkg/standin/upstream_http.go
@@ -20,28 +20,18 @@
 	path, method := string(ctx.Path()), string(ctx.Method())
 	switch {
 	case path == "/status" && method == http.MethodGet:
-		u.answerJSON(ctx, u.status())
+		replyJSON(ctx, http.StatusOK, u.status())
 	case path == "/log" && method == http.MethodGet:
-		u.answerJSON(ctx, u.Log())
+		replyJSON(ctx, http.StatusOK, u.Log())
 	case path == "/control" && method == http.MethodPost:
 		u.control(ctx)
 	case strings.HasPrefix(path, "/executions/") && method == http.MethodDelete:
-		u.answerJSON(ctx, map[string]string{"state": u.cancelExecution(strings.TrimPrefix(path, "/executions/"))})
+		replyJSON(ctx, http.StatusOK, map[string]string{"state": u.cancelExecution(strings.TrimPrefix(path, "/executions/"))})
 	default:
 		u.run(ctx)
 	}
 }
 
-func (u *Upstream) answerJSON(ctx *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), http.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
-
 func (u *Upstream) control(ctx *fasthttp.RequestCtx) {
 	var fault UpstreamFault
 	if err := json.Unmarshal(ctx.PostBody(), &fault); err != nil {
@@ -49,7 +39,7 @@
 		return
 	}
 	u.SetFault(fault)
-	u.answerJSON(ctx, fault)
+	replyJSON(ctx, http.StatusOK, fault)
 }
 
 // UpstreamStatus is the answer to GET /status.
@@ -137,7 +127,7 @@
 	if leaving {
 		ctx.Response.Header.Set(request.HeaderLeaving, "1")
 	}
-	u.answerJSON(ctx, UpstreamAnswer{Upstream: u.config.ID, Execution: e.id, Path: e.path, BodyBytes: len(ctx.PostBody())})
+	replyJSON(ctx, http.StatusOK, UpstreamAnswer{Upstream: u.config.ID, Execution: e.id, Path: e.path, BodyBytes: len(ctx.PostBody())})
 }
 
 // UpstreamAnswer is the body of a complete answer.
