Name the limits of the platform client and of a lease row

The rule for a platform service that cannot serve stood in two functions, once to count a failure and once to classify it; it is one method now. Limits that were plain numbers have a name and a reason.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -29,7 +29,10 @@
 	// challengeMargin covers clocks that run at different rates and a renewal
 	// that is delayed on its way.
 	challengeMargin = 1.5
-	maxHolderBytes  = 128
+	// maxHolderBytes and maxTerm bound what is accepted from the row, so that a
+	// damaged row cannot keep the lease from being taken.
+	maxHolderBytes = 128
+	maxTerm        = time.Hour
 )
 
 // Config configures a Lease. Zero values of the optional fields select
@@ -146,6 +149,8 @@
 	return l.write(ctx, start, row.Revision, false)
 }
 
+// currentToken returns the token of the last renewal and whether the lease was
+// held then; its term may have ended since.
 func (l *Lease) currentToken() (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -230,6 +235,7 @@
 	return l.held, nil
 }
 
+// nextValue returns a value of the row that differs from all values before.
 func (l *Lease) nextValue(release bool) []byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -266,6 +272,6 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return record{}, false
 	}
-	valid := r.Holder != "" && len(r.Holder) <= maxHolderBytes && r.TermMS > 0 && r.TermMS <= time.Hour.Milliseconds()
+	valid := r.Holder != "" && len(r.Holder) <= maxHolderBytes && r.TermMS > 0 && r.TermMS <= maxTerm.Milliseconds()
 	return r, valid
 }
--- a/pkg/lease/write.go
+++ b/pkg/lease/write.go
@@ -20,6 +20,8 @@
 	return l.fenced(ctx, tx, token)
 }
 
+// fenced sends tx with the fence, once more if the token is a newer one of the
+// own renewals.
 func (l *Lease) fenced(ctx context.Context, tx platform.Transaction, token uint64) (uint64, error) {
 	revision, err := l.config.Table.Transact(ctx, l.withFence(tx, token))
 	if result.CodeOf(err) != result.StoreConflict {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -30,12 +30,16 @@
 	// 2,000 reads and several hundred writes per second.
 	defaultReadsPerSecond  = 20
 	defaultWritesPerSecond = 3
-	burstSeconds           = 1
+	// burstSeconds is the time at the full rate that the burst holds.
+	burstSeconds = 1
+	// minBurst lets a bootstrap read its rows and objects without a wait.
+	minBurst = 8
 	// fleetReadsPerSecond and fleetWritesPerSecond are shared by all clients;
 	// they are below the platform's limits of 2,000 and 300.
 	fleetReadsPerSecond  = 1500
 	fleetWritesPerSecond = 200
-	minRate              = 0.05
+	// minRate is the rate per second that a client keeps however many there are.
+	minRate = 0.05
 	// An outage leaves tokens for the acceptance of one patch, which takes two
 	// writes and three reads besides the call that found the store up.
 	keepReads  = 3
@@ -111,8 +115,7 @@
 	return c
 }
 
-// burst is at least 8: a bootstrap reads about that many rows and objects.
-func burst(rate float64) float64 { return max(8, rate*burstSeconds) }
+func burst(rate float64) float64 { return max(minBurst, rate*burstSeconds) }
 
 // SetLive limits the rates to this client's part of the platform's limits when
 // live clients share them.
--- a/pkg/platform/codec.go
+++ b/pkg/platform/codec.go
@@ -5,28 +5,33 @@
 	"net/netip"
 	"strings"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
 const (
-	statusOK        = 200
-	statusConflict  = 409
-	maxConditions   = 16
-	maxIDBytes      = 128
-	maxSlots        = 100_000
-	maxErrorExcerpt = 120
+	// maxConditions bounds the conditions of a transaction, and its writes.
+	maxConditions = 16
+	maxIDBytes    = 128
+	// maxSlots bounds the slots of one upstream in the instance list.
+	maxSlots = 100_000
+	// maxExcerptBytes bounds the part of an answer that an error repeats.
+	maxExcerptBytes = 120
 )
 
+// protocolError reports an answer that does not have the form of what was
+// asked for.
 func protocolError(what string, got answer) error {
-	excerpt := got.body[:min(len(got.body), maxErrorExcerpt)]
+	excerpt := got.body[:min(len(got.body), maxExcerptBytes)]
 	return result.New(result.StoreProtocol, "%s: status %d, body %q", what, got.status, excerpt)
 }
 
 // decodeRow checks that the answer is the row that was asked for.
 func decodeRow(key string, got answer) (Row, error) {
 	var row Row
-	if got.status != statusOK || json.Unmarshal(got.body, &row) != nil {
+	if got.status != fasthttp.StatusOK || json.Unmarshal(got.body, &row) != nil {
 		return Row{}, protocolError("row", got)
 	}
 	if row.Key != key || len(row.Value) > MaxValueBytes || row.Revision == 0 && len(row.Value) > 0 {
@@ -40,7 +45,7 @@
 	var list struct {
 		Rows []Row `json:"rows"`
 	}
-	if got.status != statusOK || json.Unmarshal(got.body, &list) != nil || len(list.Rows) > limit {
+	if got.status != fasthttp.StatusOK || json.Unmarshal(got.body, &list) != nil || len(list.Rows) > limit {
 		return nil, protocolError("list", got)
 	}
 	last := after
@@ -84,9 +89,9 @@
 		return 0, protocolError("transaction", got)
 	}
 	switch {
-	case got.status == statusOK && reply.Revision > 0:
+	case got.status == fasthttp.StatusOK && reply.Revision > 0:
 		return reply.Revision, nil
-	case got.status == statusConflict && reply.Key != "":
+	case got.status == fasthttp.StatusConflict && reply.Key != "":
 		return 0, result.New(result.StoreConflict, "row %q has revision %d", reply.Key, reply.Revision)
 	default:
 		return 0, protocolError("transaction", got)
@@ -99,7 +104,7 @@
 	var list struct {
 		Instances []Instance `json:"instances"`
 	}
-	if got.status != statusOK || json.Unmarshal(got.body, &list) != nil || len(list.Instances) > MaxInstances {
+	if got.status != fasthttp.StatusOK || json.Unmarshal(got.body, &list) != nil || len(list.Instances) > MaxInstances {
 		return nil, protocolError("instances", got)
 	}
 	valid := make([]Instance, 0, len(list.Instances))
--- a/pkg/platform/endpoint.go
+++ b/pkg/platform/endpoint.go
@@ -18,8 +18,9 @@
 const (
 	// maxAnswerBytes bounds every answer; the largest is a list of 1,000 rows.
 	maxAnswerBytes = 32 << 20
+	// maxConnections bounds the connections for reads and those for writes.
 	maxConnections = 16
-	// The sample covers about the last five minutes.
+	// The latency sample covers about the last five minutes.
 	sampleSize  = 1028
 	sampleDecay = 0.015
 	// idleConnection closes pooled connections before a component between the
@@ -36,10 +37,16 @@
 // answer is the status and the body of one HTTP exchange.
 type answer struct {
 	status int
+	// notRun tells that the service states that it did nothing.
 	notRun bool
 	body   []byte
 }
 
+// serverFailed tells whether the service reported that it cannot serve now.
+func (a answer) serverFailed() bool {
+	return a.status >= fasthttp.StatusInternalServerError || a.status == fasthttp.StatusTooManyRequests
+}
+
 // endpoint exchanges HTTP messages with one service of the platform.
 type endpoint struct {
 	name    string
@@ -147,6 +154,7 @@
 	return probe, nil
 }
 
+// timeout returns the time that is left for the exchange.
 func (e *endpoint) timeout(ctx context.Context) (time.Duration, error) {
 	timeout := e.client.config.Timeout
 	if deadline, ok := ctx.Deadline(); ok {
@@ -158,6 +166,7 @@
 	return timeout, nil
 }
 
+// send sends one request over HTTP and copies the answer.
 func (e *endpoint) send(write bool, timeout time.Duration, prepare func(*fasthttp.Request)) (answer, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -182,7 +191,7 @@
 // error or a rate limit counts as failed, so that it is not pressed further.
 func (e *endpoint) record(got answer, err error, probe bool) {
 	config := &e.client.config
-	if err == nil && got.status < 500 && got.status != fasthttp.StatusTooManyRequests {
+	if err == nil && !got.serverFailed() {
 		if e.health.succeeded(probe) {
 			e.up.Update(1)
 			e.client.drainTokens()
@@ -214,10 +223,10 @@
 }
 
 // classifyStatus turns a server error into a result code; the caller handles
-// the statuses below 500.
+// all other statuses.
 func classifyStatus(name string, write bool, got answer) error {
 	switch {
-	case got.status < 500 && got.status != fasthttp.StatusTooManyRequests:
+	case !got.serverFailed():
 		return nil
 	case !write, got.status == fasthttp.StatusServiceUnavailable && got.notRun:
 		return result.New(result.StoreUnavailable, "%s: status %d", name, got.status)
--- a/pkg/platform/health.go
+++ b/pkg/platform/health.go
@@ -11,6 +11,9 @@
 	failuresUntilDown = 3
 	backoffBase       = 250 * time.Millisecond
 	backoffMax        = 30 * time.Second
+	// maxDoublings take backoffBase past backoffMax; further shifts could
+	// overflow.
+	maxDoublings = 7
 )
 
 // health is the up/down state of one platform service. While it is down, one
@@ -98,7 +101,7 @@
 // clients that failed together do not return together.
 func fullJitter(attempt int, random float64) time.Duration {
 	limit := backoffMax
-	if attempt < 7 {
+	if attempt < maxDoublings {
 		limit = min(backoffMax, backoffBase<<attempt)
 	}
 	return time.Duration(random * float64(limit))
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -1,4 +1,4 @@
-// Package platform reaches the services that the platform gives: a
+// Package platform reaches the services that the platform provides: a
 // transactional table, an object store and a list of instances.
 //
 // The interfaces are small so that fakes can take the platform's place in
