Share the checks of version records and of version conflicts

A pushed version and a version from outside had the same two checks written out, and a version conflict was built in three places. The condition for a valid version row is a method instead of one long expression. Names of counters and of the last logged version say what they hold.

--- a/pkg/configstore/accept.go
+++ b/pkg/configstore/accept.go
@@ -49,9 +49,10 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
+// check refuses a proposal whose parts are malformed or too large.
 func (p Proposal) check() error {
 	if !patchIDPattern.MatchString(p.PatchID) {
-		return result.New(result.PatchMalformed, "a patch id has 1 to 128 letters, digits, '.', '_' and '-'")
+		return result.New(result.PatchMalformed, "a patch id has 1 to 128 letters, digits, '.', '_' and '-' and starts with a letter or digit")
 	}
 	if len(p.Patch) > description.MaxBytes {
 		return result.New(result.DescriptionTooLarge, "patch of %d bytes exceeds %d", len(p.Patch), description.MaxBytes)
@@ -164,12 +165,17 @@
 		return Accepted{}, result.New(result.PatchOutcomeUnknown, "conflict, and the patch id could not be read: %v", err)
 	}
 	return Accepted{Version: current.version()},
-		result.New(result.VersionConflict, "base version %d, current version %d", p.BaseVersion, current.Number)
+		conflictError(p.BaseVersion, current.Number)
 }
 
+func conflictError(base, current uint64) error {
+	return result.New(result.VersionConflict, "base version %d, current version %d", base, current)
+}
+
+// draft applies a proposal to the head if it is based on it.
 func (s *Store) draft(ctx context.Context, p Proposal, h head) (draft, error) {
 	if h.Number != p.BaseVersion {
-		return draft{}, result.New(result.VersionConflict, "base version %d, current version %d", p.BaseVersion, h.Number)
+		return draft{}, conflictError(p.BaseVersion, h.Number)
 	}
 	before, err := s.body(ctx, h.versionRecord)
 	if err != nil {
--- a/pkg/configstore/commit.go
+++ b/pkg/configstore/commit.go
@@ -41,6 +41,7 @@
 	}, nil
 }
 
+// accepted returns the version that the draft becomes.
 func (d draft) accepted() Accepted {
 	v := d.record.version()
 	v.Body = d.body
@@ -56,7 +57,7 @@
 func (s *Store) commit(ctx context.Context, d draft) (Accepted, error) {
 	tx, err := d.transaction()
 	if err != nil {
-		return Accepted{}, result.New(result.Internal, "encoding: %v", err)
+		return Accepted{}, result.New(result.Internal, "encoding the transaction: %v", err)
 	}
 	maySent := false
 	for send := 1; ; send++ {
@@ -71,7 +72,7 @@
 		}
 		maySent = true
 		if send == maxSends || s.sleep(ctx, resendDelay) != nil {
-			return Accepted{}, result.New(result.PatchOutcomeUnknown, "%v", err)
+			return Accepted{}, result.New(result.PatchOutcomeUnknown, "the store did not confirm the transaction: %v", err)
 		}
 		if settled, found, err := s.settle(ctx, d); found {
 			return settled, err
@@ -108,5 +109,5 @@
 		current = cluster.Version{}
 	}
 	return Accepted{Version: current},
-		result.New(result.VersionConflict, "base version %d, current version %d", d.base.Number, current.Number)
+		conflictError(d.base.Number, current.Number)
 }
--- a/pkg/configstore/store.go
+++ b/pkg/configstore/store.go
@@ -124,7 +124,7 @@
 		return cluster.Version{}, err
 	}
 	if row.Revision == 0 {
-		return cluster.Version{}, result.New(result.VersionNotFound, "version %d", number)
+		return cluster.Version{}, result.New(result.VersionNotFound, "the store has no version %d", number)
 	}
 	record, err := decodeVersion(row)
 	if err != nil {
@@ -157,6 +157,8 @@
 	return decodeHistory(rows, before)
 }
 
+// decodeHistory reverses the rows of the versions below before, which must have
+// no gap.
 func decodeHistory(rows []platform.Row, before uint64) ([]cluster.Version, error) {
 	versions := make([]cluster.Version, 0, len(rows))
 	for i := len(rows) - 1; i >= 0; i-- {
@@ -172,6 +174,7 @@
 	return versions, nil
 }
 
+// withBodies reads the body of a version and that of the version before.
 func (s *Store) withBodies(ctx context.Context, record versionRecord) (cluster.Version, error) {
 	v := record.version()
 	body, err := s.body(ctx, record)
@@ -202,14 +205,24 @@
 	if err := json.Unmarshal(row.Value, &record); err != nil {
 		return versionRecord{}, result.New(result.StoreProtocol, "row %q: %v", row.Key, err)
 	}
-	previous := record.PreviousHash
-	first := record.Number == 1
-	if record.Number == 0 || !platform.ValidHash(record.Hash) || first != (previous == "") || !first && !platform.ValidHash(previous) {
+	if !record.valid() {
 		return versionRecord{}, result.New(result.StoreProtocol, "row %q is not a version record", row.Key)
 	}
 	return record, nil
 }
 
+// valid tells whether the record has its hashes; only version 1 has no previous
+// one.
+func (r versionRecord) valid() bool {
+	if r.Number == 0 || !platform.ValidHash(r.Hash) {
+		return false
+	}
+	if r.Number == 1 {
+		return r.PreviousHash == ""
+	}
+	return platform.ValidHash(r.PreviousHash)
+}
+
 func decodePatch(row platform.Row) (patchRecord, error) {
 	var record patchRecord
 	if err := json.Unmarshal(row.Value, &record); err != nil || record.Number == 0 || !platform.ValidHash(record.Digest) {
--- a/pkg/configsync/distribute.go
+++ b/pkg/configsync/distribute.go
@@ -22,7 +22,8 @@
 	relayWait = 150 * time.Millisecond
 	// relayHedge starts a further relay while none has answered: a new
 	// connection and relayWait come to about 320 ms.
-	relayHedge   = 350 * time.Millisecond
+	relayHedge = 350 * time.Millisecond
+	// relayTimeout leaves a relay the time of two hedges.
 	relayTimeout = 700 * time.Millisecond
 	// maxRelays bounds the relays that are tried in one domain.
 	maxRelays = 5
--- a/pkg/configsync/fetch.go
+++ b/pkg/configsync/fetch.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	// fetchTimeout bounds how long a silent peer holds one of maxFetches.
 	fetchTimeout = time.Second
 	// maxFetches lets a second peer answer while a first one is silent.
 	maxFetches = 2
@@ -25,6 +26,7 @@
 
 func newFetchSet() fetchSet { return fetchSet{active: make(map[string]bool)} }
 
+// begin reports whether a fetch from addr may start; end ends it.
 func (f *fetchSet) begin(addr string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -68,8 +70,8 @@
 // reportMismatch logs once for each version number, because every heartbeat
 // of such a peer repeats the mismatch.
 func (s *Syncer) reportMismatch(number uint64, own, other, addr string) {
-	s.meters.split.Inc(1)
-	if s.mismatch.Swap(number) != number {
+	s.meters.mismatched.Inc(1)
+	if s.loggedMismatch.Swap(number) != number {
 		event.Log(s.config.Logger, event.VersionMismatch, "version", number, "own_hash", own, "peer_hash", other, "peer", addr)
 	}
 }
--- a/pkg/configsync/messages.go
+++ b/pkg/configsync/messages.go
@@ -40,8 +40,10 @@
 	// maxPushBytes holds two descriptions and their record.
 	maxPushBytes  = 2*description.MaxBytes + 4096
 	maxFieldBytes = 256
-	maxNesting    = 8
-	maxElements   = 64
+	// maxNesting and maxElements are above those of any message here; the
+	// bodies are byte strings and count as one element.
+	maxNesting  = 8
+	maxElements = 64
 )
 
 var decoding = func() cbor.DecMode {
@@ -65,13 +67,7 @@
 	if err := decoding.Unmarshal(body, &push); err != nil {
 		return push, result.New(result.PeerRefused, "push: %v", err)
 	}
-	if push.Version.Number == 0 {
-		return push, result.New(result.PeerRefused, "version 0 is not distributed")
-	}
-	if len(push.Version.PatchID) > maxFieldBytes || len(push.Version.Operator) > maxFieldBytes {
-		return push, result.New(result.PeerRefused, "version %d: field too large", push.Version.Number)
-	}
-	return push, nil
+	return push, checkRecord(push.Version)
 }
 
 func decodeFetch(body []byte) (Fetch, error) {
@@ -85,14 +81,22 @@
 	return fetch, nil
 }
 
-// Check tells whether a version from outside is whole and valid: its body has
-// its hash, and both bodies are valid descriptions.
-func Check(v cluster.Version) error {
+// checkRecord refuses a version without a number or with an oversized field.
+func checkRecord(v cluster.Version) error {
 	if v.Number == 0 {
 		return result.New(result.PeerRefused, "version 0 is not distributed")
 	}
 	if len(v.PatchID) > maxFieldBytes || len(v.Operator) > maxFieldBytes {
-		return result.New(result.PeerRefused, "version %d: field too large", v.Number)
+		return result.New(result.PeerRefused, "version %d: patch id or operator exceeds %d bytes", v.Number, maxFieldBytes)
+	}
+	return nil
+}
+
+// Check tells whether a version from outside is whole and valid: its body has
+// its hash, and both bodies are valid descriptions.
+func Check(v cluster.Version) error {
+	if err := checkRecord(v); err != nil {
+		return err
 	}
 	if description.Hash(v.Body) != v.Hash {
 		return result.New(result.PeerRefused, "version %d: the body does not have the hash", v.Number)
--- a/pkg/configsync/store.go
+++ b/pkg/configsync/store.go
@@ -16,7 +16,8 @@
 	bootstrapTimeout = 2 * time.Second
 	// maxSeeds bounds the peers that are asked at start.
 	maxSeeds = 8
-	minPoll  = 2 * time.Second
+	// minPoll is the shortest mean interval of polls.
+	minPoll = 2 * time.Second
 	// pollsPerSecond bounds the polls of all agents together.
 	pollsPerSecond = 100
 )
@@ -80,7 +81,7 @@
 // before its head was read.
 func (s *Syncer) compare(before, head cluster.Version) {
 	switch {
-	case head.Number < before.Number && s.behind.Swap(before.Number) != before.Number:
+	case head.Number < before.Number && s.loggedBehind.Swap(before.Number) != before.Number:
 		event.Log(s.config.Logger, event.StoreBehind, "version", before.Number, "store_version", head.Number)
 	case head.Number == before.Number && head.Hash != before.Hash:
 		s.reportMismatch(before.Number, before.Hash, head.Hash, "store")
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -80,10 +80,10 @@
 	// adopting orders the changes of current and the calls of OnVersion.
 	adopting sync.Mutex
 	fetches  fetchSet
-	// mismatch is the last version number for which a mismatch was logged.
-	mismatch atomic.Uint64
-	// behind is the last version number for which an older store was logged.
-	behind atomic.Uint64
+	// loggedMismatch is the last version number for which a mismatch was logged.
+	loggedMismatch atomic.Uint64
+	// loggedBehind is the last version number for which an older store was logged.
+	loggedBehind atomic.Uint64
 	// refused is the last version number that was refused as invalid.
 	refused atomic.Uint64
 	meters  meters
@@ -96,8 +96,8 @@
 }
 
 type meters struct {
-	adopted, pushed, pushFailed, fetched, fetchFailed, split, deltaMissed metrics.Counter
-	version                                                               metrics.Gauge
+	adopted, pushed, pushFailed, fetched, fetchFailed, mismatched, deltaMissed metrics.Counter
+	version                                                                    metrics.Gauge
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -106,7 +106,7 @@
 	}
 	return meters{
 		adopted: counter("adopted"), pushed: counter("pushes"), pushFailed: counter("push_failures"),
-		fetched: counter("fetches"), fetchFailed: counter("fetch_failures"), split: counter("hash_mismatches"),
+		fetched: counter("fetches"), fetchFailed: counter("fetch_failures"), mismatched: counter("hash_mismatches"),
 		deltaMissed: counter("delta_misses"),
 		version:     metrics.GetOrRegisterGauge("configsync.version", r),
 	}
--- a/pkg/configsync/syncer_test.go
+++ b/pkg/configsync/syncer_test.go
@@ -138,7 +138,7 @@
 	agent := n.agents["d0-0"]
 	agent.Offer(version(4))
 	agent.Heard(4, "other", "d0-1")
-	require.EqualValues(t, 1, agent.meters.split.Count())
+	require.EqualValues(t, 1, agent.meters.mismatched.Count())
 	require.Zero(t, n.calls[peer.FetchVersion])
 }
 
