Document the limits and steps of the peer transport

The name in peer certificates stood among the limits of messages, and limits had no comment each. The writing of keys to PEM files stood twice.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -91,13 +91,13 @@
 	}
 	conn, stream, err := c.open(ctx, addr)
 	if err != nil {
-		c.counters.fails.Inc(1)
+		c.counters.failures.Inc(1)
 		return err
 	}
 	defer conn.end()
 	err = c.exchange(ctx, conn, stream, typ, appendFrame(byte(typ), body), reply)
 	if err != nil {
-		c.counters.fails.Inc(1)
+		c.counters.failures.Inc(1)
 	}
 	return err
 }
@@ -156,6 +156,8 @@
 	}
 }
 
+// exchange writes a request on its stream and reads the reply; the end of ctx
+// resets the stream.
 func (c *Client) exchange(ctx context.Context, conn *connection, stream *quic.Stream, typ MessageType, frame []byte, reply any) error {
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelWrite(cancelled)
--- a/pkg/peer/dial.go
+++ b/pkg/peer/dial.go
@@ -26,6 +26,7 @@
 	return &quic.Transport{Conn: socket}, nil
 }
 
+// dial resolves addr and completes the handshake with it.
 func dial(ctx context.Context, transport *quic.Transport, addr string, config *tls.Config) (*quic.Conn, error) {
 	to, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -13,6 +13,10 @@
 // headerBytes is the size of a frame header: one kind byte and the length.
 const headerBytes = 5
 
+// eagerBytes is the largest body whose buffer is allocated before its content
+// has arrived.
+const eagerBytes = 64 << 10
+
 // Kinds of reply frames.
 const (
 	replyOK    = 0
@@ -101,10 +105,6 @@
 	return header[0], buf.Bytes(), nil
 }
 
-// eagerBytes is the largest frame whose buffer is allocated before its content
-// has arrived.
-const eagerBytes = 64 << 10
-
 // replyFrame encodes the answer of a handler.
 func replyFrame(reply any, err error) []byte {
 	if err == nil {
--- a/pkg/peer/metrics.go
+++ b/pkg/peer/metrics.go
@@ -1,10 +1,6 @@
 package peer
 
-import (
-	"fmt"
-
-	"github.com/rcrowley/go-metrics"
-)
+import "github.com/rcrowley/go-metrics"
 
 // typeNames names the message types in metrics.
 var typeNames = map[MessageType]string{
@@ -21,9 +17,9 @@
 
 // counters holds the counters of a client or a server.
 type counters struct {
-	byType                  map[MessageType]typeCounters
-	other                   typeCounters
-	opened, replaced, fails metrics.Counter
+	byType                     map[MessageType]typeCounters
+	other                      typeCounters
+	opened, replaced, failures metrics.Counter
 }
 
 // newCounters registers counters under peer.<role>; a nil registry keeps them
@@ -32,15 +28,14 @@
 	if registry == nil {
 		registry = metrics.NewRegistry()
 	}
-	get := func(format string, args ...any) metrics.Counter {
-		name := fmt.Sprintf("peer.%s.", role) + fmt.Sprintf(format, args...)
-		return metrics.GetOrRegisterCounter(name, registry)
+	get := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("peer."+role+"."+name, registry)
 	}
 	group := func(name string) typeCounters {
 		return typeCounters{
-			calls:    get("%s.messages", name),
-			sent:     get("%s.bytes_sent", name),
-			received: get("%s.bytes_received", name),
+			calls:    get(name + ".messages"),
+			sent:     get(name + ".bytes_sent"),
+			received: get(name + ".bytes_received"),
 		}
 	}
 	c := &counters{
@@ -48,7 +43,7 @@
 		other:    group("other"),
 		opened:   get("connections_opened"),
 		replaced: get("connections_replaced"),
-		fails:    get("failures"),
+		failures: get("failures"),
 	}
 	for typ, name := range typeNames {
 		c.byType[typ] = group(name)
@@ -56,6 +51,7 @@
 	return c
 }
 
+// of returns the counters of a message type, those of other for an unknown one.
 func (c *counters) of(typ MessageType) typeCounters {
 	if counters, ok := c.byType[typ]; ok {
 		return counters
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -18,14 +18,13 @@
 // the receiver did nothing with the message, PeerNoAnswer that it may have.
 package peer
 
-import (
-	"context"
-)
+import "context"
 
 // MessageType tells the receiver how to decode a message.
 type MessageType uint8
 
-// Message types. The request and reply types stand behind each.
+// Message types, each with its sender, its receiver and the types of its request
+// and reply.
 const (
 	// Ping: empty, answered empty. The transport handles it.
 	Ping MessageType = 1
@@ -52,14 +51,19 @@
 	FetchInstances MessageType = 11
 )
 
-// Limits of one message and one connection.
+// Limits of messages and connections.
 const (
-	MaxMessageBytes      = 24 << 20
-	MaxStreamsPerConn    = 2000
-	MaxConnections       = 1024
-	AuthenticatedSANName = "sequoia-peer"
+	// MaxMessageBytes bounds the body of a message.
+	MaxMessageBytes = 24 << 20
+	// MaxStreamsPerConn bounds the calls in flight on one connection.
+	MaxStreamsPerConn = 2000
+	// MaxConnections is the default bound of a server's open connections.
+	MaxConnections = 1024
 )
 
+// AuthenticatedSANName is the name in the certificates of all peers.
+const AuthenticatedSANName = "sequoia-peer"
+
 // Handler answers one message. The context ends when the sender cancels the
 // call or the connection is lost.
 type Handler func(ctx context.Context, body []byte) (reply any, err error)
--- a/pkg/peer/peertest/authority.go
+++ b/pkg/peer/peertest/authority.go
@@ -9,10 +9,8 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
-	"encoding/pem"
 	"math/big"
 	"net"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -118,19 +116,11 @@
 	if err != nil {
 		return files, err
 	}
-	key, err := x509.MarshalPKCS8PrivateKey(certificate.PrivateKey)
-	if err != nil {
-		return files, err
-	}
-	if err := writeBlock(files.CertificateFile, "CERTIFICATE", certificate.Certificate[0], 0o644); err != nil {
+	if err := writeCertificate(files.CertificateFile, certificate.Certificate[0]); err != nil {
 		return files, err
 	}
-	if err := writeBlock(files.KeyFile, "PRIVATE KEY", key, 0o600); err != nil {
+	if err := writeKey(files.KeyFile, certificate.PrivateKey); err != nil {
 		return files, err
 	}
-	return files, writeBlock(files.AuthorityFile, "CERTIFICATE", a.Certificate.Raw, 0o644)
-}
-
-func writeBlock(path, kind string, der []byte, mode os.FileMode) error {
-	return os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), mode)
+	return files, writeCertificate(files.AuthorityFile, a.Certificate.Raw)
 }
--- a/pkg/peer/peertest/files.go
+++ b/pkg/peer/peertest/files.go
@@ -42,14 +42,27 @@
 	if err != nil {
 		return nil, err
 	}
-	key, err := x509.MarshalPKCS8PrivateKey(a.key)
-	if err != nil {
+	if err := writeKey(filepath.Join(dir, authorityKeyFile), a.key); err != nil {
 		return nil, err
 	}
-	if err := writeBlock(filepath.Join(dir, authorityKeyFile), "PRIVATE KEY", key, 0o600); err != nil {
-		return nil, err
+	return a, writeCertificate(filepath.Join(dir, authorityFile), a.Certificate.Raw)
+}
+
+func writeCertificate(path string, der []byte) error {
+	return writeBlock(path, "CERTIFICATE", der, 0o644)
+}
+
+// writeKey writes a private key that only the owner of the file may read.
+func writeKey(path string, key any) error {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return err
 	}
-	return a, writeBlock(filepath.Join(dir, authorityFile), "CERTIFICATE", a.Certificate.Raw, 0o644)
+	return writeBlock(path, "PRIVATE KEY", der, 0o600)
+}
+
+func writeBlock(path, kind string, der []byte, mode os.FileMode) error {
+	return os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), mode)
 }
 
 func parseAuthority(certificate, key []byte, lifetime time.Duration) (*Authority, error) {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -47,7 +47,8 @@
 	Logger *slog.Logger
 	// Registry receives the counters; nil keeps them private.
 	Registry metrics.Registry
-	// MaxConnections bounds open connections; 0 means MaxConnections.
+	// MaxConnections bounds open connections; 0 selects the constant
+	// MaxConnections.
 	MaxConnections int
 }
 
@@ -118,6 +119,9 @@
 	return &key
 }
 
+// quicConfig is the configuration of both sides. The windows bound what a
+// connection makes the receiver hold; they start small because most messages
+// are.
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           dialTimeout,
@@ -155,6 +159,7 @@
 	}
 }
 
+// admit counts a connection unless the server is full or stopping.
 func (s *Server) admit(conn *quic.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,6 +171,7 @@
 	return true
 }
 
+// serveConn answers the streams of a connection until it ends.
 func (s *Server) serveConn(conn *quic.Conn) {
 	defer func() {
 		s.mu.Lock()
@@ -198,12 +204,13 @@
 	return true
 }
 
+// serveStream reads one message and answers it.
 func (s *Server) serveStream(stream *quic.Stream, accepted bool) {
 	defer stream.CancelRead(cancelled)
 	stream.SetReadDeadline(time.Now().Add(receiveTimeout))
 	kind, body, err := readFrame(stream)
 	if err != nil {
-		s.counters.fails.Inc(1)
+		s.counters.failures.Inc(1)
 		if result.CodeOf(err) != result.PeerProtocol {
 			stream.CancelWrite(cancelled)
 			return
@@ -223,6 +230,7 @@
 	s.reply(stream, frame)
 }
 
+// answer calls the handler of a message type.
 func (s *Server) answer(ctx context.Context, typ MessageType, body []byte, accepted bool) (any, error) {
 	if typ == Ping {
 		return nil, nil
@@ -270,6 +278,7 @@
 	return err
 }
 
+// closeNow closes all connections and the socket without waiting for handlers.
 func (s *Server) closeNow() {
 	s.mu.Lock()
 	s.stopping = true
