Use the standard slices and maps functions in settings and description

Hand-written searches and sorted keys did the same. Load and Parse opened the INI source with the same options; the check of an address stood twice.

--- a/pkg/description/description.go
+++ b/pkg/description/description.go
@@ -14,7 +14,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/result"
@@ -136,21 +137,14 @@
 
 // Idempotent tells whether a method is idempotent by the service's default.
 func (s Service) Idempotent(method string) bool {
-	for _, m := range s.IdempotentMethods {
-		if m == method {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(s.IdempotentMethods, method)
 }
 
 // RegionOf returns the region of a failure domain, or "".
 func (d *Description) RegionOf(domain string) string {
 	for name, region := range d.Regions {
-		for _, dom := range region.Domains {
-			if dom == domain {
-				return name
-			}
+		if slices.Contains(region.Domains, domain) {
+			return name
 		}
 	}
 	return ""
@@ -158,21 +152,12 @@
 
 // Drained tells whether an upstream id is in DrainedUpstreams.
 func (d *Description) Drained(upstream string) bool {
-	return contains(d.DrainedUpstreams, upstream)
+	return slices.Contains(d.DrainedUpstreams, upstream)
 }
 
 // InstanceDrained tells whether an instance id is in DrainedInstances.
 func (d *Description) InstanceDrained(instance string) bool {
-	return contains(d.DrainedInstances, instance)
-}
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(d.DrainedInstances, instance)
 }
 
 // Parse decodes and validates a description.
@@ -207,10 +192,5 @@
 
 // sortedKeys returns the keys of m in order, so that errors and diffs repeat.
 func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
+	return slices.Sorted(maps.Keys(m))
 }
--- a/pkg/description/diff.go
+++ b/pkg/description/diff.go
@@ -34,6 +34,7 @@
 	return lines, nil
 }
 
+// flatten returns the JSON of each value of a body by its path.
 func flatten(body []byte) (map[string]string, error) {
 	var value any
 	if len(body) > 0 {
--- a/pkg/description/validate.go
+++ b/pkg/description/validate.go
@@ -14,9 +14,12 @@
 const (
 	// shareTolerance accepts sums that miss 1 by rounding of decimal shares.
 	shareTolerance = 1e-6
-	minTTLMS       = 100
-	maxTTLMS       = 300_000
-	maxErrors      = 50
+	// minTTLMS bounds the rate of look-ups and maxTTLMS the time in which callers
+	// still use an instance that is leaving.
+	minTTLMS = 100
+	maxTTLMS = 300_000
+	// maxErrors bounds the errors that one answer lists.
+	maxErrors = 50
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
@@ -53,6 +56,7 @@
 	return p.err()
 }
 
+// validateRegions returns the region of each failure domain.
 func (d *Description) validateRegions(p *problems) map[string]string {
 	domains := make(map[string]string)
 	if len(d.Regions) == 0 {
@@ -80,7 +84,7 @@
 	for i, link := range d.Links {
 		path := fmt.Sprintf("links[%d]", i)
 		for _, region := range link.Between {
-			if _, ok := d.Regions[region]; !ok {
+			if !d.hasRegion(region) {
 				p.add(path+".between", "unknown region %q", region)
 			}
 		}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -9,7 +9,7 @@
 import (
 	"fmt"
 	"net/netip"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,30 +21,26 @@
 // Reader reads typed keys from an INI file and collects all errors.
 type Reader struct {
 	file   *ini.File
-	used   map[string]bool
+	used   map[settingKey]bool
 	errors []string
 }
 
+type settingKey struct{ section, key string }
+
 // Load opens an INI file.
-func Load(path string) (*Reader, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: false, IgnoreInlineComment: true}, path)
-	if err != nil {
-		return nil, result.New(result.SettingsInvalid, "%v", err)
-	}
-	return newReader(file), nil
-}
+func Load(path string) (*Reader, error) { return load(path) }
 
 // Parse reads INI text.
-func Parse(text []byte) (*Reader, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, text)
+func Parse(text []byte) (*Reader, error) { return load(text) }
+
+// load reads a file path or INI text. Comments take whole lines, because a
+// token may hold a character that begins a comment.
+func load(source any) (*Reader, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, source)
 	if err != nil {
 		return nil, result.New(result.SettingsInvalid, "%v", err)
 	}
-	return newReader(file), nil
-}
-
-func newReader(file *ini.File) *Reader {
-	return &Reader{file: file, used: make(map[string]bool)}
+	return &Reader{file: file, used: make(map[settingKey]bool)}, nil
 }
 
 // Fail records an error for a key.
@@ -52,8 +48,9 @@
 	r.errors = append(r.errors, fmt.Sprintf("[%s] %s: %s", section, key, fmt.Sprintf(format, args...)))
 }
 
+// raw returns the text of a key and whether it is present, and marks it as read.
 func (r *Reader) raw(section, key string) (string, bool) {
-	r.used[section+"\x00"+key] = true
+	r.used[settingKey{section, key}] = true
 	s, err := r.file.GetSection(section)
 	if err != nil || !s.HasKey(key) {
 		return "", false
@@ -81,10 +78,8 @@
 // OneOf returns a value that must be among choices; the first is the default.
 func (r *Reader) OneOf(section, key string, choices ...string) string {
 	v := r.StringOr(section, key, choices[0])
-	for _, c := range choices {
-		if v == c {
-			return v
-		}
+	if slices.Contains(choices, v) {
+		return v
 	}
 	r.Fail(section, key, "%q is not one of %s", v, strings.Join(choices, ", "))
 	return choices[0]
@@ -96,12 +91,16 @@
 	if v == "" {
 		return v
 	}
-	if _, err := netip.ParseAddrPort(v); err != nil {
-		r.Fail(section, key, "%q is not an IP address and port", v)
-	}
+	r.checkAddress(section, key, v)
 	return v
 }
 
+func (r *Reader) checkAddress(section, key, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		r.Fail(section, key, "%q is not an IP address and port", address)
+	}
+}
+
 // AddressOr returns an IP address and port or its default, which may be empty.
 func (r *Reader) AddressOr(section, key, fallback string) string {
 	if _, ok := r.raw(section, key); !ok {
@@ -119,9 +118,7 @@
 		if part == "" {
 			continue
 		}
-		if _, err := netip.ParseAddrPort(part); err != nil {
-			r.Fail(section, key, "%q is not an IP address and port", part)
-		}
+		r.checkAddress(section, key, part)
 		list = append(list, part)
 	}
 	return list
@@ -176,7 +173,7 @@
 	}
 	for _, key := range s.Keys() {
 		values[key.Name()] = strings.TrimSpace(key.String())
-		r.used[section+"\x00"+key.Name()] = true
+		r.used[settingKey{section, key.Name()}] = true
 	}
 	return values
 }
@@ -186,7 +183,7 @@
 	all := append([]string(nil), r.errors...)
 	for _, s := range r.file.Sections() {
 		for _, key := range s.Keys() {
-			if !r.used[s.Name()+"\x00"+key.Name()] {
+			if !r.used[settingKey{s.Name(), key.Name()}] {
 				all = append(all, fmt.Sprintf("[%s] %s: unknown key", s.Name(), key.Name()))
 			}
 		}
@@ -194,6 +191,6 @@
 	if len(all) == 0 {
 		return nil
 	}
-	sort.Strings(all)
+	slices.Sort(all)
 	return result.New(result.SettingsInvalid, "%s", strings.Join(all, "; "))
 }
