--- a/pkg/configstore/store_test.go
+++ b/pkg/configstore/store_test.go
@@ -34,19 +34,25 @@
 	t.Helper()
 	server := standin.NewPlatform(time.Now)
 	s := newStore(server.Direct(), server.Direct().Objects())
-	got, err := s.Accept(context.Background(), Proposal{PatchID: "first", Kind: description.MergePatch, Patch: []byte(firstPatch), Operator: "ana"})
-	require.NoError(t, err)
+	got := accept(t, s, Proposal{PatchID: "first", Kind: description.MergePatch, Patch: []byte(firstPatch), Operator: "ana"})
 	require.EqualValues(t, 1, got.Version.Number)
 	return s, server
 }
 
+// accept submits a proposal that must become a version.
+func accept(t *testing.T, s *Store, p Proposal) Accepted {
+	t.Helper()
+	got, err := s.Accept(context.Background(), p)
+	require.NoError(t, err)
+	return got
+}
+
 // Guards against versions that lose their body, their predecessor or their order.
 func TestAcceptLoadHistory(t *testing.T) {
 	s, _ := seeded(t)
 	ctx := context.Background()
 	for n := uint64(1); n < 5; n++ {
-		got, err := s.Accept(ctx, ttlPatch(n, fmt.Sprint("p", n), 1000+int(n)))
-		require.NoError(t, err)
+		got := accept(t, s, ttlPatch(n, fmt.Sprint("p", n), 1000+int(n)))
 		require.Equal(t, n+1, got.Version.Number)
 		require.Equal(t, description.Hash(got.Version.Body), got.Version.Hash)
 	}
@@ -89,15 +95,12 @@
 func TestReplayByPatchID(t *testing.T) {
 	s, _ := seeded(t)
 	ctx := context.Background()
-	accepted, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
-	require.NoError(t, err)
-	_, err = s.Accept(ctx, ttlPatch(2, "q", 3000))
-	require.NoError(t, err)
-	again, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
-	require.NoError(t, err)
+	accepted := accept(t, s, ttlPatch(1, "p", 2000))
+	accept(t, s, ttlPatch(2, "q", 3000))
+	again := accept(t, s, ttlPatch(1, "p", 2000))
 	require.True(t, again.Replayed)
 	require.Equal(t, accepted.Version, again.Version)
-	_, err = s.Accept(ctx, ttlPatch(3, "p", 4000))
+	_, err := s.Accept(ctx, ttlPatch(3, "p", 4000))
 	require.Equal(t, result.PatchIDReused, result.CodeOf(err))
 	for _, id := range []string{"", "a/b", "../x", "-a"} {
 		_, err = s.Accept(ctx, ttlPatch(3, id, 4000))
@@ -123,10 +126,8 @@
 // Guards against a lost update: of two patches on one version, one must lose.
 func TestOldBaseIsRefused(t *testing.T) {
 	s, _ := seeded(t)
-	ctx := context.Background()
-	_, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
-	require.NoError(t, err)
-	got, err := s.Accept(ctx, ttlPatch(1, "q", 3000))
+	accept(t, s, ttlPatch(1, "p", 2000))
+	got, err := s.Accept(context.Background(), ttlPatch(1, "q", 3000))
 	require.Equal(t, result.VersionConflict, result.CodeOf(err))
 	require.EqualValues(t, 2, got.Version.Number, "the conflict names the current version")
 }
@@ -136,8 +137,7 @@
 func TestLostAnswerIsSettled(t *testing.T) {
 	s, server := seeded(t)
 	server.SetFaults(standin.PlatformFaults{Mode: standin.PlatformLoseAnswers})
-	got, err := s.Accept(context.Background(), ttlPatch(1, "p", 2000))
-	require.NoError(t, err)
+	got := accept(t, s, ttlPatch(1, "p", 2000))
 	require.EqualValues(t, 2, got.Version.Number)
 	require.False(t, got.Replayed)
 	require.Contains(t, string(got.Version.PreviousBody), `"ttl_ms":1000`)
@@ -153,8 +153,7 @@
 	_, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
 	require.Equal(t, result.PatchOutcomeUnknown, result.CodeOf(err))
 	server.SetFaults(standin.PlatformFaults{})
-	again, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
-	require.NoError(t, err)
+	again := accept(t, s, ttlPatch(1, "p", 2000))
 	require.True(t, again.Replayed)
 	require.EqualValues(t, 2, again.Version.Number)
 }
@@ -189,15 +188,17 @@
 	return r.Table.Get(ctx, key)
 }
 
+// newHooked returns a store that calls hook before its first read of the head.
+func newHooked(server *standin.Platform, hook func()) *Store {
+	return newStore(&readHook{Table: server.Direct(), hook: hook}, server.Direct().Objects())
+}
+
 // Guards against one patch id for two versions when both patches are in flight
 // at once and the second is based on the version of the first.
 func TestPatchIDRace(t *testing.T) {
 	s, server := seeded(t)
 	ctx := context.Background()
-	hooked := newStore(&readHook{Table: server.Direct(), hook: func() {
-		_, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
-		require.NoError(t, err)
-	}}, server.Direct().Objects())
+	hooked := newHooked(server, func() { accept(t, s, ttlPatch(1, "p", 2000)) })
 	_, err := hooked.Accept(ctx, ttlPatch(2, "p", 3000))
 	require.Equal(t, result.PatchIDReused, result.CodeOf(err))
 	require.Equal(t, []uint64{2, 1}, numbers(t, s, 0, 10))
@@ -207,13 +208,8 @@
 // against its own second submission.
 func TestSamePatchTwiceAtOnce(t *testing.T) {
 	s, server := seeded(t)
-	ctx := context.Background()
-	hooked := newStore(&readHook{Table: server.Direct(), hook: func() {
-		_, err := s.Accept(ctx, ttlPatch(1, "p", 2000))
-		require.NoError(t, err)
-	}}, server.Direct().Objects())
-	got, err := hooked.Accept(ctx, ttlPatch(1, "p", 2000))
-	require.NoError(t, err)
+	hooked := newHooked(server, func() { accept(t, s, ttlPatch(1, "p", 2000)) })
+	got := accept(t, hooked, ttlPatch(1, "p", 2000))
 	require.True(t, got.Replayed)
 	require.EqualValues(t, 2, got.Version.Number)
 }
--- a/pkg/configsync/fake_test.go
+++ b/pkg/configsync/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -87,6 +88,14 @@
 	return cbor.Unmarshal(encoded, reply)
 }
 
+// newAlone returns a syncer without other members that the test closes.
+func newAlone(t *testing.T, config Config) *Syncer {
+	config.Members = func() []cluster.Member { return nil }
+	s := New(config)
+	t.Cleanup(s.Close)
+	return s
+}
+
 // holding counts the agents that hold at least the version.
 func (n *network) holding(number uint64) int {
 	count := 0
--- a/pkg/configsync/overlay_test.go
+++ b/pkg/configsync/overlay_test.go
@@ -19,6 +19,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/description"
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
+	"github.com/sequoiacove/sequoiacove/pkg/platform"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
@@ -99,7 +100,7 @@
 		return err
 	}
 	rtt := roundTrip(o.members[c.sender], o.members[to])
-	if err := sleep(ctx, o.transmit(c.sender, len(body))+rtt/2); err != nil || o.silent[to] {
+	if err := platform.Sleep(ctx, o.transmit(c.sender, len(body))+rtt/2); err != nil || o.silent[to] {
 		<-ctx.Done()
 		return result.New(result.PeerNoAnswer, "%s", addr)
 	}
@@ -113,22 +114,13 @@
 	if first && o.mode == "grid" {
 		o.forwards.Go(func() { o.forward(c.sender, to) })
 	}
-	if err != nil || sleep(ctx, rtt/2) != nil {
+	if err != nil || platform.Sleep(ctx, rtt/2) != nil {
 		return result.New(result.PeerNoAnswer, "%s", addr)
 	}
 	*reply.(*Ack) = answer.(Ack)
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func roundTrip(a, b cluster.Member) time.Duration {
 	switch {
 	case a.Domain == b.Domain:
--- a/pkg/configsync/store_test.go
+++ b/pkg/configsync/store_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/configstore"
 	"github.com/sequoiacove/sequoiacove/pkg/description"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
@@ -120,8 +119,7 @@
 func TestStoreBehindIsReported(t *testing.T) {
 	var log bytes.Buffer
 	source := &fakeSource{}
-	s := New(Config{Members: func() []cluster.Member { return nil }, Source: source, Logger: event.NewLogger(&log, slog.LevelError, "agent", "a")})
-	defer s.Close()
+	s := newAlone(t, Config{Source: source, Logger: event.NewLogger(&log, slog.LevelError, "agent", "a")})
 	s.Offer(version(5))
 	source.set(version(3), false)
 	s.Poll(context.Background())
--- a/pkg/configsync/syncer_test.go
+++ b/pkg/configsync/syncer_test.go
@@ -17,8 +17,7 @@
 // Guards against a version in force that falls back when offers race.
 func TestVersionsOnlyRise(t *testing.T) {
 	var order []uint64
-	s := New(Config{Members: func() []cluster.Member { return nil }, OnVersion: func(v cluster.Version) { order = append(order, v.Number) }})
-	defer s.Close()
+	s := newAlone(t, Config{OnVersion: func(v cluster.Version) { order = append(order, v.Number) }})
 	var group sync.WaitGroup
 	for number := uint64(1); number <= 50; number++ {
 		for range 2 {
@@ -36,8 +35,7 @@
 
 // Guards against a damaged or invalid version that comes into force.
 func TestInvalidVersionIsRefused(t *testing.T) {
-	s := New(Config{Members: func() []cluster.Member { return nil }})
-	defer s.Close()
+	s := newAlone(t, Config{})
 	wrongHash := version(1)
 	wrongHash.Body = version(2).Body
 	require.False(t, s.Offer(wrongHash))
@@ -47,8 +45,7 @@
 
 // Guards against a change of the offered bytes that alters the version in force.
 func TestCurrentIsImmutable(t *testing.T) {
-	s := New(Config{Members: func() []cluster.Member { return nil }})
-	defer s.Close()
+	s := newAlone(t, Config{})
 	v := version(1)
 	require.True(t, s.Offer(v))
 	v.Body[0] = 'x'
@@ -179,8 +176,7 @@
 // hash of its version, or that is applied to another version than its base and
 // leaves a wrong previous body.
 func TestWrongDeltaIsNotApplied(t *testing.T) {
-	s := New(Config{Members: func() []cluster.Member { return nil }})
-	defer s.Close()
+	s := newAlone(t, Config{})
 	s.Offer(version(1))
 	wrong := *newUpdate(following(version(1))).delta
 	wrong.Delta = []byte(`{"lookup":{"ttl_ms":9999}}`)
@@ -204,8 +200,7 @@
 		f.Add(encoded)
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
-		s := New(Config{Members: func() []cluster.Member { return nil }})
-		defer s.Close()
+		s := newAlone(t, Config{})
 		s.Offer(version(1))
 		if _, err := s.HandlePush(context.Background(), body); err == nil {
 			require.NoError(t, Check(s.Current()))
--- a/pkg/operator/client_test.go
+++ b/pkg/operator/client_test.go
@@ -71,14 +71,19 @@
 	})
 }
 
+// closedAddress returns an address that refuses connections.
+func closedAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
 var patch = PatchRequest{BaseVersion: 8, PatchID: "p1", Kind: "merge", Patch: json.RawMessage(`{"a":1}`)}
 
 // Guards against a dead agent keeping operators out.
 func TestNextAgentIsTried(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	closed := listener.Addr().String()
-	listener.Close()
+	closed := closedAddress(t)
 	down := newFakeAgent(t, result.StoreUnavailable)
 	up := newFakeAgent(t, Version{Version: 7})
 	got, err := client(closed, down.addr, up.addr).Current(context.Background())
@@ -124,10 +129,6 @@
 
 // Guards against an unreachable agent being reported as an unknown outcome.
 func TestUnreachableAgentsRefuseThePatch(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	addr := listener.Addr().String()
-	listener.Close()
-	_, err = client(addr).Patch(context.Background(), patch)
+	_, err := client(closedAddress(t)).Patch(context.Background(), patch)
 	require.Equal(t, result.PeerUnreachable, result.CodeOf(err))
 }
