Split agent.New and the member rows, and correct a package comment

New held the clean-up of opened sockets once for each later failure. The table of members built its rows inside two closures. The comment of package standin named a network that fails, which is in faultproxy.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -71,32 +71,45 @@
 		return nil, err
 	}
 	a := &Agent{settings: s, logger: logger, registry: metrics.NewRegistry()}
-	if a.operatorListener, err = listen(s.Agent.OperatorAddress); err != nil {
+	if err := a.open(serverTLS); err != nil {
+		a.closeListeners()
 		return nil, err
 	}
-	if a.adminListener, err = listen(s.Agent.AdminAddress); err != nil {
-		a.operatorListener.Close()
-		return nil, err
-	}
-	a.server, err = peer.NewServer(peer.ServerConfig{
-		Address: s.Agent.PeerAddress, TLS: serverTLS, Logger: logger, Registry: a.registry,
+	a.client = peer.NewClient(peer.ClientConfig{
+		TLS: clientTLS, Logger: logger, Registry: a.registry, LocalAddress: s.Agent.PeerAddress,
 	})
-	if err != nil {
-		a.operatorListener.Close()
-		a.adminListener.Close()
-		return nil, err
+	a.build()
+	return a, nil
+}
+
+// open opens the sockets of operators, the admin address and peers.
+func (a *Agent) open(serverTLS *tls.Config) (err error) {
+	s := a.settings.Agent
+	if a.operatorListener, err = listen(s.OperatorAddress); err != nil {
+		return err
 	}
-	if s.Agent.OperatorTLS {
+	if s.OperatorTLS {
 		a.operatorListener = tls.NewListener(a.operatorListener, &tls.Config{
 			Certificates: serverTLS.Certificates,
 			MinVersion:   tls.VersionTLS13,
 		})
 	}
-	a.client = peer.NewClient(peer.ClientConfig{
-		TLS: clientTLS, Logger: logger, Registry: a.registry, LocalAddress: s.Agent.PeerAddress,
+	if a.adminListener, err = listen(s.AdminAddress); err != nil {
+		return err
+	}
+	a.server, err = peer.NewServer(peer.ServerConfig{
+		Address: s.PeerAddress, TLS: serverTLS, Logger: a.logger, Registry: a.registry,
 	})
-	a.build()
-	return a, nil
+	return err
+}
+
+// closeListeners closes the listeners that open has opened.
+func (a *Agent) closeListeners() {
+	for _, listener := range []net.Listener{a.operatorListener, a.adminListener} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
 }
 
 func listen(address string) (net.Listener, error) {
--- a/pkg/ctl/cluster.go
+++ b/pkg/ctl/cluster.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/operator"
 )
 
@@ -82,19 +83,24 @@
 	return c.print(reply, func(w io.Writer) {
 		table(w, "INSTANCE\tREGION\tDOMAIN\tSTATE\tVERSION\tENTRY\tIN USE\tQUEUED", func(t *tabwriter.Writer) {
 			for _, m := range reply.Members {
-				entry, inUse, queued := "up", 0, 0
-				if m.EntryIncarnation == 0 {
-					entry = "down"
-				}
-				for _, p := range m.Pools {
-					inUse, queued = inUse+p.InUse, queued+p.Queued
-				}
-				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\n", m.ID, m.Region, m.Domain, m.State, m.Version, entry, inUse, queued)
+				printMember(t, m)
 			}
 		})
 	})
 }
 
+// printMember writes one row with the sums over the pools of the member.
+func printMember(w io.Writer, m cluster.Member) {
+	entry, inUse, queued := "up", 0, 0
+	if m.EntryIncarnation == 0 {
+		entry = "down"
+	}
+	for _, p := range m.Pools {
+		inUse, queued = inUse+p.InUse, queued+p.Queued
+	}
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\n", m.ID, m.Region, m.Domain, m.State, m.Version, entry, inUse, queued)
+}
+
 func (c *command) move(client *operator.Client, service string, w *watch) error {
 	return c.until(w, func() (bool, error) {
 		move, err := client.Move(c.ctx, service)
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -34,7 +34,7 @@
 // Catalogue returns all events in ascending order.
 func Catalogue() []Info { return append([]Info(nil), catalogue...) }
 
-// Log writes the event with its catalogued level and text.
+// Log writes the event with its level and text in the catalogue.
 func Log(logger *slog.Logger, id ID, args ...any) {
 	info, ok := byID[id]
 	if !ok {
--- a/pkg/event/event_test.go
+++ b/pkg/event/event_test.go
@@ -59,7 +59,7 @@
 	require.EqualValues(t, 20, line["backoff_ms"])
 }
 
-// Guards against a event that is documented but that no code uses.
+// Guards against an event that is documented but that no code uses.
 func TestEveryEventIsUsed(t *testing.T) {
 	var source strings.Builder
 	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -1,8 +1,9 @@
 // Package standin holds small stand-ins for what surrounds the system: the
-// platform, the upstreams and a network that fails.
+// platform and the upstreams.
 //
-// They speak the protocols of docs/protocols.md and are meant for tests and
-// demos only. They can be run in a test process or as binaries of their own.
+// They speak the protocols of docs/protocols.md, keep everything in memory and
+// can be told to fail, to be slow or to report false figures. They are meant for
+// tests and demos only and run in a test process or as binaries of their own.
 package standin
 
 import (
