--- a/pkg/agent/fixture_test.go
+++ b/pkg/agent/fixture_test.go
@@ -30,7 +30,7 @@
 	tick    = 20 * time.Millisecond
 )
 
-// description is a valid document with one service over two domains.
+// descriptionText is a valid document with one service over two domains.
 const descriptionText = `{"regions": {"north": {"domains": ["north-a", "north-b"]}},
  "lookup": {"ttl_ms": 200},
  "services": {"shop": {"regions": {"north": {"share": 1, "domains": {"north-a": 0.5, "north-b": 0.5}}},
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -52,6 +52,11 @@
 	return &fixture{server: server, client: client, registry: registry}
 }
 
+// call sends one message to the server and waits up to 5 s for its answer.
+func (f *fixture) call(t *testing.T) error {
+	return f.client.Call(within(t, 5*time.Second), f.server.Addr(), testType, "x", nil)
+}
+
 func echo(_ context.Context, body []byte) (any, error) {
 	var s string
 	err := peer.Decode(body, &s)
@@ -91,7 +96,7 @@
 	f := newFixture(t, func(context.Context, []byte) (any, error) {
 		return nil, result.New(result.QueueFull, "12 waiting")
 	}, nil)
-	err := f.client.Call(within(t, 5*time.Second), f.server.Addr(), testType, "x", nil)
+	err := f.call(t)
 	require.Equal(t, result.QueueFull, result.CodeOf(err))
 	require.Equal(t, "12 waiting", result.Detail(err))
 	err = f.client.Call(within(t, 5*time.Second), f.server.Addr(), peer.Explain, "x", nil)
@@ -130,7 +135,7 @@
 // possibly run.
 func TestCancelledBeforeSendingIsUnreachable(t *testing.T) {
 	f := newFixture(t, echo, nil)
-	require.NoError(t, f.client.Call(within(t, 5*time.Second), f.server.Addr(), testType, "x", nil))
+	require.NoError(t, f.call(t))
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	for range 20 {
@@ -190,7 +195,7 @@
 // calls being reported as possibly run.
 func TestConnectionBound(t *testing.T) {
 	f := newFixture(t, echo, func(cfg *peer.ServerConfig) { cfg.MaxConnections = 1 })
-	require.NoError(t, f.client.Call(within(t, 5*time.Second), f.server.Addr(), testType, "x", nil))
+	require.NoError(t, f.call(t))
 	extra := newClientLike(t, f)
 	err := extra.Call(within(t, 5*time.Second), f.server.Addr(), testType, "x", nil)
 	require.Equal(t, result.PeerUnreachable, result.CodeOf(err))
--- a/pkg/peer/silent_test.go
+++ b/pkg/peer/silent_test.go
@@ -69,7 +69,7 @@
 // Guards against pings that outnumber the messages on idle connections.
 func TestIdlePings(t *testing.T) {
 	f := newFixture(t, echo, nil)
-	require.NoError(t, f.client.Call(within(t, 5*time.Second), f.server.Addr(), testType, "x", nil))
+	require.NoError(t, f.call(t))
 	time.Sleep(3 * time.Second)
 	pings := f.registry.Get("peer.client.ping.messages").(metrics.Counter).Count()
 	require.GreaterOrEqual(t, pings, int64(1))
--- a/pkg/platform/bucket.go
+++ b/pkg/platform/bucket.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -58,18 +57,3 @@
 	b.refill(now)
 	b.rate = rate
 }
-
-// Sleep waits for d or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/pkg/result/result_test.go
+++ b/pkg/result/result_test.go
@@ -50,13 +50,7 @@
 func TestEveryConstantIsCatalogued(t *testing.T) {
 	source, err := os.ReadFile("codes.go")
 	require.NoError(t, err)
-	constants := 0
-	for _, line := range strings.Split(string(source), "\n") {
-		if strings.Contains(line, " Code = ") {
-			constants++
-		}
-	}
-	require.Equal(t, len(Catalogue())-1, constants-1)
+	require.Equal(t, strings.Count(string(source), " Code = "), len(Catalogue()))
 }
 
 // Guards against a wrapped error losing its code.
