--- a/pkg/agent/shares.go
+++ b/pkg/agent/shares.go
@@ -57,7 +57,8 @@
 	return math.Abs(sum-1) <= shareSumTolerance
 }
 
-// sameShares reports whether two share vectors differ by less than limit.
+// sameShares reports whether two share vectors differ by at most limit in
+// every domain.
 func sameShares(a, b map[string]float64, limit float64) bool {
 	for domain, share := range a {
 		if math.Abs(share-b[domain]) > limit {
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -1,11 +1,14 @@
 // Package standin holds small stand-ins for what surrounds the system: the
-// platform, the upstreams and a network that fails.
+// platform and the upstreams.
 //
-// They speak the protocols of docs/protocols.md and are meant for tests and
-// demos only. They can be run in a test process or as binaries of their own.
+// They speak the protocols of docs/protocols.md, keep everything in memory and
+// can be told to fail, to be slow or to report false figures. They are meant for
+// tests and demos only and run in a test process or as binaries of their own.
 package standin
 
 import (
+	"io"
+	"log"
 	"net"
 	"sync"
 	"time"
@@ -48,6 +51,12 @@
 	Dropped int64 `json:"dropped"`
 }
 
+const (
+	// platformMaxBodyBytes is above platform.MaxObjectBytes.
+	platformMaxBodyBytes = 4 << 20
+	platformIdleTimeout  = time.Minute
+)
+
 // Platform is the stand-in platform server.
 type Platform struct {
 	mu      sync.Mutex
@@ -82,24 +91,15 @@
 	}
 	p.server = &fasthttp.Server{
 		Handler:               p.handle,
-		MaxRequestBodySize:    platformMaxBody,
+		MaxRequestBodySize:    platformMaxBodyBytes,
 		ReadTimeout:           platformIdleTimeout,
 		NoDefaultServerHeader: true,
-		Logger:                platformSilentLogger{},
+		Logger:                log.New(io.Discard, "", 0),
 		ConnState:             p.track,
 	}
 	return p
 }
 
-const (
-	platformMaxBody     = 4 << 20
-	platformIdleTimeout = time.Minute
-)
-
-type platformSilentLogger struct{}
-
-func (platformSilentLogger) Printf(string, ...any) {}
-
 // Start listens on address, for example "127.0.0.1:0", and serves until Close.
 func (p *Platform) Start(address string) error {
 	listener, err := net.Listen("tcp", address)
