Bound the requests per second of each caller address

Conclusion: off by default, because the callers of one firm may share an address; operators of open networks set caller_requests_per_second.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -51,10 +51,12 @@
 	CallerAddress string
 	PeerAddress   string
 	MaxConcurrent int
-	DrainGrace    time.Duration
-	Admission     Admission
-	Peers         peer.Caller
-	Logger        *slog.Logger
+	// CallerRequestsPerSecond bounds each caller address; 0 means no bound.
+	CallerRequestsPerSecond float64
+	DrainGrace              time.Duration
+	Admission               Admission
+	Peers                   peer.Caller
+	Logger                  *slog.Logger
 	// Registry receives the counters.
 	Registry gometrics.Registry
 	Now      func() time.Time
@@ -69,6 +71,7 @@
 	ids         *requestid.Table
 	metrics     *counters
 	callers     *callers
+	limits      *callerLimits
 	avoid       *avoidList
 	bodies      bodies
 
@@ -118,6 +121,7 @@
 		ids:         requestid.New(opt.Instance, incarnation, key, requestid.DefaultLimits, opt.Now),
 		metrics:     newCounters(opt.Registry),
 		callers:     newCallers(),
+		limits:      newCallerLimits(opt.CallerRequestsPerSecond),
 		avoid:       newAvoidList(),
 		lost:        make(map[string]bool),
 		left:        make(chan struct{}),
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -74,6 +75,11 @@
 		// Callers then have no idle connection that the stop would close.
 		ctx.SetConnectionClose()
 	}
+	if !e.limits.allow(callerAddr(ctx), e.opt.Now()) {
+		e.metrics.limited.Inc(1)
+		refuse(ctx, beforeTable(ctx, result.New(result.TooManyRequests, "more than %g requests per second", e.opt.CallerRequestsPerSecond)))
+		return
+	}
 	path := string(ctx.RequestURI())
 	if i := strings.IndexByte(path, '?'); i >= 0 {
 		path = path[:i]
@@ -90,6 +96,12 @@
 	}
 }
 
+// callerAddr returns the address of the caller, the invalid one if unknown.
+func callerAddr(ctx *fasthttp.RequestCtx) netip.Addr {
+	addr, _ := netip.AddrFromSlice(ctx.RemoteIP())
+	return addr.Unmap()
+}
+
 // limited serves a call that carries no request unless the instance is at its
 // limit.
 func (e *Entry) limited(ctx *fasthttp.RequestCtx, serve fasthttp.RequestHandler) {
--- a/pkg/entry/setup.go
+++ b/pkg/entry/setup.go
@@ -68,18 +68,19 @@
 		Seed:     rand.Uint64(),
 	})
 	p.Entry, err = New(Options{
-		Instance:      s.ID,
-		Region:        s.Region,
-		Domain:        s.Domain,
-		CallerAddress: p.callerListener.Addr().String(),
-		PeerAddress:   s.Entry.AdvertisedAddress,
-		MaxConcurrent: s.Entry.MaxConcurrent,
-		DrainGrace:    s.Entry.DrainGrace,
-		Admission:     ownedPools{p.pools},
-		Peers:         p.client,
-		Logger:        logger,
-		Registry:      registry,
-		Now:           time.Now,
+		Instance:                s.ID,
+		Region:                  s.Region,
+		Domain:                  s.Domain,
+		CallerAddress:           p.callerListener.Addr().String(),
+		PeerAddress:             s.Entry.AdvertisedAddress,
+		MaxConcurrent:           s.Entry.MaxConcurrent,
+		CallerRequestsPerSecond: s.Entry.CallerRequestsPerSecond,
+		DrainGrace:              s.Entry.DrainGrace,
+		Admission:               ownedPools{p.pools},
+		Peers:                   p.client,
+		Logger:                  logger,
+		Registry:                registry,
+		Now:                     time.Now,
 	})
 	if err != nil {
 		return nil, err
--- a/pkg/settings/instance.go
+++ b/pkg/settings/instance.go
@@ -40,6 +40,9 @@
 	AdminAddress      string
 	// MaxConcurrent bounds the caller requests in flight.
 	MaxConcurrent int
+	// CallerRequestsPerSecond bounds the requests of each caller address; 0
+	// means no bound, because callers may share addresses.
+	CallerRequestsPerSecond float64
 	// DrainGrace bounds a graceful stop: the look-up lifetime and the longest
 	// request are waited for up to this time.
 	DrainGrace time.Duration
@@ -143,12 +146,13 @@
 func readEntry(r *Reader) Entry {
 	peerAddress := r.Address("entry", "peer_address")
 	return Entry{
-		CallerAddress:     r.Address("entry", "caller_address"),
-		PeerAddress:       peerAddress,
-		AdvertisedAddress: r.AddressOr("entry", "advertised_address", peerAddress),
-		AdminAddress:      r.Address("entry", "admin_address"),
-		MaxConcurrent:     r.Int("entry", "max_concurrent", 4096, 1, 1_000_000),
-		DrainGrace:        r.Duration("entry", "drain_grace", 5*time.Minute, 0, time.Hour),
+		CallerAddress:           r.Address("entry", "caller_address"),
+		PeerAddress:             peerAddress,
+		AdvertisedAddress:       r.AddressOr("entry", "advertised_address", peerAddress),
+		AdminAddress:            r.Address("entry", "admin_address"),
+		MaxConcurrent:           r.Int("entry", "max_concurrent", 4096, 1, 1_000_000),
+		CallerRequestsPerSecond: r.Float("entry", "caller_requests_per_second", 0, 0, 1_000_000),
+		DrainGrace:              r.Duration("entry", "drain_grace", 5*time.Minute, 0, time.Hour),
 	}
 }
 
