--- /dev/null
+++ b/pkg/agent/auth.go
@@ -0,0 +1,95 @@
+package agent
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// operators checks the tokens and the rates of operators.
+type operators struct {
+	list []operatorAccess
+	// refused bounds the log of requests without a valid token.
+	refused *bucket
+}
+
+// operatorAccess is the token and the rate of one operator.
+type operatorAccess struct {
+	name      string
+	tokenHash [sha256.Size]byte
+	requests  *bucket
+}
+
+// refusedLogsPerSecond keeps a sender without a token from filling the log.
+const refusedLogsPerSecond = 1
+
+func newOperators(tokens map[string]string, rate float64, now func() time.Time) *operators {
+	o := &operators{refused: newBucket(refusedLogsPerSecond, now)}
+	for name, token := range tokens {
+		o.list = append(o.list, operatorAccess{
+			name:      name,
+			tokenHash: sha256.Sum256([]byte(token)),
+			requests:  newBucket(rate, now),
+		})
+	}
+	return o
+}
+
+// authorize returns the name of the operator that the header belongs to.
+func (o *operators) authorize(header string) (name string, err error) {
+	token, ok := strings.CutPrefix(header, "Bearer ")
+	if !ok {
+		return "", result.New(result.Unauthorized, "a bearer token is required")
+	}
+	found := o.find(token)
+	if found == nil {
+		return "", result.New(result.Unauthorized, "unknown token")
+	}
+	if !found.requests.take() {
+		return found.name, result.New(result.RateLimited, "operator %s is at the limit of requests per second", found.name)
+	}
+	return found.name, nil
+}
+
+// find compares every token, in constant time, so that the time of the answer
+// tells nothing about the tokens.
+func (o *operators) find(token string) (found *operatorAccess) {
+	sum := sha256.Sum256([]byte(token))
+	for i := range o.list {
+		if subtle.ConstantTimeCompare(o.list[i].tokenHash[:], sum[:]) == 1 {
+			found = &o.list[i]
+		}
+	}
+	return found
+}
+
+// bucket is a token bucket that holds one second's requests, at least one.
+type bucket struct {
+	rate float64
+	now  func() time.Time
+
+	mu     sync.Mutex
+	tokens float64
+	filled time.Time
+}
+
+func newBucket(rate float64, now func() time.Time) *bucket {
+	return &bucket{rate: rate, now: now, tokens: max(1, rate), filled: now()}
+}
+
+func (b *bucket) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.tokens = min(max(1, b.rate), b.tokens+b.rate*now.Sub(b.filled).Seconds())
+	b.filled = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/pkg/description/description.go
+++ b/pkg/description/description.go
@@ -14,7 +14,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/result"
@@ -62,11 +63,25 @@
 	Caps    Caps                 `json:"caps"`
 	// MaxRequestMS is the longest deadline of a request, in milliseconds.
 	MaxRequestMS int `json:"max_request_ms"`
+	// Locality is LocalityNone or LocalityNearest; empty means LocalityNone.
+	Locality string `json:"locality,omitempty"`
 	// IdempotentMethods are the HTTP methods that are idempotent unless a
 	// request says otherwise.
 	IdempotentMethods []string `json:"idempotent_methods,omitempty"`
 }
 
+// Ways to split a service's shares over the instances that receive its traffic.
+const (
+	// LocalityNone gives every instance the same shares. The sum holds the
+	// shares and caps for any mix of traffic between instances.
+	LocalityNone = "none"
+	// LocalityNearest serves requests in their own region as far as the shares
+	// allow. The sum holds the shares for the demand that the instances report,
+	// so a sudden drop of a region's demand shows in the shares until the
+	// reports have followed.
+	LocalityNearest = "nearest"
+)
+
 // Placement is the part of a service's traffic that a region may take.
 type Placement struct {
 	// Share is the region's part of the service's traffic, 0 to 1.
@@ -122,21 +137,14 @@
 
 // Idempotent tells whether a method is idempotent by the service's default.
 func (s Service) Idempotent(method string) bool {
-	for _, m := range s.IdempotentMethods {
-		if m == method {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(s.IdempotentMethods, method)
 }
 
 // RegionOf returns the region of a failure domain, or "".
 func (d *Description) RegionOf(domain string) string {
 	for name, region := range d.Regions {
-		for _, dom := range region.Domains {
-			if dom == domain {
-				return name
-			}
+		if slices.Contains(region.Domains, domain) {
+			return name
 		}
 	}
 	return ""
@@ -144,21 +152,12 @@
 
 // Drained tells whether an upstream id is in DrainedUpstreams.
 func (d *Description) Drained(upstream string) bool {
-	return contains(d.DrainedUpstreams, upstream)
+	return slices.Contains(d.DrainedUpstreams, upstream)
 }
 
 // InstanceDrained tells whether an instance id is in DrainedInstances.
 func (d *Description) InstanceDrained(instance string) bool {
-	return contains(d.DrainedInstances, instance)
-}
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(d.DrainedInstances, instance)
 }
 
 // Parse decodes and validates a description.
@@ -193,10 +192,5 @@
 
 // sortedKeys returns the keys of m in order, so that errors and diffs repeat.
 func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
+	return slices.Sorted(maps.Keys(m))
 }
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -21,12 +21,20 @@
 	dialTimeout = time.Second
 	// redialPause is the time in which calls share the failure of a dial.
 	redialPause = 100 * time.Millisecond
-	// pingInterval and pingTimeout replace a silent connection within 1.25 s.
+	// pingInterval and pingTimeout replace a silent connection within 1.25 s
+	// while a call waits on it.
 	pingInterval = 250 * time.Millisecond
 	pingTimeout  = time.Second
+	// idlePingInterval is the interval without calls in flight; pings at the
+	// short interval were four of five messages between 12 idle agents.
+	idlePingInterval = time.Second
 	// keepUnused is the time after which a connection without calls is closed
 	// instead of pinged.
 	keepUnused = 10 * time.Second
+	// streamHeadroom is the factor by which a server allows more streams than a
+	// client uses: a finished call keeps its stream for another round trip, and
+	// a ping must always get one.
+	streamHeadroom = 2
 	// maxDials is the number of connections that one call may try before
 	// anything was sent.
 	maxDials = 2
@@ -39,12 +47,19 @@
 	Logger *slog.Logger
 	// Registry receives the counters; nil keeps them private.
 	Registry metrics.Registry
+	// LocalAddress is the process's own address from its settings. Connections
+	// leave from its IP address, so that filters on the path can tell
+	// instances apart; empty lets the system choose. The port is not used.
+	LocalAddress string
 }
 
 // Client sends messages to peers over one connection per address.
 type Client struct {
 	cfg      ClientConfig
 	counters *counters
+	// maxCalls and keepUnused are constants that tests shorten.
+	maxCalls   int64
+	keepUnused time.Duration
 
 	mu     sync.Mutex
 	conns  map[string]*connection
@@ -62,6 +77,9 @@
 		cfg:      cfg,
 		counters: newCounters(cfg.Registry, "client"),
 		conns:    make(map[string]*connection),
+
+		maxCalls:   MaxStreamsPerConn,
+		keepUnused: keepUnused,
 	}
 }
 
@@ -73,18 +91,20 @@
 	}
 	conn, stream, err := c.open(ctx, addr)
 	if err != nil {
-		c.counters.fails.Inc(1)
+		c.counters.failures.Inc(1)
 		return err
 	}
+	defer conn.end()
 	err = c.exchange(ctx, conn, stream, typ, appendFrame(byte(typ), body), reply)
 	if err != nil {
-		c.counters.fails.Inc(1)
+		c.counters.failures.Inc(1)
 	}
 	return err
 }
 
-// open returns a stream on a usable connection. A connection that has ended is
-// replaced, because nothing was sent on it yet.
+// open returns a stream on a usable connection, which counts the call until
+// its end. A connection that has ended is replaced, because nothing was sent on
+// it yet.
 func (c *Client) open(ctx context.Context, addr string) (*connection, *quic.Stream, error) {
 	var last error
 	for range maxDials {
@@ -92,13 +112,12 @@
 		if err != nil {
 			return nil, nil, result.New(result.PeerUnreachable, "%s: %v", addr, err)
 		}
-		stream, err := conn.quic.OpenStreamSync(ctx)
+		stream, err := conn.openStream(ctx)
 		if err == nil {
-			conn.used()
 			return conn, stream, nil
 		}
-		if ctx.Err() != nil {
-			return nil, nil, result.New(result.PeerUnreachable, "%s: %v", addr, ctx.Err())
+		if err == errBusy || ctx.Err() != nil {
+			return nil, nil, result.New(result.PeerUnreachable, "%s: %v", addr, err)
 		}
 		c.remove(conn)
 		last = err
@@ -137,6 +156,8 @@
 	}
 }
 
+// exchange writes a request on its stream and reads the reply; the end of ctx
+// resets the stream.
 func (c *Client) exchange(ctx context.Context, conn *connection, stream *quic.Stream, typ MessageType, frame []byte, reply any) error {
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelWrite(cancelled)
--- a/pkg/peer/connection.go
+++ b/pkg/peer/connection.go
@@ -25,12 +25,12 @@
 	ready     chan struct{}
 	quic      *quic.Conn
 	dialError error
-	failedAt  time.Time
 
 	// lastUse and lastAnswer are times since start.
 	start      time.Time
 	lastUse    atomic.Int64
 	lastAnswer atomic.Int64
+	inFlight   atomic.Int64
 }
 
 func newConnection(client *Client, addr string) *connection {
@@ -45,6 +45,59 @@
 	}
 }
 
+// retired makes inFlight negative, whatever calls begin on the connection.
+const retired = -1 << 40
+
+var (
+	errBusy  = errors.New("too many calls in flight")
+	errEnded = errors.New("the connection was unused and is being closed")
+)
+
+// begin counts a call, unless the connection has as many as it may or is being
+// closed.
+func (c *connection) begin() error {
+	n := c.inFlight.Add(1)
+	if n > 0 && n <= c.client.maxCalls {
+		c.used()
+		return nil
+	}
+	c.inFlight.Add(-1)
+	if n <= 0 {
+		return errEnded
+	}
+	return errBusy
+}
+
+// retire ends an unused connection for new calls; it fails when a call has
+// begun, which must not be cut off.
+func (c *connection) retire() bool {
+	return c.sinceUse() > c.client.keepUnused && c.inFlight.CompareAndSwap(0, retired)
+}
+
+// openStream opens the stream of a call, which end must end.
+func (c *connection) openStream(ctx context.Context) (*quic.Stream, error) {
+	if err := c.begin(); err != nil {
+		return nil, err
+	}
+	stream, err := c.quic.OpenStreamSync(ctx)
+	if err == nil && ctx.Err() == nil {
+		return stream, nil
+	}
+	c.end()
+	if err == nil {
+		stream.CancelWrite(cancelled)
+		stream.CancelRead(cancelled)
+		err = ctx.Err()
+	}
+	return nil, err
+}
+
+// end ends a call that begin counted.
+func (c *connection) end() {
+	c.used()
+	c.inFlight.Add(-1)
+}
+
 func (c *connection) used()     { c.lastUse.Store(int64(time.Since(c.start))) }
 func (c *connection) answered() { c.lastAnswer.Store(int64(time.Since(c.start))) }
 
@@ -63,23 +116,25 @@
 	default:
 		return false
 	}
-	if c.dialError != nil {
-		return time.Since(c.failedAt) > redialPause
-	}
-	return c.quic.Context().Err() != nil
+	return c.dialError == nil && c.quic.Context().Err() != nil
 }
 
 // run dials and then pings until the connection ends.
 func (c *connection) run() {
 	defer c.cancel()
 	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
-	c.quic, c.dialError = quic.DialAddr(ctx, c.addr, c.client.cfg.TLS, quicConfig())
+	transport, err := newTransport(c.client.cfg.LocalAddress)
+	if err == nil {
+		defer closeTransport(transport)
+		c.quic, err = dial(ctx, transport, c.addr, c.client.cfg.TLS)
+	}
+	c.dialError = err
 	cancel()
-	c.failedAt = time.Now()
 	c.used()
 	c.answered()
 	close(c.ready)
 	if c.dialError != nil {
+		time.AfterFunc(redialPause, func() { c.client.remove(c) })
 		return
 	}
 	c.client.counters.opened.Inc(1)
@@ -100,12 +155,13 @@
 			return
 		case <-ticker.C:
 		}
-		if c.sinceUse() > keepUnused {
+		if c.retire() {
 			c.client.remove(c)
 			c.close(closedNormally, "unused")
 			return
 		}
-		if c.sinceAnswer() < pingInterval || c.ping() {
+		// An answer to a call during the ping is as good as the ping's own.
+		if c.sinceAnswer() < c.pingDue() || c.ping() || c.sinceAnswer() < pingTimeout {
 			continue
 		}
 		c.replace()
@@ -113,6 +169,14 @@
 	}
 }
 
+// pingDue returns the time without an answer after which a ping is due.
+func (c *connection) pingDue() time.Duration {
+	if c.inFlight.Load() > 0 {
+		return pingInterval
+	}
+	return idlePingInterval
+}
+
 // ping reports whether the peer answered an application ping in time.
 func (c *connection) ping() bool {
 	sent := time.Now()
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -1,20 +1,30 @@
 // Package peer carries messages between the processes of the system over QUIC
 // with mutual TLS.
 //
-// Each call uses a stream of its own: a message type, a length and a CBOR body
-// in each direction. A connection whose peer answers no application ping in
+// Each call uses a stream of its own. The request is a frame of the message
+// type (one byte), the length of the body (four bytes, big-endian) and the body
+// in CBOR. The reply is a frame whose first byte is 0 for an answer or 1 for an
+// error with a result code. The sender keeps its side of the stream open until
+// it has read the reply; closing it confirms the reply, and resetting it cancels
+// the handler's context.
+//
+// Both sides present certificates of one authority with the name
+// AuthenticatedSANName. A connection whose peer answers no application ping in
 // time is replaced, because a path can stop delivering packets for one
-// connection while new connections work.
+// connection while new connections work. Every connection has a UDP socket of
+// its own for the same reason.
+//
+// A failed call tells what is known: PeerUnreachable and PeerRefused mean that
+// the receiver did nothing with the message, PeerNoAnswer that it may have.
 package peer
 
-import (
-	"context"
-)
+import "context"
 
 // MessageType tells the receiver how to decode a message.
 type MessageType uint8
 
-// Message types. The request and reply types stand behind each.
+// Message types, each with its sender, its receiver and the types of its request
+// and reply.
 const (
 	// Ping: empty, answered empty. The transport handles it.
 	Ping MessageType = 1
@@ -37,16 +47,23 @@
 	Control MessageType = 9
 	// DumpState: agent to entry, empty -> JSON bytes.
 	DumpState MessageType = 10
+	// FetchInstances: agent to agent, empty -> agent.InstanceList.
+	FetchInstances MessageType = 11
 )
 
-// Limits of one message and one connection.
+// Limits of messages and connections.
 const (
-	MaxMessageBytes      = 24 << 20
-	MaxStreamsPerConn    = 2000
-	MaxConnections       = 1024
-	AuthenticatedSANName = "sequoia-peer"
+	// MaxMessageBytes bounds the body of a message.
+	MaxMessageBytes = 24 << 20
+	// MaxStreamsPerConn bounds the calls in flight on one connection.
+	MaxStreamsPerConn = 2000
+	// MaxConnections is the default bound of a server's open connections.
+	MaxConnections = 1024
 )
 
+// AuthenticatedSANName is the name in the certificates of all peers.
+const AuthenticatedSANName = "sequoia-peer"
+
 // Handler answers one message. The context ends when the sender cancels the
 // call or the connection is lost.
 type Handler func(ctx context.Context, body []byte) (reply any, err error)
