--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -71,32 +71,45 @@
 		return nil, err
 	}
 	a := &Agent{settings: s, logger: logger, registry: metrics.NewRegistry()}
-	if a.operatorListener, err = listen(s.Agent.OperatorAddress); err != nil {
+	if err := a.open(serverTLS); err != nil {
+		a.closeListeners()
 		return nil, err
 	}
-	if a.adminListener, err = listen(s.Agent.AdminAddress); err != nil {
-		a.operatorListener.Close()
-		return nil, err
-	}
-	a.server, err = peer.NewServer(peer.ServerConfig{
-		Address: s.Agent.PeerAddress, TLS: serverTLS, Logger: logger, Registry: a.registry,
+	a.client = peer.NewClient(peer.ClientConfig{
+		TLS: clientTLS, Logger: logger, Registry: a.registry, LocalAddress: s.Agent.PeerAddress,
 	})
-	if err != nil {
-		a.operatorListener.Close()
-		a.adminListener.Close()
-		return nil, err
+	a.build()
+	return a, nil
+}
+
+// open opens the sockets of operators, the admin address and peers.
+func (a *Agent) open(serverTLS *tls.Config) (err error) {
+	s := a.settings.Agent
+	if a.operatorListener, err = listen(s.OperatorAddress); err != nil {
+		return err
 	}
-	if s.Agent.OperatorTLS {
+	if s.OperatorTLS {
 		a.operatorListener = tls.NewListener(a.operatorListener, &tls.Config{
 			Certificates: serverTLS.Certificates,
 			MinVersion:   tls.VersionTLS13,
 		})
 	}
-	a.client = peer.NewClient(peer.ClientConfig{
-		TLS: clientTLS, Logger: logger, Registry: a.registry, LocalAddress: s.Agent.PeerAddress,
+	if a.adminListener, err = listen(s.AdminAddress); err != nil {
+		return err
+	}
+	a.server, err = peer.NewServer(peer.ServerConfig{
+		Address: s.PeerAddress, TLS: serverTLS, Logger: a.logger, Registry: a.registry,
 	})
-	a.build()
-	return a, nil
+	return err
+}
+
+// closeListeners closes the listeners that open has opened.
+func (a *Agent) closeListeners() {
+	for _, listener := range []net.Listener{a.operatorListener, a.adminListener} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
 }
 
 func listen(address string) (net.Listener, error) {
@@ -162,6 +175,7 @@
 	a.link.notify()
 }
 
+// onList passes a new instance list on to the members and the entry.
 func (a *Agent) onList(list []platform.Instance) {
 	a.members.MergeList(list)
 	a.platform.SetLive(a.liveAgents())
@@ -170,8 +184,8 @@
 
 func (a *Agent) liveAgents() int { return len(a.members.Live()) + 1 }
 
-// resync exchanges records and versions with peers after a pause, for at most
-// 2 s, so that a cut-off instance serves again.
+// resync exchanges records and versions with peers at start and after a pause.
+// It takes at most 2 s, so that a cut-off instance serves again.
 func (a *Agent) resync(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { _ = a.members.Resync(ctx) })
@@ -190,6 +204,8 @@
 			list = append(list, addr)
 		}
 	}
+	// The own address is listed first and cut off at the end, so that it is not
+	// asked when it is among the seeds.
 	add(a.settings.Agent.AdvertisedAddress)
 	live := a.members.Live()
 	for _, own := range []bool{true, false} {
--- a/pkg/ctl/cluster.go
+++ b/pkg/ctl/cluster.go
@@ -3,15 +3,16 @@
 import (
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/operator"
-	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
 func (c *command) registerCluster(app *kingpin.Application) {
@@ -61,10 +62,10 @@
 			return err
 		}
 		if err != nil {
-			if result.Lookup(result.CodeOf(err)).HTTPStatus < 500 {
+			if !operator.Retryable(err) {
 				return err
 			}
-			fmt.Fprintln(c.stderr, "sequoiactl:", message(err))
+			fmt.Fprintln(c.stderr, "sequoiactl:", err)
 		}
 		select {
 		case <-c.ctx.Done():
@@ -82,19 +83,24 @@
 	return c.print(reply, func(w io.Writer) {
 		table(w, "INSTANCE\tREGION\tDOMAIN\tSTATE\tVERSION\tENTRY\tIN USE\tQUEUED", func(t *tabwriter.Writer) {
 			for _, m := range reply.Members {
-				entry, inUse, queued := "up", 0, 0
-				if m.EntryIncarnation == 0 {
-					entry = "down"
-				}
-				for _, p := range m.Pools {
-					inUse, queued = inUse+p.InUse, queued+p.Queued
-				}
-				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\n", m.ID, m.Region, m.Domain, m.State, m.Version, entry, inUse, queued)
+				printMember(t, m)
 			}
 		})
 	})
 }
 
+// printMember writes one row with the sums over the pools of the member.
+func printMember(w io.Writer, m cluster.Member) {
+	entry, inUse, queued := "up", 0, 0
+	if m.EntryIncarnation == 0 {
+		entry = "down"
+	}
+	for _, p := range m.Pools {
+		inUse, queued = inUse+p.InUse, queued+p.Queued
+	}
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\n", m.ID, m.Region, m.Domain, m.State, m.Version, entry, inUse, queued)
+}
+
 func (c *command) move(client *operator.Client, service string, w *watch) error {
 	return c.until(w, func() (bool, error) {
 		move, err := client.Move(c.ctx, service)
@@ -117,13 +123,8 @@
 		fmt.Fprintf(w, "; unreachable: %s", strings.Join(move.Unreachable, ", "))
 	}
 	fmt.Fprintln(w)
-	domains := make([]string, 0, len(move.Target))
-	for domain := range move.Target {
-		domains = append(domains, domain)
-	}
-	sort.Strings(domains)
 	table(w, "DOMAIN\tTARGET\tLOWEST\tHIGHEST", func(t *tabwriter.Writer) {
-		for _, domain := range domains {
+		for _, domain := range slices.Sorted(maps.Keys(move.Target)) {
 			low, high := spread(move.Instances, domain)
 			fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%.4f\n", domain, move.Target[domain], low, high)
 		}
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -69,5 +69,5 @@
 // upToDate tells whether a view is what newView would build now.
 func (e *Entry) upToDate(v *view, in *viewInput) bool {
 	return v != nil && v.generation == in.generation && v.description == in.description &&
-		v.detached == in.detached && v.self.State == in.self.State && maps.Equal(v.silent, in.silent)
+		v.detached == in.detached && v.yields == in.yields && v.self.State == in.self.State && maps.Equal(v.silent, in.silent)
 }
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -105,6 +105,11 @@
 	}
 	e.version, e.description = version, d
 	e.blocks = newBlockTable(d.Lookup.Blocks)
+	if d.InstanceDrained(e.opt.Instance) {
+		e.gate.yield(e.opt.Now())
+	} else {
+		e.gate.keepPools()
+	}
 	event.Log(e.opt.Logger, event.VersionInForce, "version", version.Number, "hash", version.Hash)
 	return nil
 }
@@ -113,7 +118,12 @@
 // and admission, as far as the snapshot changes what they use. Without a version
 // there is nothing to route yet.
 func (e *Entry) replaceView(s *cluster.Snapshot, update memberUpdate, now time.Time) {
-	e.members, e.upstreams = update.members, s.Upstreams
+	e.members = update.members
+	if s.Upstreams != nil {
+		// An agent that restarted during a platform outage knows no list; the
+		// last one is better than none.
+		e.upstreams = s.Upstreams
+	}
 	if update.moved {
 		e.generation++
 	}
@@ -124,6 +134,7 @@
 		return
 	}
 	if e.gate.detached.CompareAndSwap(true, false) {
+		e.gate.keepPools()
 		event.Log(e.opt.Logger, event.EntryAttached)
 	}
 	v := e.rebuildView()
@@ -157,6 +168,7 @@
 		generation:  e.generation,
 		self:        e.self(),
 		detached:    e.gate.detached.Load(),
+		yields:      e.gate.yields(e.opt.Now()),
 		silent:      e.avoid.current(),
 		last:        e.view.Load(),
 	}
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -15,6 +15,7 @@
 	blocks      *blockTable
 	self        cluster.Member
 	detached    bool
+	yields      bool
 	silent      map[string]bool
 	generation  uint64
 	// live holds the members whose entries answer, by failure domain.
@@ -41,6 +42,9 @@
 	generation  uint64
 	self        cluster.Member
 	detached    bool
+	// yields is set while this instance keeps its pools although it is
+	// detached or leaving.
+	yields bool
 	// silent holds the instances that this one could not reach lately.
 	silent map[string]bool
 	// last is the view before, whose caches are kept while nothing changed
@@ -57,6 +61,7 @@
 		blocks:      in.blocks,
 		self:        in.self,
 		detached:    in.detached,
+		yields:      in.yields,
 		silent:      in.silent,
 		generation:  in.generation,
 		perRegion:   make(map[string]int),
@@ -78,7 +83,7 @@
 
 // ranksLike tells whether owners and look-up answers are the same in two views.
 func (v *view) ranksLike(last *view) bool {
-	if last == nil || v.description != last.description || v.detached != last.detached ||
+	if last == nil || v.description != last.description || v.detached != last.detached || v.yields != last.yields ||
 		len(v.byID) != len(last.byID) || !maps.Equal(v.silent, last.silent) {
 		return false
 	}
@@ -139,6 +144,8 @@
 	var staying, others []cluster.Member
 	for _, m := range v.live[domain] {
 		switch {
+		case m.ID == v.self.ID && v.yields:
+			staying = append(staying, m)
 		case m.ID == v.self.ID && v.detached:
 		case domain == v.self.Domain && v.silent[m.ID]:
 			others = append(others, m)
