--- a/pkg/entry/outcome_test.go
+++ b/pkg/entry/outcome_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
 	"github.com/sequoiacove/sequoiacove/pkg/request"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
@@ -34,3 +35,19 @@
 		}
 	}
 }
+
+// Guards against an entry that loses its upstreams because its agent restarted
+// during a platform outage and knows no instance list yet.
+func TestUnknownListKeepsTheUpstreams(t *testing.T) {
+	w := newWorld(t, map[string]string{"n1": "north-a"})
+	push := func(upstreams []cluster.UpstreamRecord) {
+		w.seq++
+		_, err := w.entries["n1"].Apply(&cluster.Snapshot{AgentIncarnation: 1, Sequence: w.seq, Version: w.version, Members: w.members(), Upstreams: upstreams})
+		require.NoError(t, err)
+	}
+	push([]cluster.UpstreamRecord{{ID: "u1", Service: "calls", Domain: "north-a", State: cluster.Serving, Slots: 4}})
+	push(nil)
+	require.Len(t, w.adm["n1"].ups[0].Upstreams, 1, "no list says nothing about the upstreams")
+	push([]cluster.UpstreamRecord{})
+	require.Empty(t, w.adm["n1"].ups[0].Upstreams, "an empty list removes them")
+}
