Keep callers away from the control calls of upstreams

Cause: a caller's path reached the upstream unchanged, so a caller could send DELETE /executions/{id} and cancel another caller's execution.

Conclusion: an API of an upstream may again use /status and /executions.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -91,6 +91,8 @@
 		return result.New(result.BodyTooLarge, "body of %d bytes", len(r.Body))
 	case len(r.Path) == 0 || len(r.Path) > request.MaxPathBytes || r.Path[0] != '/':
 		return result.New(result.BadRequest, "path of %d bytes", len(r.Path))
+	case request.IsControlPath(r.Path):
+		return result.New(result.BadRequest, "the path is reserved for the control of upstreams")
 	case len(r.Service) == 0 || len(r.Service) > request.MaxServiceBytes:
 		return result.New(result.BadRequest, "service name of %d bytes", len(r.Service))
 	case len(r.Trace) > maxTraceBytes:
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -74,6 +74,9 @@
 	if path == "" || path[0] != '/' {
 		path = "/" + path
 	}
+	if request.IsControlPath(path) {
+		return "", "", result.New(result.BadRequest, "the path is reserved for the control of upstreams")
+	}
 	if len(path) > request.MaxPathBytes {
 		return "", "", result.New(result.BadRequest, "path of %d bytes", len(path))
 	}
--- a/pkg/harness/upstream.go
+++ b/pkg/harness/upstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/load"
 	"github.com/sequoiacove/sequoiacove/pkg/platform"
+	"github.com/sequoiacove/sequoiacove/pkg/request"
 	"github.com/sequoiacove/sequoiacove/pkg/standin"
 )
 
@@ -44,7 +45,7 @@
 
 // ready tells whether the upstream answers.
 func (u *Upstream) ready() error {
-	return call(http.MethodGet, "http://"+u.Address+"/status", "", nil, nil)
+	return call(http.MethodGet, "http://"+u.Address+request.StatusPath, "", nil, nil)
 }
 
 // busy returns how many executions the upstream holds; it needs status figures
@@ -54,6 +55,6 @@
 		InFlight int `json:"in_flight"`
 		Queued   int `json:"queued"`
 	}
-	err := call(http.MethodGet, "http://"+u.Address+"/status", "", nil, &status)
+	err := call(http.MethodGet, "http://"+u.Address+request.StatusPath, "", nil, &status)
 	return status.InFlight + status.Queued, err
 }
--- /dev/null
+++ b/pkg/request/control.go
@@ -0,0 +1,34 @@
+package request
+
+import (
+	"net/url"
+	"path"
+	"strings"
+)
+
+// Paths of the calls by which the system controls an upstream. Callers must not
+// reach them: a caller could cancel another caller's execution.
+const (
+	controlRoot        = "/.sequoia"
+	StatusPath         = controlRoot + "/status"
+	ExecutionsPath     = controlRoot + "/executions/"
+	maxPathUnescapings = 3
+)
+
+// IsControlPath tells whether an upstream may take a path and query for a
+// control call, also when it decodes and cleans the path first.
+func IsControlPath(uri string) bool {
+	p, _, _ := strings.Cut(uri, "?")
+	for range maxPathUnescapings {
+		cleaned := strings.ToLower(path.Clean("/" + strings.ReplaceAll(p, "\\", "/")))
+		if cleaned == controlRoot || strings.HasPrefix(cleaned, controlRoot+"/") || strings.HasPrefix(cleaned, controlRoot+";") {
+			return true
+		}
+		decoded, err := url.PathUnescape(p)
+		if err != nil || decoded == p {
+			return false
+		}
+		p = decoded
+	}
+	return false
+}
--- a/pkg/standin/upstream_http.go
+++ b/pkg/standin/upstream_http.go
@@ -19,14 +19,14 @@
 func (u *Upstream) handle(ctx *fasthttp.RequestCtx) {
 	path, method := string(ctx.Path()), string(ctx.Method())
 	switch {
-	case path == "/status" && method == http.MethodGet:
+	case path == request.StatusPath && method == http.MethodGet:
 		replyJSON(ctx, http.StatusOK, u.status())
 	case path == "/log" && method == http.MethodGet:
 		replyJSON(ctx, http.StatusOK, u.Log())
 	case path == "/control" && method == http.MethodPost:
 		u.control(ctx)
-	case strings.HasPrefix(path, "/executions/") && method == http.MethodDelete:
-		replyJSON(ctx, http.StatusOK, map[string]string{"state": u.cancelExecution(strings.TrimPrefix(path, "/executions/"))})
+	case strings.HasPrefix(path, request.ExecutionsPath) && method == http.MethodDelete:
+		replyJSON(ctx, http.StatusOK, map[string]string{"state": u.cancelExecution(strings.TrimPrefix(path, request.ExecutionsPath))})
 	default:
 		u.run(ctx)
 	}
--- a/pkg/standin/upstream_test.go
+++ b/pkg/standin/upstream_test.go
@@ -61,7 +61,7 @@
 // Guards against a cancelled or expired execution that keeps its slot.
 func TestUpstreamCancelAndDeadline(t *testing.T) {
 	u, url := startTestUpstream(t, UpstreamConfig{ID: "u", Slots: 1})
-	_, body := call(t, "DELETE", url+"/executions/x-1", "", nil)
+	_, body := call(t, "DELETE", url+"/.sequoia/executions/x-1", "", nil)
 	require.JSONEq(t, `{"state":"unknown"}`, body)
 	done := make(chan int)
 	go func() {
@@ -69,13 +69,13 @@
 		done <- resp.StatusCode
 	}()
 	require.Eventually(t, func() bool { return u.Log().MaxInFlight == 1 }, time.Second, time.Millisecond)
-	_, body = call(t, "DELETE", url+"/executions/x-1", "", nil)
+	_, body = call(t, "DELETE", url+"/.sequoia/executions/x-1", "", nil)
 	require.JSONEq(t, `{"state":"cancelled"}`, body)
 	require.Equal(t, statusClientClosed, <-done)
 	resp, _ := call(t, "GET", url+"/a?work_ms=60000", "", map[string]string{"Sequoia-Deadline-Ms": "30", "Sequoia-Execution": "x-2"})
 	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
 	call(t, "GET", url+"/a?work_ms=1", "", map[string]string{"Sequoia-Execution": "x-3"})
-	_, body = call(t, "DELETE", url+"/executions/x-3", "", nil)
+	_, body = call(t, "DELETE", url+"/.sequoia/executions/x-3", "", nil)
 	require.JSONEq(t, `{"state":"finished"}`, body)
 }
 
@@ -83,7 +83,7 @@
 func TestUpstreamStatusLagsAndMisleads(t *testing.T) {
 	u, url := startTestUpstream(t, UpstreamConfig{ID: "u", Slots: 2, Cold: 1})
 	status := func() (s UpstreamStatus) {
-		_, body := call(t, "GET", url+"/status", "", nil)
+		_, body := call(t, "GET", url+"/.sequoia/status", "", nil)
 		require.NoError(t, json.Unmarshal([]byte(body), &s))
 		return s
 	}
--- a/pkg/upstream/control.go
+++ b/pkg/upstream/control.go
@@ -14,7 +14,7 @@
 // controlLimit bounds a status or cancel call.
 const controlLimit = time.Second
 
-// Status is an upstream's answer to GET /status.
+// Status is an upstream's answer to a status call.
 type Status struct {
 	State    string `json:"state"`
 	Slots    int    `json:"slots"`
@@ -35,7 +35,7 @@
 // Status asks the upstream for its state and load.
 func (c *Client) Status(ctx context.Context, address string) (Status, error) {
 	var status Status
-	err := c.control(ctx, address, http.MethodGet, "/status", &status)
+	err := c.control(ctx, address, http.MethodGet, request.StatusPath, &status)
 	return status, err
 }
 
@@ -45,7 +45,7 @@
 	var answer struct {
 		State string `json:"state"`
 	}
-	path := "/executions/" + url.PathEscape(execution)
+	path := request.ExecutionsPath + url.PathEscape(execution)
 	err := c.control(WithNewConnection(ctx), address, http.MethodDelete, path, &answer)
 	return answer.State, err
 }
