Keep the Content-Length of HEAD answers

Cause: the exchange drops Content-Length because the body is framed anew, but a HEAD answer has no body to frame. TestHeadKeepsTheLength fails without the fix. Conclusion: the entry already passed the length on when it is given.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -111,7 +111,11 @@
 	case !complete:
 		return nil, false, result.New(result.UpstreamProtocol, "answer has neither a content length nor chunked framing")
 	}
-	return convert(message), reusable, nil
+	resp := convert(message)
+	if length := message.Header.ContentLength(); method == http.MethodHead && length >= 0 {
+		resp.Header = append(resp.Header, request.Field{Name: "Content-Length", Value: strconv.Itoa(length)})
+	}
+	return resp, reusable, nil
 }
 
 func readHeader(c *conn, message *fasthttp.Response) error {
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -296,3 +296,17 @@
 	require.Equal(t, 201, resp.Status)
 	require.ElementsMatch(t, []request.Field{{Name: "X-A", Value: "1"}, {Name: "Set-Cookie", Value: "a=b"}, {Name: "Set-Cookie", Value: "c=d; Path=/"}}, resp.Header)
 }
+
+// Guards against HEAD answers that lose the length of the body they leave out.
+func TestHeadKeepsTheLength(t *testing.T) {
+	s := serve(t, func(int, net.Conn) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n", true
+	})
+	client := NewClient(Config{})
+	defer client.Close()
+	req := &request.Request{Method: "HEAD", Path: "/", Idempotent: true, Deadline: time.Now().Add(time.Second)}
+	resp, err := client.Do(context.Background(), s.Addr().String(), req, "x-1")
+	require.NoError(t, err)
+	require.Contains(t, resp.Header, request.Field{Name: "Content-Length", Value: "1234"})
+	require.Empty(t, resp.Body)
+}
