Use the rate library for the limits of operators

Cause: pkg/agent had a token bucket of its own, while golang.org/x/time/rate is now a requirement. TestOperatorRateLimit holds the same bound.

--- a/pkg/agent/api.go
+++ b/pkg/agent/api.go
@@ -130,7 +130,7 @@
 
 func (p *api) refuseOperator(http *fasthttp.RequestCtx, name string, err error) {
 	p.refusals.Inc(1)
-	if p.operators.refused.take() {
+	if p.operators.refused.AllowN(p.operators.now(), 1) {
 		event.Log(p.agent.logger, event.OperatorRefused, "operator", name, "remote", http.RemoteAddr().String(), "error", result.Detail(err))
 	}
 	refuse(http, err, 0)
--- a/pkg/agent/auth.go
+++ b/pkg/agent/auth.go
@@ -4,36 +4,38 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"strings"
-	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
 // operators checks the tokens and the rates of operators.
 type operators struct {
 	list []operatorAccess
+	now  func() time.Time
 	// refused bounds the log of requests without a valid token.
-	refused *bucket
+	refused *rate.Limiter
 }
 
 // operatorAccess is the token and the rate of one operator.
 type operatorAccess struct {
 	name      string
 	tokenHash [sha256.Size]byte
-	requests  *bucket
+	requests  *rate.Limiter
 }
 
 // refusedLogsPerSecond keeps a sender without a token from filling the log.
 const refusedLogsPerSecond = 1
 
-func newOperators(tokens map[string]string, rate float64, now func() time.Time) *operators {
-	o := &operators{refused: newBucket(refusedLogsPerSecond, now)}
+func newOperators(tokens map[string]string, perSecond float64, now func() time.Time) *operators {
+	o := &operators{now: now, refused: rate.NewLimiter(refusedLogsPerSecond, refusedLogsPerSecond)}
 	for name, token := range tokens {
 		o.list = append(o.list, operatorAccess{
 			name:      name,
 			tokenHash: sha256.Sum256([]byte(token)),
-			requests:  newBucket(rate, now),
+			requests:  rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond))),
 		})
 	}
 	return o
@@ -49,7 +51,7 @@
 	if found == nil {
 		return "", result.New(result.Unauthorized, "unknown token")
 	}
-	if !found.requests.take() {
+	if !found.requests.AllowN(o.now(), 1) {
 		return found.name, result.New(result.RateLimited, "operator %s is at the limit of requests per second", found.name)
 	}
 	return found.name, nil
@@ -66,30 +68,3 @@
 	}
 	return found
 }
-
-// bucket is a token bucket that holds one second's requests, at least one.
-type bucket struct {
-	rate float64
-	now  func() time.Time
-
-	mu     sync.Mutex
-	tokens float64
-	filled time.Time
-}
-
-func newBucket(rate float64, now func() time.Time) *bucket {
-	return &bucket{rate: rate, now: now, tokens: max(1, rate), filled: now()}
-}
-
-func (b *bucket) take() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.now()
-	b.tokens = min(max(1, b.rate), b.tokens+b.rate*now.Sub(b.filled).Seconds())
-	b.filled = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
