Let a restarted agent outrank its predecessor after a clock step

Cause: incarnations come from the wall clock.

Before: TestAgentOutranksItsPredecessor keeps incarnation 1 against 1001. After: the agent starts an incarnation above the one that the entry applied last. Conclusion: peers that remember the earlier incarnation had the same effect already; this covers an instance that is alone.

--- a/pkg/agent/delta_test.go
+++ b/pkg/agent/delta_test.go
@@ -143,3 +143,16 @@
 	members = members[:2]
 	fill(1, "a forgotten peer")
 }
+
+// Guards against an entry that stays detached for good because its agent
+// restarted after the wall clock went back and looks older than before.
+func TestAgentOutranksItsPredecessor(t *testing.T) {
+	f := newDeltaFixture()
+	before := f.members.Self().Incarnation
+	f.report.AppliedIncarnation, f.report.AppliedSequence = before+1000, 7
+	f.push()
+	require.Greater(t, f.members.Self().Incarnation, before+1000)
+	s := f.push()
+	require.Greater(t, s.AgentIncarnation, before+1000)
+	require.Zero(t, s.Base, "the entry needs a full snapshot")
+}
--- a/pkg/agent/link.go
+++ b/pkg/agent/link.go
@@ -119,6 +119,11 @@
 	if !l.delta.answered(snapshot, &report, l.cfg.Members.Self().ID) {
 		l.notify()
 	}
+	if report.AppliedIncarnation > snapshot.AgentIncarnation {
+		// The entry ignores snapshots of an agent that looks older than the last.
+		l.cfg.Members.RaiseAbove(report.AppliedIncarnation)
+		l.notify()
+	}
 	l.took(&report, snapshot.Version.Number)
 }
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"sort"
 	"sync"
 	"time"
@@ -207,6 +208,20 @@
 	signal(t.kick)
 }
 
+// RaiseAbove starts a new incarnation above one that an earlier process of this
+// instance used. It is needed when the wall clock went back between the two.
+func (t *Table) RaiseAbove(incarnation uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.self.Incarnation > incarnation || incarnation == math.MaxUint64 {
+		return
+	}
+	t.self.Incarnation = incarnation + 1
+	t.revise()
+	t.notify()
+	signal(t.kick)
+}
+
 // step detects a pause of the own process and evaluates all liveness states.
 // Every use of the table passes through it, so that a pause is seen before the
 // old states are used.
