Read the reply of an operator call after the call

The order in which Go evaluates a variable and a call in one return statement is not specified, so a reply could have been copied before it was decoded. No failure was seen; the tests of pkg/operator and pkg/ctl pass before and after.

--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -177,12 +177,14 @@
 
 // Current returns the version in force with its description.
 func (c *Client) Current(ctx context.Context) (reply Version, err error) {
-	return reply, c.get(ctx, PathCurrent, &reply)
+	err = c.get(ctx, PathCurrent, &reply)
+	return reply, err
 }
 
 // Version returns one version with its description.
 func (c *Client) Version(ctx context.Context, number uint64) (reply Version, err error) {
-	return reply, c.get(ctx, fmt.Sprintf("%s/%d", PathVersions, number), &reply)
+	err = c.get(ctx, fmt.Sprintf("%s/%d", PathVersions, number), &reply)
+	return reply, err
 }
 
 // Versions returns up to limit versions below before, newest first; before 0
@@ -192,31 +194,37 @@
 	if before > 0 {
 		args.Set("before", strconv.FormatUint(before, 10))
 	}
-	return reply, c.get(ctx, PathVersions+"?"+args.Encode(), &reply)
+	err = c.get(ctx, PathVersions+"?"+args.Encode(), &reply)
+	return reply, err
 }
 
 // Members returns the member table of an agent.
 func (c *Client) Members(ctx context.Context) (reply MembersReply, err error) {
-	return reply, c.get(ctx, PathMembers, &reply)
+	err = c.get(ctx, PathMembers, &reply)
+	return reply, err
 }
 
 // Move returns the shares of a service.
 func (c *Client) Move(ctx context.Context, service string) (reply Move, err error) {
-	return reply, c.get(ctx, PathMoves+url.PathEscape(service), &reply)
+	err = c.get(ctx, PathMoves+url.PathEscape(service), &reply)
+	return reply, err
 }
 
 // Drain returns the state of an upstream or instance.
 func (c *Client) Drain(ctx context.Context, id string) (reply Drain, err error) {
-	return reply, c.get(ctx, PathDrains+url.PathEscape(id), &reply)
+	err = c.get(ctx, PathDrains+url.PathEscape(id), &reply)
+	return reply, err
 }
 
 // Explain returns where a request would go, as JSON.
 func (c *Client) Explain(ctx context.Context, service, method, path string) (reply json.RawMessage, err error) {
 	args := url.Values{"service": {service}, "method": {method}, "path": {path}}
-	return reply, c.get(ctx, PathExplain+"?"+args.Encode(), &reply)
+	err = c.get(ctx, PathExplain+"?"+args.Encode(), &reply)
+	return reply, err
 }
 
 // State returns the state dump of an instance.
 func (c *Client) State(ctx context.Context) (reply State, err error) {
-	return reply, c.get(ctx, PathState, &reply)
+	err = c.get(ctx, PathState, &reply)
+	return reply, err
 }
