Name the locality and lead state of routing by its function

The fields near, known and follow needed the surrounding code to be understood. They are now localPlan, localTokens (a token bucket filled at the gossiped demand) and peerMean. The cached ranges of the peers' shares are computed in a function of their own, which removes the two-step nil handling, and their type is no longer exported because nothing outside the package uses it.

--- a/pkg/routing/demand.go
+++ b/pkg/routing/demand.go
@@ -11,7 +11,8 @@
 	// demandWindow smooths the measured demand over several heartbeats, so that
 	// random arrivals hardly move the rows of other regions.
 	demandWindow = 5 * time.Second
-	// demandBurst lets requests that the known demand covers come unevenly.
+	// demandBurst is the time for which unused tokens of the gossiped demand
+	// accumulate, so that requests may arrive unevenly.
 	demandBurst = time.Second
 )
 
@@ -22,7 +23,8 @@
 	last  time.Time
 }
 
-// step ends a measuring interval and returns its length in seconds.
+// step ends a measuring interval and returns its length in seconds, at most
+// maxStep.
 func (m *meter) step(now time.Time) float64 {
 	dt := now.Sub(m.last).Seconds()
 	if dt <= 0 {
@@ -45,7 +47,7 @@
 	return demand
 }
 
-// demandByRegion sums the known demand of a service over the instances of each
+// demandByRegion sums the gossiped demand of a service over the instances of each
 // region.
 func demandByRegion(in Input, service string) vector {
 	demand := vector{in.Home: in.Own[service]}
--- a/pkg/routing/limiter.go
+++ b/pkg/routing/limiter.go
@@ -114,6 +114,7 @@
 	return fraction
 }
 
+// part returns the part of change that a rate allows in dt seconds.
 func part(change, rate, dt float64) float64 {
 	change = math.Abs(change)
 	if change <= shareEpsilon || math.IsInf(rate, 1) {
@@ -126,11 +127,11 @@
 // peer by more than the lead. It gives up when no peer moved for leadPatience.
 func (l *limiter) holdLead(delta vector, fraction float64, r rates, dt time.Duration, peers *peerShares) float64 {
 	changes := delta.byRegion(l.regionOf)
-	if math.IsInf(r.region, 1) || changes.still() {
+	if math.IsInf(r.region, 1) || changes.isZero() {
 		return fraction
 	}
 	ranges := peers.ranges()
-	if ranges == nil {
+	if len(ranges) == 0 {
 		return fraction
 	}
 	held := fraction
@@ -152,10 +153,10 @@
 
 // leadPart returns the part of change that keeps share within lead of the peers
 // that it moves away from.
-func leadPart(share, change, lead float64, peers Range) float64 {
-	room := peers.Low + lead - share
+func leadPart(share, change, lead float64, peers shareRange) float64 {
+	room := peers.low + lead - share
 	if change < 0 {
-		room = share - (peers.High - lead)
+		room = share - (peers.high - lead)
 	}
 	change = math.Abs(change)
 	if change <= shareEpsilon || room >= change {
--- a/pkg/routing/peers.go
+++ b/pkg/routing/peers.go
@@ -2,8 +2,8 @@
 
 import "github.com/sequoiacove/sequoiacove/pkg/cluster"
 
-// Range is the lowest and highest share of a region among live peers.
-type Range struct{ Low, High float64 }
+// shareRange is the lowest and highest share of a region among live peers.
+type shareRange struct{ low, high float64 }
 
 // peerShares gives the ranges of the peers' shares of one service. They are
 // computed on first use: only a moving service needs them, and with 3,300
@@ -13,17 +13,26 @@
 	members  []cluster.Member
 	mean     cluster.Shares
 	regionOf map[string]string
-	cached   map[string]Range
+	cached   map[string]shareRange
 }
 
-// ranges returns the range of each region, or nil when no peer reports shares.
-// The mean stands for peers whose shares did not arrive.
-func (p *peerShares) ranges() map[string]Range {
-	if p == nil || p.cached != nil {
-		return p.cachedRanges()
+// ranges returns the range of each region; it is empty when no peer reports
+// shares.
+func (p *peerShares) ranges() map[string]shareRange {
+	if p == nil {
+		return nil
+	}
+	if p.cached == nil {
+		p.cached = p.compute()
 	}
+	return p.cached
+}
+
+// compute returns the ranges over the members. The mean stands for peers whose
+// shares did not arrive.
+func (p *peerShares) compute() map[string]shareRange {
 	count := 0
-	ranges := make(map[string]Range)
+	ranges := make(map[string]shareRange)
 	for i := range p.members {
 		if shares := p.members[i].Shares[p.service]; len(shares) > 0 {
 			p.add(ranges, shares, count)
@@ -33,20 +42,12 @@
 	if mean := p.mean[p.service]; count == 0 && len(mean) > 0 {
 		p.add(ranges, mean, 0)
 	}
-	p.cached = ranges
-	return p.cachedRanges()
-}
-
-func (p *peerShares) cachedRanges() map[string]Range {
-	if p == nil || len(p.cached) == 0 {
-		return nil
-	}
-	return p.cached
+	return ranges
 }
 
 // add extends the ranges by the shares of one peer after count others. A region
 // that one of them lacks has the share 0 there.
-func (p *peerShares) add(ranges map[string]Range, shares map[string]float64, count int) {
+func (p *peerShares) add(ranges map[string]shareRange, shares map[string]float64, count int) {
 	sums := make(map[string]float64, len(ranges))
 	for d, share := range shares {
 		sums[region(p.regionOf, d)] += share
@@ -55,16 +56,16 @@
 		r, known := ranges[name]
 		switch {
 		case known:
-			ranges[name] = Range{min(r.Low, sum), max(r.High, sum)}
+			ranges[name] = shareRange{min(r.low, sum), max(r.high, sum)}
 		case count == 0:
-			ranges[name] = Range{sum, sum}
+			ranges[name] = shareRange{sum, sum}
 		default:
-			ranges[name] = Range{0, sum}
+			ranges[name] = shareRange{0, sum}
 		}
 	}
 	for name, r := range ranges {
 		if _, ok := sums[name]; !ok {
-			ranges[name] = Range{0, r.High}
+			ranges[name] = shareRange{0, r.high}
 		}
 	}
 }
--- a/pkg/routing/property_test.go
+++ b/pkg/routing/property_test.go
@@ -107,7 +107,7 @@
 				dt = time.Duration(r.IntN(60)) * time.Second
 			}
 			now = now.Add(dt)
-			failover := s.stranded()
+			failover := s.hasUnreachableShare()
 			table.Step(now)
 			checkStep(t, s, before, failover, dt, at)
 			countRequests(s, r.IntN(20), due, got)
--- a/pkg/routing/service.go
+++ b/pkg/routing/service.go
@@ -17,9 +17,10 @@
 	reachable map[string]bool
 	// peers limits the lead over live peers.
 	peers *peerShares
-	// follow is the peers' mean while a live peer has a higher version, so
-	// that an instance that lacks the version does not lag; else nil.
-	follow vector
+	// peerMean is the mean share vector of the peers while a live peer has a
+	// higher version, and else nil. It replaces the target, so that an instance
+	// that lacks the version does not lag.
+	peerMean vector
 	// home is the own region when requests prefer it, else empty.
 	home string
 	// demand holds the requests per second of each region, ownDemand those of
@@ -35,18 +36,19 @@
 	in      serviceInput
 	limiter limiter
 	chooser *chooser
-	// plan holds the shares of all requests without locality. near holds those
-	// of requests that the known demand covers, or nil.
-	plan *plan
-	near *plan
+	// plan holds the effective shares. localPlan holds the shares that keep
+	// requests in their region; it is nil without locality or demand.
+	plan      *plan
+	localPlan *plan
 	// goal is the vector to move to; goalOK is false when no domain with a
 	// share is reachable.
 	goal   vector
 	goalOK bool
-	// meter measures the own demand; known counts the requests that the known
-	// demand covers and that have not come yet.
+	// meter measures the own demand.
 	meter meter
-	known float64
+	// localTokens is a token bucket of requests for localPlan. It fills at the
+	// gossiped demand of this instance.
+	localTokens float64
 }
 
 func newService(name string, start vector, in serviceInput, skip int, now time.Time) *service {
@@ -84,24 +86,24 @@
 // replan prepares the shares for choosing.
 func (s *service) replan() {
 	s.plan = newPlan(s.limiter.shares, s.in.regionOf)
-	s.near = nil
+	s.localPlan = nil
 	if s.in.home == "" || s.in.demand[s.in.home] <= 0 {
 		return
 	}
 	row := nearestRow(s.in.home, s.limiter.shares.byRegion(s.in.regionOf), s.in.demand)
-	s.near = newPlan(withinRegions(row, s.limiter.shares, s.in.regionOf), s.in.regionOf)
+	s.localPlan = newPlan(withinRegions(row, s.limiter.shares, s.in.regionOf), s.in.regionOf)
 }
 
 func (s *service) setGoal() {
 	target := s.in.target
-	if len(s.in.follow) > 0 {
-		target = s.in.follow
+	if len(s.in.peerMean) > 0 {
+		target = s.in.peerMean
 	}
 	s.goal, s.goalOK = reachableTarget(target, s.in.reachable)
 }
 
-// stranded tells whether a share is on an unreachable domain.
-func (s *service) stranded() bool {
+// hasUnreachableShare tells whether a share is on an unreachable domain.
+func (s *service) hasUnreachableShare() bool {
 	for d, share := range s.limiter.shares {
 		if share > 0 && !s.in.reachable[d] {
 			return true
@@ -113,12 +115,12 @@
 func (s *service) step(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.known = min(s.known+s.in.ownDemand*s.meter.step(now), s.in.ownDemand*demandBurst.Seconds())
+	s.localTokens = min(s.localTokens+s.in.ownDemand*s.meter.step(now), s.in.ownDemand*demandBurst.Seconds())
 	dt := s.limiter.elapsed(now)
 	if !s.goalOK || maps.Equal(s.limiter.shares, s.goal) {
 		return
 	}
-	failover := s.stranded()
+	failover := s.hasUnreachableShare()
 	peers := s.in.peers
 	if failover {
 		// Peers may see other domains as reachable, and waiting for them
@@ -158,16 +160,16 @@
 	return "", result.New(result.ShareExhausted, "the share of %s on %s is still moving", s.name, domain)
 }
 
-// nextPlan returns the shares for the next request. Requests beyond the known
-// demand are spread by the plain shares: a surge in one region then does not
-// change the sum over all regions before the others know of it.
+// nextPlan returns the plan for the next request. Requests beyond the gossiped
+// demand use the effective shares, so that a surge in one region does not change
+// the sum over all regions before the others know of it.
 func (s *service) nextPlan() *plan {
 	s.meter.count++
-	if s.near == nil || s.known < 1 {
+	if s.localPlan == nil || s.localTokens < 1 {
 		return s.plan
 	}
-	s.known--
-	return s.near
+	s.localTokens--
+	return s.localPlan
 }
 
 // transfer moves the charge of a request to the reachable domain with the
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -68,7 +68,7 @@
 		}
 	}
 	for name, svc := range in.Description.Services {
-		si := inputOf(in, name, svc, regionOf)
+		si := newServiceInput(in, name, svc, regionOf)
 		if s, ok := t.services[name]; ok {
 			s.set(si)
 			continue
@@ -97,7 +97,7 @@
 	return regionOf
 }
 
-func inputOf(in Input, name string, svc description.Service, regionOf map[string]string) serviceInput {
+func newServiceInput(in Input, name string, svc description.Service, regionOf map[string]string) serviceInput {
 	target := vector(svc.DomainShares())
 	target.normalize()
 	si := serviceInput{
@@ -113,7 +113,7 @@
 		si.demand = demandByRegion(in, name)
 	}
 	if in.Behind {
-		si.follow = vector(in.PeerShares[name])
+		si.peerMean = vector(in.PeerShares[name])
 	}
 	return si
 }
--- a/pkg/routing/vector.go
+++ b/pkg/routing/vector.go
@@ -24,10 +24,10 @@
 	return sum
 }
 
-// still tells whether v, a vector of changes, changes nothing.
-func (v vector) still() bool {
-	for _, change := range v {
-		if math.Abs(change) > shareEpsilon {
+// isZero tells whether all values are 0 up to rounding errors.
+func (v vector) isZero() bool {
+	for _, value := range v {
+		if math.Abs(value) > shareEpsilon {
 			return false
 		}
 	}
