Share the state of a view between its input and its checks

The fields of viewInput were repeated in view, copied one by one and compared in two functions. Both now embed viewState, and the comparison stands once. yields, silent and moved named neither an owner nor an effect; they are keepsPools, unreachable and viewChanged, and the gate's functions say that a release of the pools is scheduled, due or cancelled.

--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -33,12 +33,13 @@
 	staleFor atomic.Int32
 	// pausedAt is the last tick before the pause.
 	pausedAt atomic.Int64
-	// yieldAt is when the pools are given up after the instance has lost its
-	// agent or started to leave; 0 means that it keeps them.
-	yieldAt  atomic.Int64
-	detached atomic.Bool
-	leaving  atomic.Bool
-	stopped  atomic.Bool
+	// releaseAt is when the pools are released after the instance has lost its
+	// agent or started to leave, in nanoseconds since origin; 0 means never,
+	// and -1 that they have been released.
+	releaseAt atomic.Int64
+	detached  atomic.Bool
+	leaving   atomic.Bool
+	stopped   atomic.Bool
 }
 
 func (g *gate) start(now time.Time) {
@@ -83,14 +84,14 @@
 	if e.avoid.expire(now) {
 		e.refreshView()
 	}
-	if e.gate.yielded(now) {
+	if e.gate.releaseDue(now) {
 		e.refreshView()
 	}
-	silent := e.gate.since(now)-e.gate.lastSnapshot.Load() > int64(detachAfter)
-	if silent == e.gate.detached.Load() || e.view.Load() == nil {
+	detached := e.gate.since(now)-e.gate.lastSnapshot.Load() > int64(detachAfter)
+	if detached == e.gate.detached.Load() || e.view.Load() == nil {
 		return
 	}
-	e.setDetached(silent)
+	e.setDetached(detached)
 }
 
 // checkPause gives up the pools and waits for fresh snapshots after a pause.
@@ -106,25 +107,26 @@
 	event.Log(e.opt.Logger, event.EntryResumed, "paused_ms", paused.Milliseconds())
 }
 
-// yield lets the pools go after spreadTime. Until then other instances may not
-// know that they own them; two owners at a time do no harm.
-func (g *gate) yield(now time.Time) {
-	g.yieldAt.CompareAndSwap(0, g.since(now)+int64(spreadTime))
+// scheduleRelease makes the instance release its pools after spreadTime. Until
+// then other instances may not know that they own them; two owners at a time do
+// no harm.
+func (g *gate) scheduleRelease(now time.Time) {
+	g.releaseAt.CompareAndSwap(0, g.since(now)+int64(spreadTime))
 }
 
-// yields tells whether the pools are kept for the time being.
-func (g *gate) yields(now time.Time) bool { return g.yieldAt.Load() > g.since(now) }
+// keepsPools tells whether a release is scheduled and its time has not come.
+func (g *gate) keepsPools(now time.Time) bool { return g.releaseAt.Load() > g.since(now) }
 
-// yielded tells once that the time to keep the pools is over.
-func (g *gate) yielded(now time.Time) bool {
-	at := g.yieldAt.Load()
-	return at > 0 && at <= g.since(now) && g.yieldAt.CompareAndSwap(at, -1)
+// releaseDue returns true once, when the scheduled time has come.
+func (g *gate) releaseDue(now time.Time) bool {
+	at := g.releaseAt.Load()
+	return at > 0 && at <= g.since(now) && g.releaseAt.CompareAndSwap(at, -1)
 }
 
-// keepPools ends the yield unless the instance leaves for good.
-func (g *gate) keepPools() {
+// cancelRelease keeps the pools unless the instance leaves for good.
+func (g *gate) cancelRelease() {
 	if !g.leaving.Load() {
-		g.yieldAt.Store(0)
+		g.releaseAt.Store(0)
 	}
 }
 
@@ -134,7 +136,7 @@
 	id := event.EntryAttached
 	if detached {
 		id = event.EntryDetached
-		e.gate.yield(e.opt.Now())
+		e.gate.scheduleRelease(e.opt.Now())
 	}
 	event.Log(e.opt.Logger, id)
 	e.refreshView()
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -42,14 +42,14 @@
 		WriteTimeout:                 sendTimeout,
 		IdleTimeout:                  idleTimeout,
 		CloseOnShutdown:              true,
-		Logger:                       silent{},
+		Logger:                       discardLogger{},
 	}
 }
 
-// silent drops fasthttp's log lines, which any caller could provoke.
-type silent struct{}
+// discardLogger drops fasthttp's log lines, which any caller could provoke.
+type discardLogger struct{}
 
-func (silent) Printf(string, ...any) {}
+func (discardLogger) Printf(string, ...any) {}
 
 // serveBroken answers a request that could not be read.
 func (e *Entry) serveBroken(ctx *fasthttp.RequestCtx, err error) {
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"maps"
-
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
@@ -17,9 +15,9 @@
 // memberUpdate is what a snapshot changes about the members.
 type memberUpdate struct {
 	members []cluster.Member
-	// changed is set when any record differs, moved when one differs in what a
-	// view holds.
-	changed, moved bool
+	// changed is set when any record differs, viewChanged when one differs in
+	// what a view holds.
+	changed, viewChanged bool
 }
 
 // updateOf returns the members after a snapshot. The records in force are not
@@ -44,11 +42,11 @@
 	for i := range e.members {
 		m := &e.members[i]
 		if removed[m.ID] {
-			u.moved = true
+			u.viewChanged = true
 			continue
 		}
 		if next := fresh[m.ID]; next != nil {
-			u.moved = u.moved || placeOf(*next) != placeOf(*m)
+			u.viewChanged = u.viewChanged || viewFieldsOf(*next) != viewFieldsOf(*m)
 			m = next
 			delete(fresh, m.ID)
 		}
@@ -57,7 +55,7 @@
 	for i := range s.Members {
 		if m := &s.Members[i]; fresh[m.ID] == m {
 			u.members = append(u.members, *m)
-			u.moved = true
+			u.viewChanged = true
 		}
 	}
 	if len(u.members) > maxMembers {
@@ -65,9 +63,3 @@
 	}
 	return u, nil
 }
-
-// upToDate tells whether a view is what newView would build now.
-func (e *Entry) upToDate(v *view, in *viewInput) bool {
-	return v != nil && v.generation == in.generation && v.description == in.description &&
-		v.detached == in.detached && v.yields == in.yields && v.self.State == in.self.State && maps.Equal(v.silent, in.silent)
-}
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -106,9 +106,9 @@
 	e.version, e.description = version, d
 	e.blocks = newBlockTable(d.Lookup.Blocks)
 	if d.InstanceDrained(e.opt.Instance) {
-		e.gate.yield(e.opt.Now())
+		e.gate.scheduleRelease(e.opt.Now())
 	} else {
-		e.gate.keepPools()
+		e.gate.cancelRelease()
 	}
 	event.Log(e.opt.Logger, event.VersionInForce, "version", version.Number, "hash", version.Hash)
 	return nil
@@ -124,7 +124,7 @@
 		// last one is better than none.
 		e.upstreams = s.Upstreams
 	}
-	if update.moved {
+	if update.viewChanged {
 		e.generation++
 	}
 	if update.changed {
@@ -134,7 +134,7 @@
 		return
 	}
 	if e.gate.detached.CompareAndSwap(true, false) {
-		e.gate.keepPools()
+		e.gate.cancelRelease()
 		event.Log(e.opt.Logger, event.EntryAttached)
 	}
 	v := e.rebuildView()
@@ -160,21 +160,19 @@
 // rebuildView puts a view of the last snapshot into force, with the present own
 // state and without the owners that this instance cannot reach.
 func (e *Entry) rebuildView() *view {
-	in := viewInput{
+	state := viewState{
 		version:     e.version,
 		description: e.description,
 		blocks:      e.blocks,
-		members:     e.members,
 		generation:  e.generation,
 		self:        e.self(),
 		detached:    e.gate.detached.Load(),
-		yields:      e.gate.yields(e.opt.Now()),
-		silent:      e.avoid.current(),
-		last:        e.view.Load(),
+		keepsPools:  e.gate.keepsPools(e.opt.Now()),
+		unreachable: e.avoid.current(),
 	}
-	v := in.last
-	if !e.upToDate(v, &in) {
-		v = newView(in)
+	v := e.view.Load()
+	if !v.upToDate(&state) {
+		v = newView(state, e.members, v)
 	}
 	if e.gate.staleFor.Load() == 0 {
 		e.opt.Admission.Update(e.ownedPools(v))
@@ -216,7 +214,7 @@
 // noteReachable logs the domains with a share that became unreachable.
 func (e *Entry) noteReachable(v *view) {
 	reachable := v.reachable()
-	for domain := range v.shared() {
+	for domain := range v.domainsWithShare() {
 		if !reachable[domain] && !e.lost[domain] {
 			event.Log(e.opt.Logger, event.DomainUnreachable, "domain", domain)
 		}
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -11,6 +11,7 @@
 	// spreadTime is how long other instances may still list this one after it
 	// starts to leave: two heartbeat intervals and a snapshot.
 	spreadTime = 1500 * time.Millisecond
+	// drainCheck is the interval at which a drain looks for requests in flight.
 	drainCheck = 20 * time.Millisecond
 )
 
@@ -20,7 +21,7 @@
 	if !e.gate.leaving.CompareAndSwap(false, true) {
 		return
 	}
-	e.gate.yield(e.opt.Now())
+	e.gate.scheduleRelease(e.opt.Now())
 	close(e.left)
 	event.Log(e.opt.Logger, event.ProcessStopping)
 	e.refreshView()
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -8,16 +8,32 @@
 	"github.com/sequoiacove/sequoiacove/pkg/description"
 )
 
-// view is the immutable state that one request reads.
-type view struct {
+// viewState is what a view depends on besides the member records.
+type viewState struct {
 	version     cluster.Version
 	description *description.Description
 	blocks      *blockTable
-	self        cluster.Member
-	detached    bool
-	yields      bool
-	silent      map[string]bool
-	generation  uint64
+	// generation counts the changes of member records that views depend on.
+	generation uint64
+	self       cluster.Member
+	detached   bool
+	// keepsPools is set while this instance keeps its pools although it is
+	// detached or leaving.
+	keepsPools bool
+	// unreachable holds the instances that this one could not reach lately.
+	unreachable map[string]bool
+}
+
+// sameOwnership tells whether two states give the same owners and look-up
+// answers when their members are the same.
+func (s *viewState) sameOwnership(other *viewState) bool {
+	return s.description == other.description && s.detached == other.detached &&
+		s.keepsPools == other.keepsPools && maps.Equal(s.unreachable, other.unreachable)
+}
+
+// view is the immutable state that one request reads.
+type view struct {
+	viewState
 	// live holds the members whose entries answer, by failure domain.
 	live map[string][]cluster.Member
 	byID map[string]cluster.Member
@@ -33,78 +49,58 @@
 	lookups sync.Map // lookupKey -> []byte
 }
 
-// viewInput is what a view is built from.
-type viewInput struct {
-	version     cluster.Version
-	description *description.Description
-	blocks      *blockTable
-	members     []cluster.Member
-	generation  uint64
-	self        cluster.Member
-	detached    bool
-	// yields is set while this instance keeps its pools although it is
-	// detached or leaving.
-	yields bool
-	// silent holds the instances that this one could not reach lately.
-	silent map[string]bool
-	// last is the view before, whose caches are kept while nothing changed
-	// that they depend on; most snapshots change only shares and loads.
-	last *view
-}
-
-// newView builds a view. The own record replaces the one in the snapshot, which
-// may be older.
-func newView(in viewInput) *view {
+// newView builds a view. The own record replaces the one among members, which
+// may be older. The caches of the last view are kept while nothing changed that
+// they depend on; most snapshots change only shares and loads.
+func newView(state viewState, members []cluster.Member, last *view) *view {
 	v := &view{
-		version:     in.version,
-		description: in.description,
-		blocks:      in.blocks,
-		self:        in.self,
-		detached:    in.detached,
-		yields:      in.yields,
-		silent:      in.silent,
-		generation:  in.generation,
-		perRegion:   make(map[string]int),
-		live:        make(map[string][]cluster.Member),
-		byID:        make(map[string]cluster.Member, len(in.members)+1),
-		caches:      &caches{},
+		viewState: state,
+		perRegion: make(map[string]int),
+		live:      make(map[string][]cluster.Member),
+		byID:      make(map[string]cluster.Member, len(members)+1),
+		caches:    &caches{},
 	}
-	for _, m := range in.members {
-		if m.ID != in.self.ID {
+	for _, m := range members {
+		if m.ID != state.self.ID {
 			v.add(m)
 		}
 	}
-	v.add(in.self)
-	if v.ranksLike(in.last) {
-		v.caches = in.last.caches
+	v.add(state.self)
+	if v.sameAnswers(last) {
+		v.caches = last.caches
 	}
 	return v
 }
 
-// ranksLike tells whether owners and look-up answers are the same in two views.
-func (v *view) ranksLike(last *view) bool {
-	if last == nil || v.description != last.description || v.detached != last.detached || v.yields != last.yields ||
-		len(v.byID) != len(last.byID) || !maps.Equal(v.silent, last.silent) {
+// upToDate tells whether v is what newView would build for a state.
+func (v *view) upToDate(state *viewState) bool {
+	return v != nil && v.generation == state.generation && v.self.State == state.self.State && v.sameOwnership(state)
+}
+
+// sameAnswers tells whether owners and look-up answers are the same in two
+// views.
+func (v *view) sameAnswers(last *view) bool {
+	if last == nil || !v.sameOwnership(&last.viewState) || len(v.byID) != len(last.byID) {
 		return false
 	}
 	for id, m := range v.byID {
-		if old, ok := last.byID[id]; !ok || placeOf(m) != placeOf(old) {
+		if old, ok := last.byID[id]; !ok || viewFieldsOf(m) != viewFieldsOf(old) {
 			return false
 		}
 	}
 	return true
 }
 
-// place is the part of a member record that views use. Ranks and answers keep
+// viewFields is the part of a member record that views use. Ranks and answers keep
 // whole records, so they depend on all of it.
-type place struct {
+type viewFields struct {
 	region, domain, caller, entry string
 	state                         cluster.State
 	incarnation, entryIncarnation uint64
 }
 
-func placeOf(m cluster.Member) place {
-	return place{m.Region, m.Domain, m.CallerAddress, m.EntryAddress, m.State, m.Incarnation, m.EntryIncarnation}
+func viewFieldsOf(m cluster.Member) viewFields {
+	return viewFields{m.Region, m.Domain, m.CallerAddress, m.EntryAddress, m.State, m.Incarnation, m.EntryIncarnation}
 }
 
 func (v *view) add(m cluster.Member) {
@@ -144,10 +140,10 @@
 	var staying, others []cluster.Member
 	for _, m := range v.live[domain] {
 		switch {
-		case m.ID == v.self.ID && v.yields:
+		case m.ID == v.self.ID && v.keepsPools:
 			staying = append(staying, m)
 		case m.ID == v.self.ID && v.detached:
-		case domain == v.self.Domain && v.silent[m.ID]:
+		case domain == v.self.Domain && v.unreachable[m.ID]:
 			others = append(others, m)
 		case v.stays(m):
 			staying = append(staying, m)
@@ -184,8 +180,8 @@
 	return v.perRegion[region]
 }
 
-// shared returns the domains that have a share of some service.
-func (v *view) shared() map[string]bool {
+// domainsWithShare returns the domains that have a share of some service.
+func (v *view) domainsWithShare() map[string]bool {
 	domains := make(map[string]bool)
 	for _, svc := range v.description.Services {
 		for d, share := range svc.DomainShares() {
