Remove repeated logic from the request path of the entry

HandleForward and HandleSubmit differed in one call, two message handlers only in their types, and mayMove repeated the codes of mayTryNext, so a code could be added to one list and missed in the other. contains and compare16 are in the standard library. Two fields named lost held different things; they are now mayHaveRun and unreachable. Timeouts and sizes that had no unit or reason have one.

--- a/pkg/entry/blocks.go
+++ b/pkg/entry/blocks.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/binary"
 	"net/netip"
 	"sort"
@@ -53,6 +54,7 @@
 	return t
 }
 
+// intern returns the index of a region, adding it when it is new.
 func (t *blockTable) intern(index map[string]uint16, region string) uint16 {
 	i, ok := index[region]
 	if !ok {
@@ -106,6 +108,7 @@
 	}
 }
 
+// enclosing returns the region of the innermost open prefix.
 func enclosing(open []prefixEntry) uint16 {
 	if len(open) == 0 {
 		return noRegion
@@ -132,22 +135,14 @@
 		return t.at(t.v4Index, i)
 	}
 	key := addr.As16()
-	i := sort.Search(len(t.v6), func(i int) bool { return compare16(t.v6[i], key) > 0 })
+	i := sort.Search(len(t.v6), func(i int) bool { return bytes.Compare(t.v6[i][:], key[:]) > 0 })
 	return t.at(t.v6Index, i)
 }
 
+// at returns the region of the range before position i, or "".
 func (t *blockTable) at(index []uint16, i int) string {
 	if i == 0 {
 		return ""
 	}
 	return t.regions[index[i-1]]
 }
-
-func compare16(a, b [16]byte) int {
-	for i := range a {
-		if a[i] != b[i] {
-			return int(a[i]) - int(b[i])
-		}
-	}
-	return 0
-}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -100,8 +100,9 @@
 	// and the shares are those that it has.
 	routed                       *view
 	peerShares, checkpointShares cluster.Shares
-	// lost holds the domains that were unreachable in the last snapshot.
-	lost map[string]bool
+	// unreachable holds the domains without an entry instance in the last
+	// snapshot.
+	unreachable map[string]bool
 }
 
 // New returns an entry without a view; it refuses requests until its agent
@@ -123,7 +124,7 @@
 		callers:     newCallers(),
 		limits:      newCallerLimits(opt.CallerRequestsPerSecond),
 		avoid:       newAvoidList(),
-		lost:        make(map[string]bool),
+		unreachable: make(map[string]bool),
 		left:        make(chan struct{}),
 	}
 	e.tracePrefix = traceName(opt.Instance, incarnation)
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -105,13 +105,20 @@
 
 // HandleForward runs a request that another instance forwarded to this domain.
 func (e *Entry) HandleForward(ctx context.Context, body []byte) (*request.Reply, error) {
+	return e.handleRequest(ctx, body, e.serveForward)
+}
+
+// handleRequest decodes a message with a request, serves it until its deadline
+// and charges the reply to the link back to the sender.
+func (e *Entry) handleRequest(ctx context.Context, body []byte,
+	serve func(context.Context, *peer.ForwardRequest) (*request.Response, error)) (*request.Reply, error) {
 	msg, err := decodeForward(body, e.opt.Now())
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, msg.Request.Deadline)
 	defer cancel()
-	resp, err := e.serveForward(ctx, msg)
+	resp, err := serve(ctx, msg)
 	reply := request.NewReply(msg.Request.Trace, resp, err)
 	e.chargeReply(msg.Region, reply)
 	return reply, nil
@@ -167,8 +174,13 @@
 	}
 }
 
-// frameBytes is the size of a message besides the parts that are counted.
-const frameBytes = 128
+const (
+	// frameBytes is the size of a message besides the parts that are counted.
+	frameBytes = 128
+	// fieldFrameBytes is the size of the encoding of one header field besides
+	// its name and value.
+	fieldFrameBytes = 8
+)
 
 func requestBytes(r *request.Request) int {
 	return frameBytes + len(r.Path) + len(r.Body) + fieldBytes(r.Header)
@@ -185,7 +197,7 @@
 func fieldBytes(fields []request.Field) int {
 	n := 0
 	for _, f := range fields {
-		n += len(f.Name) + len(f.Value) + 8
+		n += len(f.Name) + len(f.Value) + fieldFrameBytes
 	}
 	return n
 }
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -16,8 +17,12 @@
 const (
 	servicePrefix  = "/v1/services/"
 	maxMethodBytes = 16
-	maxTraceBytes  = 128
-	systemPrefix   = "sequoia-"
+	// maxTraceBytes leaves room for the instance, incarnation and serial of
+	// newTrace, which are at most 92 bytes.
+	maxTraceBytes = 128
+	// systemPrefix starts the names of headers that only the system sets or
+	// reads.
+	systemPrefix = "sequoia-"
 )
 
 // hopByHop are the headers that belong to one connection (RFC 9110, 7.6.1).
@@ -29,8 +34,8 @@
 	"content-length": true, "host": true, "expect": true,
 }
 
-// parseRequest reads a caller's request without its body. All parts are copied, because fasthttp
-// reuses its buffers while an execution may still read them.
+// parseRequest reads a caller's request without its body. All parts are copied,
+// because fasthttp reuses its buffers while an execution may still read them.
 func parseRequest(ctx *fasthttp.RequestCtx, d *description.Description, now time.Time) (*request.Request, error) {
 	service, path, err := splitPath(string(ctx.RequestURI()))
 	if err != nil {
@@ -119,7 +124,7 @@
 	}
 	for key, value := range h.All() {
 		name := strings.ToLower(string(key))
-		if hopByHop[name] || strings.HasPrefix(name, systemPrefix) || contains(dropped, name) {
+		if hopByHop[name] || strings.HasPrefix(name, systemPrefix) || slices.Contains(dropped, name) {
 			continue
 		}
 		req.Header = append(req.Header, request.Field{Name: string(key), Value: string(value)})
@@ -130,15 +135,6 @@
 	return checkFields(req.Header)
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 // checkFields applies the limits on headers and refuses bytes that could end a
 // header line.
 func checkFields(fields []request.Field) error {
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -19,9 +19,11 @@
 	connectionsPerRequest = 4
 	// receiveTimeout bounds how long a caller may take to send a request.
 	receiveTimeout = 30 * time.Second
-	sendTimeout    = 30 * time.Second
-	idleTimeout    = 75 * time.Second
-	maxIDsPerCall  = 100
+	// sendTimeout bounds how long a caller may take to receive an answer.
+	sendTimeout = 30 * time.Second
+	// idleTimeout closes connections on which no request comes.
+	idleTimeout   = 75 * time.Second
+	maxIDsPerCall = 100
 )
 
 // NewServer returns the HTTP server of the caller API.
--- a/pkg/entry/messages.go
+++ b/pkg/entry/messages.go
@@ -22,21 +22,20 @@
 	m.Handle(peer.Submit, func(ctx context.Context, body []byte) (any, error) {
 		return e.HandleSubmit(ctx, body)
 	})
-	m.Handle(peer.Explain, func(_ context.Context, body []byte) (any, error) {
-		var q ExplainRequest
-		if err := peer.Decode(body, &q); err != nil {
-			return nil, err
-		}
-		return e.Explain(q)
+	m.Handle(peer.Explain, decoded(e.Explain))
+	m.Handle(peer.Control, decoded(e.Control))
+	m.Handle(peer.DumpState, func(context.Context, []byte) (any, error) {
+		return e.State()
 	})
-	m.Handle(peer.Control, func(_ context.Context, body []byte) (any, error) {
-		var q ControlRequest
+}
+
+// decoded returns a handler that decodes its message for answer.
+func decoded[Q, R any](answer func(Q) (R, error)) peer.Handler {
+	return func(_ context.Context, body []byte) (any, error) {
+		var q Q
 		if err := peer.Decode(body, &q); err != nil {
 			return nil, err
 		}
-		return e.Control(q)
-	})
-	m.Handle(peer.DumpState, func(context.Context, []byte) (any, error) {
-		return e.State()
-	})
+		return answer(q)
+	}
 }
--- a/pkg/entry/route.go
+++ b/pkg/entry/route.go
@@ -27,25 +27,25 @@
 	view  *view
 	req   *request.Request
 	tried map[string]bool
-	// lost is the first failure after which the request may have run. A later
-	// refusal must not hide it: "not run" would be untrue.
-	lost error
+	// mayHaveRun is the first failure after which the request may have run. A
+	// later refusal must not hide it: "not run" would be untrue.
+	mayHaveRun error
 	// failed is the last instance that gave no answer.
 	failed string
 }
 
 // failure returns the error for the caller when the last submission failed.
 func (a *attempt) failure(err error) error {
-	if a.lost != nil && result.OutcomeOf(err) == result.NotRun {
-		return a.lost
+	if a.mayHaveRun != nil && result.OutcomeOf(err) == result.NotRun {
+		return a.mayHaveRun
 	}
 	return err
 }
 
 // note remembers a failure after which the request may have run.
 func (a *attempt) note(err error) {
-	if a.lost == nil && result.OutcomeOf(err) == result.Unknown {
-		a.lost = err
+	if a.mayHaveRun == nil && result.OutcomeOf(err) == result.Unknown {
+		a.mayHaveRun = err
 	}
 }
 
@@ -77,18 +77,14 @@
 // mayMove tells whether a failure allows another domain: the request did not
 // run, or it is idempotent and the instance it was sent to stopped answering.
 func (a *attempt) mayMove(ctx context.Context, err error) bool {
-	if ctx.Err() != nil {
-		return false
+	if a.mayTryNext(ctx, err) {
+		return true
 	}
 	switch result.CodeOf(err) {
 	case result.QueueFull, result.DeadlineUnreachable, result.NoUpstream,
 		result.RegionLimit, result.UpstreamRefused, result.UpstreamConnect,
-		result.NotOwner, result.PeerUnreachable, result.PeerRefused,
-		result.LinkBudgetExhausted, result.NoDestination, result.TooManyRequests,
-		result.StaleSnapshot, result.Stopping, result.NoConfiguration:
-		return true
-	case result.PeerNoAnswer:
-		return a.req.Idempotent
+		result.LinkBudgetExhausted, result.NoDestination, result.TooManyRequests:
+		return ctx.Err() == nil
 	}
 	return false
 }
@@ -157,6 +153,7 @@
 	return false
 }
 
+// atInstance runs the request at one instance, which may be this one.
 func (a *attempt) atInstance(ctx context.Context, m cluster.Member, domain string) (*request.Response, error) {
 	if m.ID == a.view.self.ID {
 		return a.entry.opt.Admission.Do(ctx, a.req)
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -215,10 +215,10 @@
 func (e *Entry) noteReachable(v *view) {
 	reachable := v.reachable()
 	for domain := range v.domainsWithShare() {
-		if !reachable[domain] && !e.lost[domain] {
+		if !reachable[domain] && !e.unreachable[domain] {
 			event.Log(e.opt.Logger, event.DomainUnreachable, "domain", domain)
 		}
-		e.lost[domain] = !reachable[domain]
+		e.unreachable[domain] = !reachable[domain]
 	}
 }
 
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -47,7 +47,7 @@
 // execution does not end with the connection of the submission that started
 // it, so that a resend can learn its outcome.
 func (e *Entry) runOnce(ctx context.Context, req *request.Request) (*request.Response, error) {
-	resp, err := e.ids.Do(ctx, req, func() (*request.Response, error) {
+	return e.ids.Do(ctx, req, func() (*request.Response, error) {
 		run, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
 		defer cancel()
 		v, err := e.admit()
@@ -56,21 +56,11 @@
 		}
 		return e.route(run, v, req)
 	})
-	return resp, err
 }
 
 // HandleSubmit runs a request whose identifier this instance issued.
 func (e *Entry) HandleSubmit(ctx context.Context, body []byte) (*request.Reply, error) {
-	msg, err := decodeForward(body, e.opt.Now())
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithDeadline(ctx, msg.Request.Deadline)
-	defer cancel()
-	resp, err := e.serveSubmit(ctx, msg)
-	reply := request.NewReply(msg.Request.Trace, resp, err)
-	e.chargeReply(msg.Region, reply)
-	return reply, nil
+	return e.handleRequest(ctx, body, e.serveSubmit)
 }
 
 func (e *Entry) serveSubmit(ctx context.Context, msg *peer.ForwardRequest) (*request.Response, error) {
