--- a/pkg/entry/bench_test.go
+++ b/pkg/entry/bench_test.go
@@ -78,7 +78,7 @@
 
 // largeSnapshot returns a snapshot with n members over 20 regions of three
 // domains, each with the shares of two services.
-func largeSnapshot(n int) (*cluster.Snapshot, string) {
+func largeSnapshot(n int) *cluster.Snapshot {
 	d := `{"regions": {`
 	placement := ""
 	for r := range 20 {
@@ -105,14 +105,14 @@
 			EntryAddress: "127.0.0.1:7001", AgentAddress: "127.0.0.1:7003", Version: 9, Hash: s.Version.Hash, Shares: shares,
 		})
 	}
-	return s, d
+	return s
 }
 
 // BenchmarkSnapshot measures one push with the version already in force.
 func BenchmarkSnapshot(b *testing.B) {
 	for _, n := range []int{12, 100, 1000, 3300} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
-			s, _ := largeSnapshot(n)
+			s := largeSnapshot(n)
 			e := newWorld(b, nil).start("instance-0000", "r00-a")
 			_, err := e.Apply(s)
 			require.NoError(b, err)
@@ -138,7 +138,7 @@
 	for _, n := range []int{12, 100, 1000, 3300} {
 		for _, changes := range []int{0, 1, max(n/15, 2)} {
 			b.Run(fmt.Sprintf("members=%d/changes=%d", n, changes), func(b *testing.B) {
-				s, _ := largeSnapshot(n)
+				s := largeSnapshot(n)
 				e := newWorld(b, nil).start("instance-0000", "r00-a")
 				_, err := e.Apply(s)
 				require.NoError(b, err)
@@ -159,14 +159,21 @@
 	}
 }
 
-// Guards against a look-up table of 200,000 blocks that does not fit the memory
-// target of a node, and against wrong matches.
-func TestBlockTableSize(t *testing.T) {
+// targetBlocks returns the 200,000 client blocks of the target, adjacent /24
+// prefixes over 20 regions.
+func targetBlocks() map[string]string {
 	blocks := make(map[string]string, 200_000)
 	for i := range 200_000 {
 		addr := netip.AddrFrom4([4]byte{byte(11 + i>>16), byte(i >> 8), byte(i), 0})
 		blocks[netip.PrefixFrom(addr, 24).String()] = fmt.Sprintf("r%02d", i*7%20)
 	}
+	return blocks
+}
+
+// Guards against a look-up table of 200,000 blocks that does not fit the memory
+// target of a node, and against wrong matches.
+func TestBlockTableSize(t *testing.T) {
+	blocks := targetBlocks()
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -184,11 +191,7 @@
 }
 
 func BenchmarkBlockTable(b *testing.B) {
-	blocks := make(map[string]string, 200_000)
-	for i := range 200_000 {
-		addr := netip.AddrFrom4([4]byte{byte(11 + i>>16), byte(i >> 8), byte(i), 0})
-		blocks[netip.PrefixFrom(addr, 24).String()] = "r"
-	}
+	blocks := targetBlocks()
 	table := newBlockTable(blocks)
 	b.Run("match", func(b *testing.B) {
 		for i := uint32(0); b.Loop(); i += 2654435761 {
--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -91,12 +91,7 @@
 	w := newWorld(t, twoRegions)
 	owner, other := w.ownerOf("a1", "south-a")
 	for _, id := range []string{owner, other} {
-		body, err := cbor.Marshal(&peer.ForwardRequest{
-			Request: request.Request{Service: "calls", Method: "GET", Path: "/x", Trace: "t"},
-			Domain:  "south-a", Region: "north", RemainingMS: 500, Failed: owner,
-		})
-		require.NoError(t, err)
-		reply, err := w.entries[id].HandleForward(context.Background(), body)
+		reply, err := w.entries[id].HandleForward(context.Background(), forwardBody(t, "south-a", owner))
 		require.NoError(t, err)
 		require.Equal(t, result.OK, reply.Code)
 		require.Equal(t, 1, w.adm[id].count())
@@ -145,9 +140,7 @@
 		sent = addr == "peer-"+owner
 		return nil
 	})
-	w.adm["a1"].set(func(context.Context, *request.Request) (*request.Response, error) {
-		return nil, result.New(result.QueueFull, "full")
-	})
+	w.adm["a1"].set(queueFull)
 	for !sent {
 		_, err := w.do("a1", nil)
 		require.Equal(t, sent, result.OutcomeOf(err) == result.Unknown, "%v", err)
@@ -217,15 +210,17 @@
 		e.view.Store(&v)
 	}
 	before := w.net.calls
-	_, err := w.entries[owner].HandleForward(context.Background(), forwardBody(t, "south-a", "t"))
+	_, err := w.entries[owner].HandleForward(context.Background(), forwardBody(t, "south-a", ""))
 	require.NoError(t, err)
 	require.LessOrEqual(t, w.net.calls-before, maxHops+1)
 }
 
-func forwardBody(t testing.TB, domain, trace string) []byte {
+// forwardBody returns an encoded message to a domain; failed is the instance
+// that gave the sender no answer, or empty.
+func forwardBody(t testing.TB, domain, failed string) []byte {
 	body, err := cbor.Marshal(&peer.ForwardRequest{
-		Request: request.Request{Service: "calls", Method: "GET", Path: "/x", Trace: trace},
-		Domain:  domain, Region: "north", RemainingMS: 500,
+		Request: request.Request{Service: "calls", Method: "GET", Path: "/x", Trace: "t"},
+		Domain:  domain, Region: "north", RemainingMS: 500, Failed: failed,
 	})
 	require.NoError(t, err)
 	return body
@@ -236,9 +231,7 @@
 func TestFullDomain(t *testing.T) {
 	w := newWorld(t, twoRegions)
 	for _, id := range []string{"s1", "s2"} {
-		w.adm[id].set(func(context.Context, *request.Request) (*request.Response, error) {
-			return nil, result.New(result.QueueFull, "full")
-		})
+		w.adm[id].set(queueFull)
 	}
 	failed := 0
 	for range 400 {
--- a/pkg/entry/fuzz_test.go
+++ b/pkg/entry/fuzz_test.go
@@ -71,7 +71,7 @@
 // FuzzForward checks that a forwarded message that is accepted keeps all
 // limits.
 func FuzzForward(f *testing.F) {
-	f.Add(forwardBody(f, "north-a", "t"))
+	f.Add(forwardBody(f, "north-a", ""))
 	now := time.Now()
 	f.Fuzz(func(t *testing.T, body []byte) {
 		msg, err := decodeForward(body, now)
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -73,6 +73,11 @@
 	f.run = run
 }
 
+// queueFull refuses a request as an upstream pool with a full queue does.
+func queueFull(context.Context, *request.Request) (*request.Response, error) {
+	return nil, result.New(result.QueueFull, "full")
+}
+
 func (f *fakeAdmission) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -170,7 +175,7 @@
 	version cluster.Version
 }
 
-// newWorld starts one entry per given "id=domain".
+// newWorld starts one entry for each instance id in the domain that ids gives.
 func newWorld(t testing.TB, ids map[string]string) *world {
 	w := &world{t: t, clock: &clock{now: time.Now()}, entries: make(map[string]*Entry), adm: make(map[string]*fakeAdmission)}
 	w.net = &fakeNet{entries: make(map[string]*Entry)}
@@ -217,8 +222,15 @@
 }
 
 func (w *world) pushTo(id string, members []cluster.Member) {
+	w.pushSnapshot(id, cluster.Snapshot{Members: members})
+}
+
+// pushSnapshot gives an entry a snapshot of the present version, as the next one
+// of its agent.
+func (w *world) pushSnapshot(id string, s cluster.Snapshot) {
 	w.seq++
-	_, err := w.entries[id].Apply(&cluster.Snapshot{AgentIncarnation: 1, Sequence: w.seq, Version: w.version, Members: members})
+	s.AgentIncarnation, s.Sequence, s.Version = 1, w.seq, w.version
+	_, err := w.entries[id].Apply(&s)
 	require.NoError(w.t, err)
 }
 
--- a/pkg/entry/outcome_test.go
+++ b/pkg/entry/outcome_test.go
@@ -1,14 +1,12 @@
 package entry
 
 import (
-	"context"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
-	"github.com/sequoiacove/sequoiacove/pkg/request"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
@@ -24,9 +22,7 @@
 		}
 		return nil
 	})
-	w.adm["n1"].set(func(_ context.Context, _ *request.Request) (*request.Response, error) {
-		return nil, result.New(result.QueueFull, "full")
-	})
+	w.adm["n1"].set(queueFull)
 	for !delivered {
 		_, err := w.do("n1", nil)
 		require.Error(t, err)
@@ -41,9 +37,7 @@
 func TestUnknownListKeepsTheUpstreams(t *testing.T) {
 	w := newWorld(t, map[string]string{"n1": "north-a"})
 	push := func(upstreams []cluster.UpstreamRecord) {
-		w.seq++
-		_, err := w.entries["n1"].Apply(&cluster.Snapshot{AgentIncarnation: 1, Sequence: w.seq, Version: w.version, Members: w.members(), Upstreams: upstreams})
-		require.NoError(t, err)
+		w.pushSnapshot("n1", cluster.Snapshot{Members: w.members(), Upstreams: upstreams})
 	}
 	push([]cluster.UpstreamRecord{{ID: "u1", Service: "calls", Domain: "north-a", State: cluster.Serving, Slots: 4}})
 	push(nil)
--- a/pkg/entry/path_test.go
+++ b/pkg/entry/path_test.go
@@ -96,11 +96,7 @@
 	}
 	resp := call(t, "POST", s+"/v1/services/calls/pay", "6", request.HeaderRequestID, ids.IDs[0])
 	require.Equal(t, result.RequestIDMismatch, decode[refusal](t, resp.Body()).Code)
-	total := 0
-	for _, adm := range w.adm {
-		total += adm.count()
-	}
-	require.Equal(t, 1, total)
+	require.Equal(t, 1, w.executions())
 }
 
 // Guards against "not run" for an idempotent request that ran in one domain,
@@ -110,9 +106,7 @@
 	base := serve(t, w.entries["a1"])
 	w.net.setLose(func(string) bool { return true })
 	for _, id := range []string{"a1", "a2", "b1"} {
-		w.adm[id].set(func(context.Context, *request.Request) (*request.Response, error) {
-			return nil, result.New(result.QueueFull, "full")
-		})
+		w.adm[id].set(queueFull)
 	}
 	ran := func() int { return w.adm["s1"].count() + w.adm["s2"].count() }
 	for range 8 {
--- a/pkg/entry/view_test.go
+++ b/pkg/entry/view_test.go
@@ -44,7 +44,7 @@
 	require.Equal(t, result.StaleSnapshot, outcome(err), "look-ups use the view too")
 	_, err = w.entries["a1"].issue("calls", "1")
 	require.Equal(t, result.StaleSnapshot, outcome(err))
-	reply, err := w.entries["a1"].HandleForward(context.Background(), forwardBody(t, "north-a", "t"))
+	reply, err := w.entries["a1"].HandleForward(context.Background(), forwardBody(t, "north-a", ""))
 	require.NoError(t, err)
 	require.Equal(t, result.StaleSnapshot, reply.Code)
 	require.Empty(t, w.adm["a1"].owned, "requests in the queue of a pool must not start after a pause")
@@ -70,11 +70,7 @@
 	w.clock.Add(10 * time.Second)
 	shares := cluster.Shares{"calls": {"north-a": 0.2, "north-b": 0.2, "south-a": 0.6}}
 	for range freshSnapshots {
-		w.seq++
-		_, err := w.entries["a1"].Apply(&cluster.Snapshot{
-			AgentIncarnation: 1, Sequence: w.seq, Version: w.version, Members: w.members(), PeerShares: shares,
-		})
-		require.NoError(t, err)
+		w.pushSnapshot("a1", cluster.Snapshot{Members: w.members(), PeerShares: shares})
 	}
 	require.InDelta(t, 0.6, w.entries["a1"].routes.Shares()["calls"]["south-a"], 1e-9)
 }
@@ -91,8 +87,10 @@
 	}
 	apply(2, 1, 5, w.members())
 	require.EqualValues(t, 5, e.view.Load().version.Number)
-	apply(1, 999, 6, nil)
+	ignored := apply(1, 999, 6, nil)
 	require.EqualValues(t, 5, e.view.Load().version.Number, "an older agent incarnation")
+	require.EqualValues(t, 2, ignored.AppliedIncarnation, "the report names the snapshot in force, not the ignored one")
+	require.EqualValues(t, 1, ignored.AppliedSequence)
 	require.Len(t, e.view.Load().byID, 5)
 	report := apply(2, 2, 4, nil)
 	require.EqualValues(t, 5, e.view.Load().version.Number, "versions only rise")
--- a/pkg/requestid/once_test.go
+++ b/pkg/requestid/once_test.go
@@ -178,6 +178,21 @@
 	require.Zero(t, f.runs.Load())
 }
 
+// Guards against a delayed first submission that runs after its resend was
+// answered "not run" and the caller has repeated the request under a new
+// identifier.
+func TestNotRunIsFinalForAnIdentifier(t *testing.T) {
+	f := newFixture(DefaultLimits)
+	req := deposit(f.Issue("ledger"))
+	_, err := f.Do(context.Background(), req, func() (*request.Response, error) {
+		return nil, result.New(result.QueueFull, "full")
+	})
+	require.Equal(t, result.QueueFull, result.CodeOf(err))
+	_, err = f.send(req, 1)
+	require.Equal(t, result.QueueFull, result.CodeOf(err), "a resend gets the recorded outcome")
+	require.Zero(t, f.runs.Load())
+}
+
 // FuzzParse checks that an accepted text is the only text of its identifier, so
 // that one identifier cannot be sent in two forms.
 func FuzzParse(f *testing.F) {
--- a/pkg/routing/locality_test.go
+++ b/pkg/routing/locality_test.go
@@ -13,7 +13,7 @@
 )
 
 // localityFleet holds four instances in each of three regions that know each
-// other's demand gossipDelay late.
+// other's demand gossipSteps late.
 type localityFleet struct {
 	tables  []*Table
 	regions []string
@@ -50,17 +50,21 @@
 	}
 }
 
-func (f *localityFleet) gossip() {
-	d := &description.Description{
+func (f *localityFleet) description() *description.Description {
+	return &description.Description{
 		Regions:  map[string]description.Region{"north": {Domains: []string{"north-a"}}, "south": {Domains: []string{"south-a"}}, "west": {Domains: []string{"west-a"}}},
 		Services: map[string]description.Service{"s": f.service},
 	}
+}
+
+func (f *localityFleet) gossip() {
+	d := f.description()
 	var known []cluster.Demand
 	if len(f.reports) > gossipSteps {
 		known = f.reports[len(f.reports)-gossipSteps]
 	}
 	for i, t := range f.tables {
-		in := Input{Description: d, Home: f.regions[i], Reachable: map[string]bool{"north-a": true, "south-a": true, "west-a": true}}
+		in := Input{Description: d, Home: f.regions[i], Reachable: allDomains(d)}
 		for j := range f.tables {
 			if known == nil {
 				break
@@ -119,8 +123,7 @@
 // excess of a region's share over the effective share.
 func (f *localityFleet) run(t *testing.T, seconds int, rates map[string]float64) (crossing, excess float64) {
 	for range seconds {
-		effective := vector(f.tables[0].Shares()["s"]).byRegion(regions(nil, &description.Description{Regions: map[string]description.Region{
-			"north": {Domains: []string{"north-a"}}, "south": {Domains: []string{"south-a"}}, "west": {Domains: []string{"west-a"}}}}))
+		effective := vector(f.tables[0].Shares()["s"]).byRegion(regions(nil, f.description()))
 		shares, c := f.second(t, rates)
 		crossing += c / float64(seconds)
 		for r, s := range shares {
