Say what the unclear fields of entry, routing and request ids hold

Counters, slices and flags without a comment needed their users to be read. The age of the issuing incarnation is computed in one place.

--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -18,7 +18,8 @@
 type callerConn struct {
 	conn   syscall.Conn
 	cancel func()
-	fresh  bool
+	// fresh is set until the first check.
+	fresh bool
 }
 
 func newCallers() *callers { return &callers{open: make(map[uint64]*callerConn)} }
--- a/pkg/entry/control_test.go
+++ b/pkg/entry/control_test.go
@@ -46,7 +46,7 @@
 	require.Equal(t, []string{owner, other}, south.Instances)
 	require.InDelta(t, 0.5, south.Share, 1e-9)
 	_, err = ask[Explanation](t, h, peer.Explain, ExplainRequest{Service: "none"})
-	require.Equal(t, result.UnknownService, outcome(err))
+	require.Equal(t, result.UnknownService, result.CodeOf(err))
 
 	require.True(t, w.entries["a1"].enter())
 	c, err := ask[ControlReply](t, h, peer.Control, ControlRequest{Action: ControlInFlight, ID: "a1"})
@@ -62,5 +62,5 @@
 	require.NoError(t, err)
 	require.True(t, c.Leaving)
 	_, err = ask[ControlReply](t, h, peer.Control, ControlRequest{Action: "x"})
-	require.Equal(t, result.PeerProtocol, outcome(err))
+	require.Equal(t, result.PeerProtocol, result.CodeOf(err))
 }
--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -69,7 +69,7 @@
 		_, err := w.do("a1", post)
 		require.Equal(t, 1, w.executions()-before, "executions of one request")
 		if w.adm[owner].count() > onOwner {
-			require.Equal(t, result.PeerNoAnswer, outcome(err))
+			require.Equal(t, result.PeerNoAnswer, result.CodeOf(err))
 			unknown++
 		} else {
 			require.NoError(t, err)
@@ -115,7 +115,7 @@
 	})
 	for range 100 {
 		if _, err := w.do("a1", post); err != nil {
-			require.Equal(t, result.PeerUnreachable, outcome(err))
+			require.Equal(t, result.PeerUnreachable, result.CodeOf(err))
 		}
 	}
 	require.Equal(t, 2, dials, "each instance once")
@@ -162,7 +162,7 @@
 			require.Equal(t, "u-north-a", resp.Upstream)
 			continue
 		}
-		require.Equal(t, result.PeerProtocol, outcome(err))
+		require.Equal(t, result.PeerProtocol, result.CodeOf(err))
 	}
 }
 
@@ -236,7 +236,7 @@
 	failed := 0
 	for range 400 {
 		if _, err := w.do("a1", post); err != nil {
-			require.Equal(t, result.QueueFull, outcome(err))
+			require.Equal(t, result.QueueFull, result.CodeOf(err))
 			failed++
 		}
 	}
@@ -262,7 +262,7 @@
 		w.advance(tickInterval)
 		w.pushTo("a1", rest)
 		if _, err = w.do("a1", nil); err != nil {
-			require.Equal(t, result.ShareExhausted, outcome(err))
+			require.Equal(t, result.ShareExhausted, result.CodeOf(err))
 			refused++
 		}
 	}
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -38,13 +38,13 @@
 	owned  map[string]bool
 	run    func(ctx context.Context, req *request.Request) (*request.Response, error)
 	ran    []request.Request
-	ups    []Pool
+	pools  []Pool
 }
 
 func (f *fakeAdmission) Update(pools []Pool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ups = pools
+	f.pools = pools
 	f.owned = make(map[string]bool)
 	for _, p := range pools {
 		f.owned[p.Service] = true
@@ -275,7 +275,8 @@
 	return "http://" + ln.Addr().String()
 }
 
-// call sends an HTTP request and returns the status and the body.
+// call sends an HTTP request and returns its answer; header lists names and
+// values in turn.
 func call(t *testing.T, method, url, body string, header ...string) *fasthttp.Response {
 	req, resp := fasthttp.AcquireRequest(), &fasthttp.Response{}
 	defer fasthttp.ReleaseRequest(req)
@@ -294,5 +295,3 @@
 	require.NoError(t, json.Unmarshal(body, &v), fmt.Sprintf("%q", body))
 	return v
 }
-
-func outcome(err error) result.Code { return result.CodeOf(err) }
--- a/pkg/entry/ids_test.go
+++ b/pkg/entry/ids_test.go
@@ -33,7 +33,7 @@
 			return nil
 		})
 		_, err = w.do("a1", withID(id))
-		require.Equal(t, result.RequestIDNotDelivered, outcome(err), "%d", code)
+		require.Equal(t, result.RequestIDNotDelivered, result.CodeOf(err), "%d", code)
 	}
 	w.net.setFail(nil)
 	base := serve(t, w.entries["a1"])
@@ -57,7 +57,7 @@
 	for _, from := range []string{"a1", "s1", "s2"} {
 		w.push()
 		_, err := w.do(from, withID(id))
-		require.Equal(t, result.RequestIDOwnerGone, outcome(err), "from %s", from)
+		require.Equal(t, result.RequestIDOwnerGone, result.CodeOf(err), "from %s", from)
 	}
 	require.Zero(t, w.executions())
 }
@@ -89,7 +89,7 @@
 	defer done()
 	again := *req
 	_, err := e.submit(short, &again)
-	require.Equal(t, result.RequestIDInFlight, outcome(err))
+	require.Equal(t, result.RequestIDInFlight, result.CodeOf(err))
 	cancel()
 	close(finish)
 	require.NoError(t, <-first)
--- a/pkg/entry/lookup.go
+++ b/pkg/entry/lookup.go
@@ -15,7 +15,7 @@
 const (
 	// maxListed bounds the instances of an answer.
 	maxListed = 4
-	// nearListed leaves one place for another region, so that a caller has an
+	// nearListed bounds the instances of the nearest region. It leaves one place for another region, so that a caller has an
 	// instance to use when its nearest region fails.
 	nearListed = 3
 	// variants is the number of orders over which callers are spread, so that
--- a/pkg/entry/outcome_test.go
+++ b/pkg/entry/outcome_test.go
@@ -41,7 +41,7 @@
 	}
 	push([]cluster.UpstreamRecord{{ID: "u1", Service: "calls", Domain: "north-a", State: cluster.Serving, Slots: 4}})
 	push(nil)
-	require.Len(t, w.adm["n1"].ups[0].Upstreams, 1, "no list says nothing about the upstreams")
+	require.Len(t, w.adm["n1"].pools[0].Upstreams, 1, "no list says nothing about the upstreams")
 	push([]cluster.UpstreamRecord{})
-	require.Empty(t, w.adm["n1"].ups[0].Upstreams, "an empty list removes them")
+	require.Empty(t, w.adm["n1"].pools[0].Upstreams, "an empty list removes them")
 }
--- a/pkg/entry/path_test.go
+++ b/pkg/entry/path_test.go
@@ -128,7 +128,7 @@
 	exhausted := 0
 	for range 12 {
 		if _, err := w.do("a1", big); err != nil {
-			require.Equal(t, result.LinkBudgetExhausted, outcome(err))
+			require.Equal(t, result.LinkBudgetExhausted, result.CodeOf(err))
 			exhausted++
 		}
 	}
--- a/pkg/requestid/table.go
+++ b/pkg/requestid/table.go
@@ -38,11 +38,12 @@
 	serial uint64
 	// records is keyed by serial, which is unique within the incarnation.
 	records map[uint64]*record
-	// expiry and kept hold records in the order of their first use and of
-	// their completion.
+	// expiry holds the records in the order of their first use.
 	expiry []*record
-	kept   []*record
-	bytes  int
+	// kept holds the records with kept answers in the order of their completion.
+	kept []*record
+	// bytes is the size of the kept answers.
+	bytes int
 }
 
 // record is the state of one identifier that was used.
@@ -56,7 +57,8 @@
 	code    result.Code
 	detail  string
 	answer  *request.Response
-	size    int
+	// size is that of the kept answer, in bytes.
+	size int
 }
 
 // New returns an empty table. The key must be random for each incarnation.
@@ -72,12 +74,15 @@
 	}
 }
 
+// uptime returns the time since the start of the incarnation.
+func (t *Table) uptime() time.Duration { return t.now().Sub(t.start) }
+
 // Issue returns a new identifier for a service.
 func (t *Table) Issue(service string) string {
 	t.mu.Lock()
 	t.serial++
 	id := ID{Service: service, Instance: t.instance, Incarnation: t.incarnation, Serial: t.serial}
-	id.Issued = t.now().Sub(t.start)
+	id.Issued = t.uptime()
 	t.mu.Unlock()
 	id.mac = sign(t.key, id.payload())
 	return id.String()
@@ -132,7 +137,7 @@
 func (t *Table) begin(id ID, digest [sha256.Size]byte) (r *record, first bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	age := t.now().Sub(t.start) - id.Issued
+	age := t.uptime() - id.Issued
 	if age > Lifetime {
 		return nil, false, result.New(result.RequestIDExpired, "issued %v ago", age.Round(time.Second))
 	}
@@ -195,6 +200,7 @@
 	}
 }
 
+// drop forgets the answer of a record and keeps its outcome.
 func (t *Table) drop(r *record) {
 	t.bytes -= r.size
 	r.answer, r.size = nil, 0
@@ -217,10 +223,10 @@
 // order of first use is near the order of issue; a record behind a younger one
 // only stays longer.
 func (t *Table) expire() {
-	age := t.now().Sub(t.start)
+	uptime := t.uptime()
 	for len(t.expiry) > 0 {
 		r := t.expiry[0]
-		if r.running || age-r.issued <= Lifetime {
+		if r.running || uptime-r.issued <= Lifetime {
 			return
 		}
 		t.drop(r)
--- a/pkg/routing/chooser.go
+++ b/pkg/routing/chooser.go
@@ -90,8 +90,8 @@
 	return best.name
 }
 
-// charge grows the credits of a region's domains and charges one of them; the
-// sum over the region stays the same.
+// charge grows the credits of a region's domains and charges one of them; a
+// sign of -1 takes a charge back. The sum over the region stays the same.
 func (c *chooser) charge(r *regionPlan, domain string, sign float64) {
 	for _, d := range r.domains {
 		c.domains[d.name] += sign * d.part
@@ -107,8 +107,8 @@
 		return false
 	}
 	dstRegion := &p.regions[dst.region]
-	src, shared := p.index[from]
-	if shared && src.region == dst.region {
+	src, hasShare := p.index[from]
+	if hasShare && src.region == dst.region {
 		c.domains[from]++
 		c.domains[to]--
 		return true
@@ -119,7 +119,7 @@
 	c.regions[dstRegion.name]--
 	c.charge(dstRegion, to, 1)
 	c.regions[region(p.regionOf, from)]++
-	if shared {
+	if hasShare {
 		c.charge(&p.regions[src.region], from, -1)
 	}
 	return true
--- a/pkg/routing/limiter.go
+++ b/pkg/routing/limiter.go
@@ -29,8 +29,10 @@
 type limiter struct {
 	shares   vector
 	regionOf map[string]string
-	last     time.Time
-	waited   time.Duration
+	// last is the time of the last step.
+	last time.Time
+	// waited is how long the lead limit has stopped the move.
+	waited time.Duration
 }
 
 // rates are the caps of one step; infinite means no cap.
@@ -123,8 +125,8 @@
 	return min(1, rate*dt/change)
 }
 
-// holdLead reduces fraction so that no region's share runs ahead of a live
-// peer by more than the lead. It gives up when no peer moved for leadPatience.
+// holdLead reduces fraction so that no region's share runs ahead of a live peer
+// by more than the lead. It stops doing so after leadPatience without progress.
 func (l *limiter) holdLead(delta vector, fraction float64, r rates, dt time.Duration, peers *peerShares) float64 {
 	changes := delta.byRegion(l.regionOf)
 	if math.IsInf(r.region, 1) || changes.isZero() {
@@ -165,6 +167,7 @@
 	return max(room, 0) / change
 }
 
+// move applies a fraction of delta, which leads to goal.
 func (l *limiter) move(delta, goal vector, fraction float64) {
 	if fraction >= 1 {
 		l.shares = goal.clone()
--- a/pkg/routing/service.go
+++ b/pkg/routing/service.go
@@ -73,9 +73,7 @@
 			regionOf[d] = r
 		}
 	}
-	for d, r := range in.regionOf {
-		regionOf[d] = r
-	}
+	maps.Copy(regionOf, in.regionOf)
 	in.regionOf = regionOf
 	s.in = in
 	s.limiter.regionOf = regionOf
@@ -199,8 +197,8 @@
 	return domain != "" && s.in.reachable[domain] && !excluded[domain]
 }
 
-// before orders retry destinations by the credit of their region, then by their
-// own, then by name.
+// before tells whether a is tried before b as a retry destination. The largest
+// credit of the region goes first, then that of the domain, then the name.
 func (s *service) before(a, b string) bool {
 	ra, rb := region(s.in.regionOf, a), region(s.in.regionOf, b)
 	if ca, cb := s.chooser.regions[ra], s.chooser.regions[rb]; ca != cb {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"sync"
 	"time"
 
@@ -50,6 +51,7 @@
 // maxSkip is the number of places at which the sequences may start.
 const maxSkip = 64
 
+// skip returns the place at which the sequence of a service starts.
 func (t *Table) skip(service string) int {
 	h := fnv.New64a()
 	h.Write([]byte(service))
@@ -122,8 +124,8 @@
 // checkpoint, else the previous version's target moved at the caps since the
 // acceptance of this version, else the target.
 func start(in Input, name string, si serviceInput) vector {
-	for _, known := range []cluster.Shares{in.PeerShares, in.CheckpointShares} {
-		shares := vector(known[name]).clone()
+	for _, source := range []cluster.Shares{in.PeerShares, in.CheckpointShares} {
+		shares := vector(source[name]).clone()
 		if shares.normalize() {
 			return shares
 		}
@@ -160,14 +162,11 @@
 	}
 }
 
+// all returns a copy of the services, so that callers need no lock.
 func (t *Table) all() map[string]*service {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	all := make(map[string]*service, len(t.services))
-	for name, s := range t.services {
-		all[name] = s
-	}
-	return all
+	return maps.Clone(t.services)
 }
 
 func (t *Table) service(name string) (*service, error) {
