Group the code of the entry by what it serves

The ticker stood with the agent's commands, the identifier calls were split over two files, and the adaptation of refusals before the issuer's table over three; each now stands in one file. The simulated fleet of the routing tests embeds the mechanisms that a test switches off instead of copying them.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/linkbudget"
@@ -97,7 +95,7 @@
 	reply := &ControlReply{}
 	switch q.Action {
 	case ControlInFlight:
-		reply.InFlight = e.work(q.ID)
+		reply.InFlight = e.inFlightOn(q.ID)
 	case ControlLeave:
 		e.Leave()
 	default:
@@ -107,7 +105,9 @@
 	return reply, nil
 }
 
-func (e *Entry) work(id string) int {
+// inFlightOn counts the executions on an upstream, or the requests of this entry
+// when id is that of the instance.
+func (e *Entry) inFlightOn(id string) int {
 	if id == e.opt.Instance {
 		return int(e.inFlight.Load())
 	}
@@ -152,18 +152,3 @@
 	}
 	return s
 }
-
-// Run moves the entry's clock until ctx ends.
-func (e *Entry) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.Tick(e.opt.Now())
-			e.metrics.gone.Inc(int64(e.callers.check()))
-		}
-	}
-}
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,7 @@
 	g.origin = now
 }
 
+// since returns the nanoseconds from origin to now.
 func (g *gate) since(now time.Time) int64 { return int64(now.Sub(g.origin)) }
 
 // noticePause puts the gate into the stale state if no tick came for
@@ -72,6 +74,21 @@
 	return n > 0 && g.staleFor.CompareAndSwap(n, n-1) && n == 1
 }
 
+// Run moves the entry's clock until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.Tick(e.opt.Now())
+			e.metrics.gone.Inc(int64(e.callers.check()))
+		}
+	}
+}
+
 // Tick moves the shares and notices pauses and a silent agent. Run calls it
 // every tickInterval.
 func (e *Entry) Tick(now time.Time) {
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -22,8 +22,7 @@
 	// sendTimeout bounds how long a caller may take to receive an answer.
 	sendTimeout = 30 * time.Second
 	// idleTimeout closes connections on which no request comes.
-	idleTimeout   = 75 * time.Second
-	maxIDsPerCall = 100
+	idleTimeout = 75 * time.Second
 )
 
 // NewServer returns the HTTP server of the caller API.
@@ -182,19 +181,6 @@
 	return e.tracePrefix + strconv.FormatUint(e.trace.Add(1), 36)
 }
 
-func hasIdentifier(ctx *fasthttp.RequestCtx) bool {
-	return len(ctx.Request.Header.Peek(request.HeaderRequestID)) > 0
-}
-
-// beforeTable adapts a refusal that came before the issuer's table: for a
-// request with an identifier it says nothing about earlier submissions.
-func beforeTable(ctx *fasthttp.RequestCtx, err error) error {
-	if hasIdentifier(ctx) && !aboutThisMessage(err) {
-		return undelivered(err)
-	}
-	return err
-}
-
 // answer writes an upstream's complete answer.
 func answer(ctx *fasthttp.RequestCtx, resp *request.Response) {
 	ctx.SetStatusCode(resp.Status)
@@ -252,31 +238,3 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
-
-// issuedIDs is the answer to a call for identifiers.
-type issuedIDs struct {
-	ExpiresMS int64    `json:"expires_ms"`
-	IDs       []string `json:"ids"`
-}
-
-func (e *Entry) serveRequestIDs(ctx *fasthttp.RequestCtx) {
-	args := ctx.QueryArgs()
-	ids, err := e.issue(string(args.Peek("service")), string(args.Peek("count")))
-	if err != nil {
-		refuse(ctx, err)
-		return
-	}
-	writeJSON(ctx, ids)
-}
-
-// parseCount reads the number of identifiers that a caller wants.
-func parseCount(text string) (int, error) {
-	if text == "" {
-		return 1, nil
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil || n < 1 || n > maxIDsPerCall {
-		return 0, result.New(result.BadRequest, "count must be 1 to %d", maxIDsPerCall)
-	}
-	return n, nil
-}
--- a/pkg/entry/ids.go
+++ b/pkg/entry/ids.go
@@ -1,10 +1,17 @@
 package entry
 
 import (
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
 	"github.com/sequoiacove/sequoiacove/pkg/requestid"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
+// maxIDsPerCall bounds the identifiers of one call.
+const maxIDsPerCall = 100
+
 // issue returns new identifiers. An instance that leaves issues none: it would
 // be gone before they are used, and their outcome would then be unknown.
 func (e *Entry) issue(service, countText string) (*issuedIDs, error) {
@@ -29,13 +36,30 @@
 	return ids, nil
 }
 
-// aboutThisMessage tells whether a refusal would meet every message like this
-// one, so that an earlier submission of it cannot have run either.
-func aboutThisMessage(err error) bool {
-	switch result.CodeOf(err) {
-	case result.BadRequest, result.BodyTooLarge, result.RequestIDMalformed,
-		result.RequestIDNotRequired, result.RequestIDMismatch:
-		return true
+// issuedIDs is the answer to a call for identifiers.
+type issuedIDs struct {
+	ExpiresMS int64    `json:"expires_ms"`
+	IDs       []string `json:"ids"`
+}
+
+func (e *Entry) serveRequestIDs(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	ids, err := e.issue(string(args.Peek("service")), string(args.Peek("count")))
+	if err != nil {
+		refuse(ctx, err)
+		return
+	}
+	writeJSON(ctx, ids)
+}
+
+// parseCount reads the number of identifiers that a caller wants.
+func parseCount(text string) (int, error) {
+	if text == "" {
+		return 1, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > maxIDsPerCall {
+		return 0, result.New(result.BadRequest, "count must be 1 to %d", maxIDsPerCall)
 	}
-	return false
+	return n, nil
 }
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
 	"github.com/sequoiacove/sequoiacove/pkg/request"
 	"github.com/sequoiacove/sequoiacove/pkg/requestid"
@@ -43,6 +45,30 @@
 	return result.New(result.RequestIDNotDelivered, "%s: %s", result.Lookup(result.CodeOf(err)).Name, result.Detail(err))
 }
 
+func hasIdentifier(ctx *fasthttp.RequestCtx) bool {
+	return len(ctx.Request.Header.Peek(request.HeaderRequestID)) > 0
+}
+
+// beforeTable adapts a refusal that came before the issuer's table: for a
+// request with an identifier it says nothing about earlier submissions.
+func beforeTable(ctx *fasthttp.RequestCtx, err error) error {
+	if hasIdentifier(ctx) && !aboutThisMessage(err) {
+		return undelivered(err)
+	}
+	return err
+}
+
+// aboutThisMessage tells whether a refusal would meet every message like this
+// one, so that an earlier submission of it cannot have run either.
+func aboutThisMessage(err error) bool {
+	switch result.CodeOf(err) {
+	case result.BadRequest, result.BodyTooLarge, result.RequestIDMalformed,
+		result.RequestIDNotRequired, result.RequestIDMismatch:
+		return true
+	}
+	return false
+}
+
 // runOnce runs a request under an identifier that this instance issued. The
 // execution does not end with the connection of the submission that started
 // it, so that a resend can learn its outcome.
--- a/pkg/routing/fleet_test.go
+++ b/pkg/routing/fleet_test.go
@@ -33,6 +33,19 @@
 	slow bool
 }
 
+// mechanisms are the parts that bound the sum; the tests switch them off one by
+// one.
+type mechanisms struct {
+	// lead limits how far an instance runs ahead of its peers.
+	lead bool
+	// follow moves an instance with an older version to the mean of its peers.
+	follow bool
+	// rejoin moves an instance to the mean of its peers after a pause.
+	rejoin bool
+}
+
+var allMechanisms = mechanisms{true, true, true}
+
 // fleet simulates instances that exchange shares with a delay.
 type fleet struct {
 	now      time.Duration
@@ -42,13 +55,11 @@
 	accepted []time.Duration
 	// arrival returns when a node gets a version.
 	arrival func(n *node, version int) time.Duration
-	lead    bool
-	follow  bool
-	rejoin  bool
+	mechanisms
 }
 
 func newFleet(n int, first *description.Description) *fleet {
-	f := &fleet{base: time.Unix(1_000_000, 0), lead: true, follow: true, rejoin: true}
+	f := &fleet{base: time.Unix(1_000_000, 0), mechanisms: allMechanisms}
 	f.arrival = func(_ *node, v int) time.Duration { return f.accepted[v] }
 	f.accept(first)
 	for i := range n {
--- a/pkg/routing/measure_test.go
+++ b/pkg/routing/measure_test.go
@@ -9,10 +9,6 @@
 
 const simCap = 0.02
 
-// mechanisms are the parts that bound the sum; the tests switch them off one by
-// one.
-type mechanisms struct{ lead, follow, rejoin bool }
-
 // mixShift moves the whole traffic to node 0 between two times.
 func mixShift(f *fleet, t, from, to time.Duration) {
 	part := min(max(float64(t-from)/float64(to-from), 0), 1)
@@ -56,7 +52,7 @@
 // excess of the sum over the cap in one second.
 func runMove(m mechanisms, setup func(f *fleet), run func(f *fleet, t time.Duration)) (excess float64, done time.Duration) {
 	f := newFleet(12, twoRegions(0.8, simCap))
-	f.lead, f.follow, f.rejoin = m.lead, m.follow, m.rejoin
+	f.mechanisms = m
 	f.accept(twoRegions(0.2, simCap))
 	setup(f)
 	var sums []vector
@@ -75,7 +71,6 @@
 // bound, with them it stays below the lead.
 func TestMixShiftOntoLaggard(t *testing.T) {
 	const bound = simCap * 3.1 // leadTime and one step
-	all := mechanisms{true, true, true}
 	shift := func(from time.Duration) func(f *fleet, t time.Duration) {
 		return func(f *fleet, t time.Duration) { mixShift(f, t, from, from+simStep) }
 	}
@@ -92,7 +87,7 @@
 	}
 	for _, c := range cases {
 		broken, alone := runMove(c.without, c.setup, c.run)
-		held, done := runMove(all, c.setup, c.run)
+		held, done := runMove(allMechanisms, c.setup, c.run)
 		t.Logf("%s: excess in 1 s %.4f without, %.4f with; move ends after %v and %v", c.name, broken, held, alone, done)
 		require.Greater(t, broken, 1.5*bound, "%s: the scenario no longer shows the fault", c.name)
 		require.LessOrEqual(t, held, bound, c.name)
@@ -101,7 +96,7 @@
 
 // Guards against a lead limit that slows a move in a healthy fleet.
 func TestHealthyMoveKeepsSpeed(t *testing.T) {
-	excess, done := runMove(mechanisms{true, true, true}, func(*fleet) {}, func(*fleet, time.Duration) {})
+	excess, done := runMove(allMechanisms, func(*fleet) {}, func(*fleet, time.Duration) {})
 	require.LessOrEqual(t, excess, 1e-9)
 	require.InDelta(t, 30, done.Seconds(), 0.6)
 }
--- a/pkg/routing/report.go
+++ b/pkg/routing/report.go
@@ -31,12 +31,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	names := s.limiter.shares.clone()
-	for d := range s.in.target {
-		names[d] += 0
-	}
-	list := make([]Destination, 0, len(names))
-	for _, d := range names.domains() {
+	// The keys of the difference are the domains of either vector.
+	domains := difference(s.limiter.shares, s.in.target).domains()
+	list := make([]Destination, 0, len(domains))
+	for _, d := range domains {
 		list = append(list, Destination{
 			Domain:    d,
 			Region:    region(s.in.regionOf, d),
