Split the setup of the entry process by step

NewProcess opened sockets, built the pools and filled the options of the entry in one function. In passOn, owner held the ranked instances and not the owner.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -124,6 +124,7 @@
 	return reply, nil
 }
 
+// serveForward admits a forwarded request and runs it in the own domain.
 func (e *Entry) serveForward(ctx context.Context, msg *peer.ForwardRequest) (*request.Response, error) {
 	v, err := e.admit()
 	if err != nil {
@@ -147,20 +148,20 @@
 // this instance is next in rank, it takes the pool over and runs the request.
 func (e *Entry) passOn(ctx context.Context, v *view, msg *peer.ForwardRequest) (*request.Response, error) {
 	service := msg.Request.Service
-	owner := v.ranked(service, e.opt.Domain)
-	if len(owner) > 0 && owner[0].ID == msg.Failed && !v.owns(service) {
-		e.avoidPeer(owner[0])
+	ranked := v.ranked(service, e.opt.Domain)
+	if len(ranked) > 0 && ranked[0].ID == msg.Failed && !v.owns(service) {
+		e.avoidPeer(ranked[0])
 		v = e.view.Load()
-		owner = v.ranked(service, e.opt.Domain)
+		ranked = v.ranked(service, e.opt.Domain)
 	}
 	if v.owns(service) {
 		return e.opt.Admission.Do(ctx, &msg.Request)
 	}
-	if msg.Hops >= maxHops || len(owner) == 0 {
+	if msg.Hops >= maxHops || len(ranked) == 0 {
 		return nil, result.New(result.NotOwner, "instance %s does not own the pool", e.opt.Instance)
 	}
 	next := &peer.ForwardRequest{Request: msg.Request, Domain: msg.Domain, Failed: msg.Failed, Hops: msg.Hops + 1}
-	resp, err := e.forward(ctx, owner[0], next)
+	resp, err := e.forward(ctx, ranked[0], next)
 	if result.CodeOf(err) != result.PeerUnreachable || !e.view.Load().owns(service) {
 		return resp, err
 	}
@@ -175,9 +176,9 @@
 }
 
 const (
-	// frameBytes is the size of a message besides the parts that are counted.
+	// frameBytes approximates the size of a message besides the counted parts.
 	frameBytes = 128
-	// fieldFrameBytes is the size of the encoding of one header field besides
+	// fieldFrameBytes approximates the size of the encoding of one header field besides
 	// its name and value.
 	fieldFrameBytes = 8
 )
--- a/pkg/entry/setup.go
+++ b/pkg/entry/setup.go
@@ -38,36 +38,56 @@
 
 // NewProcess opens the sockets of an entry; Run serves them.
 func NewProcess(s *settings.Instance, logger *slog.Logger) (*Process, error) {
+	p := &Process{logger: logger}
+	registry := metrics.NewRegistry()
+	if err := p.open(s, registry); err != nil {
+		return nil, err
+	}
+	p.pools = admission.New(admission.Config{
+		Domain:   s.Domain,
+		Settings: s.Admission,
+		Exchange: upstream.NewClient(upstream.Config{}),
+		Logger:   logger,
+		Seed:     rand.Uint64(),
+	})
+	var err error
+	if p.Entry, err = New(p.options(s, registry)); err != nil {
+		return nil, err
+	}
+	p.Entry.Register(p.peers)
+	p.callers = p.Entry.NewServer()
+	return p, nil
+}
+
+// open opens the listeners and the peer transport; after an error no socket is
+// open.
+func (p *Process) open(s *settings.Instance, registry metrics.Registry) error {
 	serverTLS, clientTLS, err := peer.LoadTLS(s.TLS)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := &Process{logger: logger}
-	registry := metrics.NewRegistry()
 	if p.callerListener, err = listen(s.Entry.CallerAddress); err != nil {
-		return nil, err
+		return err
 	}
 	if p.adminListener, err = listen(s.Entry.AdminAddress); err != nil {
 		p.callerListener.Close()
-		return nil, err
+		return err
 	}
-	p.peers, err = peer.NewServer(peer.ServerConfig{Address: s.Entry.PeerAddress, TLS: serverTLS, Logger: logger, Registry: registry})
+	p.peers, err = peer.NewServer(peer.ServerConfig{Address: s.Entry.PeerAddress, TLS: serverTLS, Logger: p.logger, Registry: registry})
 	if err != nil {
 		p.callerListener.Close()
 		p.adminListener.Close()
-		return nil, err
+		return err
 	}
 	p.client = peer.NewClient(peer.ClientConfig{
-		TLS: clientTLS, Logger: logger, Registry: registry, LocalAddress: s.Entry.PeerAddress,
+		TLS: clientTLS, Logger: p.logger, Registry: registry, LocalAddress: s.Entry.PeerAddress,
 	})
-	p.pools = admission.New(admission.Config{
-		Domain:   s.Domain,
-		Settings: s.Admission,
-		Exchange: upstream.NewClient(upstream.Config{}),
-		Logger:   logger,
-		Seed:     rand.Uint64(),
-	})
-	p.Entry, err = New(Options{
+	return nil
+}
+
+// options returns the options of the entry of a process whose sockets are open.
+func (p *Process) options(s *settings.Instance, registry metrics.Registry) Options {
+	return Options{
 		Instance:                s.ID,
 		Region:                  s.Region,
 		Domain:                  s.Domain,
@@ -78,16 +98,10 @@
 		DrainGrace:              s.Entry.DrainGrace,
 		Admission:               ownedPools{p.pools},
 		Peers:                   p.client,
-		Logger:                  logger,
+		Logger:                  p.logger,
 		Registry:                registry,
 		Now:                     time.Now,
-	})
-	if err != nil {
-		return nil, err
 	}
-	p.Entry.Register(p.peers)
-	p.callers = p.Entry.NewServer()
-	return p, nil
 }
 
 func listen(address string) (net.Listener, error) {
@@ -127,6 +141,7 @@
 	return admin.ServeListener(ctx, p.adminListener, p.Entry.state, p.Entry.metrics.registry)
 }
 
+// logFailure logs the error that ended a listener, if any.
 func (p *Process) logFailure(l net.Listener, err error) {
 	if err != nil {
 		event.Log(p.logger, event.ListenerFailed, "address", l.Addr().String(), "error", err)
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -45,6 +45,7 @@
 	return result.New(result.RequestIDNotDelivered, "%s: %s", result.Lookup(result.CodeOf(err)).Name, result.Detail(err))
 }
 
+// hasIdentifier tells whether a caller's request carries an identifier.
 func hasIdentifier(ctx *fasthttp.RequestCtx) bool {
 	return len(ctx.Request.Header.Peek(request.HeaderRequestID)) > 0
 }
@@ -89,6 +90,7 @@
 	return e.handleRequest(ctx, body, e.serveSubmit)
 }
 
+// serveSubmit admits a submission of another instance and runs it at most once.
 func (e *Entry) serveSubmit(ctx context.Context, msg *peer.ForwardRequest) (*request.Response, error) {
 	if msg.Request.ID == "" || msg.Request.Idempotent {
 		return nil, result.New(result.BadRequest, "a submission needs an identifier")
