--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -105,18 +105,26 @@
 
 // HandleForward runs a request that another instance forwarded to this domain.
 func (e *Entry) HandleForward(ctx context.Context, body []byte) (*request.Reply, error) {
+	return e.handleRequest(ctx, body, e.serveForward)
+}
+
+// handleRequest decodes a message with a request, serves it until its deadline
+// and charges the reply to the link back to the sender.
+func (e *Entry) handleRequest(ctx context.Context, body []byte,
+	serve func(context.Context, *peer.ForwardRequest) (*request.Response, error)) (*request.Reply, error) {
 	msg, err := decodeForward(body, e.opt.Now())
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, msg.Request.Deadline)
 	defer cancel()
-	resp, err := e.serveForward(ctx, msg)
+	resp, err := serve(ctx, msg)
 	reply := request.NewReply(msg.Request.Trace, resp, err)
 	e.chargeReply(msg.Region, reply)
 	return reply, nil
 }
 
+// serveForward admits a forwarded request and runs it in the own domain.
 func (e *Entry) serveForward(ctx context.Context, msg *peer.ForwardRequest) (*request.Response, error) {
 	v, err := e.admit()
 	if err != nil {
@@ -140,20 +148,20 @@
 // this instance is next in rank, it takes the pool over and runs the request.
 func (e *Entry) passOn(ctx context.Context, v *view, msg *peer.ForwardRequest) (*request.Response, error) {
 	service := msg.Request.Service
-	owner := v.ranked(service, e.opt.Domain)
-	if len(owner) > 0 && owner[0].ID == msg.Failed && !v.owns(service) {
-		e.avoidPeer(owner[0])
+	ranked := v.ranked(service, e.opt.Domain)
+	if len(ranked) > 0 && ranked[0].ID == msg.Failed && !v.owns(service) {
+		e.avoidPeer(ranked[0])
 		v = e.view.Load()
-		owner = v.ranked(service, e.opt.Domain)
+		ranked = v.ranked(service, e.opt.Domain)
 	}
 	if v.owns(service) {
 		return e.opt.Admission.Do(ctx, &msg.Request)
 	}
-	if msg.Hops >= maxHops || len(owner) == 0 {
+	if msg.Hops >= maxHops || len(ranked) == 0 {
 		return nil, result.New(result.NotOwner, "instance %s does not own the pool", e.opt.Instance)
 	}
 	next := &peer.ForwardRequest{Request: msg.Request, Domain: msg.Domain, Failed: msg.Failed, Hops: msg.Hops + 1}
-	resp, err := e.forward(ctx, owner[0], next)
+	resp, err := e.forward(ctx, ranked[0], next)
 	if result.CodeOf(err) != result.PeerUnreachable || !e.view.Load().owns(service) {
 		return resp, err
 	}
@@ -167,8 +175,13 @@
 	}
 }
 
-// frameBytes is the size of a message besides the parts that are counted.
-const frameBytes = 128
+const (
+	// frameBytes approximates the size of a message besides the counted parts.
+	frameBytes = 128
+	// fieldFrameBytes approximates the size of the encoding of one header field besides
+	// its name and value.
+	fieldFrameBytes = 8
+)
 
 func requestBytes(r *request.Request) int {
 	return frameBytes + len(r.Path) + len(r.Body) + fieldBytes(r.Header)
@@ -185,7 +198,7 @@
 func fieldBytes(fields []request.Field) int {
 	n := 0
 	for _, f := range fields {
-		n += len(f.Name) + len(f.Value) + 8
+		n += len(f.Name) + len(f.Value) + fieldFrameBytes
 	}
 	return n
 }
--- a/pkg/entry/harness_test.go
+++ b/pkg/entry/harness_test.go
@@ -38,13 +38,13 @@
 	owned  map[string]bool
 	run    func(ctx context.Context, req *request.Request) (*request.Response, error)
 	ran    []request.Request
-	ups    []Pool
+	pools  []Pool
 }
 
 func (f *fakeAdmission) Update(pools []Pool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ups = pools
+	f.pools = pools
 	f.owned = make(map[string]bool)
 	for _, p := range pools {
 		f.owned[p.Service] = true
@@ -73,6 +73,11 @@
 	f.run = run
 }
 
+// queueFull refuses a request as an upstream pool with a full queue does.
+func queueFull(context.Context, *request.Request) (*request.Response, error) {
+	return nil, result.New(result.QueueFull, "full")
+}
+
 func (f *fakeAdmission) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -170,7 +175,7 @@
 	version cluster.Version
 }
 
-// newWorld starts one entry per given "id=domain".
+// newWorld starts one entry for each instance id in the domain that ids gives.
 func newWorld(t testing.TB, ids map[string]string) *world {
 	w := &world{t: t, clock: &clock{now: time.Now()}, entries: make(map[string]*Entry), adm: make(map[string]*fakeAdmission)}
 	w.net = &fakeNet{entries: make(map[string]*Entry)}
@@ -217,8 +222,15 @@
 }
 
 func (w *world) pushTo(id string, members []cluster.Member) {
+	w.pushSnapshot(id, cluster.Snapshot{Members: members})
+}
+
+// pushSnapshot gives an entry a snapshot of the present version, as the next one
+// of its agent.
+func (w *world) pushSnapshot(id string, s cluster.Snapshot) {
 	w.seq++
-	_, err := w.entries[id].Apply(&cluster.Snapshot{AgentIncarnation: 1, Sequence: w.seq, Version: w.version, Members: members})
+	s.AgentIncarnation, s.Sequence, s.Version = 1, w.seq, w.version
+	_, err := w.entries[id].Apply(&s)
 	require.NoError(w.t, err)
 }
 
@@ -263,7 +275,8 @@
 	return "http://" + ln.Addr().String()
 }
 
-// call sends an HTTP request and returns the status and the body.
+// call sends an HTTP request and returns its answer; header lists names and
+// values in turn.
 func call(t *testing.T, method, url, body string, header ...string) *fasthttp.Response {
 	req, resp := fasthttp.AcquireRequest(), &fasthttp.Response{}
 	defer fasthttp.ReleaseRequest(req)
@@ -282,5 +295,3 @@
 	require.NoError(t, json.Unmarshal(body, &v), fmt.Sprintf("%q", body))
 	return v
 }
-
-func outcome(err error) result.Code { return result.CodeOf(err) }
--- a/pkg/entry/http.go
+++ b/pkg/entry/http.go
@@ -19,9 +19,10 @@
 	connectionsPerRequest = 4
 	// receiveTimeout bounds how long a caller may take to send a request.
 	receiveTimeout = 30 * time.Second
-	sendTimeout    = 30 * time.Second
-	idleTimeout    = 75 * time.Second
-	maxIDsPerCall  = 100
+	// sendTimeout bounds how long a caller may take to receive an answer.
+	sendTimeout = 30 * time.Second
+	// idleTimeout closes connections on which no request comes.
+	idleTimeout = 75 * time.Second
 )
 
 // NewServer returns the HTTP server of the caller API.
@@ -42,14 +43,14 @@
 		WriteTimeout:                 sendTimeout,
 		IdleTimeout:                  idleTimeout,
 		CloseOnShutdown:              true,
-		Logger:                       silent{},
+		Logger:                       discardLogger{},
 	}
 }
 
-// silent drops fasthttp's log lines, which any caller could provoke.
-type silent struct{}
+// discardLogger drops fasthttp's log lines, which any caller could provoke.
+type discardLogger struct{}
 
-func (silent) Printf(string, ...any) {}
+func (discardLogger) Printf(string, ...any) {}
 
 // serveBroken answers a request that could not be read.
 func (e *Entry) serveBroken(ctx *fasthttp.RequestCtx, err error) {
@@ -180,19 +181,6 @@
 	return e.tracePrefix + strconv.FormatUint(e.trace.Add(1), 36)
 }
 
-func hasIdentifier(ctx *fasthttp.RequestCtx) bool {
-	return len(ctx.Request.Header.Peek(request.HeaderRequestID)) > 0
-}
-
-// beforeTable adapts a refusal that came before the issuer's table: for a
-// request with an identifier it says nothing about earlier submissions.
-func beforeTable(ctx *fasthttp.RequestCtx, err error) error {
-	if hasIdentifier(ctx) && !aboutThisMessage(err) {
-		return undelivered(err)
-	}
-	return err
-}
-
 // answer writes an upstream's complete answer.
 func answer(ctx *fasthttp.RequestCtx, resp *request.Response) {
 	ctx.SetStatusCode(resp.Status)
@@ -250,31 +238,3 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
-
-// issuedIDs is the answer to a call for identifiers.
-type issuedIDs struct {
-	ExpiresMS int64    `json:"expires_ms"`
-	IDs       []string `json:"ids"`
-}
-
-func (e *Entry) serveRequestIDs(ctx *fasthttp.RequestCtx) {
-	args := ctx.QueryArgs()
-	ids, err := e.issue(string(args.Peek("service")), string(args.Peek("count")))
-	if err != nil {
-		refuse(ctx, err)
-		return
-	}
-	writeJSON(ctx, ids)
-}
-
-// parseCount reads the number of identifiers that a caller wants.
-func parseCount(text string) (int, error) {
-	if text == "" {
-		return 1, nil
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil || n < 1 || n > maxIDsPerCall {
-		return 0, result.New(result.BadRequest, "count must be 1 to %d", maxIDsPerCall)
-	}
-	return n, nil
-}
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
 	"github.com/sequoiacove/sequoiacove/pkg/request"
 	"github.com/sequoiacove/sequoiacove/pkg/requestid"
@@ -43,11 +45,36 @@
 	return result.New(result.RequestIDNotDelivered, "%s: %s", result.Lookup(result.CodeOf(err)).Name, result.Detail(err))
 }
 
+// hasIdentifier tells whether a caller's request carries an identifier.
+func hasIdentifier(ctx *fasthttp.RequestCtx) bool {
+	return len(ctx.Request.Header.Peek(request.HeaderRequestID)) > 0
+}
+
+// beforeTable adapts a refusal that came before the issuer's table: for a
+// request with an identifier it says nothing about earlier submissions.
+func beforeTable(ctx *fasthttp.RequestCtx, err error) error {
+	if hasIdentifier(ctx) && !aboutThisMessage(err) {
+		return undelivered(err)
+	}
+	return err
+}
+
+// aboutThisMessage tells whether a refusal would meet every message like this
+// one, so that an earlier submission of it cannot have run either.
+func aboutThisMessage(err error) bool {
+	switch result.CodeOf(err) {
+	case result.BadRequest, result.BodyTooLarge, result.RequestIDMalformed,
+		result.RequestIDNotRequired, result.RequestIDMismatch:
+		return true
+	}
+	return false
+}
+
 // runOnce runs a request under an identifier that this instance issued. The
 // execution does not end with the connection of the submission that started
 // it, so that a resend can learn its outcome.
 func (e *Entry) runOnce(ctx context.Context, req *request.Request) (*request.Response, error) {
-	resp, err := e.ids.Do(ctx, req, func() (*request.Response, error) {
+	return e.ids.Do(ctx, req, func() (*request.Response, error) {
 		run, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
 		defer cancel()
 		v, err := e.admit()
@@ -56,23 +83,14 @@
 		}
 		return e.route(run, v, req)
 	})
-	return resp, err
 }
 
 // HandleSubmit runs a request whose identifier this instance issued.
 func (e *Entry) HandleSubmit(ctx context.Context, body []byte) (*request.Reply, error) {
-	msg, err := decodeForward(body, e.opt.Now())
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithDeadline(ctx, msg.Request.Deadline)
-	defer cancel()
-	resp, err := e.serveSubmit(ctx, msg)
-	reply := request.NewReply(msg.Request.Trace, resp, err)
-	e.chargeReply(msg.Region, reply)
-	return reply, nil
+	return e.handleRequest(ctx, body, e.serveSubmit)
 }
 
+// serveSubmit admits a submission of another instance and runs it at most once.
 func (e *Entry) serveSubmit(ctx context.Context, msg *peer.ForwardRequest) (*request.Response, error) {
 	if msg.Request.ID == "" || msg.Request.Idempotent {
 		return nil, result.New(result.BadRequest, "a submission needs an identifier")
--- a/pkg/entry/view_test.go
+++ b/pkg/entry/view_test.go
@@ -39,24 +39,24 @@
 	require.NoError(t, err)
 	w.clock.Add(30 * time.Second)
 	_, err = w.do("a1", nil)
-	require.Equal(t, result.StaleSnapshot, outcome(err), "a request may come before the first tick")
+	require.Equal(t, result.StaleSnapshot, result.CodeOf(err), "a request may come before the first tick")
 	_, err = w.entries["a1"].lookup([]byte("calls"), nil, "127.0.0.1")
-	require.Equal(t, result.StaleSnapshot, outcome(err), "look-ups use the view too")
+	require.Equal(t, result.StaleSnapshot, result.CodeOf(err), "look-ups use the view too")
 	_, err = w.entries["a1"].issue("calls", "1")
-	require.Equal(t, result.StaleSnapshot, outcome(err))
-	reply, err := w.entries["a1"].HandleForward(context.Background(), forwardBody(t, "north-a", "t"))
+	require.Equal(t, result.StaleSnapshot, result.CodeOf(err))
+	reply, err := w.entries["a1"].HandleForward(context.Background(), forwardBody(t, "north-a", ""))
 	require.NoError(t, err)
 	require.Equal(t, result.StaleSnapshot, reply.Code)
 	require.Empty(t, w.adm["a1"].owned, "requests in the queue of a pool must not start after a pause")
 	w.entries["a1"].Tick(w.clock.Now())
 	w.pushTo("a1", w.members())
 	_, err = w.do("a1", nil)
-	require.Equal(t, result.StaleSnapshot, outcome(err), "the first snapshot may be from before the pause")
+	require.Equal(t, result.StaleSnapshot, result.CodeOf(err), "the first snapshot may be from before the pause")
 	report, err := w.entries["a1"].Apply(&cluster.Snapshot{AgentIncarnation: 1, Sequence: 1})
 	require.NoError(t, err)
 	require.Nil(t, report.Shares, "shares from before the pause are not reported")
 	_, err = w.do("a1", nil)
-	require.Equal(t, result.StaleSnapshot, outcome(err), "an old snapshot refreshes nothing")
+	require.Equal(t, result.StaleSnapshot, result.CodeOf(err), "an old snapshot refreshes nothing")
 	w.pushTo("a1", w.members())
 	_, err = w.do("a1", nil)
 	require.NoError(t, err)
@@ -70,11 +70,7 @@
 	w.clock.Add(10 * time.Second)
 	shares := cluster.Shares{"calls": {"north-a": 0.2, "north-b": 0.2, "south-a": 0.6}}
 	for range freshSnapshots {
-		w.seq++
-		_, err := w.entries["a1"].Apply(&cluster.Snapshot{
-			AgentIncarnation: 1, Sequence: w.seq, Version: w.version, Members: w.members(), PeerShares: shares,
-		})
-		require.NoError(t, err)
+		w.pushSnapshot("a1", cluster.Snapshot{Members: w.members(), PeerShares: shares})
 	}
 	require.InDelta(t, 0.6, w.entries["a1"].routes.Shares()["calls"]["south-a"], 1e-9)
 }
@@ -91,8 +87,10 @@
 	}
 	apply(2, 1, 5, w.members())
 	require.EqualValues(t, 5, e.view.Load().version.Number)
-	apply(1, 999, 6, nil)
+	ignored := apply(1, 999, 6, nil)
 	require.EqualValues(t, 5, e.view.Load().version.Number, "an older agent incarnation")
+	require.EqualValues(t, 2, ignored.AppliedIncarnation, "the report names the snapshot in force, not the ignored one")
+	require.EqualValues(t, 1, ignored.AppliedSequence)
 	require.Len(t, e.view.Load().byID, 5)
 	report := apply(2, 2, 4, nil)
 	require.EqualValues(t, 5, e.view.Load().version.Number, "versions only rise")
@@ -103,7 +101,7 @@
 	w.setVersion(7, testDescription)
 	w.version.Hash = "0"
 	_, err := e.Apply(&cluster.Snapshot{AgentIncarnation: 2, Sequence: 4, Version: w.version})
-	require.Equal(t, result.ObjectCorrupt, outcome(err))
+	require.Equal(t, result.ObjectCorrupt, result.CodeOf(err))
 	require.EqualValues(t, 5, e.view.Load().version.Number)
 }
 
@@ -123,7 +121,7 @@
 	require.False(t, w.adm[owner].owned["calls"])
 	require.True(t, w.adm[other].owned["calls"])
 	_, err := w.entries[owner].issue("calls", "1")
-	require.Equal(t, result.Stopping, outcome(err))
+	require.Equal(t, result.Stopping, result.CodeOf(err))
 	_, err = w.do(owner, post)
 	require.NoError(t, err, "it serves the callers that still use it")
 	w.entries[other].Leave()
@@ -141,7 +139,7 @@
 	go func() { defer close(drained); e.Drain(context.Background()) }()
 	require.Eventually(t, e.gate.stopped.Load, 5*time.Second, time.Millisecond)
 	_, err := w.do("a1", nil)
-	require.Equal(t, result.Stopping, outcome(err))
+	require.Equal(t, result.Stopping, result.CodeOf(err))
 	select {
 	case <-drained:
 		t.Fatal("drained with a request in flight")
