Use the usual terms in the admission package

Names such as ramp, rescue, judge, extra and repeats could only be understood from the code that uses them. They are now slow start, silence probe, ejectIfFaulty, duplicateBudget and retryBudget, and the comments say what each one bounds.

The check for the region's limit, for the queueing policy and for the age of an observation stood several times; each is now one function.

--- a/pkg/admission/baseline.go
+++ b/pkg/admission/baseline.go
@@ -13,7 +13,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, result.New(result.NotOwner, "the pool moved to another instance")
+		return nil, errPoolMoved()
 	}
 	var usable []*target
 	for _, u := range p.targets {
--- a/pkg/admission/budget.go
+++ b/pkg/admission/budget.go
@@ -1,11 +1,12 @@
 package admission
 
-// budgetBurst bounds the saved allowance of a budget.
+// budgetBurst is the largest number of tokens that a budget saves.
 const budgetBurst = 50
 
-// budget allows extra actions as a part of the executions. It starts empty, so
-// that the part holds over any time since the start.
+// budget is a token bucket that bounds repeated executions to a fraction of the
+// first executions.
 type budget struct {
+	// rate is the number of tokens that one first execution earns.
 	rate   float64
 	tokens float64
 }
--- a/pkg/admission/choose.go
+++ b/pkg/admission/choose.go
@@ -60,7 +60,7 @@
 
 // preferred tells whether u is as fast as others, or due for a probe by t.
 func (p *pool) preferred(u *target, t *task, now time.Time) bool {
-	if u.inUse() >= u.ramp.limit(u.slots) {
+	if u.inUse() >= u.slowStart.limit(u.slots) {
 		return false
 	}
 	if !p.suspect(u, now) {
@@ -70,10 +70,10 @@
 	return due && u.inUse() == 0 && t.req.Idempotent && !t.hasTried(u)
 }
 
-// reserveEagerness is how many times longer than the wait an execution on the
+// reserveWaitFactor is how many times longer than the wait an execution on the
 // reserve may take. It is above 1 because a request that takes the reserve also
 // shortens the wait of all behind it.
-const reserveEagerness = 3
+const reserveWaitFactor = 3
 
 // worthStarting tells whether starting on the reserve u is better than waiting
 // for a slot of a preferred upstream.
@@ -83,7 +83,7 @@
 		return true
 	}
 	wait := 1 + float64(waiting)/float64(fast)
-	return waiting > 0 && reserveEagerness*wait >= u.slowness(now)
+	return waiting > 0 && reserveWaitFactor*wait >= u.slowness(now)
 }
 
 // fastBusy counts the occupied slots of upstreams that are not suspect; each of
@@ -98,15 +98,15 @@
 	return n
 }
 
-// rampSlowness is the assumed slowness of an upstream in slow start that has
+// slowStartRatio is the assumed slowness of an upstream in slow start that has
 // answered nothing yet.
-const rampSlowness = 1.5
+const slowStartRatio = 1.5
 
 // slowness returns how many times longer than usual an execution on u takes.
 func (u *target) slowness(now time.Time) float64 {
 	slowness := u.health.latest(now)
-	if u.ramp.active {
-		slowness = max(slowness, rampSlowness)
+	if u.slowStart.active {
+		slowness = max(slowness, slowStartRatio)
 	}
 	return slowness
 }
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -29,10 +29,10 @@
 // refusal returns why t cannot be queued, or nil.
 func (p *pool) refusal(t *task, now time.Time) error {
 	if p.closed {
-		return result.New(result.NotOwner, "the pool moved to another instance")
+		return errPoolMoved()
 	}
 	slots := p.slots()
-	if slots == 0 && !p.anyUsable(now) {
+	if slots == 0 && !p.anyUsable() {
 		return result.New(result.NoUpstream, "no upstream of %s takes work", p.service)
 	}
 	if p.queued() >= p.config.Settings.QueueLength {
@@ -51,7 +51,7 @@
 // overload returns a refusal for lack of slots; it names the region's limit
 // when that and not the upstreams bounds the slots.
 func (p *pool) overload(code result.Code, format string, args ...any) error {
-	if p.limit > 0 && p.inUse >= p.limit {
+	if p.atLimit() {
 		code = result.RegionLimit
 	}
 	return result.New(code, format, args...)
@@ -59,7 +59,7 @@
 
 // anyUsable tells whether an upstream takes work now or will when its ejection
 // ends.
-func (p *pool) anyUsable(now time.Time) bool {
+func (p *pool) anyUsable() bool {
 	for _, u := range p.targets {
 		if !u.leaving() {
 			return true
@@ -82,7 +82,7 @@
 
 // dispatch gives idle slots to waiting tasks in order of their deadlines.
 func (p *pool) dispatch(now time.Time) {
-	for p.limit == 0 || p.inUse < p.limit {
+	for !p.atLimit() {
 		t, q := p.next()
 		if t == nil {
 			return
@@ -107,7 +107,7 @@
 	if u := p.choose(t, now, p.queued()); u != nil {
 		return p.bind(u, t, now, false)
 	}
-	return p.rescueWaiting(t, now)
+	return p.probeSilentByWaiting(t, now)
 }
 
 // next returns the task to start next and its queue.
--- a/pkg/admission/eject.go
+++ b/pkg/admission/eject.go
@@ -7,16 +7,17 @@
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
 
-// floorRounding makes a part of 0.33 allow one of three upstreams.
-const floorRounding = 0.05
+// ejectionRounding makes a MaxEjected of 0.33 allow one of three upstreams.
+const ejectionRounding = 0.05
 
-// judge ejects u when its observations call for it and the floor allows it.
-func (p *pool) judge(u *target, now time.Time) {
+// ejectIfFaulty ejects u when the observations show it to be failing or slow and
+// enough upstreams stay in use.
+func (p *pool) ejectIfFaulty(u *target, now time.Time) {
 	if u.health.ejected(now) || u.leaving() {
 		return
 	}
 	reason := u.health.verdict(now, u.overdue(now), p.medianRatio(now))
-	if reason == slowReason && u.ramp.active {
+	if reason == slowReason && u.slowStart.active {
 		// A cold upstream warms up only by running requests.
 		return
 	}
@@ -29,8 +30,8 @@
 	event.Log(p.config.Logger, event.UpstreamEjected, "service", p.service, "upstream", u.id, "reason", reason, "for", d)
 }
 
-// mayEject tells whether one more upstream may be out of use. Upstreams that
-// leave count too, so that the floor holds for what remains in use.
+// mayEject tells whether one more upstream may be out of use. Ejected
+// upstreams count even while they leave.
 func (p *pool) mayEject(now time.Time) bool {
 	out := 1
 	for _, u := range p.targets {
@@ -38,7 +39,7 @@
 			out++
 		}
 	}
-	return float64(out) <= p.config.Settings.MaxEjected*float64(len(p.targets))+floorRounding
+	return float64(out) <= p.config.Settings.MaxEjected*float64(len(p.targets))+ejectionRounding
 }
 
 // medianRatio returns the median latency ratio of the pool's upstreams.
@@ -66,7 +67,7 @@
 	for _, u := range p.targets {
 		if u.health.reason != "" && !u.health.ejected(now) {
 			u.health.readmit()
-			u.ramp.begin()
+			u.slowStart.begin()
 			event.Log(p.config.Logger, event.UpstreamReturned, "service", p.service, "upstream", u.id)
 		}
 	}
--- a/pkg/admission/execute.go
+++ b/pkg/admission/execute.go
@@ -18,7 +18,7 @@
 
 // attempt runs e; idempotent requests are hedged.
 func (p *pool) attempt(ctx context.Context, t *task, e *execution) (*request.Response, error) {
-	if !t.req.Idempotent || p.config.Settings.Policy != ownerQueue && p.config.Settings.Policy != "" {
+	if !t.req.Idempotent || !p.queues() {
 		return p.exchange(ctx, e)
 	}
 	h := &hedger{pool: p, task: t, answers: make(chan answer, 1+maxHedges)}
@@ -27,7 +27,7 @@
 
 // exchange runs e on its upstream and accounts for the outcome.
 func (p *pool) exchange(ctx context.Context, e *execution) (*request.Response, error) {
-	if e.hedge || e.rescue {
+	if e.hedge || e.silenceProbe {
 		ctx = upstream.WithNewConnection(ctx)
 	}
 	resp, err := p.config.Exchange.Do(ctx, e.target.address, e.task.req, e.id)
@@ -66,7 +66,7 @@
 	if result.OutcomeOf(err) != result.NotRun {
 		p.started(e)
 	}
-	p.judge(u, now)
+	p.ejectIfFaulty(u, now)
 	switch {
 	case settled:
 		p.release(e)
@@ -79,8 +79,8 @@
 func (p *pool) started(e *execution) {
 	p.counts.Executions++
 	if !e.hedge && e.task.started == 0 {
-		p.extra.earn()
-		p.repeats.earn()
+		p.duplicateBudget.earn()
+		p.retryBudget.earn()
 	}
 	e.task.started++
 }
@@ -95,17 +95,15 @@
 	if e.abandoned {
 		return
 	}
-	if e.rescue && resp.Status < http.StatusBadRequest {
-		p.observeRescue(e)
+	if e.silenceProbe && resp.Status < http.StatusBadRequest {
+		p.observeSilenceProbe(e)
 	}
 	latency := now.Sub(e.started)
 	if !p.suspect(u, now) {
 		p.routes.add(e.task.route, latency)
 	}
 	p.observeLatency(e, now)
-	if u.ramp.active {
-		u.ramp.answered(u.slots)
-	}
+	u.slowStart.answered(u.slots)
 }
 
 // observeLatency compares the time since the start of e with its route.
@@ -164,9 +162,9 @@
 	}
 	switch result.CodeOf(err) {
 	case result.UpstreamRefused, result.UpstreamConnect:
-		return p.take(&p.repeats, &p.counts.Retries)
+		return p.take(&p.retryBudget, &p.counts.Retries)
 	case result.UpstreamNoAnswer, result.UpstreamTruncated:
-		return t.req.Idempotent && p.take(&p.extra, &p.counts.Retries)
+		return t.req.Idempotent && p.take(&p.duplicateBudget, &p.counts.Retries)
 	default:
 		return false
 	}
--- a/pkg/admission/health.go
+++ b/pkg/admission/health.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"sort"
 	"time"
 )
@@ -30,13 +29,17 @@
 	shedPause = 5 * time.Millisecond
 )
 
-func exp2(x float64) float64 { return math.Exp2(x) }
-
+// observation is the latency of an execution relative to the median of its route.
 type observation struct {
 	ratio float64
 	at    time.Time
 }
 
+// counts tells whether o was made and is recent enough to be used.
+func (o *observation) counts(now time.Time) bool {
+	return !o.at.IsZero() && now.Sub(o.at) <= ratioLifetime
+}
+
 // health is what the owner observed about an upstream.
 type health struct {
 	recent     [ratioMemory]observation
@@ -68,12 +71,17 @@
 
 func (h *health) answered() { h.errors = 0 }
 
+// nthLatest returns the n-th latest observation; 1 is the last one.
+func (h *health) nthLatest(n int) *observation {
+	return &h.recent[(h.next+ratioMemory-n)%ratioMemory]
+}
+
 // slow returns the number of slow executions and of all executions that were
 // observed lately; overdue executions in flight count as slow ones.
 func (h *health) slow(now time.Time, overdue int) (slow, total int) {
 	slow, total = overdue, overdue
 	for _, o := range h.recent {
-		if o.at.IsZero() || now.Sub(o.at) > ratioLifetime {
+		if !o.counts(now) {
 			continue
 		}
 		total++
@@ -92,8 +100,8 @@
 func (h *health) latestRatios(now time.Time) []float64 {
 	var ratios []float64
 	for i := 1; i <= latestCount; i++ {
-		o := h.recent[(h.next+ratioMemory-i)%ratioMemory]
-		if !o.at.IsZero() && now.Sub(o.at) <= ratioLifetime {
+		o := h.nthLatest(i)
+		if o.counts(now) {
 			ratios = append(ratios, o.ratio)
 		}
 	}
@@ -109,8 +117,8 @@
 	}
 	slow := 0
 	for i := 1; i <= latestCount; i++ {
-		o := &h.recent[(h.next+ratioMemory-i)%ratioMemory]
-		if o.ratio > slowRatio && now.Sub(o.at) <= ratioLifetime {
+		o := h.nthLatest(i)
+		if o.ratio > slowRatio && o.counts(now) {
 			slow++
 		}
 	}
@@ -119,7 +127,7 @@
 
 // lastFast tells whether the latest execution was not slow.
 func (h *health) lastFast() bool {
-	o := h.recent[(h.next+ratioMemory-1)%ratioMemory]
+	o := h.nthLatest(1)
 	return !o.at.IsZero() && o.ratio <= slowRatio
 }
 
@@ -130,7 +138,7 @@
 func (h *health) median(now time.Time) float64 {
 	var ratios []float64
 	for _, o := range h.recent {
-		if !o.at.IsZero() && now.Sub(o.at) <= ratioLifetime {
+		if o.counts(now) {
 			ratios = append(ratios, o.ratio)
 		}
 	}
--- a/pkg/admission/hedge.go
+++ b/pkg/admission/hedge.go
@@ -156,19 +156,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.config.Clock.Now()
-	if e := p.rescueHedge(t, primary, now); e != nil {
+	if e := p.probeSilentByHedge(t, primary, now); e != nil {
 		return e
 	}
-	if p.closed || p.queued() > 0 {
-		return nil
-	}
-	if p.limit > 0 && p.inUse >= p.limit {
+	if p.closed || p.queued() > 0 || p.atLimit() {
 		return nil
 	}
 	t.tried = append(t.tried, primary.target)
 	u := p.choose(t, now, 0)
 	t.tried = t.tried[:len(t.tried)-1]
-	if u == nil || p.suspect(u, now) || !p.take(&p.extra, &p.counts.Hedges) {
+	if u == nil || p.suspect(u, now) || !p.take(&p.duplicateBudget, &p.counts.Hedges) {
 		return nil
 	}
 	return p.bind(u, t, now, true)
--- a/pkg/admission/hedge_test.go
+++ b/pkg/admission/hedge_test.go
@@ -57,14 +57,14 @@
 	}
 }
 
-// Guards against a busy upstream that is taken for a silent one: a rescue that
+// Guards against a busy upstream that is taken for a silent one: a probe that
 // was given up and answered as cancelled must not retire its connections.
 func TestLongRequestOnOnlySlotIsNotCutOff(t *testing.T) {
 	r := newRig(t, 1, 1, testSettings())
 	r.learn()
 	errs := r.start(1, "GET", "/a?work_ms=1500", 10*time.Second)()
 	require.Equal(t, map[result.Code]int{result.OK: 1}, codes(errs))
-	require.Positive(t, r.State().([]PoolState)[0].Counts.Hedges, "a rescue must have been tried")
+	require.Positive(t, r.State().([]PoolState)[0].Counts.Hedges, "a silence probe must have been tried")
 }
 
 // Guards against hedges and retries beyond the budget when all upstreams slow
--- a/pkg/admission/policy_test.go
+++ b/pkg/admission/policy_test.go
@@ -114,7 +114,7 @@
 	d := newDesk(1, 2)
 	d.resize(2, 2)
 	cold := d.targets[1]
-	require.True(t, cold.ramp.active)
+	require.True(t, cold.slowStart.active)
 	started, _ := d.submitAll(3, "/a", time.Second)
 	require.Equal(t, 3, started, "two warm slots and one cold slot")
 	require.Equal(t, 1, cold.inUse())
@@ -183,7 +183,7 @@
 			for range maxErrors {
 				u.health.failed(d.clock.now)
 			}
-			d.judge(u, d.clock.now)
+			d.ejectIfFaulty(u, d.clock.now)
 		}
 		require.EqualValues(t, most, d.counts.Ejections, "of %d", upstreams)
 	}
--- a/pkg/admission/poll.go
+++ b/pkg/admission/poll.go
@@ -81,8 +81,8 @@
 	case stateLeaving:
 		p.markLeaving(u)
 	case stateWarming:
-		if !u.ramp.active && !u.warmed {
-			u.ramp.begin()
+		if !u.slowStart.active && !u.warmed {
+			u.slowStart.begin()
 		}
 		u.warmed = true
 	case stateReady:
@@ -100,7 +100,7 @@
 func (u *target) returned(now time.Time, status upstream.Status) {
 	if u.seenLeaving && status.AgeMS == 0 && now.Sub(u.leavingAt) > returnDelay {
 		u.seenLeaving = false
-		u.ramp.begin()
+		u.slowStart.begin()
 	}
 }
 
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -27,13 +27,15 @@
 	normal queue
 	long   queue
 	routes *routes
-	// extra allows hedges and retries that may run twice, repeats allows
-	// retries of requests that did not run.
-	extra     budget
-	repeats   budget
-	work      work
-	inUse     int
-	longInUse int
+	// duplicateBudget bounds hedges and the retries of requests that may have
+	// run already. It starts empty, so that its fraction of the executions
+	// holds over any time since the start.
+	duplicateBudget budget
+	// retryBudget bounds the retries of requests that did not run.
+	retryBudget budget
+	work        work
+	inUse       int
+	longInUse   int
 	// ratio is the pool's median latency ratio as of ratioAt.
 	ratio   float64
 	ratioAt time.Time
@@ -42,18 +44,18 @@
 	counts  Counts
 }
 
-// repeatRate bounds the retries of requests that did not run, so that a pool
+// retryRate bounds the retries of requests that did not run, so that a pool
 // that sheds everything is not offered every request several times.
-const repeatRate = 0.2
+const retryRate = 0.2
 
 func newPool(config Config, service string, random *rand.Rand) *pool {
 	return &pool{
-		config:  config,
-		service: service,
-		random:  random,
-		routes:  newRoutes(config.Settings.HedgeQuantile),
-		extra:   budget{rate: config.Settings.ExtraExecutions},
-		repeats: budget{rate: repeatRate, tokens: budgetBurst},
+		config:          config,
+		service:         service,
+		random:          random,
+		routes:          newRoutes(config.Settings.HedgeQuantile),
+		duplicateBudget: budget{rate: config.Settings.ExtraExecutions},
+		retryBudget:     budget{rate: retryRate, tokens: budgetBurst},
 	}
 }
 
@@ -73,7 +75,7 @@
 		if u == nil || u.address != record.Address {
 			u = newTarget(record)
 			if !first {
-				u.ramp.begin()
+				u.slowStart.begin()
 			}
 		}
 		u.apply(record)
@@ -108,7 +110,7 @@
 		p.config.Exchange.Forget(u.address)
 	}
 	for t := p.pop(); t != nil; t = p.pop() {
-		t.granted <- grant{err: result.New(result.NotOwner, "the pool moved to another instance")}
+		t.granted <- grant{err: errPoolMoved()}
 	}
 }
 
@@ -160,7 +162,7 @@
 
 // admit returns the execution that t may start.
 func (p *pool) admit(ctx context.Context, t *task) (*execution, error) {
-	if p.config.Settings.Policy != ownerQueue && p.config.Settings.Policy != "" {
+	if !p.queues() {
 		return p.admitAtOnce(t)
 	}
 	if err := p.submit(t); err != nil {
@@ -177,6 +179,19 @@
 // ownerQueue is the policy with a queue at the owner.
 const ownerQueue = "owner_queue"
 
+// queues reports whether the policy is ownerQueue, which is the default.
+func (p *pool) queues() bool {
+	return p.config.Settings.Policy == ownerQueue || p.config.Settings.Policy == ""
+}
+
+// atLimit reports whether the region's limit admits no further execution.
+func (p *pool) atLimit() bool { return p.limit > 0 && p.inUse >= p.limit }
+
+// errPoolMoved returns the refusal of a pool that this instance gave up.
+func errPoolMoved() error {
+	return result.New(result.NotOwner, "the pool moved to another instance")
+}
+
 // withdraw takes t out of the queue; a slot that was granted meanwhile is given
 // back.
 func (p *pool) withdraw(ctx context.Context, t *task) error {
--- a/pkg/admission/settle.go
+++ b/pkg/admission/settle.go
@@ -74,7 +74,7 @@
 	if !e.ended {
 		now := p.config.Clock.Now()
 		p.observeLatency(e, now)
-		p.judge(e.target, now)
+		p.ejectIfFaulty(e.target, now)
 	}
 	return e.released
 }
--- a/pkg/admission/rescue.go
+++ b/pkg/admission/silence.go
@@ -6,61 +6,61 @@
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
 
-// Figures for the rescue of upstreams whose connections went silent.
+// Figures for the probes of upstreams whose connections may be silent.
 const (
 	// minSilence is the shortest time without any answer from an upstream after
 	// which its connections may be silent.
 	minSilence = 500 * time.Millisecond
-	// rescuePause is the time between two rescues of one upstream.
-	rescuePause = 500 * time.Millisecond
+	// silenceProbePause is the time between two silence probes of one upstream.
+	silenceProbePause = 500 * time.Millisecond
 )
 
-// rescue occupies a slot of u beyond its limit for t, when nothing has come from
-// u for long and all its executions are overdue. Executions on silent
+// probeSilent occupies a slot of u beyond its limit for t, when u seems silent.
+// Executions on silent
 // connections hold all slots until their deadlines, so that nothing could start
 // otherwise. The execution uses a new connection; an upstream that is merely
 // busy queues or sheds it.
-func (p *pool) rescue(u *target, t *task, now time.Time, hedge bool) *execution {
-	if p.closed || u.leaving() || now.Sub(u.rescuedAt) < rescuePause || !u.silent(now) {
+func (p *pool) probeSilent(u *target, t *task, now time.Time, hedge bool) *execution {
+	if p.closed || u.leaving() || now.Sub(u.silenceProbedAt) < silenceProbePause || !u.silent(now) {
 		return nil
 	}
-	u.rescuedAt = now
+	u.silenceProbedAt = now
 	e := p.bind(u, t, now, hedge)
-	e.rescue = true
+	e.silenceProbe = true
 	return e
 }
 
-// rescueHedge rescues the upstream of primary. While the whole pool is silent, it
+// probeSilentByHedge probes the upstream of primary with a hedge. While the whole pool is silent, it
 // needs no budget.
-func (p *pool) rescueHedge(t *task, primary *execution, now time.Time) *execution {
-	if !primary.target.silent(now) || p.extra.tokens < 1 && !p.silent(now) {
+func (p *pool) probeSilentByHedge(t *task, primary *execution, now time.Time) *execution {
+	if !primary.target.silent(now) || p.duplicateBudget.tokens < 1 && !p.silent(now) {
 		return nil
 	}
-	e := p.rescue(primary.target, t, now, true)
+	e := p.probeSilent(primary.target, t, now, true)
 	if e != nil {
-		p.extra.take()
+		p.duplicateBudget.take()
 		p.counts.Hedges++
 	}
 	return e
 }
 
-// rescueWaiting rescues an upstream with a waiting task.
-func (p *pool) rescueWaiting(t *task, now time.Time) *execution {
-	if p.limit > 0 && p.inUse >= p.limit {
+// probeSilentByWaiting probes a silent upstream with a waiting task.
+func (p *pool) probeSilentByWaiting(t *task, now time.Time) *execution {
+	if p.atLimit() {
 		return nil
 	}
 	for _, u := range p.targets {
-		if e := p.rescue(u, t, now, false); e != nil {
+		if e := p.probeSilent(u, t, now, false); e != nil {
 			return e
 		}
 	}
 	return nil
 }
 
-// observeRescue retires the older connections of an upstream that answered a
-// rescue although the executions before it should occupy all its slots: it
+// observeSilenceProbe retires the older connections of an upstream that answered a
+// silence probe although the executions before it should occupy all its slots: it
 // does not run all of them, so their connections are silent.
-func (p *pool) observeRescue(e *execution) {
+func (p *pool) observeSilenceProbe(e *execution) {
 	older := 0
 	for other := range e.target.executions {
 		if !other.ended && other.started.Before(e.started) {
--- a/pkg/admission/state.go
+++ b/pkg/admission/state.go
@@ -79,7 +79,7 @@
 	return UpstreamState{
 		ID: u.id, Address: u.address, Slots: u.slots, Limit: u.limit(now), InUse: u.inUse(),
 		Overdue: u.overdue(now), Leaving: u.leaving(), Ejected: u.health.reason, SlowBy: u.health.median(now),
-		Warming: u.ramp.active, Foreign: u.load.weight(now), Draining: u.gone,
+		Warming: u.slowStart.active, Foreign: u.load.weight(now), Draining: u.gone,
 	}
 }
 
--- a/pkg/admission/target.go
+++ b/pkg/admission/target.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
@@ -17,10 +18,10 @@
 	listLeaving bool
 	seenLeaving bool
 	// gone means that the list no longer has the upstream.
-	gone   bool
-	health health
-	ramp   ramp
-	load   loadReport
+	gone      bool
+	health    health
+	slowStart slowStart
+	load      loadReport
 	// lastAnswer is the time of the last answer of any kind.
 	lastAnswer time.Time
 	leavingAt  time.Time
@@ -28,8 +29,8 @@
 	warmed bool
 	// probedAt is the start of the last execution, for the pause of probes.
 	probedAt time.Time
-	// rescuedAt is the time of the last rescue.
-	rescuedAt time.Time
+	// silenceProbedAt is the time of the last silence probe.
+	silenceProbedAt time.Time
 }
 
 // execution is one attempt to run a task on an upstream. It occupies a slot
@@ -41,8 +42,9 @@
 	started  time.Time
 	expected estimate
 	hedge    bool
-	// rescue means that the execution was started beyond the slots.
-	rescue bool
+	// silenceProbe means that the execution was started beyond the slots of an
+	// upstream whose connections may be silent.
+	silenceProbe bool
 	// ended means that the exchange is over, although the slot may still be
 	// occupied.
 	ended bool
@@ -96,33 +98,34 @@
 	return e.expected.known && now.Sub(e.started) > time.Duration(overdueFactor*float64(e.expected.high))
 }
 
-// ramp limits the preferred slots of an upstream that is new, returned or cold until it
-// has answered some requests (slow start).
-type ramp struct {
+// slowStart limits how many slots of an upstream are preferred to those of
+// others while the upstream is new, back from an ejection or cold. The number
+// rises with its complete answers.
+type slowStart struct {
 	active bool
-	// answers counts complete answers since the start of the ramp.
+	// answers counts the complete answers since begin.
 	answers int
 }
 
 // answersPerSlot is the number of complete answers that opens one more slot.
 const answersPerSlot = 4
 
-func (r *ramp) begin() { *r = ramp{active: true} }
+func (s *slowStart) begin() { *s = slowStart{active: true} }
 
-func (r *ramp) limit(slots int) int {
-	if !r.active {
+func (s *slowStart) limit(slots int) int {
+	if !s.active {
 		return slots
 	}
-	return min(slots, 1+r.answers/answersPerSlot)
+	return min(slots, 1+s.answers/answersPerSlot)
 }
 
-func (r *ramp) answered(slots int) {
-	if !r.active {
+func (s *slowStart) answered(slots int) {
+	if !s.active {
 		return
 	}
-	r.answers++
-	if r.answers >= slots*answersPerSlot {
-		r.active = false
+	s.answers++
+	if s.answers >= slots*answersPerSlot {
+		s.active = false
 	}
 }
 
@@ -143,5 +146,5 @@
 		return 0
 	}
 	age := now.Sub(l.at).Seconds() / loadHalfLife.Seconds()
-	return l.foreign * exp2(-age)
+	return l.foreign * math.Exp2(-age)
 }
