Share the dialer whose connections go silent

The tests of admission and upstream each had their own copy, and the copy in upstream still delivered what arrived after the cut. Both now use standin.SilentDialer, the stricter one of the two.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -22,7 +22,7 @@
 	*Set
 	t         *testing.T
 	client    *upstream.Client
-	silencer  *silencer
+	dialer    *standin.SilentDialer
 	upstreams []*standin.Upstream
 	records   []cluster.UpstreamRecord
 	serial    int
@@ -36,8 +36,8 @@
 }
 
 func newRig(t *testing.T, upstreams, slots int, s settings.Admission) *rig {
-	r := &rig{t: t, silencer: &silencer{}}
-	r.client = upstream.NewClient(upstream.Config{Dial: r.silencer.dial})
+	r := &rig{t: t, dialer: &standin.SilentDialer{}}
+	r.client = upstream.NewClient(upstream.Config{Dial: r.dialer.Dial})
 	for i := range upstreams {
 		u, err := standin.StartUpstream(standin.UpstreamConfig{
 			ID: fmt.Sprintf("u%d", i), Slots: slots, ServiceTime: 5 * time.Millisecond, Seed: uint64(i)})
--- a/pkg/admission/fault_test.go
+++ b/pkg/admission/fault_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,42 +12,6 @@
 	"github.com/sequoiacove/sequoiacove/pkg/upstream"
 )
 
-// silencer makes connections that were opened before a time go silent: what is
-// written to them is lost, what arrives is not read, and they stay open.
-type silencer struct{ before atomic.Int64 }
-
-type silentConn struct {
-	net.Conn
-	silencer *silencer
-	opened   time.Time
-}
-
-func (s *silencer) dial(ctx context.Context, address string) (net.Conn, error) {
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &silentConn{Conn: c, silencer: s, opened: time.Now()}, nil
-}
-
-func (c *silentConn) silent() bool { return c.opened.UnixNano() < c.silencer.before.Load() }
-
-func (c *silentConn) Write(p []byte) (int, error) {
-	if c.silent() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-func (c *silentConn) Read(p []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(p)
-		if err != nil || !c.silent() {
-			return n, err
-		}
-	}
-}
-
 // Guards against slots that stay occupied until the deadline by executions on
 // connections that went silent: full service returns within 2 s, also when all
 // requests in flight may not be repeated.
@@ -65,7 +27,7 @@
 	r.start(gets, "GET", "/a?work_ms=100", 20*time.Second)
 	require.Eventually(t, func() bool { return r.Reports()[0].InUse == 6 }, time.Second, time.Millisecond)
 	cut := time.Now()
-	r.silencer.before.Store(cut.UnixNano())
+	r.dialer.Silence(cut)
 	r.start(20, "GET", "/a?work_ms=1", 20*time.Second)
 	r.idle(2*time.Second - time.Since(cut))
 	errs := r.start(20, "GET", "/a?work_ms=1", 500*time.Millisecond)()
--- a/pkg/upstream/upstream_test.go
+++ b/pkg/upstream/upstream_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/request"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
 )
 
 // server answers each request with the raw bytes that script returns for its
@@ -170,42 +171,18 @@
 	require.EqualValues(t, 3, do(true), "no request uses a connection that was idle for over 1 s")
 }
 
-// silencer makes the connections of a client go silent: they stay open, what is
-// written to them is lost and nothing arrives.
-type silencer struct{ before atomic.Int64 }
-
-type silentConn struct {
-	net.Conn
-	silencer *silencer
-	opened   time.Time
-}
-
-func (s *silencer) dial(ctx context.Context, address string) (net.Conn, error) {
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	return &silentConn{Conn: c, silencer: s, opened: time.Now()}, err
-}
-
-func (c *silentConn) silent() bool { return c.opened.UnixNano() < c.silencer.before.Load() }
-
-func (c *silentConn) Write(p []byte) (int, error) {
-	if c.silent() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
 // Guards against requests that hang on connections that went silent although
 // new connections work.
 func TestRetireReplacesSilentConnections(t *testing.T) {
 	s := serve(t, func(int, net.Conn) (string, bool) { return okAnswer, true })
-	quiet := &silencer{}
-	client := NewClient(Config{Dial: quiet.dial})
+	dialer := &standin.SilentDialer{}
+	client := NewClient(Config{Dial: dialer.Dial})
 	defer client.Close()
 	address := s.Addr().String()
 	_, err := client.Do(context.Background(), address, post(time.Second), "x-1")
 	require.NoError(t, err)
 	cut := time.Now()
-	quiet.before.Store(cut.UnixNano())
+	dialer.Silence(cut)
 	failed := make(chan error, 1)
 	go func() {
 		_, err := client.Do(context.Background(), address, post(10*time.Second), "x-2")
