Remove dead code from the bench and the stand-in upstream

The bench passed two floats through three scenarios to compare policies; a small type now keeps them. An unused result, a wrapper of one call and a struct around a single field are gone, and the scenarios and percentiles say what they measure. The comment on the status named a path that does not exist.

--- a/pkg/bench/drive.go
+++ b/pkg/bench/drive.go
@@ -76,7 +76,7 @@
 
 func answers(resp *request.Response, o observed) bool {
 	var body standin.UpstreamAnswer
-	if resp.Status != 200 || json.Unmarshal(resp.Body, &body) != nil {
+	if resp.Status != http.StatusOK || json.Unmarshal(resp.Body, &body) != nil {
 		return false
 	}
 	return body.Path == o.path && len(body.Execution) > len(o.trace) && body.Execution[:len(o.trace)+1] == o.trace+"-"
--- a/pkg/bench/scenario.go
+++ b/pkg/bench/scenario.go
@@ -103,6 +103,9 @@
 // their costs before a run.
 const warmRequests = 60
 
+// warmDeadline is far above the time that such a request takes.
+const warmDeadline = 5 * time.Second
+
 // warm lets the owners learn the cost of short requests, as owners in service
 // have.
 func (f *fleet) warm() {
@@ -113,11 +116,10 @@
 			at: at, work: meanWork, domain: i % len(f.domains), idempotent: true,
 			path: fmt.Sprintf("/short?work_ms=%d", meanWork.Milliseconds())})
 	}
-	outcomes := send(requests, 5*time.Second, func(ctx context.Context, d int, req *request.Request) (*request.Response, error) {
+	send(requests, warmDeadline, func(ctx context.Context, d int, req *request.Request) (*request.Response, error) {
 		req.Trace = "w" + req.Trace
 		return f.domains[d].do(ctx, req)
 	}, nil)
-	_ = outcomes
 	f.settle(settleLimit)
 }
 
@@ -137,7 +139,10 @@
 	return added(outcomes), nil
 }
 
-func isOwner(v variant) bool { return v.policy == settings.Policies[0] }
+// ownerQueue is the policy of the product; the others are baselines.
+var ownerQueue = settings.Policies[0]
+
+func isOwner(v variant) bool { return v.policy == ownerQueue }
 
 // targetFor returns t for the product's policy; baselines have no targets.
 func targetFor(v variant, t target) target {
--- a/pkg/bench/scenario_cold.go
+++ b/pkg/bench/scenario_cold.go
@@ -25,7 +25,7 @@
 		}
 		return grown.domainSlots()
 	})
-	var owner, lead float64
+	var p99s comparison
 	for _, v := range x.variants() {
 		y := *x
 		y.size = half
@@ -40,9 +40,9 @@
 		p99 := c.ratios(r, requests, best, everyPlanned, everyObserved, targetFor(v, atMost(coldBound)))
 		c.add("requests without a complete answer", float64(len(r.outcomes))*r.share(failed), targetFor(v, atMost(0)))
 		c.common(r, v)
-		owner, lead = compare(v, p99, owner, lead)
+		p99s.add(v, p99)
 	}
-	x.lead(owner, lead)
+	x.compare(p99s)
 	return nil
 }
 
--- a/pkg/bench/scenario_fault.go
+++ b/pkg/bench/scenario_fault.go
@@ -10,9 +10,10 @@
 // Figures of the slow scenario.
 const (
 	slowFactor = 10
-	slowPart   = 10
-	slowPhase  = 1500 * time.Millisecond
-	reportLag  = 3 * time.Second
+	// slowPart is the number of upstreams of which one is slow.
+	slowPart  = 10
+	slowPhase = 1500 * time.Millisecond
+	reportLag = 3 * time.Second
 )
 
 // slowScenario slows a tenth of the upstreams for seconds, other ones in each
@@ -22,8 +23,8 @@
 	requests := plan(x.size, l, x.Duration, x.Seed)
 	reference := idealPercentile(requests, knowing(requests, x.size), 99, everyPlanned)
 	undisturbed := idealPercentile(requests, ideal(requests, x.size.Domains, x.slotsOf()), 99, everyPlanned)
-	x.cell("owner_queue").add("reference that knows the slow phases: p99 / ideal p99", reference/undisturbed, noTarget)
-	var owner, lead float64
+	x.cell(ownerQueue).add("reference that knows the slow phases: p99 / ideal p99", reference/undisturbed, noTarget)
+	var p99s comparison
 	for _, v := range x.variants() {
 		calm, err := x.measure(v, requests, l, nil)
 		if err != nil {
@@ -40,9 +41,9 @@
 		c.add("p99.9 / undisturbed p99.9", float64(during.ValueAtQuantile(99.9))/float64(before.ValueAtQuantile(99.9)), noTarget)
 		c.add("p99 / reference p99", float64(during.ValueAtQuantile(99))/reference, noTarget)
 		c.common(r, v)
-		owner, lead = compare(v, float64(during.ValueAtQuantile(99)), owner, lead)
+		p99s.add(v, float64(during.ValueAtQuantile(99)))
 	}
-	x.lead(owner, lead)
+	x.compare(p99s)
 	return nil
 }
 
@@ -116,7 +117,7 @@
 		}
 		c := x.cell(v.name)
 		c.add("useful work / capacity", r.useful(x.size, x.Duration), targetFor(v, atLeast(0.95)))
-		c.add("p99 of refusals, ms", r.refusalP99(), noTarget)
+		c.add("p99 of refusals, ms", r.refusal(99), noTarget)
 		c.add("p50 of refusals, ms", r.refusal(50), noTarget)
 		c.add("outcome unknown, %", 100*r.share(unknown), noTarget)
 		c.common(r, v)
@@ -124,24 +125,24 @@
 	return nil
 }
 
-// rampUp is the time at the start that does not count as overloaded.
-const rampUp = 500 * time.Millisecond
+// overloadStart is the time at the start of a run that does not count as
+// overloaded.
+const overloadStart = 500 * time.Millisecond
 
-// useful returns the work of the complete answers that ended between the start
-// of the overload and the last arrival, as a part of the capacity.
+// useful returns the work of the complete answers that ended between
+// overloadStart and the last arrival, as a part of the capacity.
 func (r *run) useful(size Size, duration time.Duration) float64 {
 	var work time.Duration
 	for i := range r.outcomes {
 		o := &r.outcomes[i]
-		if end := o.at + o.latency; o.code == result.OK && end >= rampUp && end < duration {
+		if end := o.at + o.latency; o.code == result.OK && end >= overloadStart && end < duration {
 			work += o.work
 		}
 	}
-	return float64(work) / (float64(size.totalSlots()) * float64(duration-rampUp))
+	return float64(work) / (float64(size.totalSlots()) * float64(duration-overloadStart))
 }
 
-func (r *run) refusalP99() float64 { return r.refusal(99) }
-
+// refusal returns a percentile of the latency of refusals, in milliseconds.
 func (r *run) refusal(q float64) float64 {
 	h := newHistogram()
 	for i := range r.outcomes {
--- a/pkg/bench/scenario_steady.go
+++ b/pkg/bench/scenario_steady.go
@@ -9,11 +9,13 @@
 	shortDeadline = 500 * time.Millisecond
 )
 
+// slotsOf returns the constant slots of a domain as ideal takes them.
 func (x *experiment) slotsOf() func(time.Duration) int {
 	n := x.size.domainSlots()
 	return func(time.Duration) int { return n }
 }
 
+// latencyScenario measures the latency at 60% load.
 func latencyScenario(x *experiment) error {
 	l := load{utilisation: 0.6, deadline: longDeadline}
 	requests := plan(x.size, l, x.Duration, x.Seed)
@@ -35,12 +37,13 @@
 	return nil
 }
 
+// holScenario measures the head-of-line blocking of short requests behind long
+// ones; known tells whether the long ones have a route of their own.
 func holScenario(x *experiment, known bool) error {
 	l := load{utilisation: 0.6, deadline: longDeadline, long: true, known: known}
 	requests := plan(x.size, l, x.Duration, x.Seed)
 	best := ideal(requests, x.size.Domains, x.slotsOf())
-	var owner float64
-	lead := 0.0
+	var p99s comparison
 	for _, v := range x.variants() {
 		r, err := x.measure(v, requests, l, nil)
 		if err != nil {
@@ -49,27 +52,32 @@
 		c := x.cell(v.name)
 		p99 := c.ratios(r, requests, best, shortPlanned, shortObserved, targetFor(v, atMost(1.2)))
 		c.common(r, v)
-		owner, lead = compare(v, p99, owner, lead)
+		p99s.add(v, p99)
 	}
-	x.lead(owner, lead)
+	x.compare(p99s)
 	return nil
 }
 
-// compare keeps the owner's figure and the best one of the baselines.
-func compare(v variant, figure, owner, best float64) (float64, float64) {
-	if isOwner(v) {
-		return figure, best
-	}
-	if best == 0 || figure < best {
-		best = figure
+// comparison holds the figure of the owner queue and the lowest one of the
+// baselines; 0 means that there is none yet.
+type comparison struct {
+	owner    float64
+	baseline float64
+}
+
+func (c *comparison) add(v variant, figure float64) {
+	switch {
+	case isOwner(v):
+		c.owner = figure
+	case c.baseline == 0 || figure < c.baseline:
+		c.baseline = figure
 	}
-	return owner, best
 }
 
-// lead reports the best baseline's figure relative to the owner queue's.
-func (x *experiment) lead(owner, best float64) {
-	if owner > 0 && best > 0 {
-		x.cell("owner_queue").add("p99 of the best baseline / own", best/owner, atLeast(1))
+// compare reports the best baseline's p99 relative to the owner queue's.
+func (x *experiment) compare(p99s comparison) {
+	if p99s.owner > 0 && p99s.baseline > 0 {
+		x.cell(ownerQueue).add("p99 of the best baseline / own", p99s.baseline/p99s.owner, atLeast(1))
 	}
 }
 
@@ -96,14 +104,15 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
+// ownersScenario compares arrangements of owners under the owner queue.
 func ownersScenario(x *experiment) error {
 	l := load{utilisation: 0.6, deadline: longDeadline}
 	requests := plan(x.size, l, x.Duration, x.Seed)
 	best := ideal(requests, x.size.Domains, x.slotsOf())
 	for _, v := range []variant{
-		{name: "one owner per pool", policy: "owner_queue", owners: oneOwner},
-		{name: "one owner per upstream (two halves)", policy: "owner_queue", owners: splitOwners},
-		{name: "two senders with partial views", policy: "owner_queue", owners: twoSenders},
+		{name: "one owner per pool", policy: ownerQueue, owners: oneOwner},
+		{name: "one owner per upstream (two halves)", policy: ownerQueue, owners: splitOwners},
+		{name: "two senders with partial views", policy: ownerQueue, owners: twoSenders},
 	} {
 		r, err := x.measure(v, requests, l, nil)
 		if err != nil {
--- a/pkg/standin/upstream.go
+++ b/pkg/standin/upstream.go
@@ -67,7 +67,7 @@
 	waiting []*upstreamExecution
 	known   map[string]*upstreamExecution
 	loads   []upstreamLoad
-	log     upstreamLog
+	log     UpstreamLog
 }
 
 // upstreamMaxBodyBytes is above the largest request body of the system.
--- a/pkg/standin/upstream_http.go
+++ b/pkg/standin/upstream_http.go
@@ -42,7 +42,7 @@
 	replyJSON(ctx, http.StatusOK, fault)
 }
 
-// UpstreamStatus is the answer to GET /status.
+// UpstreamStatus is the answer to GET on request.StatusPath.
 type UpstreamStatus struct {
 	State    string `json:"state"`
 	Slots    int    `json:"slots"`
--- a/pkg/standin/upstream_log.go
+++ b/pkg/standin/upstream_log.go
@@ -23,14 +23,11 @@
 	MaxInFlight int              `json:"max_in_flight"`
 }
 
-// maxLogged bounds the log; older records are dropped.
+// maxLogged bounds the executions in the log; the older half is dropped when
+// it is reached.
 const maxLogged = 500_000
 
-type upstreamLog struct {
-	UpstreamLog
-}
-
-func (l *upstreamLog) add(e *upstreamExecution) {
+func (l *UpstreamLog) add(e *upstreamExecution) {
 	if len(l.Executions) >= maxLogged {
 		l.Executions = append(l.Executions[:0], l.Executions[maxLogged/2:]...)
 	}
@@ -45,7 +42,7 @@
 	})
 }
 
-func (l *upstreamLog) noteRunning(running int) { l.MaxInFlight = max(l.MaxInFlight, running) }
+func (l *UpstreamLog) noteRunning(running int) { l.MaxInFlight = max(l.MaxInFlight, running) }
 
 // traceOf returns the trace that an execution id starts with.
 func traceOf(id string) string {
@@ -59,7 +56,7 @@
 func (u *Upstream) Log() UpstreamLog {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	log := u.log.UpstreamLog
+	log := u.log
 	log.Executions = append([]UpstreamRecord{}, log.Executions...)
 	return log
 }
@@ -71,7 +68,7 @@
 	waiting int
 }
 
-// maxLoads bounds the past loads.
+// maxLoads bounds the past loads; the older half is dropped when it is reached.
 const maxLoads = 50_000
 
 func (u *Upstream) noteLoad() {
