Explain the shared records, limits and digests

The comment of package cluster named its contents but not how a pool's owner follows from them. Public constants without a comment got one, and names that misled (open, sameMean) say what they do. The rounding of the heartbeat interval has a constant in place of two bare numbers.

--- a/pkg/agent/delta.go
+++ b/pkg/agent/delta.go
@@ -30,7 +30,8 @@
 	return k
 }
 
-func sameMean(a, b cluster.Shares) bool {
+// equalShares reports whether two vectors add the same to the mean.
+func equalShares(a, b cluster.Shares) bool {
 	return maps.EqualFunc(a, b, maps.Equal[map[string]float64, map[string]float64])
 }
 
@@ -70,7 +71,7 @@
 func (d *memberDelta) meanChanges(s *cluster.Snapshot, self string) bool {
 	for i := range s.Members {
 		m := &s.Members[i]
-		if !sameMean(d.known[m.ID].shares, knownOf(m, self).shares) {
+		if !equalShares(d.known[m.ID].shares, knownOf(m, self).shares) {
 			return true
 		}
 	}
@@ -82,6 +83,8 @@
 	return false
 }
 
+// changes returns the members that the entry lacks or knows with another key,
+// and the ids of those that are no longer members.
 func (d *memberDelta) changes(members []cluster.Member) (changed []cluster.Member, removed []string) {
 	kept := 0
 	for i := range members {
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -1,5 +1,13 @@
 // Package cluster holds the records that agents and entries share about the
 // instances of the system and the upstreams they serve.
+//
+// Agents exchange Member records by heartbeats. An agent pushes what it knows to
+// the entry of its instance as a Snapshot, and the entry answers with an
+// EntryReport, from which the agent updates its own record.
+//
+// The owner of a pool follows from the live members alone by rendezvous hashing:
+// instances that know the same members choose the same owner without
+// agreement, and a lost member changes the owner of its own pools only.
 package cluster
 
 import (
--- a/pkg/membership/digest.go
+++ b/pkg/membership/digest.go
@@ -31,6 +31,7 @@
 func keyOf(m *cluster.Member) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(m.ID))
+	// The leading zero byte separates the id from the incarnation.
 	var incarnation [9]byte
 	binary.BigEndian.PutUint64(incarnation[1:], m.Incarnation)
 	_, _ = h.Write(incarnation[:])
--- a/pkg/membership/digest_test.go
+++ b/pkg/membership/digest_test.go
@@ -99,7 +99,7 @@
 	s.advance(2 * time.Second)
 	s.order[1].table.Leave()
 	s.now = s.now.Add(defaultInterval)
-	message := s.order[1].table.open(s.now)
+	message := s.order[1].table.firstMessage(s.now)
 	message.Records = nil
 	body, err := peer.Encode(message)
 	require.NoError(t, err)
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -10,15 +10,17 @@
 )
 
 const (
+	// maxNameBytes, maxPools and maxServices bound what one record may hold.
 	maxNameBytes = 128
 	maxPools     = 4096
 	maxServices  = 4096
-	maxListed    = maxMembers
+	// maxListed bounds the addresses that the platform's list adds.
+	maxListed = maxMembers
 	// conflictAfter is the number of raised incarnations that only another live
 	// process with the same id explains; a clock that was set back causes one.
 	conflictAfter = 3
-	// maxOrder bounds incarnations, sequences and revisions, so that no record blocks all
-	// later ones or makes the next number overflow. Incarnations are start
+	// maxOrder bounds incarnations, sequences and revisions, so that no record
+	// blocks all later ones or makes the next number overflow. Incarnations are start
 	// times in nanoseconds and stay below it for a century.
 	maxOrder = 1 << 62
 )
@@ -92,15 +94,16 @@
 // mergeSelf raises the own incarnation above one that peers know from an
 // earlier run of this instance, for instance when the clock was set back.
 func (t *Table) mergeSelf(m *cluster.Member) {
-	if m.Incarnation > t.self.Incarnation {
-		t.self.Incarnation = m.Incarnation + 1
-		t.self.Sequence++
-		t.changedAt = t.lastStep
-		t.notify()
-		t.raised++
-		if t.raised == conflictAfter {
-			event.Log(t.cfg.Logger, event.IDConflict, "member", t.self.ID, "other", m.AgentAddress)
-		}
+	if m.Incarnation <= t.self.Incarnation {
+		return
+	}
+	t.self.Incarnation = m.Incarnation + 1
+	t.self.Sequence++
+	t.changedAt = t.lastStep
+	t.notify()
+	t.raised++
+	if t.raised == conflictAfter {
+		event.Log(t.cfg.Logger, event.IDConflict, "member", t.self.ID, "other", m.AgentAddress)
 	}
 }
 
--- a/pkg/membership/run.go
+++ b/pkg/membership/run.go
@@ -41,12 +41,15 @@
 	}
 }
 
-// jitter returns the time to the next round, within a tenth of the interval, so
-// that agents that started together spread their heartbeats.
+// jitterPart is the part of the interval by which a round may be early or late.
+const jitterPart = 0.1
+
+// jitter returns the time to the next round, so that agents that started
+// together spread their heartbeats.
 func (t *Table) jitter() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Duration(float64(t.cfg.Interval) * (0.9 + 0.2*t.cfg.Random.Float64()))
+	return time.Duration(float64(t.cfg.Interval) * (1 - jitterPart + 2*jitterPart*t.cfg.Random.Float64()))
 }
 
 // beat raises the own sequence and returns the addresses of this round.
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// open returns the first message of an exchange.
-func (t *Table) open(now time.Time) *Sync {
+// firstMessage returns the first message of an exchange.
+func (t *Table) firstMessage(now time.Time) *Sync {
 	out := &Sync{Digest: make([]byte, 0, (len(t.peers)+1)*2*keyBytes)}
 	out.Digest = livenessOf(keyOf(&t.self), &t.self).appendTo(out.Digest)
 	for _, e := range t.peers {
@@ -137,7 +137,7 @@
 	t.mu.Lock()
 	t.step()
 	began := t.lastStep
-	out := t.open(began)
+	out := t.firstMessage(began)
 	t.mu.Unlock()
 
 	var in Sync
@@ -151,7 +151,7 @@
 		return err
 	}
 	if err := t.cfg.Caller.Call(ctx, addr, peer.SyncMembers, &Sync{Records: records}, &Sync{}); err != nil {
-		// The peer asks again with its next exchange; what it told counts.
+		// The peer asks again with its next exchange, and its answer was merged.
 		t.failures.Inc(1)
 	}
 	return nil
--- a/pkg/request/request.go
+++ b/pkg/request/request.go
@@ -15,9 +15,11 @@
 	MaxHeaderFields  = 64
 	MaxPathBytes     = 4 << 10
 	MaxServiceBytes  = 64
-	MaxDeadline      = 5 * time.Minute
-	DefaultDeadline  = 10 * time.Second
 	MaxResponseBytes = 16 << 20
+	// MaxDeadline is the longest time that a request may take.
+	MaxDeadline = 5 * time.Minute
+	// DefaultDeadline applies to requests that name no deadline.
+	DefaultDeadline = 10 * time.Second
 )
 
 // Header names between callers, the system and upstreams.
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -102,6 +102,7 @@
 	return nil
 }
 
+// dropStale closes the connections that were idle for longer than IdleLimit.
 func (p *connPool) dropStale(now time.Time) {
 	fresh := 0
 	for fresh < len(p.idle) && now.Sub(p.idle[fresh].answered) > IdleLimit {
@@ -131,6 +132,7 @@
 	p.closeLocked(c)
 }
 
+// closeLocked closes c once; the caller holds the lock.
 func (p *connPool) closeLocked(c *conn) {
 	if p.open[c] {
 		delete(p.open, c)
@@ -138,6 +140,8 @@
 	}
 }
 
+// retire closes the connections that were opened before a time, also those in
+// use, and returns how many there were.
 func (p *connPool) retire(before time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/upstream/control.go
+++ b/pkg/upstream/control.go
@@ -20,14 +20,16 @@
 	Slots    int    `json:"slots"`
 	InFlight int    `json:"in_flight"`
 	Queued   int    `json:"queued"`
-	AgeMS    int64  `json:"age_ms"`
+	// AgeMS is the age of the load figures.
+	AgeMS int64 `json:"age_ms"`
 }
 
 // States of a cancelled execution.
 const (
 	// StateCancelled means that the execution no longer holds a slot.
 	StateCancelled = "cancelled"
-	StateFinished  = "finished"
+	// StateFinished means that the execution ended before the cancel call.
+	StateFinished = "finished"
 	// StateUnknown means that the upstream has not seen the execution.
 	StateUnknown = "unknown"
 )
