--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -94,10 +94,16 @@
 	require.Eventually(r.t, func() bool { return r.Reports()[0].InUse == 0 }, limit, time.Millisecond)
 }
 
+// sendAll sends n requests at the same time and checks that all are answered.
+func (r *rig) sendAll(n int, method, path string, deadline time.Duration) {
+	r.t.Helper()
+	errs := r.start(n, method, path, deadline)()
+	require.Equal(r.t, map[result.Code]int{result.OK: n}, codes(errs))
+}
+
 // learn sends short requests until the costs of their route are known.
 func (r *rig) learn() {
-	errs := r.start(4*enoughSamples, "GET", "/a?work_ms=5", 10*time.Second)()
-	require.Equal(r.t, map[result.Code]int{result.OK: 4 * enoughSamples}, codes(errs))
+	r.sendAll(4*enoughSamples, "GET", "/a?work_ms=5", 10*time.Second)
 	r.idle(5 * time.Second)
 }
 
@@ -113,8 +119,7 @@
 // upstreams queue or shed them.
 func TestLateBindingKeepsToSlots(t *testing.T) {
 	r := newRig(t, 3, 2, testSettings())
-	errs := r.start(60, "POST", "/a?work_ms=5", 10*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 60}, codes(errs))
+	r.sendAll(60, "POST", "/a?work_ms=5", 10*time.Second)
 	executions, maxInFlight, shed := r.logs()
 	require.Len(t, executions, 60)
 	require.LessOrEqual(t, maxInFlight, 2)
@@ -125,8 +130,7 @@
 func TestRegionLimitBoundsExecutions(t *testing.T) {
 	r := newRig(t, 3, 2, testSettings())
 	r.update(1)
-	errs := r.start(10, "POST", "/a?work_ms=3", 10*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 10}, codes(errs))
+	r.sendAll(10, "POST", "/a?work_ms=3", 10*time.Second)
 	executions, _, _ := r.logs()
 	for i, a := range executions {
 		for _, b := range executions[:i] {
--- a/pkg/admission/fault_test.go
+++ b/pkg/admission/fault_test.go
@@ -30,8 +30,7 @@
 	r.dialer.Silence(cut)
 	r.start(20, "GET", "/a?work_ms=1", 20*time.Second)
 	r.idle(2*time.Second - time.Since(cut))
-	errs := r.start(20, "GET", "/a?work_ms=1", 500*time.Millisecond)()
-	require.Equal(t, map[result.Code]int{result.OK: 20}, codes(errs))
+	r.sendAll(20, "GET", "/a?work_ms=1", 500*time.Millisecond)
 	wait()
 	executions, _, _ := r.logs()
 	runs := make(map[string]int)
@@ -65,7 +64,7 @@
 	}
 	r := newRig(t, 2, 1, testSettings())
 	r.upstreams[0].SetFault(standin.UpstreamFault{Fail: standin.UpstreamFailRefuse})
-	require.Equal(t, map[result.Code]int{result.OK: 20}, codes(r.start(20, "POST", "/a?work_ms=1", 5*time.Second)()))
+	r.sendAll(20, "POST", "/a?work_ms=1", 5*time.Second)
 }
 
 // Guards against a slot that is given away while the execution of a caller who
@@ -109,12 +108,10 @@
 	r := newRig(t, 2, 2, testSettings())
 	r.learn()
 	r.upstreams[0].SetFault(standin.UpstreamFault{Leaving: true, StatusLeavingLagMS: 60_000})
-	errs := r.start(40, "POST", "/a?work_ms=1", 5*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 40}, codes(errs))
+	r.sendAll(40, "POST", "/a?work_ms=1", 5*time.Second)
 	shed := r.upstreams[0].Log().Shed
 	require.NotZero(t, shed, "the upstream must have said that it leaves")
-	errs = r.start(40, "POST", "/a?work_ms=1", 5*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 40}, codes(errs))
+	r.sendAll(40, "POST", "/a?work_ms=1", 5*time.Second)
 	require.Equal(t, shed, r.upstreams[0].Log().Shed)
 }
 
--- a/pkg/admission/hedge_test.go
+++ b/pkg/admission/hedge_test.go
@@ -31,8 +31,7 @@
 	r.idle(time.Second)
 
 	before, _, _ := r.logs()
-	errs := r.start(1, "POST", "/a?work_ms=200", 10*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 1}, codes(errs))
+	r.sendAll(1, "POST", "/a?work_ms=200", 10*time.Second)
 	after, _, _ := r.logs()
 	require.Len(t, after, len(before)+1)
 }
@@ -41,8 +40,7 @@
 func TestHedgeOfLongRequestIsGivenUp(t *testing.T) {
 	r := newRig(t, 2, 1, testSettings())
 	r.learn()
-	errs := r.start(1, "GET", "/a?work_ms=700", 10*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 1}, codes(errs))
+	r.sendAll(1, "GET", "/a?work_ms=700", 10*time.Second)
 	r.idle(time.Second)
 	executions, _, _ := r.logs()
 	var hedges []standin.UpstreamRecord
@@ -62,8 +60,7 @@
 func TestLongRequestOnOnlySlotIsNotCutOff(t *testing.T) {
 	r := newRig(t, 1, 1, testSettings())
 	r.learn()
-	errs := r.start(1, "GET", "/a?work_ms=1500", 10*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 1}, codes(errs))
+	r.sendAll(1, "GET", "/a?work_ms=1500", 10*time.Second)
 	require.Positive(t, r.State().([]PoolState)[0].Counts.Hedges, "a silence probe must have been tried")
 }
 
@@ -75,8 +72,7 @@
 	for _, u := range r.upstreams {
 		u.SetFault(standin.UpstreamFault{SlowFactor: 10})
 	}
-	errs := r.start(100, "GET", "/a?work_ms=5", 30*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 100}, codes(errs))
+	r.sendAll(100, "GET", "/a?work_ms=5", 30*time.Second)
 	r.idle(5 * time.Second)
 	executions, _, _ := r.logs()
 	traces := make(map[string]bool)
