Name the bookkeeping of membership and of the policy tests plainly

mark, told, kick, sameFrame, inquire, desk and still did not say what they hold or do. The comment on mark was also incomplete: answers to requests for records use the counter too.

--- a/pkg/admission/policy_test.go
+++ b/pkg/admission/policy_test.go
@@ -15,23 +15,23 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-// still is a clock that a test moves.
-type still struct{ now time.Time }
+// manualClock is a clock that a test moves.
+type manualClock struct{ now time.Time }
 
-func (c *still) Now() time.Time { return c.now }
+func (c *manualClock) Now() time.Time { return c.now }
 
-func (c *still) NewTimer(time.Duration) (<-chan time.Time, func() bool) {
+func (c *manualClock) NewTimer(time.Duration) (<-chan time.Time, func() bool) {
 	return make(chan time.Time), func() bool { return true }
 }
 
-// desk is a pool without exchanges; its tests bind and finish executions.
-type desk struct {
+// testPool is a pool without exchanges; its tests bind and finish executions.
+type testPool struct {
 	*pool
-	clock *still
+	clock *manualClock
 }
 
-func newDesk(upstreams, slots int) *desk {
-	d := &desk{clock: &still{now: epoch}}
+func newTestPool(upstreams, slots int) *testPool {
+	d := &testPool{clock: &manualClock{now: epoch}}
 	config := Config{Clock: d.clock, Logger: event.Discard(), Settings: testSettings()}
 	d.pool = newPool(config, "shop", rand.New(rand.NewPCG(1, 1)))
 	d.resize(upstreams, slots)
@@ -41,7 +41,7 @@
 	return d
 }
 
-func (d *desk) resize(upstreams, slots int) {
+func (d *testPool) resize(upstreams, slots int) {
 	var records []cluster.UpstreamRecord
 	for i := range upstreams {
 		id := string(rune('a' + i))
@@ -50,7 +50,7 @@
 	d.update(PoolConfig{Service: "shop", Upstreams: records})
 }
 
-func (d *desk) task(path string, deadline time.Duration) *task {
+func (d *testPool) task(path string, deadline time.Duration) *task {
 	req := &request.Request{Service: "shop", Method: "GET", Path: path, Idempotent: true, Deadline: d.clock.now.Add(deadline)}
 	t := newTask(req, d.clock.now)
 	t.expected = d.routes.estimate(t.route)
@@ -58,7 +58,7 @@
 }
 
 // submitAll submits n tasks and returns how many were started and refused.
-func (d *desk) submitAll(n int, path string, deadline time.Duration) (started, refused int) {
+func (d *testPool) submitAll(n int, path string, deadline time.Duration) (started, refused int) {
 	for range n {
 		t := d.task(path, deadline)
 		if d.submit(t) != nil {
@@ -70,7 +70,7 @@
 	return started, refused
 }
 
-func (d *desk) observe(u *target, ratios ...float64) {
+func (d *testPool) observe(u *target, ratios ...float64) {
 	for _, r := range ratios {
 		u.health.observe(r, d.clock.now)
 	}
@@ -79,7 +79,7 @@
 // Guards against long requests of an unknown route that make a healthy upstream
 // look slow; the p99 of short requests was 2.5 times that of the ideal queue.
 func TestLongRequestsDoNotMakeAnUpstreamSuspect(t *testing.T) {
-	d := newDesk(2, 3)
+	d := newTestPool(2, 3)
 	u := d.targets[0]
 	d.observe(u, 1, 50, 50, 1)
 	require.False(t, d.suspect(u, d.clock.now))
@@ -92,7 +92,7 @@
 // Guards against a slowed upstream that is used like the others, and against
 // one that recovered and stays unused: it must be probed and return.
 func TestSlowUpstreamIsProbedAndReturns(t *testing.T) {
-	d := newDesk(2, 3)
+	d := newTestPool(2, 3)
 	slow, fast := d.targets[0], d.targets[1]
 	d.observe(slow, 10, 10, 10)
 	slow.probedAt = d.clock.now
@@ -111,7 +111,7 @@
 // Guards against slow start that leaves requests waiting while cold slots are
 // idle; p99 was 2.4 times that of the ideal queue when a pool doubled.
 func TestSlowStartGivesWayToAQueue(t *testing.T) {
-	d := newDesk(1, 2)
+	d := newTestPool(1, 2)
 	d.resize(2, 2)
 	cold := d.targets[1]
 	require.True(t, cold.slowStart.active)
@@ -127,7 +127,7 @@
 // Guards against executions that start in an overloaded pool and end after
 // their deadline; they took 9% of the capacity.
 func TestOverloadRefusesWhatCannotFinish(t *testing.T) {
-	d := newDesk(2, 2)
+	d := newTestPool(2, 2)
 	for range 20 {
 		d.routes.add("GET /a", 150*time.Millisecond)
 	}
@@ -148,7 +148,7 @@
 
 // Guards against a short deadline that is refused although its route is short.
 func TestShortDeadlineIsAccepted(t *testing.T) {
-	d := newDesk(1, 1)
+	d := newTestPool(1, 1)
 	for range 4 {
 		d.routes.add("GET /a", 500*time.Millisecond)
 	}
@@ -161,7 +161,7 @@
 
 // Guards against long routes that are recognised late or take all slots.
 func TestLongRoutesHoldAPartOfTheSlots(t *testing.T) {
-	d := newDesk(2, 3)
+	d := newTestPool(2, 3)
 	for range fewSamples {
 		d.routes.add("GET /long", time.Second)
 	}
@@ -178,7 +178,7 @@
 // Guards against an ejection of more than a third of a pool.
 func TestEjectionKeepsTheFloor(t *testing.T) {
 	for upstreams, most := range map[int]int{1: 0, 2: 0, 3: 1, 5: 1, 30: 9} {
-		d := newDesk(upstreams, 1)
+		d := newTestPool(upstreams, 1)
 		for _, u := range d.targets {
 			for range maxErrors {
 				u.health.failed(d.clock.now)
@@ -199,7 +199,7 @@
 // Guards against a refusal of waiting work because the only upstream shed one
 // request a moment ago.
 func TestShedPauseDoesNotCountAsLostCapacity(t *testing.T) {
-	d := newDesk(1, 4)
+	d := newTestPool(1, 4)
 	for range 4 {
 		d.submitAll(1, "/a", time.Second)
 	}
--- a/pkg/admission/settle.go
+++ b/pkg/admission/settle.go
@@ -58,7 +58,7 @@
 	if p.markAbandoned(e) {
 		return
 	}
-	state := p.inquire(e)
+	state := p.cancelOpen(e)
 	stopExchange()
 	if !ends(state) {
 		p.settle(e)
@@ -84,12 +84,12 @@
 	return state == upstream.StateCancelled || state == upstream.StateFinished
 }
 
-// inquire cancels e over a new connection while its exchange is still open and
+// cancelOpen cancels e over a new connection while its exchange is still open and
 // returns the state of e at the upstream. When the upstream has finished e or
 // never saw it and yet the exchange stays without an answer, the connection is
 // silent, and all connections to the upstream that are as old are retired. An
 // exchange on one of them then fails as unknown.
-func (p *pool) inquire(e *execution) string {
+func (p *pool) cancelOpen(e *execution) string {
 	ctx, cancel := context.WithDeadline(context.Background(), e.task.deadline)
 	defer cancel()
 	state, err := p.config.Exchange.Cancel(ctx, e.target.address, e.id)
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -49,15 +49,15 @@
 	return m.Version > t.self.Version || m.Version == t.self.Version && m.Hash != t.self.Hash
 }
 
-// mergeDigest takes in the liveness of the members that a peer knows. It marks
-// them with what the peer has and returns the keys of bodies that are missing.
+// mergeDigest takes in the liveness of the members that a peer knows. It notes
+// what the peer has of each and returns the keys of bodies that are missing.
 func (t *Table) mergeDigest(digest []liveness, now time.Time) (heard []cluster.Member, want []uint64) {
-	t.mark++
-	t.selfTold = liveness{}
+	t.pass++
+	t.selfReported = liveness{}
 	self := keyOf(&t.self)
 	for _, l := range digest {
 		if l.key == self {
-			t.selfTold = l
+			t.selfReported = l
 			continue
 		}
 		e := t.byKey[l.key]
@@ -67,7 +67,7 @@
 		if e == nil {
 			continue
 		}
-		e.mark, e.told = t.mark, l
+		e.pass, e.reported = t.pass, l
 		if t.mergeLiveness(e, l, now) && t.isNews(&e.member) {
 			heard = append(heard, e.member)
 		}
--- a/pkg/membership/publish.go
+++ b/pkg/membership/publish.go
@@ -30,7 +30,7 @@
 // last change was the time age ago. A published body takes all present values
 // along, so noise waits for a change that matters or for the gap to pass.
 func due(known, next *cluster.Member, age time.Duration) bool {
-	if !sameFrame(known, next) {
+	if !equalBesidesValues(known, next) {
 		return true
 	}
 	if age >= shareGap && sharesDiffer(known.Shares, next.Shares) {
@@ -39,9 +39,9 @@
 	return age >= loadGap && loadsDiffer(known, next)
 }
 
-// sameFrame compares all but the values of shares, pools and demand. Shares that
+// equalBesidesValues compares all but the values of shares, pools and demand. Shares that
 // appear or vanish are published at once: after a pause an entry withdraws them.
-func sameFrame(known, next *cluster.Member) bool {
+func equalBesidesValues(known, next *cluster.Member) bool {
 	a, b := *known, *next
 	a.Shares, a.Pools, a.Demand = nil, nil, nil
 	b.Shares, b.Pools, b.Demand = nil, nil, nil
--- a/pkg/membership/run.go
+++ b/pkg/membership/run.go
@@ -35,7 +35,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-t.kick:
+		case <-t.beatNow:
 		case <-t.cfg.Clock.After(t.jitter()):
 		}
 	}
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -92,17 +92,17 @@
 // addNewer adds what the sender of the digest that was merged last lacks.
 func (t *Table) addNewer(out *Sync, now time.Time) {
 	switch {
-	case t.selfTold.key != keyOf(&t.self), t.selfTold.revision < t.self.Revision:
+	case t.selfReported.key != keyOf(&t.self), t.selfReported.revision < t.self.Revision:
 		out.Records = append(out.Records, Record{Member: t.self})
-	case t.selfTold.sequence < t.self.Sequence:
-		out.Digest = livenessOf(t.selfTold.key, &t.self).appendTo(out.Digest)
+	case t.selfReported.sequence < t.self.Sequence:
+		out.Digest = livenessOf(t.selfReported.key, &t.self).appendTo(out.Digest)
 	}
 	for _, e := range t.peers {
 		switch {
 		case e.state == cluster.Dead:
-		case e.mark != t.mark || e.bodyAhead():
+		case e.pass != t.pass || e.bodyAhead():
 			out.Records = append(out.Records, e.record(now))
-		case e.told.sequence < e.member.Sequence:
+		case e.reported.sequence < e.member.Sequence:
 			out.Digest = livenessOf(e.key, &e.member).appendTo(out.Digest)
 		}
 	}
@@ -111,20 +111,20 @@
 // bodyAhead reports whether the body is newer than the last digest said. One
 // that differs in the leaving mark alone counts as newer.
 func (e *entry) bodyAhead() bool {
-	return e.told.revision < e.member.Revision || e.member.State == cluster.Leaving && !e.told.leaving
+	return e.reported.revision < e.member.Revision || e.member.State == cluster.Leaving && !e.reported.leaving
 }
 
 // wanted returns the records that a peer asked for, each once.
 func (t *Table) wanted(keys []uint64, now time.Time) (records []Record) {
-	t.mark++
+	t.pass++
 	self, sent := keyOf(&t.self), false
 	for _, key := range keys {
 		if key == self && !sent {
 			sent = true
 			records = append(records, Record{Member: t.self})
 		}
-		if e := t.byKey[key]; e != nil && e.mark != t.mark && e.state != cluster.Dead {
-			e.mark = t.mark
+		if e := t.byKey[key]; e != nil && e.pass != t.pass && e.state != cluster.Dead {
+			e.pass = t.pass
 			records = append(records, e.record(now))
 		}
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -15,8 +15,8 @@
 type Table struct {
 	cfg     Config
 	changed chan struct{}
-	// kick starts a round before the interval has passed.
-	kick chan struct{}
+	// beatNow starts a round before the interval has passed.
+	beatNow chan struct{}
 
 	mu   sync.Mutex
 	self cluster.Member
@@ -30,10 +30,11 @@
 	ordered []*entry
 	// byKey holds the peers by the key of their incarnation.
 	byKey map[uint64]*entry
-	// mark numbers the digests that were merged, and selfTold is what the last
-	// one said about this instance.
-	mark     uint64
-	selfTold liveness
+	// pass numbers the merges of digests and the answers to requests for
+	// records, so that each tells which members it has met.
+	pass uint64
+	// selfReported is what the last digest said about this instance.
+	selfReported liveness
 	// listed holds the agent addresses in the platform's list, and
 	// listedLeaving the incarnation to which its leaving mark applies.
 	listed        []string
@@ -51,9 +52,10 @@
 type entry struct {
 	member cluster.Member
 	key    uint64
-	// told is what the digest with number mark said about the member.
-	told liveness
-	mark uint64
+	// reported is what the digest that was merged in pass said about the member.
+	reported liveness
+	// pass is the last pass that met the member.
+	pass uint64
 	// progress is the local time of the last higher incarnation or sequence.
 	progress time.Time
 	// state is the state that was last reported to the log.
@@ -69,7 +71,7 @@
 	return &Table{
 		cfg:           cfg,
 		changed:       make(chan struct{}, 1),
-		kick:          make(chan struct{}, 1),
+		beatNow:       make(chan struct{}, 1),
 		self:          self,
 		changedAt:     cfg.Clock.Now(),
 		peers:         make(map[string]*entry),
@@ -165,7 +167,7 @@
 		return
 	}
 	if m.EntryIncarnation != t.self.EntryIncarnation {
-		signal(t.kick)
+		signal(t.beatNow)
 	}
 	t.self = m
 	t.revise()
@@ -188,7 +190,7 @@
 	t.self.State = cluster.Leaving
 	t.revise()
 	t.notify()
-	signal(t.kick)
+	signal(t.beatNow)
 }
 
 // Rejoin starts a new incarnation that is serving, after the entry of a leaving
@@ -204,7 +206,7 @@
 	t.self.State = cluster.Serving
 	t.revise()
 	t.notify()
-	signal(t.kick)
+	signal(t.beatNow)
 }
 
 // step detects a pause of the own process and evaluates all liveness states.
