Explain header filtering and the weights of the upstream choice

The weights and the two rules for header fields had no reason beside them. Client.Close closed the idle connections before retiring all of them, which includes the idle ones.

--- a/pkg/admission/choose.go
+++ b/pkg/admission/choose.go
@@ -5,10 +5,12 @@
 // Weights of the reasons to prefer one upstream with an idle slot to another,
 // relative to a fully occupied upstream.
 const (
-	errorPenalty   = 8.0
-	triedPenalty   = 16.0
+	errorPenalty = 8.0
+	triedPenalty = 16.0
+	// overduePenalty applies to each overdue execution.
 	overduePenalty = 0.5
-	jitter         = 0.01
+	// jitter makes the choice between nearly equal upstreams random.
+	jitter = 0.01
 )
 
 // probePause is the time between two probes of a suspect upstream. A probe is a
--- a/pkg/admission/hedge.go
+++ b/pkg/admission/hedge.go
@@ -60,7 +60,7 @@
 				continue
 			}
 			if a.err == nil {
-				h.abandonAll()
+				h.abandonFrom(0)
 				return a.resp, nil
 			}
 			h.fail(a.err)
@@ -140,8 +140,7 @@
 	}
 }
 
-func (h *hedger) abandonAll() { h.abandonFrom(0) }
-
+// abandonFrom abandons the running executions from the given index on.
 func (h *hedger) abandonFrom(first int) {
 	for _, r := range h.running[first:] {
 		r.unlink()
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -186,7 +186,7 @@
 	c.pools = make(map[string]*connPool)
 	c.mu.Unlock()
 	for _, pool := range pools {
-		pool.closeIdle()
+		// Every connection was opened before that time.
 		pool.retire(c.config.Now().Add(time.Hour))
 	}
 }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -77,18 +77,22 @@
 	message.SetBodyRaw(req.Body)
 }
 
+// remainingMS returns the time to the deadline, rounded up and at least 1 ms.
 func remainingMS(deadline time.Time) int64 {
 	remaining := time.Until(deadline)
 	return max(1, (remaining + time.Millisecond - 1).Milliseconds())
 }
 
+// hopByHop holds the header fields that apply to one hop only, among them those
+// of the message framing.
 var hopByHop = map[string]bool{
 	"connection": true, "keep-alive": true, "te": true, "trailer": true, "transfer-encoding": true,
 	"upgrade": true, "content-length": true, "proxy-connection": true, "proxy-authorization": true,
 	"proxy-authenticate": true, "expect": true,
 }
 
-// passed tells whether a header field goes on to the next hop.
+// passed tells whether a header field goes on to the next hop; the system's own
+// fields do not.
 func passed(name string) bool {
 	lower := strings.ToLower(name)
 	return !hopByHop[lower] && !strings.HasPrefix(lower, "sequoia-")
