--- a/pkg/admission/choose.go
+++ b/pkg/admission/choose.go
@@ -5,10 +5,12 @@
 // Weights of the reasons to prefer one upstream with an idle slot to another,
 // relative to a fully occupied upstream.
 const (
-	errorPenalty   = 8.0
-	triedPenalty   = 16.0
+	errorPenalty = 8.0
+	triedPenalty = 16.0
+	// overduePenalty applies to each overdue execution.
 	overduePenalty = 0.5
-	jitter         = 0.01
+	// jitter makes the choice between nearly equal upstreams random.
+	jitter = 0.01
 )
 
 // probePause is the time between two probes of a suspect upstream. A probe is a
@@ -60,7 +62,7 @@
 
 // preferred tells whether u is as fast as others, or due for a probe by t.
 func (p *pool) preferred(u *target, t *task, now time.Time) bool {
-	if u.inUse() >= u.ramp.limit(u.slots) {
+	if u.inUse() >= u.slowStart.limit(u.slots) {
 		return false
 	}
 	if !p.suspect(u, now) {
@@ -70,10 +72,10 @@
 	return due && u.inUse() == 0 && t.req.Idempotent && !t.hasTried(u)
 }
 
-// reserveEagerness is how many times longer than the wait an execution on the
+// reserveWaitFactor is how many times longer than the wait an execution on the
 // reserve may take. It is above 1 because a request that takes the reserve also
 // shortens the wait of all behind it.
-const reserveEagerness = 3
+const reserveWaitFactor = 3
 
 // worthStarting tells whether starting on the reserve u is better than waiting
 // for a slot of a preferred upstream.
@@ -83,7 +85,7 @@
 		return true
 	}
 	wait := 1 + float64(waiting)/float64(fast)
-	return waiting > 0 && reserveEagerness*wait >= u.slowness(now)
+	return waiting > 0 && reserveWaitFactor*wait >= u.slowness(now)
 }
 
 // fastBusy counts the occupied slots of upstreams that are not suspect; each of
@@ -98,15 +100,15 @@
 	return n
 }
 
-// rampSlowness is the assumed slowness of an upstream in slow start that has
+// slowStartRatio is the assumed slowness of an upstream in slow start that has
 // answered nothing yet.
-const rampSlowness = 1.5
+const slowStartRatio = 1.5
 
 // slowness returns how many times longer than usual an execution on u takes.
 func (u *target) slowness(now time.Time) float64 {
 	slowness := u.health.latest(now)
-	if u.ramp.active {
-		slowness = max(slowness, rampSlowness)
+	if u.slowStart.active {
+		slowness = max(slowness, slowStartRatio)
 	}
 	return slowness
 }
--- a/pkg/admission/hedge_test.go
+++ b/pkg/admission/hedge_test.go
@@ -31,8 +31,7 @@
 	r.idle(time.Second)
 
 	before, _, _ := r.logs()
-	errs := r.start(1, "POST", "/a?work_ms=200", 10*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 1}, codes(errs))
+	r.sendAll(1, "POST", "/a?work_ms=200", 10*time.Second)
 	after, _, _ := r.logs()
 	require.Len(t, after, len(before)+1)
 }
@@ -41,8 +40,7 @@
 func TestHedgeOfLongRequestIsGivenUp(t *testing.T) {
 	r := newRig(t, 2, 1, testSettings())
 	r.learn()
-	errs := r.start(1, "GET", "/a?work_ms=700", 10*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 1}, codes(errs))
+	r.sendAll(1, "GET", "/a?work_ms=700", 10*time.Second)
 	r.idle(time.Second)
 	executions, _, _ := r.logs()
 	var hedges []standin.UpstreamRecord
@@ -57,14 +55,13 @@
 	}
 }
 
-// Guards against a busy upstream that is taken for a silent one: a rescue that
+// Guards against a busy upstream that is taken for a silent one: a probe that
 // was given up and answered as cancelled must not retire its connections.
 func TestLongRequestOnOnlySlotIsNotCutOff(t *testing.T) {
 	r := newRig(t, 1, 1, testSettings())
 	r.learn()
-	errs := r.start(1, "GET", "/a?work_ms=1500", 10*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 1}, codes(errs))
-	require.Positive(t, r.State().([]PoolState)[0].Counts.Hedges, "a rescue must have been tried")
+	r.sendAll(1, "GET", "/a?work_ms=1500", 10*time.Second)
+	require.Positive(t, r.State().([]PoolState)[0].Counts.Hedges, "a silence probe must have been tried")
 }
 
 // Guards against hedges and retries beyond the budget when all upstreams slow
@@ -75,8 +72,7 @@
 	for _, u := range r.upstreams {
 		u.SetFault(standin.UpstreamFault{SlowFactor: 10})
 	}
-	errs := r.start(100, "GET", "/a?work_ms=5", 30*time.Second)()
-	require.Equal(t, map[result.Code]int{result.OK: 100}, codes(errs))
+	r.sendAll(100, "GET", "/a?work_ms=5", 30*time.Second)
 	r.idle(5 * time.Second)
 	executions, _, _ := r.logs()
 	traces := make(map[string]bool)
