--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -221,7 +221,7 @@
 	t.self.Incarnation = incarnation + 1
 	t.revise()
 	t.notify()
-	signal(t.kick)
+	signal(t.beatNow)
 }
 
 // step detects a pause of the own process and evaluates all liveness states.
