--- a/pkg/admission/silence.go
+++ b/pkg/admission/silence.go
@@ -16,10 +16,9 @@
 )
 
 // probeSilent occupies a slot of u beyond its limit for t, when u seems silent.
-// Executions on silent
-// connections hold all slots until their deadlines, so that nothing could start
-// otherwise. The execution uses a new connection; an upstream that is merely
-// busy queues or sheds it.
+// Executions on silent connections hold all slots until their deadlines, so that
+// nothing could start otherwise. The execution uses a new connection; an
+// upstream that is merely busy queues or sheds it.
 func (p *pool) probeSilent(u *target, t *task, now time.Time, hedge bool) *execution {
 	if p.closed || u.leaving() || now.Sub(u.silenceProbedAt) < silenceProbePause || !u.silent(now) {
 		return nil
@@ -30,8 +29,8 @@
 	return e
 }
 
-// probeSilentByHedge probes the upstream of primary with a hedge. While the whole pool is silent, it
-// needs no budget.
+// probeSilentByHedge probes the upstream of primary with a hedge. While the
+// whole pool is silent, it needs no budget.
 func (p *pool) probeSilentByHedge(t *task, primary *execution, now time.Time) *execution {
 	if !primary.target.silent(now) || p.duplicateBudget.tokens < 1 && !p.silent(now) {
 		return nil
@@ -57,9 +56,9 @@
 	return nil
 }
 
-// observeSilenceProbe retires the older connections of an upstream that answered a
-// silence probe although the executions before it should occupy all its slots: it
-// does not run all of them, so their connections are silent.
+// observeSilenceProbe retires the older connections of an upstream that answered
+// a silence probe although the executions before it should occupy all its slots:
+// it does not run all of them, so their connections are silent.
 func (p *pool) observeSilenceProbe(e *execution) {
 	older := 0
 	for other := range e.target.executions {
--- a/pkg/entry/lookup.go
+++ b/pkg/entry/lookup.go
@@ -15,8 +15,8 @@
 const (
 	// maxListed bounds the instances of an answer.
 	maxListed = 4
-	// nearListed bounds the instances of the nearest region. It leaves one place for another region, so that a caller has an
-	// instance to use when its nearest region fails.
+	// nearListed bounds the instances of the nearest region. It leaves one place
+	// for another region, which a caller uses when its nearest region fails.
 	nearListed = 3
 	// variants is the number of orders over which callers are spread, so that
 	// they do not all use one instance.
--- a/pkg/linkbudget/linkbudget.go
+++ b/pkg/linkbudget/linkbudget.go
@@ -8,6 +8,8 @@
 package linkbudget
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -138,7 +140,7 @@
 	Denied         uint64  `json:"denied"`
 }
 
-// State returns the state of all buckets.
+// State returns the state of all buckets in order of their regions.
 func (b *Budgets) State(now time.Time) []State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -147,5 +149,6 @@
 		k.refill(now)
 		list = append(list, State{to, k.rate, k.tokens, k.sent, k.denied})
 	}
+	slices.SortFunc(list, func(x, y State) int { return strings.Compare(x.To, y.To) })
 	return list
 }
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -129,18 +129,22 @@
 	require.Equal(t, result.Unknown.String(), record.Outcome)
 }
 
-// Guards against a repeat with a new identifier, which could run twice.
-func TestUnknownIsRepeatedWithTheSameIdentifier(t *testing.T) {
+// afterUnknown answers the first request with an unknown outcome and the others
+// as next does.
+func afterUnknown(next http.HandlerFunc) http.HandlerFunc {
 	calls := 0
-	f := newFakeEntry(t, nil)
-	f.serve = func(w http.ResponseWriter, r *http.Request) {
-		calls++
-		if calls == 1 {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls == 1 {
 			reply(w, result.UpstreamNoAnswer, "{}")
 			return
 		}
-		echo(w, r)
+		next(w, r)
 	}
+}
+
+// Guards against a repeat with a new identifier, which could run twice.
+func TestUnknownIsRepeatedWithTheSameIdentifier(t *testing.T) {
+	f := newFakeEntry(t, afterUnknown(echo))
 	record := runOne(f, Config{NonIdempotent: 1})
 	require.Equal(t, result.Complete.String(), record.Outcome)
 	require.True(t, record.Settled)
@@ -151,16 +155,7 @@
 
 // Guards against "not run" of a repeat that passes for the outcome of the request.
 func TestRefusedRepeatLeavesTheOutcomeUnknown(t *testing.T) {
-	calls := 0
-	f := newFakeEntry(t, nil)
-	f.serve = func(w http.ResponseWriter, _ *http.Request) {
-		calls++
-		if calls == 1 {
-			reply(w, result.UpstreamNoAnswer, "{}")
-			return
-		}
-		reply(w, result.PeerUnreachable, "{}")
-	}
+	f := newFakeEntry(t, afterUnknown(func(w http.ResponseWriter, _ *http.Request) { reply(w, result.PeerUnreachable, "{}") }))
 	record := runOne(f, Config{NonIdempotent: 1, SettleFor: 300 * time.Millisecond})
 	require.Equal(t, result.Unknown.String(), record.Outcome)
 }
--- a/pkg/routing/locality_test.go
+++ b/pkg/routing/locality_test.go
@@ -28,6 +28,9 @@
 	perRegion   = 4
 )
 
+var localityRegions = map[string]description.Region{
+	"north": {Domains: []string{"north-a"}}, "south": {Domains: []string{"south-a"}}, "west": {Domains: []string{"west-a"}}}
+
 func newLocalityFleet(locality string) *localityFleet {
 	f := &localityFleet{random: rand.New(rand.NewPCG(3, 4)), now: time.Unix(0, 0)}
 	f.service = description.Service{Locality: locality, Caps: description.Caps{RegionSharePerSecond: 0.02}}
@@ -138,26 +141,28 @@
 func TestNearestLocalityHoldsShares(t *testing.T) {
 	steady := map[string]float64{"north": 400, "south": 200, "west": 200}
 	surge := map[string]float64{"north": 1200, "south": 200, "west": 200}
+	drop := map[string]float64{"north": 40, "south": 200, "west": 200}
 	// One second of the cap, two requests for each instance and region, and
 	// the randomness of arrivals in one second.
 	const slack = 0.02 + 0.04
 	for _, locality := range []string{description.LocalityNone, description.LocalityNearest} {
 		f := newLocalityFleet(locality)
-		f.run(t, 15, steady)
-		crossing, excess := f.run(t, 20, steady)
-		t.Logf("%-8s steady: %.3f leave their region, excess %.3f", locality, crossing, excess)
+		phase := func(name string, seconds int, rates map[string]float64) (crossing, excess float64) {
+			crossing, excess = f.run(t, seconds, rates)
+			t.Logf("%-8s %-7s %.3f leave their region, excess %.3f", locality, name, crossing, excess)
+			return crossing, excess
+		}
+		phase("start", 15, steady)
+		crossing, excess := phase("steady", 20, steady)
 		require.LessOrEqual(t, excess, slack, "steady demand")
 		if locality == description.LocalityNearest {
 			require.LessOrEqual(t, crossing, 0.1, "the shares equal the demand, so few requests need to leave")
 		}
 		f.aim(0.3, 0.35, 0.35)
-		crossing, excess = f.run(t, 20, steady)
-		t.Logf("%-8s move:   %.3f leave their region, excess %.3f", locality, crossing, excess)
+		_, excess = phase("move", 20, steady)
 		require.LessOrEqual(t, excess, slack, "move at the cap")
-		crossing, excess = f.run(t, 10, surge)
-		t.Logf("%-8s surge:  %.3f leave their region, excess %.3f", locality, crossing, excess)
+		_, excess = phase("surge", 10, surge)
 		require.LessOrEqual(t, excess, slack, "demand of one region grows threefold")
-		crossing, excess = f.run(t, 10, map[string]float64{"north": 40, "south": 200, "west": 200})
-		t.Logf("%-8s drop:   %.3f leave their region, excess %.3f", locality, crossing, excess)
+		phase("drop", 10, drop)
 	}
 }
--- a/test/process/kill_test.go
+++ b/test/process/kill_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/sequoiacove/sequoiacove/pkg/harness"
 	"github.com/sequoiacove/sequoiacove/pkg/load"
 )
 
@@ -26,14 +27,18 @@
 	requireComplete(t, report, "after the detection time", after(killed.Add(detection)))
 }
 
+func killInstance(t *testing.T, i *harness.Instance) {
+	require.NoError(t, i.Entry.Kill())
+	require.NoError(t, i.Agent.Kill())
+}
+
 // Guards against the loss of a whole instance lasting longer than detection.
 func TestInstanceKilled(t *testing.T) {
 	c := newCluster(t, nil)
 	victim := owner(t, c, southBlock)
 	traffic := c.StartLoad(mixed(12, 8*time.Second))
 	time.Sleep(2 * time.Second)
-	require.NoError(t, victim.Entry.Kill())
-	require.NoError(t, victim.Agent.Kill())
+	killInstance(t, victim)
 	killed := time.Now()
 	report := traffic.Wait()
 	requireSound(t, c, report)
@@ -71,8 +76,7 @@
 	time.Sleep(2 * time.Second)
 	lost := time.Now()
 	for _, i := range c.InDomain("south-a") {
-		require.NoError(t, i.Entry.Kill())
-		require.NoError(t, i.Agent.Kill())
+		killInstance(t, i)
 	}
 	for _, u := range c.Upstreams {
 		if u.Record.Domain == "south-a" {
