--- a/pkg/routing/locality_test.go
+++ b/pkg/routing/locality_test.go
@@ -55,7 +55,7 @@
 
 func (f *localityFleet) description() *description.Description {
 	return &description.Description{
-		Regions:  map[string]description.Region{"north": {Domains: []string{"north-a"}}, "south": {Domains: []string{"south-a"}}, "west": {Domains: []string{"west-a"}}},
+		Regions:  localityRegions,
 		Services: map[string]description.Service{"s": f.service},
 	}
 }
