Run one steering process per instance on the users' platform

Cause: the users' platform sets no machine aside, keeps what must last in its store and speaks its own protocol. The entry and agent pair cannot run there.

Adds sequoia-node: one process that takes directives and upstreams from the platform's store (pkg/catalog), knows its peers by datagrams (pkg/mesh), chooses upstreams (pkg/balance) and serves callers (pkg/ingress, pkg/exchange, pkg/node). platform/ holds the platform's names, formats and calls.

--- /dev/null
+++ b/cmd/sequoia-node/main.go
@@ -0,0 +1,32 @@
+// Command sequoia-node is the process of one instance on the platform.
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/node"
+	"github.com/sequoiacove/sequoiacove/platform"
+)
+
+// settingsVariable names the environment variable with the path of the
+// settings file, which --settings replaces.
+const settingsVariable = "SEQUOIACOVE_SETTINGS"
+
+func main() {
+	os.Exit(node.Main(os.Args[1:], settingsVariable, node.Platform{
+		Headers:      platform.Headers(),
+		Paths:        platform.Paths(),
+		Decoder:      catalog.Decoder{Directive: platform.DecodeDirective, Upstream: platform.DecodeUpstream},
+		LookupAnswer: platform.LookupAnswer,
+		ParseBounds:  platform.ParseBounds,
+		NewStore: func(address string) catalog.Store {
+			return platform.NewClient(address, func(a string) (net.Conn, error) {
+				return exchange.Dial(context.Background(), a, platform.DialTimeout)
+			})
+		},
+	}))
+}
--- /dev/null
+++ b/pkg/balance/balance.go
@@ -0,0 +1,237 @@
+// Package balance chooses the upstream of each request.
+//
+// Every instance chooses alone. It knows the requests that it has in flight at
+// each upstream, those that its peers reported a moment ago, and the load that
+// upstreams state in their answers. A request goes to the upstream with the
+// lowest expected latency: the way there, the wait for a slot, and the work,
+// which is shorter at upstreams that saw the same object lately and longer at
+// slow ones.
+//
+// The region of a request follows shares per route, which move slowly
+// (shares.go). Under overload a route may use the queue of an upstream only as
+// far as its priority allows, so that the less urgent requests are refused
+// first (admit.go). Limits that hold over all instances are divided among the
+// live ones (limits.go).
+package balance
+
+import (
+	"hash/fnv"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+// Config holds the inputs of a Balancer.
+type Config struct {
+	// Instance, Region and Domain are those of the own instance.
+	Instance string
+	Region   string
+	Domain   string
+	// Regions maps failure domains to their regions.
+	Regions map[string]string
+	Bounds  steering.Bounds
+	Now     func() time.Time
+	// Random returns a number in [0, 1).
+	Random func() float64
+	Logger *slog.Logger
+	// Forget is called for each upstream that is no longer used.
+	Forget func(exchange.Target)
+}
+
+// Balancer chooses upstreams.
+type Balancer struct {
+	config Config
+
+	mu sync.Mutex
+	// upstreams holds every known upstream by id.
+	upstreams map[string]*upstream
+	byHash    map[uint32]*upstream
+	pools     map[string]*pool
+	evacuated map[string]bool
+	// instances holds the live instances by id, the own one included.
+	instances map[string]Instance
+	peers     map[string]*peerLoad
+	splits    map[string]*splitter
+	seeded    bool
+}
+
+// Instance is a live instance.
+type Instance struct {
+	ID     string
+	Region string
+}
+
+// pool holds the upstreams of one service.
+type pool struct {
+	service   string
+	config    steering.Service
+	upstreams []*upstream
+	routes    map[string]*routeState
+	retries   retryBudget
+	waiters   []*waiter
+	spills    spillLimit
+	// work is the mean time of a request at an upstream.
+	work time.Duration
+	// capacity is the usual number of slots; lostAt is when many were lost.
+	capacity float64
+	lostAt   time.Time
+}
+
+// routeState is what the balancer learned of a route at one service.
+type routeState struct {
+	route *steering.Route
+	hash  uint32
+	// work is the usual time at an upstream without a wait.
+	work    time.Duration
+	demand  rate
+	shares  regionShares
+	answers int
+}
+
+// New returns a Balancer without upstreams.
+func New(config Config) *Balancer {
+	b := &Balancer{config: config, upstreams: make(map[string]*upstream), byHash: make(map[uint32]*upstream), pools: make(map[string]*pool),
+		evacuated: make(map[string]bool), peers: make(map[string]*peerLoad), splits: make(map[string]*splitter)}
+	b.instances = map[string]Instance{config.Instance: {config.Instance, config.Region}}
+	return b
+}
+
+func hash(parts ...string) uint32 {
+	h := fnv.New32a()
+	for _, p := range parts {
+		_, _ = h.Write([]byte(p))
+		_, _ = h.Write([]byte{0})
+	}
+	// The last mixing spreads texts that differ only at their end.
+	x := h.Sum32()
+	x ^= x >> 16
+	x *= 0x7feb352d
+	x ^= x >> 15
+	x *= 0x846ca68b
+	return x ^ x>>16
+}
+
+// unit maps a hash to [0, 1).
+func unit(h uint32) float64 { return float64(h) / (1 << 32) }
+
+// Update installs a new view.
+func (b *Balancer) Update(v *steering.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.config.Now()
+	for id, u := range b.upstreams {
+		if _, ok := v.Upstreams[id]; !ok {
+			b.remove(id, u)
+		}
+	}
+	if v.Config != nil {
+		b.configure(v.Config)
+	}
+	for _, rec := range v.Upstreams {
+		b.register(rec, now)
+	}
+	b.seeded = b.seeded || len(v.Upstreams) > 0
+	for domain := range b.evacuated {
+		if !v.Evacuated[domain] {
+			b.endEvacuation(domain, now)
+		}
+	}
+	b.evacuated = v.Evacuated
+	b.dispatchAll()
+}
+
+func (b *Balancer) configure(c *steering.Config) {
+	for name, s := range c.Services {
+		b.pool(name).config = *s
+	}
+	for name, p := range b.pools {
+		for key, r := range p.routes {
+			if current := c.Match(r.route.Host, r.route.Prefix); current == nil || current.Name != r.route.Name {
+				delete(p.routes, key)
+			}
+		}
+		if c.Services[name] == nil && len(p.upstreams) == 0 {
+			delete(b.pools, name)
+		}
+	}
+}
+
+func (b *Balancer) pool(service string) *pool {
+	p := b.pools[service]
+	if p == nil {
+		p = &pool{service: service, routes: make(map[string]*routeState)}
+		b.pools[service] = p
+	}
+	return p
+}
+
+func (b *Balancer) remove(id string, u *upstream) {
+	delete(b.upstreams, id)
+	delete(b.byHash, u.hash)
+	p := b.pool(u.Service)
+	for i, other := range p.upstreams {
+		if other == u {
+			p.upstreams = append(p.upstreams[:i:i], p.upstreams[i+1:]...)
+			break
+		}
+	}
+	if b.config.Forget != nil {
+		b.config.Forget(b.target(u))
+	}
+}
+
+func (b *Balancer) register(rec steering.Upstream, now time.Time) {
+	u := b.upstreams[rec.ID]
+	if u != nil && (u.Born != rec.Born || u.Address != rec.Address || u.Service != rec.Service) {
+		b.remove(rec.ID, u)
+		u = nil
+	}
+	if u != nil {
+		u.note(rec, now)
+		return
+	}
+	u = &upstream{hash: hash(rec.ID), region: b.config.Regions[rec.Domain], slowness: 1, latency: 1}
+	u.note(rec, now)
+	u.peers = 0
+	for _, p := range b.peers {
+		u.peers += p.inFlight[u.hash]
+	}
+	b.upstreams[rec.ID] = u
+	b.byHash[u.hash] = u
+	p := b.pool(rec.Service)
+	p.upstreams = append(p.upstreams, u)
+}
+
+// endEvacuation treats the upstreams of a domain as cold: they may have lost
+// what they held while they got no requests.
+func (b *Balancer) endEvacuation(domain string, now time.Time) {
+	for _, u := range b.upstreams {
+		if u.Domain == domain {
+			u.chill(now.Add(b.pool(u.Service).config.ColdStart))
+		}
+	}
+}
+
+func (b *Balancer) target(u *upstream) exchange.Target {
+	return exchange.Target{ID: u.ID, Address: u.Address, Near: u.region == b.config.Region}
+}
+
+// SetInstances installs the live instances, the own one included.
+func (b *Balancer) SetInstances(list []Instance) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = make(map[string]Instance, len(list)+1)
+	b.instances[b.config.Instance] = Instance{b.config.Instance, b.config.Region}
+	for _, i := range list {
+		b.instances[i.ID] = i
+	}
+	for id := range b.peers {
+		if _, ok := b.instances[id]; !ok {
+			b.setPeer(id, nil)
+			delete(b.peers, id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/balance/limits.go
@@ -0,0 +1,165 @@
+package balance
+
+import (
+	"sort"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+const (
+	// coldSenders is the number of instances that share a cold upstream.
+	coldSenders = 4
+	// coldPart is the part of a cold upstream's rate that is used.
+	coldPart = 0.85
+	// retryPart is the part of the retry bounds that is used, because the
+	// instances do not count at the same moment.
+	retryPart = 0.7
+	// spillPart is the part of the requests that may leave the region that the
+	// shares chose.
+	spillPart = 0.03
+	// rateMemory is the time over which rates are averaged.
+	rateMemory = 2 * time.Second
+	// windowSlots divides the retry window.
+	windowSlots = 10
+)
+
+// coldAllowed tells whether this instance may send to a cold upstream now. The
+// rate is divided among a few instances of the upstream's region, which all
+// instances know from the list of live ones.
+func (b *Balancer) coldAllowed(u *upstream, now time.Time) bool {
+	return b.coldRate(u) > 0 && !now.Before(u.coldNext)
+}
+
+func (b *Balancer) spendCold(u *upstream, now time.Time) {
+	if r := b.coldRate(u); r > 0 {
+		u.coldNext = now.Add(time.Duration(float64(time.Second) / r))
+	}
+}
+
+// coldRate returns the requests per second that this instance may send to a
+// cold upstream.
+func (b *Balancer) coldRate(u *upstream) float64 {
+	senders := make([]uint32, 0, len(b.instances))
+	own := hash(b.config.Instance, u.ID)
+	for _, local := range []bool{true, false} {
+		for _, i := range b.instances {
+			if !local || i.Region == u.region {
+				senders = append(senders, hash(i.ID, u.ID))
+			}
+		}
+		if len(senders) > 0 {
+			break
+		}
+	}
+	sort.Slice(senders, func(i, j int) bool { return senders[i] < senders[j] })
+	senders = senders[:min(coldSenders, len(senders))]
+	for _, h := range senders {
+		if h == own {
+			return coldPart * b.pool(u.Service).config.ColdRate / float64(len(senders))
+		}
+	}
+	return 0
+}
+
+// rate is an average of events per second.
+type rate struct {
+	value float64
+	at    time.Time
+	count float64
+}
+
+func (r *rate) add(now time.Time, n float64) {
+	r.count += n
+	r.roll(now)
+}
+
+// roll folds the events of the last interval into the average.
+func (r *rate) roll(now time.Time) {
+	const interval = 250 * time.Millisecond
+	if r.at.IsZero() {
+		r.at = now
+		return
+	}
+	passed := now.Sub(r.at)
+	if passed < interval {
+		return
+	}
+	seconds := passed.Seconds()
+	weight := min(1, seconds/rateMemory.Seconds())
+	r.value += weight * (r.count/seconds - r.value)
+	r.count, r.at = 0, now
+}
+
+// retryBudget counts requests and repeats of one service in a sliding window.
+type retryBudget struct {
+	slots [windowSlots]struct{ requests, repeats int }
+	head  int
+	at    time.Time
+}
+
+func (w *retryBudget) advance(now time.Time, window time.Duration) {
+	step := window / windowSlots
+	if w.at.IsZero() || now.Sub(w.at) > 2*window {
+		*w = retryBudget{at: now}
+	}
+	for now.Sub(w.at) >= step {
+		w.head = (w.head + 1) % windowSlots
+		w.slots[w.head].requests, w.slots[w.head].repeats = 0, 0
+		w.at = w.at.Add(step)
+	}
+}
+
+func (w *retryBudget) request() {
+	w.slots[w.head].requests++
+}
+
+// AllowRepeat takes one repeat from the budget of a service; false tells that
+// the request must not be sent again.
+func (b *Balancer) AllowRepeat(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	bounds := b.config.Bounds
+	w := &b.pool(service).retries
+	w.advance(b.config.Now(), bounds.RetryWindow)
+	requests, repeats := 0, 0
+	for _, s := range w.slots {
+		requests += s.requests
+		repeats += s.repeats
+	}
+	limit := retryPart * (bounds.RetryRatio*float64(requests) + bounds.RetrySlack/float64(len(b.instances)))
+	if float64(repeats+1) > limit {
+		return false
+	}
+	w.slots[w.head].repeats++
+	return true
+}
+
+// spillLimit bounds the requests that leave their region.
+type spillLimit struct{ credit float64 }
+
+// earn adds the credit of one request.
+func (s *spillLimit) earn() { s.credit = min(1.5, s.credit+spillPart) }
+
+func (s *spillLimit) allow() bool { return s.credit >= 1 }
+
+func (s *spillLimit) spend() { s.credit-- }
+
+func (b *Balancer) logEjection(u *upstream, before int, r *exchange.Result) {
+	switch {
+	case u.ejections > before:
+		event.Log(b.config.Logger, event.UpstreamEjected, "upstream", u.ID, "service", u.Service, "reason", r.Reason.String(), "status", r.Status,
+			"failures", u.failures, "until_ms", time.Until(u.ejectedUntil).Milliseconds())
+	case before > 0 && u.ejections == 0:
+		event.Log(b.config.Logger, event.UpstreamReturned, "upstream", u.ID, "service", u.Service)
+	}
+}
+
+// SetBounds installs new bounds.
+func (b *Balancer) SetBounds(bounds steering.Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config.Bounds = bounds
+}
--- /dev/null
+++ b/pkg/catalog/state.go
@@ -0,0 +1,316 @@
+package catalog
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+const (
+	// lapseHold is how long a registration that lapsed with the store away, or
+	// together with many others, is kept: upstreams that are alive register
+	// again within about two seconds.
+	lapseHold = 2 * time.Second
+	// outageMemory is how long after a failed call a lapse counts as caused by
+	// the store.
+	outageMemory = 3 * time.Second
+	// massLapse and massLapsePart are the number and the part of a service's
+	// registrations that must vanish in one change to count as a mass lapse.
+	massLapse     = 3
+	massLapsePart = 0.25
+)
+
+// Options holds the inputs of a Catalog.
+type Options struct {
+	Store  Store
+	Decode Decoder
+	Now    func() time.Time
+	// Random returns a number in [0, 1).
+	Random func() float64
+	Logger *slog.Logger
+	// Changed is called with each new view, from one goroutine at a time.
+	Changed func(*steering.View)
+}
+
+// Catalog holds what an instance knows of directives and upstreams.
+type Catalog struct {
+	opt  Options
+	view atomic.Pointer[steering.View]
+
+	mu        sync.Mutex
+	tables    [2]tableState
+	config    *steering.Config
+	evacuated map[string]bool
+	upstreams map[string]steering.Upstream
+	// lapsed maps upstreams without a registration to the end of their hold.
+	lapsed map[string]time.Time
+	// failedAt is the time of the last failed call, zero if none failed.
+	failedAt time.Time
+	down     bool
+	calls    atomic.Int64
+}
+
+type tableState struct {
+	rows     map[string]Row
+	revision int64
+	// confirmedAt is when the store or a peer last confirmed the state.
+	confirmedAt time.Time
+}
+
+// New returns a Catalog that knows nothing.
+func New(opt Options) *Catalog {
+	c := &Catalog{opt: opt, evacuated: make(map[string]bool), upstreams: make(map[string]steering.Upstream), lapsed: make(map[string]time.Time)}
+	for i := range c.tables {
+		c.tables[i].rows = make(map[string]Row)
+	}
+	c.view.Store(&steering.View{})
+	return c
+}
+
+// View returns the current belief; it is never nil.
+func (c *Catalog) View() *steering.View { return c.view.Load() }
+
+// Revisions returns the revision up to which each table is known; 0 means that
+// nothing is known.
+func (c *Catalog) Revisions() (directives, upstreams int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tables[Directives].revision, c.tables[Upstreams].revision
+}
+
+// Ages returns how long ago the store or a peer confirmed each table.
+func (c *Catalog) Ages() (directives, upstreams time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opt.Now()
+	return now.Sub(c.tables[Directives].confirmedAt), now.Sub(c.tables[Upstreams].confirmedAt)
+}
+
+// Calls returns the number of calls made to the store.
+func (c *Catalog) Calls() int64 { return c.calls.Load() }
+
+// StoreDown tells whether the last call to the store failed.
+func (c *Catalog) StoreDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down
+}
+
+// Snapshot holds both tables, as peers pass them on.
+type Snapshot struct {
+	Directives Listing `cbor:"1,keyasint"`
+	Upstreams  Listing `cbor:"2,keyasint"`
+}
+
+// Snapshot returns both tables.
+func (c *Catalog) Snapshot() Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Snapshot{c.tables[Directives].listing(), c.tables[Upstreams].listing()}
+}
+
+func (t *tableState) listing() Listing {
+	l := Listing{Revision: t.revision}
+	for _, r := range t.rows {
+		l.Rows = append(l.Rows, r)
+	}
+	return l
+}
+
+// Merge takes the tables of a peer that are newer than the own ones.
+func (c *Catalog) Merge(s Snapshot, peer string) {
+	c.replace(Directives, s.Directives, peer)
+	c.replace(Upstreams, s.Upstreams, peer)
+}
+
+// replace installs a whole table unless a newer state is known.
+func (c *Catalog) replace(table Table, l Listing, source string) {
+	c.mu.Lock()
+	t := &c.tables[table]
+	if l.Revision <= t.revision {
+		if l.Revision == t.revision {
+			t.confirmedAt = c.opt.Now()
+		}
+		c.mu.Unlock()
+		return
+	}
+	present := make(map[string]bool, len(l.Rows))
+	changes := make([]Row, 0, len(l.Rows))
+	for _, r := range l.Rows {
+		present[r.Key] = true
+		if r.Revision != t.rows[r.Key].Revision {
+			changes = append(changes, r)
+		}
+	}
+	for key := range t.rows {
+		if !present[key] {
+			changes = append(changes, Row{Key: key, Revision: l.Revision, Deleted: true})
+		}
+	}
+	c.applyLocked(table, changes, l.Revision, source)
+}
+
+// update applies the changes of a watch.
+func (c *Catalog) update(table Table, l Listing) {
+	c.mu.Lock()
+	t := &c.tables[table]
+	changes := l.Rows[:0]
+	for _, r := range l.Rows {
+		if r.Revision > t.revision {
+			changes = append(changes, r)
+		}
+	}
+	c.applyLocked(table, changes, max(l.Revision, t.revision), "store")
+}
+
+// applyLocked applies changes and publishes the new view; it unlocks the mutex.
+func (c *Catalog) applyLocked(table Table, changes []Row, revision int64, source string) {
+	defer c.mu.Unlock()
+	t := &c.tables[table]
+	t.confirmedAt = c.opt.Now()
+	t.revision = revision
+	if len(changes) == 0 {
+		return
+	}
+	hold := table == Upstreams && c.holdLapses(changes)
+	for _, r := range changes {
+		if r.Deleted {
+			delete(t.rows, r.Key)
+		} else {
+			t.rows[r.Key] = r
+		}
+		if table == Directives {
+			c.applyDirective(r, source)
+		} else {
+			c.applyUpstream(r, hold, source)
+		}
+	}
+	c.publish()
+}
+
+func (c *Catalog) applyDirective(r Row, source string) {
+	d, err := c.opt.Decode.Directive(r.Key, r.Value)
+	if r.Deleted {
+		// The key alone tells which evacuation ended; the value is gone.
+		if d.Evacuate != "" {
+			delete(c.evacuated, d.Evacuate)
+			event.Log(c.opt.Logger, event.EvacuationEnded, "domain", d.Evacuate, "revision", r.Revision, "source", source)
+		}
+		return
+	}
+	if err != nil {
+		event.Log(c.opt.Logger, event.VersionRefused, "key", r.Key, "revision", r.Revision, "source", source, "error", err.Error())
+		return
+	}
+	if d.Evacuate != "" && !c.evacuated[d.Evacuate] {
+		c.evacuated[d.Evacuate] = true
+		event.Log(c.opt.Logger, event.EvacuationStarted, "domain", d.Evacuate, "revision", r.Revision, "source", source)
+	}
+	if d.Config == nil {
+		return
+	}
+	if c.config != nil && d.Config.Version < c.config.Version {
+		event.Log(c.opt.Logger, event.StoreBehind, "version", d.Config.Version, "in_force", c.config.Version, "revision", r.Revision, "source", source)
+		return
+	}
+	c.config = d.Config
+	event.Log(c.opt.Logger, event.VersionInForce, "version", d.Config.Version, "routes", d.Config.Routes(), "revision", r.Revision, "source", source)
+}
+
+func (c *Catalog) applyUpstream(r Row, hold bool, source string) {
+	old, known := c.upstreams[r.Key]
+	if r.Deleted {
+		if !known {
+			return
+		}
+		if hold && old.State == steering.Ready {
+			if _, held := c.lapsed[r.Key]; !held {
+				c.lapsed[r.Key] = c.opt.Now().Add(lapseHold)
+				event.Log(c.opt.Logger, event.UpstreamLapsed, "upstream", r.Key, "revision", r.Revision, "source", source, "hold_ms", lapseHold.Milliseconds())
+			}
+			return
+		}
+		c.forget(r.Key, "registration removed", source)
+		return
+	}
+	u, err := c.opt.Decode.Upstream(r.Key, r.Value)
+	if err != nil {
+		// A row from another writer names no upstream to use.
+		event.Log(c.opt.Logger, event.UpstreamRowInvalid, "upstream", r.Key, "revision", r.Revision, "source", source, "error", err.Error())
+		if known {
+			c.forget(r.Key, "registration unreadable", source)
+		}
+		return
+	}
+	delete(c.lapsed, r.Key)
+	c.upstreams[r.Key] = u
+	if known && old.State == steering.Ready && u.State == steering.Draining {
+		event.Log(c.opt.Logger, event.UpstreamLeaving, "upstream", u.ID, "service", u.Service, "revision", r.Revision, "source", source)
+	} else if !known || old.Born != u.Born {
+		event.Log(c.opt.Logger, event.UpstreamJoined, "upstream", u.ID, "service", u.Service, "domain", u.Domain, "cold_ms", u.ColdRemaining.Milliseconds(), "revision", r.Revision, "source", source)
+	}
+}
+
+func (c *Catalog) forget(id, reason, source string) {
+	delete(c.upstreams, id)
+	delete(c.lapsed, id)
+	event.Log(c.opt.Logger, event.UpstreamGone, "upstream", id, "reason", reason, "source", source)
+}
+
+// holdLapses tells whether the registrations that vanish in changes are kept
+// for a while.
+func (c *Catalog) holdLapses(changes []Row) bool {
+	if c.down || (!c.failedAt.IsZero() && c.opt.Now().Sub(c.failedAt) < outageMemory) {
+		return true
+	}
+	gone, all := make(map[string]int), make(map[string]int)
+	for _, u := range c.upstreams {
+		all[u.Service]++
+	}
+	for _, r := range changes {
+		if u, ok := c.upstreams[r.Key]; ok && r.Deleted && u.State == steering.Ready {
+			gone[u.Service]++
+		}
+	}
+	for service, n := range gone {
+		if n >= massLapse && float64(n) > massLapsePart*float64(all[service]) {
+			return true
+		}
+	}
+	return false
+}
+
+// Expire forgets the lapsed upstreams whose hold has ended.
+func (c *Catalog) Expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, changed := c.opt.Now(), false
+	for id, end := range c.lapsed {
+		if now.After(end) {
+			c.forget(id, "did not register again", "clock")
+			changed = true
+		}
+	}
+	if changed {
+		c.publish()
+	}
+}
+
+// publish makes the current state visible; the caller holds the lock.
+func (c *Catalog) publish() {
+	v := &steering.View{Config: c.config, Upstreams: make(map[string]steering.Upstream, len(c.upstreams)), Evacuated: make(map[string]bool, len(c.evacuated))}
+	for id, u := range c.upstreams {
+		v.Upstreams[id] = u
+	}
+	for d := range c.evacuated {
+		v.Evacuated[d] = true
+	}
+	c.view.Store(v)
+	if c.opt.Changed != nil {
+		c.opt.Changed(v)
+	}
+}
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -5,11 +5,13 @@
 // Log events. The ranges are: 100 process, 200 configuration, 300 membership,
 // 400 request path, 500 admission and upstreams, 600 platform, 700 operators.
 const (
-	ProcessStarted  ID = 100
-	ProcessStopping ID = 101
-	ProcessStopped  ID = 102
-	SettingsInvalid ID = 103
-	ListenerFailed  ID = 104
+	ProcessStarted   ID = 100
+	ProcessStopping  ID = 101
+	ProcessStopped   ID = 102
+	SettingsInvalid  ID = 103
+	ListenerFailed   ID = 104
+	SettingsReloaded ID = 105
+	LogLinesDropped  ID = 106
 
 	VersionInForce    ID = 200
 	VersionPushFailed ID = 201
@@ -19,20 +21,30 @@
 	VersionMismatch   ID = 205
 	StoreBehind       ID = 206
 	VersionRefused    ID = 207
+	EvacuationStarted ID = 208
+	EvacuationEnded   ID = 209
 
-	MemberJoined  ID = 300
-	MemberSuspect ID = 301
-	MemberDead    ID = 302
-	MemberLeaving ID = 303
-	EntrySilent   ID = 304
-	EntryAnswered ID = 305
-	IDConflict    ID = 306
+	MemberJoined   ID = 300
+	MemberSuspect  ID = 301
+	MemberDead     ID = 302
+	MemberLeaving  ID = 303
+	EntrySilent    ID = 304
+	EntryAnswered  ID = 305
+	IDConflict     ID = 306
+	SnapshotFailed ID = 307
 
 	EntryDetached     ID = 400
 	EntryAttached     ID = 401
 	EntryResumed      ID = 402
 	PeerReplaced      ID = 403
 	DomainUnreachable ID = 404
+	RequestAnswered   ID = 405
+	RequestRefused    ID = 406
+	RequestFailed     ID = 407
+	RequestAbandoned  ID = 408
+	AttemptFailed     ID = 409
+	RequestHedged     ID = 410
+	SharesMoved       ID = 411
 
 	PoolAcquired       ID = 500
 	PoolReleased       ID = 501
@@ -40,11 +52,17 @@
 	UpstreamReturned   ID = 503
 	UpstreamLeaving    ID = 504
 	ConnectionsRetired ID = 505
+	UpstreamJoined     ID = 506
+	UpstreamGone       ID = 507
+	UpstreamLapsed     ID = 508
+	UpstreamRowInvalid ID = 509
 
-	StoreDown ID = 600
-	StoreUp   ID = 601
-	LeaseHeld ID = 602
-	LeaseLost ID = 603
+	StoreDown          ID = 600
+	StoreUp            ID = 601
+	LeaseHeld          ID = 602
+	LeaseLost          ID = 603
+	RegistrationFailed ID = 605
+	StoreHistoryGone   ID = 604
 
 	OperatorRefused ID = 700
 )
@@ -55,6 +73,8 @@
 	{ProcessStopped, slog.LevelInfo, "process stopped", "None."},
 	{SettingsInvalid, slog.LevelError, "settings invalid", "Correct the listed keys and start again."},
 	{ListenerFailed, slog.LevelError, "listener failed", "Check the address and whether another process uses it."},
+	{SettingsReloaded, slog.LevelInfo, "settings read again", "None."},
+	{LogLinesDropped, slog.LevelWarn, "log lines dropped", "Check the reader of the log; requests are not delayed by it."},
 
 	{VersionInForce, slog.LevelInfo, "configuration version in force", "None."},
 	{VersionPushFailed, slog.LevelWarn, "configuration push failed", "None if rare: heartbeats and polls repair it. Check the peer if it repeats."},
@@ -64,6 +84,8 @@
 	{VersionMismatch, slog.LevelError, "peer has another configuration under the same version number", "Compare the store with its backups: its table was reset or restored. Accept a patch to replace the version everywhere."},
 	{StoreBehind, slog.LevelError, "store holds an older configuration than this instance", "The store's table was reset or restored from a backup: restore it to the version in force, because patches on the older version take no effect."},
 	{VersionRefused, slog.LevelError, "configuration version refused as invalid", "Check that this instance runs the same release as the instance that accepted the version."},
+	{EvacuationStarted, slog.LevelInfo, "evacuation of a failure domain started", "None."},
+	{EvacuationEnded, slog.LevelInfo, "evacuation of a failure domain ended", "None; its upstreams count as cold for a while."},
 
 	{MemberJoined, slog.LevelInfo, "member joined", "None."},
 	{MemberSuspect, slog.LevelInfo, "member suspect", "None."},
@@ -72,12 +94,20 @@
 	{EntrySilent, slog.LevelWarn, "own entry does not answer", "Check the entry of this instance; peers send it nothing."},
 	{EntryAnswered, slog.LevelInfo, "own entry answers", "None."},
 	{IDConflict, slog.LevelWarn, "another process uses the id of this instance", "Give each instance an id of its own and restart it."},
+	{SnapshotFailed, slog.LevelWarn, "snapshot of a peer not received", "None if rare: another peer or the store brings the state."},
 
 	{EntryDetached, slog.LevelWarn, "entry detached from its agent", "Restart the agent of this instance."},
 	{EntryAttached, slog.LevelInfo, "entry attached to its agent", "None."},
 	{EntryResumed, slog.LevelWarn, "entry resumed after a pause", "Check why the instance was paused."},
 	{PeerReplaced, slog.LevelWarn, "silent peer connection replaced", "Check the path between the instances if it repeats."},
 	{DomainUnreachable, slog.LevelWarn, "failure domain unreachable", "Check the failure domain and its links."},
+	{RequestAnswered, slog.LevelInfo, "request answered", "None."},
+	{RequestRefused, slog.LevelInfo, "request refused as not run", "See docs/OPERATIONS.md if it repeats: the fields tell which limit refused it."},
+	{RequestFailed, slog.LevelWarn, "request failed", "See docs/OPERATIONS.md: the fields tell which upstream failed and how."},
+	{RequestAbandoned, slog.LevelInfo, "caller left before the answer", "None."},
+	{AttemptFailed, slog.LevelInfo, "attempt at an upstream failed", "Check the upstream if it repeats."},
+	{RequestHedged, slog.LevelInfo, "request sent to a second upstream", "None."},
+	{SharesMoved, slog.LevelInfo, "region shares of a service moved", "None."},
 
 	{PoolAcquired, slog.LevelInfo, "pool acquired", "None."},
 	{PoolReleased, slog.LevelInfo, "pool released", "None."},
@@ -85,11 +115,17 @@
 	{UpstreamReturned, slog.LevelInfo, "upstream returned", "None."},
 	{UpstreamLeaving, slog.LevelInfo, "upstream leaving", "None."},
 	{ConnectionsRetired, slog.LevelWarn, "connections to an upstream retired as silent", "Check the path to the upstream if it repeats."},
+	{UpstreamJoined, slog.LevelInfo, "upstream registered", "None."},
+	{UpstreamGone, slog.LevelInfo, "upstream gone", "None."},
+	{UpstreamLapsed, slog.LevelWarn, "registration of an upstream lapsed and is held", "None if it registers again; check the store."},
+	{UpstreamRowInvalid, slog.LevelWarn, "registration of an upstream cannot be used", "Check who wrote the row."},
 
 	{StoreDown, slog.LevelWarn, "platform store unavailable", "Check the platform; requests are still served."},
 	{StoreUp, slog.LevelInfo, "platform store available", "None."},
 	{LeaseHeld, slog.LevelInfo, "lease held", "None."},
 	{LeaseLost, slog.LevelInfo, "lease lost", "None."},
+	{StoreHistoryGone, slog.LevelWarn, "platform store no longer has the changes asked for", "None; the table is listed again."},
+	{RegistrationFailed, slog.LevelWarn, "instance not registered in the platform store", "None if the store is away: the instance tries again."},
 
 	{OperatorRefused, slog.LevelWarn, "operator request refused", "Check the operator's token and rate."},
 }
--- /dev/null
+++ b/pkg/node/main.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+const (
+	// memoryPart is the part of the memory at which the collector works harder.
+	memoryPart = 0.6
+	// collectPercent trades processor time for memory.
+	collectPercent = 60
+	// closeTimeout bounds the writing of the last log lines.
+	closeTimeout = 200 * time.Millisecond
+)
+
+// Main runs the process of an instance and returns its exit status.
+func Main(args []string, settingsVariable string, p Platform) int {
+	app := kingpin.New("sequoia-node", "Steers the requests of callers to upstreams on one instance.")
+	file := app.Flag("settings", "Settings file of the instance.").Envar(settingsVariable).Required().ExistingFile()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintf(os.Stderr, "sequoia-node: %v\n", err)
+		return 2
+	}
+	s, err := LoadSettings(*file, p.ParseBounds)
+	if err != nil {
+		event.Log(event.NewLogger(os.Stdout, 0, "node", ""), event.SettingsInvalid, "file", *file, "errors", result.Detail(err))
+		return 1
+	}
+	if *check {
+		return 0
+	}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(memoryPart * float64(megabytes(s.MemoryMB))))
+	out := newLogWriter(os.Stdout)
+	defer out.Close(closeTimeout)
+	logger := event.NewLogger(out, s.LogLevel, "node", s.ID)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	n := New(Options{Settings: s, Platform: p, Now: time.Now, Random: rand.Float64, Logger: logger})
+	go n.watchLog(ctx, out)
+	go n.watchSettings(ctx, *file)
+	if err := n.Run(ctx); err != nil {
+		event.Log(logger, event.ListenerFailed, "error", err.Error())
+		return 1
+	}
+	return 0
+}
+
+// watchLog reports dropped log lines.
+func (n *Node) watchLog(ctx context.Context, out *logWriter) {
+	const interval = 5 * time.Second
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	var last int64
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		if dropped, total := out.Dropped(); dropped > last {
+			event.Log(n.logger, event.LogLinesDropped, "dropped", dropped-last, "all", total)
+			last = dropped
+		}
+	}
+}
+
+// watchSettings reads the settings again on SIGHUP and takes the bounds; all
+// other settings need a restart.
+func (n *Node) watchSettings(ctx context.Context, file string) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		s, err := LoadSettings(file, n.opt.Platform.ParseBounds)
+		if err != nil {
+			event.Log(n.logger, event.SettingsInvalid, "file", file, "errors", result.Detail(err))
+			continue
+		}
+		n.balancer.SetBounds(s.Bounds)
+		n.mesh.AddAddresses(s.Seeds)
+		event.Log(n.logger, event.SettingsReloaded, "file", file)
+	}
+}
--- /dev/null
+++ b/pkg/node/serve.go
@@ -0,0 +1,323 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/ingress"
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+const (
+	// answerMargin is left before the caller's deadline for the answer to
+	// travel.
+	answerMargin = 20 * time.Millisecond
+	// holdPart is the part of the target latency that a request waits for an
+	// upstream before it is refused.
+	holdPart = 0.12
+	// defaultTarget stands for the target latency of routes that have none.
+	defaultTarget = 500 * time.Millisecond
+	// defaultWait bounds a request whose caller states no deadline.
+	defaultWait = 10 * time.Second
+	// comeBack is the time after which a refused caller should come back;
+	// comeBackSpread spreads the callers.
+	comeBack       = 80 * time.Millisecond
+	comeBackSpread = 120 * time.Millisecond
+	// waitPart is the part of the remaining time that callers honor.
+	waitPart = 0.3
+	// maxConnectTries bounds the upstreams that are tried without a connection.
+	maxConnectTries = 4
+	// hedgeFactor and hedgeFloor give the time after which an idempotent
+	// request is sent to a second upstream.
+	hedgeFactor = 2.0
+	hedgeFloor  = 60 * time.Millisecond
+)
+
+// call is the work on one request.
+type call struct {
+	node     *Node
+	request  *ingress.Request
+	route    *steering.Route
+	version  steering.Version
+	service  string
+	end      time.Time
+	tried    []string
+	attempts int
+	hedged   bool
+	waited   time.Duration
+	lease    *balance.Lease
+	last     *exchange.Result
+}
+
+// Idempotent implements ingress.Handler.
+func (n *Node) Idempotent(r *ingress.Request) bool {
+	c := n.catalog.View().Config
+	if c == nil {
+		return true
+	}
+	route := c.Match(r.Host, r.URI)
+	return route == nil || route.Idempotent
+}
+
+// Serve implements ingress.Handler.
+func (n *Node) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
+	config := n.catalog.View().Config
+	if config == nil {
+		event.Log(n.logger, event.RequestRefused, "request", r.ID, "reason", "no_configuration")
+		return &ingress.Response{Status: http.StatusServiceUnavailable, RetryAfter: comeBack}
+	}
+	route := config.Match(r.Host, r.URI)
+	if route == nil {
+		event.Log(n.logger, event.RequestRefused, "request", r.ID, "reason", "no_route", "host", r.Host, "path", r.URI, "version", config.Version)
+		return &ingress.Response{Status: http.StatusNotFound}
+	}
+	r.Idempotent = route.Idempotent
+	c := &call{node: n, request: r, route: route, version: config.Version, service: n.balancer.Service(route)}
+	c.end = c.deadline()
+	if !n.mayStart(c) {
+		return c.refuse("leaving")
+	}
+	return c.run(ctx)
+}
+
+// deadline returns the time at which the request is given up.
+func (c *call) deadline() time.Time {
+	wait := defaultWait
+	if c.request.Wait > 0 {
+		wait = max(c.request.Wait-answerMargin, c.request.Wait/2)
+	}
+	if c.route.Timeout > 0 {
+		wait = min(wait, c.route.Timeout)
+	}
+	return c.request.Arrived.Add(wait)
+}
+
+// mayStart tells whether a request can end before a leaving instance stops.
+func (n *Node) mayStart(c *call) bool {
+	stop := n.stopAt.Load()
+	if stop == 0 {
+		return true
+	}
+	since := n.opt.Now().Sub(time.Unix(0, n.leavesAt.Load()))
+	return since < latestStart || c.end.Before(time.Unix(0, stop))
+}
+
+// run tries upstreams until the request has its answer.
+func (c *call) run(ctx context.Context) *ingress.Response {
+	n := c.node
+	for tries := 0; ; tries++ {
+		lease := c.acquire(ctx, tries > 0)
+		if ctx.Err() != nil && lease == nil {
+			return c.abandoned()
+		}
+		if lease == nil {
+			return c.giveUp("no_upstream")
+		}
+		r := c.attempt(ctx, lease)
+		if ctx.Err() != nil && r.Reason == exchange.Cancelled {
+			return c.abandoned()
+		}
+		c.last = r
+		if r.Outcome == exchange.Answered && (r.Status < 500 || !c.mayRepeat(r, tries)) {
+			return c.answer(r)
+		}
+		if r.Outcome != exchange.Answered && !c.mayRepeat(r, tries) {
+			return c.giveUp(r.Reason.String())
+		}
+		n.metrics.repeats.Inc(1)
+	}
+}
+
+// acquire asks for an upstream; a request that was sent before does not wait.
+func (c *call) acquire(ctx context.Context, again bool) *balance.Lease {
+	target := c.route.TargetLatency
+	if target <= 0 {
+		target = defaultTarget
+	}
+	start := c.node.opt.Now()
+	hold := time.Duration(holdPart*float64(target)) - start.Sub(c.request.Arrived)
+	hold = min(hold, c.end.Sub(start))
+	l := c.node.balancer.Acquire(ctx, balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: again}, hold)
+	c.waited += c.node.opt.Now().Sub(start)
+	return l
+}
+
+// mayRepeat tells whether the request is sent to another upstream after r, and
+// takes the repeat from the budget.
+func (c *call) mayRepeat(r *exchange.Result, tries int) bool {
+	switch {
+	case c.end.Sub(c.node.opt.Now()) < hedgeFloor/2:
+		return false
+	case r.Reason == exchange.ConnectFailed:
+		// Nothing reached the upstream.
+		return tries < maxConnectTries
+	case r.Outcome != exchange.NotRun && !c.route.Idempotent:
+		return false
+	}
+	return c.attempts < c.route.MaxAttempts && c.node.balancer.AllowRepeat(c.service)
+}
+
+// attempt sends the request to an upstream and, if the answer takes long, an
+// idempotent one to a second upstream as well.
+func (c *call) attempt(ctx context.Context, lease *balance.Lease) *exchange.Result {
+	if !c.route.Idempotent || c.attempts+1 >= c.route.MaxAttempts {
+		return c.send(ctx, lease)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan *exchange.Result, 2)
+	c.begin(lease)
+	go func() { results <- c.exchange(ctx, lease, false) }()
+	delay := max(time.Duration(hedgeFactor*float64(lease.Expected)), lease.Expected+hedgeFloor)
+	t := time.NewTimer(delay)
+	defer t.Stop()
+	select {
+	case r := <-results:
+		c.lease = lease
+		return c.finish(r)
+	case <-t.C:
+	}
+	second := c.hedge(ctx)
+	if second == nil {
+		c.lease = lease
+		return c.finish(<-results)
+	}
+	secondResults := make(chan *exchange.Result, 1)
+	go func() { secondResults <- c.exchange(ctx, second, true) }()
+	return c.firstAnswer(lease, second, results, secondResults)
+}
+
+// hedge returns a second upstream with a free slot, if the budget allows it.
+func (c *call) hedge(ctx context.Context) *balance.Lease {
+	if c.end.Sub(c.node.opt.Now()) < hedgeFloor {
+		return nil
+	}
+	l := c.node.balancer.Acquire(ctx, balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: true, Idle: true}, 0)
+	if l == nil {
+		return nil
+	}
+	if !c.node.balancer.AllowRepeat(c.service) {
+		l.Done(&exchange.Result{Outcome: exchange.NotRun, Reason: exchange.Cancelled})
+		return nil
+	}
+	c.begin(l)
+	c.hedged = true
+	c.node.metrics.hedges.Inc(1)
+	event.Log(c.node.logger, event.RequestHedged, "request", c.request.ID, "upstream", l.Target.ID, "load", l.Load, "slots", l.Slots)
+	return l
+}
+
+// firstAnswer returns the first good answer of two attempts, or the last end.
+func (c *call) firstAnswer(first, second *balance.Lease, a, b <-chan *exchange.Result) *exchange.Result {
+	var r *exchange.Result
+	for range 2 {
+		select {
+		case r = <-a:
+			c.lease, a = first, nil
+		case r = <-b:
+			c.lease, b = second, nil
+		}
+		if r.Outcome == exchange.Answered && r.Status < 500 {
+			break
+		}
+	}
+	return c.finish(r)
+}
+
+func (c *call) begin(l *balance.Lease) {
+	c.tried = append(c.tried, l.Target.ID)
+	c.attempts++
+}
+
+func (c *call) send(ctx context.Context, l *balance.Lease) *exchange.Result {
+	c.begin(l)
+	c.lease = l
+	return c.finish(c.exchange(ctx, l, false))
+}
+
+// exchange makes one attempt and gives its lease back.
+func (c *call) exchange(ctx context.Context, l *balance.Lease, fresh bool) *exchange.Result {
+	r := c.node.client.Do(ctx, l.Target, &c.request.Request, c.end, fresh)
+	l.Done(r)
+	if r.Reason != exchange.Complete && r.Reason != exchange.Cancelled {
+		event.Log(c.node.logger, event.AttemptFailed, "request", c.request.ID, "upstream", l.Target.ID, "reason", r.Reason.String(), "status", r.Status,
+			"took_ms", r.Elapsed.Milliseconds(), "new_connection", r.NewConnection, "load", l.Load, "slots", l.Slots, "error", errorText(r.Err))
+	}
+	return r
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// finish corrects the count of attempts: one without a connection is none.
+func (c *call) finish(r *exchange.Result) *exchange.Result {
+	if r.Reason == exchange.ConnectFailed {
+		c.attempts--
+	}
+	return r
+}
+
+// answer passes on the upstream's answer.
+func (c *call) answer(r *exchange.Result) *ingress.Response {
+	c.log(event.RequestAnswered, r.Status, "answered")
+	return &ingress.Response{Status: r.Status, Header: r.Header, Body: r.Body}
+}
+
+// giveUp answers a request for which no upstream gave an answer.
+func (c *call) giveUp(reason string) *ingress.Response {
+	if c.last == nil || c.last.Outcome == exchange.NotRun && !c.hedged && c.attempts <= 1 {
+		return c.refuse(reason)
+	}
+	if c.last.Outcome == exchange.Answered {
+		return c.answer(c.last)
+	}
+	status := http.StatusBadGateway
+	if c.last.Reason == exchange.TimedOut {
+		status = http.StatusGatewayTimeout
+	}
+	c.log(event.RequestFailed, status, reason)
+	return &ingress.Response{Status: status}
+}
+
+// refuse answers a request that has not run.
+func (c *call) refuse(reason string) *ingress.Response {
+	left := c.request.Arrived.Add(c.request.Wait).Sub(c.node.opt.Now())
+	after := comeBack + time.Duration(c.node.opt.Random()*float64(comeBackSpread))
+	after = max(time.Millisecond, min(after, time.Duration(waitPart*float64(left))))
+	c.log(event.RequestRefused, http.StatusServiceUnavailable, reason)
+	return &ingress.Response{Status: http.StatusServiceUnavailable, RetryAfter: after}
+}
+
+func (c *call) abandoned() *ingress.Response {
+	c.log(event.RequestAbandoned, 0, "caller_left")
+	return nil
+}
+
+// log writes the line that ends the work on a request.
+func (c *call) log(id event.ID, status int, reason string) {
+	now := c.node.opt.Now()
+	took := now.Sub(c.request.Arrived)
+	args := []any{"request", c.request.ID, "route", c.route.Name, "service", c.service, "version", c.version, "status", status, "reason", reason,
+		"took_ms", millis(took), "waited_ms", millis(c.waited), "attempts", c.attempts, "left_ms", c.end.Sub(now).Milliseconds()}
+	if l := c.lease; l != nil {
+		args = append(args, "upstream", l.Target.ID, "domain", l.Domain, "load", l.Load, "slots", l.Slots, "slowness", round(l.Slowness),
+			"expected_ms", millis(l.Expected), "warm", l.Warm, "cold", l.Cold)
+	}
+	if id != event.RequestAnswered {
+		directives, upstreams := c.node.catalog.Ages()
+		args = append(args, "directives_age_ms", directives.Milliseconds(), "upstreams_age_ms", upstreams.Milliseconds())
+	}
+	event.Log(c.node.logger, id, args...)
+}
+
+func millis(d time.Duration) float64 { return round(d.Seconds() * 1000) }
+
+func round(v float64) float64 { return float64(int64(v*10+0.5)) / 10 }
