Use kept connections after the deadline of their last request

Ruled out: connections closed by upstreams (every check found no bytes). Change: the check does not use the poller; tests of the exchange.

--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -73,11 +73,11 @@
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, does not fail for the deadline of the last request.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return quiet && err == nil
 }
--- /dev/null
+++ b/pkg/exchange/exchange_test.go
@@ -0,0 +1,184 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var testHeaders = Headers{RequestID: "X-Id", Deadline: "X-Deadline", AffinityKey: "X-Key", Signature: "X-Signature", Target: "X-Target",
+	Load: "X-Load", NotRun: "X-Not-Run", Upstream: "X-Upstream", ColdRemaining: "X-Cold"}
+
+// upstream answers every request on its connections with the text that reply
+// returns for the identifier of the request.
+type upstream struct {
+	address     string
+	connections atomic.Int64
+}
+
+func newUpstream(t *testing.T, reply func(id string, connection net.Conn) string) *upstream {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	u := &upstream{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.connections.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				b := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					text := reply(r.Header.Get("X-Id"), c)
+					if _, err := c.Write([]byte(text)); err != nil || text == "" {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return u
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nX-Load: 1,2,4,250\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func testClient() *Client { return NewClient(Config{Headers: testHeaders, Now: time.Now}) }
+
+func testRequest(id string) *Request {
+	return &Request{ID: id, Method: "GET", Head: []byte("GET /a HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\n"), Idempotent: true}
+}
+
+func do(c *Client, u *upstream, id string, wait time.Duration) *Result {
+	return c.Do(context.Background(), Target{ID: "u", Address: u.address, Near: true}, testRequest(id), time.Now().Add(wait), false)
+}
+
+// Guards against a kept connection that is thrown away because the deadline of
+// its last request has passed.
+func TestConnectionOutlivesDeadlineOfLastRequest(t *testing.T) {
+	u := newUpstream(t, func(id string, _ net.Conn) string { return whole(id, "x") })
+	c := testClient()
+	deadline := time.Now().Add(50 * time.Millisecond)
+	require.Equal(t, Answered, do(c, u, "1", 50*time.Millisecond).Outcome)
+	require.Eventually(t, func() bool { return time.Now().After(deadline.Add(10 * time.Millisecond)) }, time.Second, time.Millisecond)
+	require.Equal(t, Answered, do(c, u, "2", time.Second).Outcome)
+	require.EqualValues(t, 1, u.connections.Load())
+}
+
+// Guards against a late second answer that is taken for the next request's.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	u := newUpstream(t, func(id string, _ net.Conn) string { return whole("other", "wrong") + whole(id, "right") })
+	r := do(testClient(), u, "1", time.Second)
+	require.Equal(t, Answered, r.Outcome)
+	require.Equal(t, "right", string(r.Body))
+}
+
+// Guards against the reuse of a connection that holds a second answer.
+func TestConnectionWithExtraBytesIsNotUsedAgain(t *testing.T) {
+	u := newUpstream(t, func(id string, _ net.Conn) string { return whole(id, "x") + whole(id, "x") })
+	c := testClient()
+	require.Equal(t, Answered, do(c, u, "1", time.Second).Outcome)
+	require.Equal(t, Answered, do(c, u, "2", time.Second).Outcome)
+	require.EqualValues(t, 2, u.connections.Load())
+}
+
+// Guards against "not run" for a request that may have run, and against a
+// success that is not whole or not signed.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name, reply string
+		outcome     Outcome
+		reason      Reason
+	}{
+		{"shed", "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", NotRun, Shed},
+		{"misdirected", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", NotRun, Misdirected},
+		{"own failure", "HTTP/1.1 500 Error\r\nX-Id: 1\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n", Answered, Complete},
+		{"503 without the mark", "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n", Answered, Complete},
+		{"unsigned", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n", Unknown, Malformed},
+		{"without identifier", "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n", Unknown, Malformed},
+		{"cut short", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signature: s\r\nContent-Length: 10\r\n\r\nabc", Unknown, Lost},
+		{"closed", "", Unknown, Lost},
+		{"noise", "\x01\x02 not http\r\n\r\n", Unknown, Malformed},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			u := newUpstream(t, func(_ string, c net.Conn) string {
+				if strings.HasSuffix(tc.reply, "abc") {
+					_, _ = c.Write([]byte(tc.reply))
+					return ""
+				}
+				return tc.reply
+			})
+			r := do(testClient(), u, "1", time.Second)
+			require.Equal(t, tc.outcome, r.Outcome, "%v", r.Err)
+			require.Equal(t, tc.reason, r.Reason, "%v", r.Err)
+		})
+	}
+}
+
+// Guards against a time-out that is reported as broken bytes, and against an
+// upstream that is believed not to have run the request then.
+func TestSilenceTimesOut(t *testing.T) {
+	block := make(chan struct{})
+	defer close(block)
+	u := newUpstream(t, func(string, net.Conn) string { <-block; return "" })
+	r := do(testClient(), u, "1", 30*time.Millisecond)
+	require.Equal(t, Unknown, r.Outcome)
+	require.Equal(t, TimedOut, r.Reason)
+}
+
+// Guards against work that goes on after the caller has left.
+func TestCancelClosesConnection(t *testing.T) {
+	closed := make(chan struct{})
+	u := newUpstream(t, func(_ string, c net.Conn) string {
+		var b [1]byte
+		_, _ = c.Read(b[:])
+		close(closed)
+		return ""
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	r := testClient().Do(ctx, Target{ID: "u", Address: u.address}, testRequest("1"), time.Now().Add(5*time.Second), false)
+	require.Equal(t, Cancelled, r.Reason)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the upstream's connection stayed open")
+	}
+}
+
+// Guards against an unreachable upstream that counts as having run a request.
+func TestConnectFailureIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	r := testClient().Do(context.Background(), Target{ID: "u", Address: address}, testRequest("1"), time.Now().Add(time.Second), false)
+	require.Equal(t, NotRun, r.Outcome)
+	require.Equal(t, ConnectFailed, r.Reason)
+}
+
+// Guards against load reports that overflow or lack fields.
+func TestParseLoad(t *testing.T) {
+	require.Equal(t, Load{Known: true, Running: 3, Waiting: 0, Slots: 8, Slowness: 1}, parseLoad([]byte("3,0,8")))
+	require.Equal(t, 2.5, parseLoad([]byte("3,0,8,250")).Slowness)
+	for _, bad := range []string{"", "1,2", "-1,0,8", "a,b,c", "99999999999999999999,0,1"} {
+		require.False(t, parseLoad([]byte(bad)).Known, bad)
+	}
+}
