--- a/cmd/sequoia-node/main.go
+++ b/cmd/sequoia-instance/main.go
@@ -1,4 +1,4 @@
-// Command sequoia-node is the process of one instance on the platform.
+// Command sequoia-instance is the process of one instance on the platform.
 package main
 
 import (
@@ -8,7 +8,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
-	"github.com/sequoiacove/sequoiacove/pkg/node"
+	"github.com/sequoiacove/sequoiacove/pkg/instance"
 	"github.com/sequoiacove/sequoiacove/platform"
 )
 
@@ -17,7 +17,7 @@
 const settingsVariable = "SEQUOIACOVE_SETTINGS"
 
 func main() {
-	os.Exit(node.Main(os.Args[1:], settingsVariable, node.Platform{
+	os.Exit(instance.Main(os.Args[1:], settingsVariable, instance.Platform{
 		Headers:      platform.Headers(),
 		Paths:        platform.Paths(),
 		Decoder:      catalog.Decoder{Directive: platform.DecodeDirective, Upstream: platform.DecodeUpstream},
--- a/pkg/node/http.go
+++ b/pkg/instance/http.go
@@ -1,4 +1,4 @@
-package node
+package instance
 
 import (
 	"context"
@@ -22,39 +22,39 @@
 )
 
 // startHTTP serves look-ups, readiness checks, metrics and the state dump.
-func (n *Node) startHTTP(ctx context.Context, l *listeners) {
-	n.serveAPI(l.ready)
+func (i *Instance) startHTTP(ctx context.Context, l *listeners) {
+	i.serveAPI(l.ready)
 	if l.lookup != nil {
-		n.serveAPI(l.lookup)
+		i.serveAPI(l.lookup)
 	}
 	if l.admin != nil {
 		go func() {
-			if err := admin.ServeListener(ctx, l.admin, n.state, n.metrics.registry); err != nil {
-				event.Log(n.logger, event.ListenerFailed, "address", l.admin.Addr().String(), "error", err.Error())
+			if err := admin.ServeListener(ctx, l.admin, i.state, i.metrics.registry); err != nil {
+				event.Log(i.logger, event.ListenerFailed, "address", l.admin.Addr().String(), "error", err.Error())
 			}
 		}()
 	}
 }
 
-func (n *Node) serveAPI(l net.Listener) {
-	server := &fasthttp.Server{Handler: n.api, ReadTimeout: apiTimeout, WriteTimeout: apiTimeout, IdleTimeout: apiTimeout * 4, GetOnly: true,
+func (i *Instance) serveAPI(l net.Listener) {
+	server := &fasthttp.Server{Handler: i.api, ReadTimeout: apiTimeout, WriteTimeout: apiTimeout, IdleTimeout: apiTimeout * 4, GetOnly: true,
 		NoDefaultServerHeader: true, ReduceMemoryUsage: true, ReadBufferSize: 4 << 10, Logger: log.New(io.Discard, "", 0)}
 	go func() {
 		if err := server.Serve(l); err != nil {
-			event.Log(n.logger, event.ListenerFailed, "address", l.Addr().String(), "error", err.Error())
+			event.Log(i.logger, event.ListenerFailed, "address", l.Addr().String(), "error", err.Error())
 		}
 	}()
 }
 
-func (n *Node) api(ctx *fasthttp.RequestCtx) {
+func (i *Instance) api(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
-	case n.opt.Platform.Paths.Ready:
-		if !n.ready() {
+	case i.opt.Platform.Paths.Ready:
+		if !i.ready() {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
-	case n.opt.Platform.Paths.Lookup:
+	case i.opt.Platform.Paths.Lookup:
 		args := ctx.QueryArgs()
-		n.lookup(ctx, string(args.Peek(n.opt.Platform.Paths.LookupRegion)), string(args.Peek(n.opt.Platform.Paths.LookupDomain)))
+		i.lookup(ctx, string(args.Peek(i.opt.Platform.Paths.LookupRegion)), string(args.Peek(i.opt.Platform.Paths.LookupDomain)))
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -62,11 +62,11 @@
 
 // lookup answers with the instances that should serve a caller: those of its
 // region, or all if the region has none.
-func (n *Node) lookup(ctx *fasthttp.RequestCtx, region, domain string) {
+func (i *Instance) lookup(ctx *fasthttp.RequestCtx, region, domain string) {
 	if region == "" {
-		region = n.settings.Regions[domain]
+		region = i.settings.Regions[domain]
 	}
-	near, all := n.serving(region)
+	near, all := i.serving(region)
 	if len(near) > 0 {
 		all = near
 	}
@@ -74,24 +74,24 @@
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	for i := range all {
-		j := i + int(n.opt.Random()*float64(len(all)-i))
-		all[i], all[j] = all[j], all[i]
+	for a := range all {
+		b := a + int(i.opt.Random()*float64(len(all)-a))
+		all[a], all[b] = all[b], all[a]
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(n.opt.Platform.LookupAnswer(all[:min(maxLookup, len(all))], min(lookupTTL, n.settings.Bounds.MaxLookupTTL)))
+	ctx.SetBody(i.opt.Platform.LookupAnswer(all[:min(maxLookup, len(all))], min(lookupTTL, i.settings.Bounds.MaxLookupTTL)))
 }
 
 // serving returns the caller addresses of the serving instances of a region and
 // of all regions.
-func (n *Node) serving(region string) (near, all []string) {
-	if n.ready() {
-		all = append(all, n.settings.CallerAddress)
-		if n.settings.Region == region {
-			near = append(near, n.settings.CallerAddress)
+func (i *Instance) serving(region string) (near, all []string) {
+	if i.ready() {
+		all = append(all, i.settings.CallerAddress)
+		if i.settings.Region == region {
+			near = append(near, i.settings.CallerAddress)
 		}
 	}
-	for _, m := range *n.live.Load() {
+	for _, m := range *i.live.Load() {
 		if m.State != mesh.Serving {
 			continue
 		}
@@ -121,12 +121,12 @@
 	Dials          int64         `json:"upstream_connections_opened"`
 }
 
-func (n *Node) state() any {
-	v := n.catalog.View()
-	d, u := n.catalog.Revisions()
-	s := stateDump{Instance: n.settings.ID, Region: n.settings.Region, Domain: n.settings.Domain, Directives: d, Upstreams: u,
-		StoreDown: n.catalog.StoreDown(), StoreCalls: n.catalog.Calls(), Connections: n.ingress.Connections(), InFlight: n.ingress.Active(),
-		Members: *n.live.Load(), KnownUpstreams: len(v.Upstreams), Dials: n.client.Dials()}
+func (i *Instance) state() any {
+	v := i.catalog.View()
+	d, u := i.catalog.Revisions()
+	s := stateDump{Instance: i.settings.ID, Region: i.settings.Region, Domain: i.settings.Domain, Directives: d, Upstreams: u,
+		StoreDown: i.catalog.StoreDown(), StoreCalls: i.catalog.Calls(), Connections: i.ingress.Connections(), InFlight: i.ingress.Active(),
+		Members: *i.live.Load(), KnownUpstreams: len(v.Upstreams), Dials: i.client.Dials()}
 	if v.Config != nil {
 		s.Version = int64(v.Config.Version)
 	}
--- a/pkg/node/node.go
+++ b/pkg/instance/instance.go
@@ -1,10 +1,10 @@
-// Package node is the process of one instance: it serves callers, answers
+// Package instance is the process of one instance: it serves callers, answers
 // look-ups and readiness checks, and steers each request to an upstream.
 //
 // An instance needs nothing but its settings to start. It learns the
 // configuration and the upstreams from the platform's store, or from its peers
 // while the store is away, and keeps serving with what it knows.
-package node
+package instance
 
 import (
 	"context"
@@ -44,7 +44,7 @@
 	ParseBounds  BoundsParser
 }
 
-// Options holds the inputs of a Node.
+// Options holds the inputs of a Instance.
 type Options struct {
 	Settings *Settings
 	Platform Platform
@@ -54,8 +54,8 @@
 	Logger *slog.Logger
 }
 
-// Node is one instance.
-type Node struct {
+// Instance is one instance.
+type Instance struct {
 	opt      Options
 	settings *Settings
 	logger   *slog.Logger
@@ -65,7 +65,7 @@
 	client   *exchange.Client
 	ingress  *ingress.Server
 	mesh     *mesh.Mesh
-	metrics  *nodeMetrics
+	metrics  *instanceMetrics
 
 	live atomic.Pointer[[]mesh.Member]
 	// stopAt is the time in Unix nanoseconds at which a leaving instance
@@ -76,50 +76,50 @@
 	behind   map[string]time.Time
 }
 
-// New returns a Node; Run opens its listeners.
-func New(opt Options) *Node {
+// New returns a Instance; Run opens its listeners.
+func New(opt Options) *Instance {
 	s := opt.Settings
-	n := &Node{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), started: opt.Now(), behind: make(map[string]time.Time)}
-	n.live.Store(&[]mesh.Member{})
-	n.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now})
-	n.balancer = balance.New(balance.Config{Instance: s.ID, Region: s.Region, Domain: s.Domain, Regions: s.Regions, Bounds: s.Bounds,
-		Now: opt.Now, Random: opt.Random, Logger: opt.Logger, Forget: n.client.Forget})
-	n.store = opt.Platform.NewStore(s.StoreAddress)
-	n.catalog = catalog.New(catalog.Options{Store: n.store, Decode: opt.Platform.Decoder, Now: opt.Now, Random: opt.Random, Logger: opt.Logger, Changed: n.balancer.Update})
-	n.ingress = ingress.NewServer(ingress.Config{Headers: opt.Platform.Headers, Now: opt.Now, Handler: n, Limits: n.limits,
+	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), started: opt.Now(), behind: make(map[string]time.Time)}
+	i.live.Store(&[]mesh.Member{})
+	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now})
+	i.balancer = balance.New(balance.Config{Instance: s.ID, Region: s.Region, Domain: s.Domain, Regions: s.Regions, Bounds: s.Bounds,
+		Now: opt.Now, Random: opt.Random, Logger: opt.Logger, Forget: i.client.Forget})
+	i.store = opt.Platform.NewStore(s.StoreAddress)
+	i.catalog = catalog.New(catalog.Options{Store: i.store, Decode: opt.Platform.Decoder, Now: opt.Now, Random: opt.Random, Logger: opt.Logger, Changed: i.balancer.Update})
+	i.ingress = ingress.NewServer(ingress.Config{Headers: opt.Platform.Headers, Now: opt.Now, Handler: i, Limits: i.limits,
 		MaxConnections: s.Descriptors * 3 / 5, MaxBufferedBytes: megabytes(s.MemoryMB) / 4})
-	return n
+	return i
 }
 
-func (n *Node) limits() steering.Limits {
-	if c := n.catalog.View().Config; c != nil {
+func (i *Instance) limits() steering.Limits {
+	if c := i.catalog.View().Config; c != nil {
 		return c.Limits
 	}
 	return steering.Limits{}
 }
 
 // Run serves until ctx ends and then stops gracefully.
-func (n *Node) Run(ctx context.Context) error {
-	listeners, err := n.listen()
+func (i *Instance) Run(ctx context.Context) error {
+	listeners, err := i.listen()
 	if err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	n.startMesh(background, listeners)
-	go n.catalog.Run(background)
-	go n.maintain(background)
-	go n.register(background)
-	n.startHTTP(background, listeners)
+	i.startMesh(background, listeners)
+	go i.catalog.Run(background)
+	go i.maintain(background)
+	go i.register(background)
+	i.startHTTP(background, listeners)
 	served := make(chan error, 1)
-	go func() { served <- n.ingress.Serve(listeners.callers) }()
-	event.Log(n.logger, event.ProcessStarted, "region", n.settings.Region, "domain", n.settings.Domain, "callers", n.settings.CallerAddress, "mesh", n.settings.MeshAddress)
+	go func() { served <- i.ingress.Serve(listeners.callers) }()
+	event.Log(i.logger, event.ProcessStarted, "region", i.settings.Region, "domain", i.settings.Domain, "callers", i.settings.CallerAddress, "mesh", i.settings.MeshAddress)
 	select {
 	case <-ctx.Done():
 	case err := <-served:
 		return err
 	}
-	n.stop(listeners)
+	i.stop(listeners)
 	return nil
 }
 
@@ -133,9 +133,9 @@
 	datagrams net.PacketConn
 }
 
-func (n *Node) listen() (*listeners, error) {
+func (i *Instance) listen() (*listeners, error) {
 	l := &listeners{}
-	s := n.settings
+	s := i.settings
 	var err error
 	if l.datagrams, err = net.ListenPacket("udp4", s.MeshAddress); err != nil {
 		return nil, result.New(result.SettingsInvalid, "mesh address: %v", err)
@@ -148,73 +148,73 @@
 			continue
 		}
 		if *x.target, err = net.Listen("tcp4", x.address); err != nil {
-			event.Log(n.logger, event.ListenerFailed, "address", x.address, "error", err.Error())
+			event.Log(i.logger, event.ListenerFailed, "address", x.address, "error", err.Error())
 			return nil, result.New(result.SettingsInvalid, "address %s: %v", x.address, err)
 		}
 	}
 	return l, nil
 }
 
-func (n *Node) startMesh(ctx context.Context, l *listeners) {
-	s := n.settings
-	n.mesh = mesh.New(mesh.Config{
+func (i *Instance) startMesh(ctx context.Context, l *listeners) {
+	s := i.settings
+	i.mesh = mesh.New(mesh.Config{
 		Self:        mesh.Member{ID: s.ID, Region: s.Region, Domain: s.Domain, Caller: s.CallerAddress, Address: s.MeshAddress},
-		Incarnation: uint64(n.opt.Random() * (1 << 62)),
-		Seeds:       s.Seeds, Now: n.opt.Now, Random: n.opt.Random, Logger: n.logger,
-		Local: n.local, InFlight: n.balancer.InFlight, Demands: n.balancer.Demands,
-		Load: n.balancer.SetPeerInFlight, Demand: n.balancer.SetPeerDemand, Members: n.setMembers,
+		Incarnation: uint64(i.opt.Random() * (1 << 62)),
+		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
+		Local: i.local, InFlight: i.balancer.InFlight, Demands: i.balancer.Demands,
+		Load: i.balancer.SetPeerInFlight, Demand: i.balancer.SetPeerDemand, Members: i.setMembers,
 	}, l.datagrams)
-	go n.mesh.Run(ctx)
-	go mesh.ServeSnapshots(l.snapshots, n.opt.Now, n.catalog.Snapshot)
+	go i.mesh.Run(ctx)
+	go mesh.ServeSnapshots(l.snapshots, i.opt.Now, i.catalog.Snapshot)
 }
 
 // local tells the peers what this instance is and knows.
-func (n *Node) local() mesh.Local {
-	directives, upstreams := n.catalog.Revisions()
+func (i *Instance) local() mesh.Local {
+	directives, upstreams := i.catalog.Revisions()
 	state := mesh.Serving
 	switch {
-	case n.leaving():
+	case i.leaving():
 		state = mesh.Leaving
-	case !n.ready():
+	case !i.ready():
 		state = mesh.Starting
 	}
 	return mesh.Local{State: state, Directives: directives, Upstreams: upstreams}
 }
 
-func (n *Node) setMembers(list []mesh.Member) {
-	n.live.Store(&list)
+func (i *Instance) setMembers(list []mesh.Member) {
+	i.live.Store(&list)
 	instances := make([]balance.Instance, 0, len(list))
 	for _, m := range list {
 		instances = append(instances, balance.Instance{ID: m.ID, Region: m.Region})
 	}
-	n.balancer.SetInstances(instances)
+	i.balancer.SetInstances(instances)
 }
 
 // ready tells whether the instance can steer requests.
-func (n *Node) ready() bool {
-	v := n.catalog.View()
-	return v.Config != nil && !n.leaving()
+func (i *Instance) ready() bool {
+	v := i.catalog.View()
+	return v.Config != nil && !i.leaving()
 }
 
-func (n *Node) leaving() bool { return n.stopAt.Load() != 0 }
+func (i *Instance) leaving() bool { return i.stopAt.Load() != 0 }
 
 // maintain runs the periodic work.
-func (n *Node) maintain(ctx context.Context) {
+func (i *Instance) maintain(ctx context.Context) {
 	const step = 250 * time.Millisecond
 	t := time.NewTicker(step)
 	defer t.Stop()
-	last := n.opt.Now()
+	last := i.opt.Now()
 	for {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			return
 		}
-		now := n.opt.Now()
-		n.catalog.Expire()
-		n.balancer.ExpirePeers()
-		n.balancer.Rebalance(min(now.Sub(last), 2*step))
-		n.catchUp(ctx, now)
+		now := i.opt.Now()
+		i.catalog.Expire()
+		i.balancer.ExpirePeers()
+		i.balancer.Rebalance(min(now.Sub(last), 2*step))
+		i.catchUp(ctx, now)
 		last = now
 	}
 }
@@ -229,54 +229,54 @@
 )
 
 // catchUp fetches the snapshot of a peer that has known more for a while.
-func (n *Node) catchUp(ctx context.Context, now time.Time) {
-	directives, upstreams := n.catalog.Revisions()
-	for _, m := range n.mesh.Live() {
+func (i *Instance) catchUp(ctx context.Context, now time.Time) {
+	directives, upstreams := i.catalog.Revisions()
+	for _, m := range i.mesh.Live() {
 		if m.Directives <= directives && m.Upstreams <= upstreams {
-			delete(n.behind, m.ID)
+			delete(i.behind, m.ID)
 			continue
 		}
-		since, ok := n.behind[m.ID]
+		since, ok := i.behind[m.ID]
 		if !ok {
-			n.behind[m.ID] = now
+			i.behind[m.ID] = now
 			since = now
 		}
 		if directives != 0 && upstreams != 0 && now.Sub(since) < catchUpDelay {
 			continue
 		}
-		clear(n.behind)
-		s, err := mesh.FetchSnapshot(ctx, m.Address, n.opt.Now)
+		clear(i.behind)
+		s, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now)
 		if err != nil {
-			event.Log(n.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
+			event.Log(i.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
 			return
 		}
-		n.metrics.snapshots.Inc(1)
-		n.catalog.Merge(s, m.ID)
+		i.metrics.snapshots.Inc(1)
+		i.catalog.Merge(s, m.ID)
 		return
 	}
 }
 
 // register makes the own mesh address known through the store and learns those
 // of the others, until the store has answered once.
-func (n *Node) register(ctx context.Context) {
+func (i *Instance) register(ctx context.Context) {
 	put := false
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, registerCall)
 		var err error
 		if !put {
-			err = n.store.Put(call, catalog.Instances, n.settings.ID, []byte(n.settings.MeshAddress))
+			err = i.store.Put(call, catalog.Instances, i.settings.ID, []byte(i.settings.MeshAddress))
 			put = err == nil
 		}
 		if put {
 			var l catalog.Listing
-			if l, err = n.store.List(call, catalog.Instances); err == nil {
+			if l, err = i.store.List(call, catalog.Instances); err == nil {
 				cancel()
-				n.addInstances(l)
+				i.addInstances(l)
 				return
 			}
 		}
 		cancel()
-		event.Log(n.logger, event.RegistrationFailed, "error", err.Error())
+		event.Log(i.logger, event.RegistrationFailed, "error", err.Error())
 		select {
 		case <-time.After(registerRetry):
 		case <-ctx.Done():
@@ -284,26 +284,26 @@
 	}
 }
 
-func (n *Node) addInstances(l catalog.Listing) {
+func (i *Instance) addInstances(l catalog.Listing) {
 	var list []string
 	for _, r := range l.Rows {
-		if _, _, err := net.SplitHostPort(string(r.Value)); err == nil && r.Key != n.settings.ID {
+		if _, _, err := net.SplitHostPort(string(r.Value)); err == nil && r.Key != i.settings.ID {
 			list = append(list, string(r.Value))
 		}
 	}
-	n.mesh.AddAddresses(list)
+	i.mesh.AddAddresses(list)
 }
 
-// nodeMetrics holds the counters of an instance.
-type nodeMetrics struct {
+// instanceMetrics holds the counters of an instance.
+type instanceMetrics struct {
 	registry  metrics.Registry
 	snapshots metrics.Counter
 	hedges    metrics.Counter
 	repeats   metrics.Counter
 }
 
-func newMetrics() *nodeMetrics {
+func newMetrics() *instanceMetrics {
 	r := metrics.NewRegistry()
-	return &nodeMetrics{registry: r, snapshots: metrics.NewRegisteredCounter("snapshots_fetched", r),
+	return &instanceMetrics{registry: r, snapshots: metrics.NewRegisteredCounter("snapshots_fetched", r),
 		hedges: metrics.NewRegisteredCounter("hedges", r), repeats: metrics.NewRegisteredCounter("repeats", r)}
 }
--- a/pkg/node/log.go
+++ b/pkg/instance/log.go
@@ -1,4 +1,4 @@
-package node
+package instance
 
 import (
 	"bytes"
--- a/pkg/node/main.go
+++ b/pkg/instance/main.go
@@ -1,4 +1,4 @@
-package node
+package instance
 
 import (
 	"context"
@@ -27,16 +27,16 @@
 
 // Main runs the process of an instance and returns its exit status.
 func Main(args []string, settingsVariable string, p Platform) int {
-	app := kingpin.New("sequoia-node", "Steers the requests of callers to upstreams on one instance.")
+	app := kingpin.New("sequoia-instance", "Steers the requests of callers to upstreams on one instance.")
 	file := app.Flag("settings", "Settings file of the instance.").Envar(settingsVariable).Required().ExistingFile()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	if _, err := app.Parse(args); err != nil {
-		fmt.Fprintf(os.Stderr, "sequoia-node: %v\n", err)
+		fmt.Fprintf(os.Stderr, "sequoia-instance: %v\n", err)
 		return 2
 	}
 	s, err := LoadSettings(*file, p.ParseBounds)
 	if err != nil {
-		event.Log(event.NewLogger(os.Stdout, 0, "node", ""), event.SettingsInvalid, "file", *file, "errors", result.Detail(err))
+		event.Log(event.NewLogger(os.Stdout, 0, "instance", ""), event.SettingsInvalid, "file", *file, "errors", result.Detail(err))
 		return 1
 	}
 	if *check {
@@ -46,13 +46,13 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(megabytes(s.MemoryMB))))
 	out := newLogWriter(os.Stdout)
 	defer out.Close(closeTimeout)
-	logger := event.NewLogger(out, s.LogLevel, "node", s.ID)
+	logger := event.NewLogger(out, s.LogLevel, "instance", s.ID)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	n := New(Options{Settings: s, Platform: p, Now: time.Now, Random: rand.Float64, Logger: logger})
-	go n.watchLog(ctx, out)
-	go n.watchSettings(ctx, *file)
-	if err := n.Run(ctx); err != nil {
+	i := New(Options{Settings: s, Platform: p, Now: time.Now, Random: rand.Float64, Logger: logger})
+	go i.watchLog(ctx, out)
+	go i.watchSettings(ctx, *file)
+	if err := i.Run(ctx); err != nil {
 		event.Log(logger, event.ListenerFailed, "error", err.Error())
 		return 1
 	}
@@ -60,7 +60,7 @@
 }
 
 // watchLog reports dropped log lines.
-func (n *Node) watchLog(ctx context.Context, out *logWriter) {
+func (i *Instance) watchLog(ctx context.Context, out *logWriter) {
 	const interval = 5 * time.Second
 	t := time.NewTicker(interval)
 	defer t.Stop()
@@ -72,7 +72,7 @@
 			return
 		}
 		if dropped, total := out.Dropped(); dropped > last {
-			event.Log(n.logger, event.LogLinesDropped, "dropped", dropped-last, "all", total)
+			event.Log(i.logger, event.LogLinesDropped, "dropped", dropped-last, "all", total)
 			last = dropped
 		}
 	}
@@ -80,7 +80,7 @@
 
 // watchSettings reads the settings again on SIGHUP and takes the bounds; all
 // other settings need a restart.
-func (n *Node) watchSettings(ctx context.Context, file string) {
+func (i *Instance) watchSettings(ctx context.Context, file string) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -90,13 +90,13 @@
 		case <-ctx.Done():
 			return
 		}
-		s, err := LoadSettings(file, n.opt.Platform.ParseBounds)
+		s, err := LoadSettings(file, i.opt.Platform.ParseBounds)
 		if err != nil {
-			event.Log(n.logger, event.SettingsInvalid, "file", file, "errors", result.Detail(err))
+			event.Log(i.logger, event.SettingsInvalid, "file", file, "errors", result.Detail(err))
 			continue
 		}
-		n.balancer.SetBounds(s.Bounds)
-		n.mesh.AddAddresses(s.Seeds)
-		event.Log(n.logger, event.SettingsReloaded, "file", file)
+		i.balancer.SetBounds(s.Bounds)
+		i.mesh.AddAddresses(s.Seeds)
+		event.Log(i.logger, event.SettingsReloaded, "file", file)
 	}
 }
--- a/pkg/node/serve.go
+++ b/pkg/instance/serve.go
@@ -1,4 +1,4 @@
-package node
+package instance
 
 import (
 	"context"
@@ -39,7 +39,7 @@
 
 // call is the work on one request.
 type call struct {
-	node     *Node
+	instance *Instance
 	request  *ingress.Request
 	route    *steering.Route
 	version  steering.Version
@@ -54,8 +54,8 @@
 }
 
 // Idempotent implements ingress.Handler.
-func (n *Node) Idempotent(r *ingress.Request) bool {
-	c := n.catalog.View().Config
+func (i *Instance) Idempotent(r *ingress.Request) bool {
+	c := i.catalog.View().Config
 	if c == nil {
 		return true
 	}
@@ -64,21 +64,21 @@
 }
 
 // Serve implements ingress.Handler.
-func (n *Node) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
-	config := n.catalog.View().Config
+func (i *Instance) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
+	config := i.catalog.View().Config
 	if config == nil {
-		event.Log(n.logger, event.RequestRefused, "request", r.ID, "reason", "no_configuration")
+		event.Log(i.logger, event.RequestRefused, "request", r.ID, "reason", "no_configuration")
 		return &ingress.Response{Status: http.StatusServiceUnavailable, RetryAfter: comeBack}
 	}
 	route := config.Match(r.Host, r.URI)
 	if route == nil {
-		event.Log(n.logger, event.RequestRefused, "request", r.ID, "reason", "no_route", "host", r.Host, "path", r.URI, "version", config.Version)
+		event.Log(i.logger, event.RequestRefused, "request", r.ID, "reason", "no_route", "host", r.Host, "path", r.URI, "version", config.Version)
 		return &ingress.Response{Status: http.StatusNotFound}
 	}
 	r.Idempotent = route.Idempotent
-	c := &call{node: n, request: r, route: route, version: config.Version, service: n.balancer.Service(route)}
+	c := &call{instance: i, request: r, route: route, version: config.Version, service: i.balancer.Service(route)}
 	c.end = c.deadline()
-	if !n.mayStart(c) {
+	if !i.mayStart(c) {
 		return c.refuse("leaving")
 	}
 	return c.run(ctx)
@@ -97,18 +97,18 @@
 }
 
 // mayStart tells whether a request can end before a leaving instance stops.
-func (n *Node) mayStart(c *call) bool {
-	stop := n.stopAt.Load()
+func (i *Instance) mayStart(c *call) bool {
+	stop := i.stopAt.Load()
 	if stop == 0 {
 		return true
 	}
-	since := n.opt.Now().Sub(time.Unix(0, n.leavesAt.Load()))
+	since := i.opt.Now().Sub(time.Unix(0, i.leavesAt.Load()))
 	return since < latestStart || c.end.Before(time.Unix(0, stop))
 }
 
 // run tries upstreams until the request has its answer.
 func (c *call) run(ctx context.Context) *ingress.Response {
-	n := c.node
+	i := c.instance
 	for tries := 0; ; tries++ {
 		lease := c.acquire(ctx, tries > 0)
 		if ctx.Err() != nil && lease == nil {
@@ -128,7 +128,7 @@
 		if r.Outcome != exchange.Answered && !c.mayRepeat(r, tries) {
 			return c.giveUp(r.Reason.String())
 		}
-		n.metrics.repeats.Inc(1)
+		i.metrics.repeats.Inc(1)
 	}
 }
 
@@ -138,11 +138,11 @@
 	if target <= 0 {
 		target = defaultTarget
 	}
-	start := c.node.opt.Now()
+	start := c.instance.opt.Now()
 	hold := time.Duration(holdPart*float64(target)) - start.Sub(c.request.Arrived)
 	hold = min(hold, c.end.Sub(start))
-	l := c.node.balancer.Acquire(ctx, balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: again}, hold)
-	c.waited += c.node.opt.Now().Sub(start)
+	l := c.instance.balancer.Acquire(ctx, balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: again}, hold)
+	c.waited += c.instance.opt.Now().Sub(start)
 	return l
 }
 
@@ -150,7 +150,7 @@
 // takes the repeat from the budget.
 func (c *call) mayRepeat(r *exchange.Result, tries int) bool {
 	switch {
-	case c.end.Sub(c.node.opt.Now()) < hedgeFloor/2:
+	case c.end.Sub(c.instance.opt.Now()) < hedgeFloor/2:
 		return false
 	case r.Reason == exchange.ConnectFailed:
 		// Nothing reached the upstream.
@@ -158,7 +158,7 @@
 	case r.Outcome != exchange.NotRun && !c.route.Idempotent:
 		return false
 	}
-	return c.attempts < c.route.MaxAttempts && c.node.balancer.AllowRepeat(c.service)
+	return c.attempts < c.route.MaxAttempts && c.instance.balancer.AllowRepeat(c.service)
 }
 
 // attempt sends the request to an upstream and, if the answer takes long, an
@@ -193,21 +193,21 @@
 
 // hedge returns a second upstream with a free slot, if the budget allows it.
 func (c *call) hedge(ctx context.Context) *balance.Lease {
-	if c.end.Sub(c.node.opt.Now()) < hedgeFloor {
+	if c.end.Sub(c.instance.opt.Now()) < hedgeFloor {
 		return nil
 	}
-	l := c.node.balancer.Acquire(ctx, balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: true, Idle: true}, 0)
+	l := c.instance.balancer.Acquire(ctx, balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: true, Idle: true}, 0)
 	if l == nil {
 		return nil
 	}
-	if !c.node.balancer.AllowRepeat(c.service) {
+	if !c.instance.balancer.AllowRepeat(c.service) {
 		l.Done(&exchange.Result{Outcome: exchange.NotRun, Reason: exchange.Cancelled})
 		return nil
 	}
 	c.begin(l)
 	c.hedged = true
-	c.node.metrics.hedges.Inc(1)
-	event.Log(c.node.logger, event.RequestHedged, "request", c.request.ID, "upstream", l.Target.ID, "load", l.Load, "slots", l.Slots)
+	c.instance.metrics.hedges.Inc(1)
+	event.Log(c.instance.logger, event.RequestHedged, "request", c.request.ID, "upstream", l.Target.ID, "load", l.Load, "slots", l.Slots)
 	return l
 }
 
@@ -241,10 +241,10 @@
 
 // exchange makes one attempt and gives its lease back.
 func (c *call) exchange(ctx context.Context, l *balance.Lease, fresh bool) *exchange.Result {
-	r := c.node.client.Do(ctx, l.Target, &c.request.Request, c.end, fresh)
+	r := c.instance.client.Do(ctx, l.Target, &c.request.Request, c.end, fresh)
 	l.Done(r)
 	if r.Reason != exchange.Complete && r.Reason != exchange.Cancelled {
-		event.Log(c.node.logger, event.AttemptFailed, "request", c.request.ID, "upstream", l.Target.ID, "reason", r.Reason.String(), "status", r.Status,
+		event.Log(c.instance.logger, event.AttemptFailed, "request", c.request.ID, "upstream", l.Target.ID, "reason", r.Reason.String(), "status", r.Status,
 			"took_ms", r.Elapsed.Milliseconds(), "new_connection", r.NewConnection, "load", l.Load, "slots", l.Slots, "error", errorText(r.Err))
 	}
 	return r
@@ -289,8 +289,8 @@
 
 // refuse answers a request that has not run.
 func (c *call) refuse(reason string) *ingress.Response {
-	left := c.request.Arrived.Add(c.request.Wait).Sub(c.node.opt.Now())
-	after := comeBack + time.Duration(c.node.opt.Random()*float64(comeBackSpread))
+	left := c.request.Arrived.Add(c.request.Wait).Sub(c.instance.opt.Now())
+	after := comeBack + time.Duration(c.instance.opt.Random()*float64(comeBackSpread))
 	after = max(time.Millisecond, min(after, time.Duration(waitPart*float64(left))))
 	c.log(event.RequestRefused, http.StatusServiceUnavailable, reason)
 	return &ingress.Response{Status: http.StatusServiceUnavailable, RetryAfter: after}
@@ -303,7 +303,7 @@
 
 // log writes the line that ends the work on a request.
 func (c *call) log(id event.ID, status int, reason string) {
-	now := c.node.opt.Now()
+	now := c.instance.opt.Now()
 	took := now.Sub(c.request.Arrived)
 	args := []any{"request", c.request.ID, "route", c.route.Name, "service", c.service, "version", c.version, "status", status, "reason", reason,
 		"took_ms", millis(took), "waited_ms", millis(c.waited), "attempts", c.attempts, "left_ms", c.end.Sub(now).Milliseconds()}
@@ -312,10 +312,10 @@
 			"expected_ms", millis(l.Expected), "warm", l.Warm, "cold", l.Cold)
 	}
 	if id != event.RequestAnswered {
-		directives, upstreams := c.node.catalog.Ages()
+		directives, upstreams := c.instance.catalog.Ages()
 		args = append(args, "directives_age_ms", directives.Milliseconds(), "upstreams_age_ms", upstreams.Milliseconds())
 	}
-	event.Log(c.node.logger, id, args...)
+	event.Log(c.instance.logger, id, args...)
 }
 
 func millis(d time.Duration) float64 { return round(d.Seconds() * 1000) }
--- a/pkg/node/stop.go
+++ b/pkg/instance/stop.go
@@ -1,4 +1,4 @@
-package node
+package instance
 
 import (
 	"context"
@@ -22,20 +22,20 @@
 
 // stop leaves: look-ups of all instances drop this one, callers are told to
 // connect elsewhere, and the requests in flight are answered.
-func (n *Node) stop(l *listeners) {
-	now := n.opt.Now()
-	grace := n.settings.Bounds.Grace
+func (i *Instance) stop(l *listeners) {
+	now := i.opt.Now()
+	grace := i.settings.Bounds.Grace
 	end := now.Add(grace - exitMargin)
-	n.leavesAt.Store(now.UnixNano())
-	n.stopAt.Store(end.UnixNano())
-	event.Log(n.logger, event.ProcessStopping, "grace_ms", grace.Milliseconds(), "in_flight", n.ingress.Active(), "connections", n.ingress.Connections())
-	n.ingress.Drain()
-	n.mesh.Announce()
+	i.leavesAt.Store(now.UnixNano())
+	i.stopAt.Store(end.UnixNano())
+	event.Log(i.logger, event.ProcessStopping, "grace_ms", grace.Milliseconds(), "in_flight", i.ingress.Active(), "connections", i.ingress.Connections())
+	i.ingress.Drain()
+	i.mesh.Announce()
 	time.Sleep(time.Duration(acceptPart * float64(grace)))
 	// A listener that fails to close ends with the process.
 	_ = l.callers.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(n.opt.Now()))
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(i.opt.Now()))
 	defer cancel()
-	n.ingress.Close(ctx)
-	event.Log(n.logger, event.ProcessStopped, "in_flight", n.ingress.Active(), "took_ms", n.opt.Now().Sub(now).Milliseconds())
+	i.ingress.Close(ctx)
+	event.Log(i.logger, event.ProcessStopped, "in_flight", i.ingress.Active(), "took_ms", i.opt.Now().Sub(now).Milliseconds())
 }
