--- a/pkg/balance/admit.go
+++ b/pkg/balance/admit.go
@@ -24,7 +24,7 @@
 
 // queueDepth is the number of requests that may wait at an upstream, by the
 // priority of the route. The least urgent ones are refused first.
-var queueDepth = [...]int{4, 2, 1}
+var queueDepth = [...]int{6, 4, 2}
 
 func depth(priority int) int {
 	return queueDepth[min(max(priority, 0), len(queueDepth)-1)]
