Give the mesh two levels and let two instances a region watch the store

Change: datagrams go to the own region; its gateway sends digests to the others. Two instances a region watch the store, the others fetch the changes that these announce. Peers pass on changes instead of whole tables.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -235,10 +235,4 @@
 	for _, i := range list {
 		b.instances[i.ID] = i
 	}
-	for id := range b.peers {
-		if _, ok := b.instances[id]; !ok {
-			b.setPeer(id, nil)
-			delete(b.peers, id)
-		}
-	}
 }
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -2,17 +2,23 @@
 
 import "time"
 
-// peerLoad is what an instance reported of itself.
+// peerLoad is what an instance of the own region reported of itself, or what
+// the gateway of another region reported of that region.
 type peerLoad struct {
+	region string
 	// inFlight maps hashes of upstream ids to requests in flight.
 	inFlight map[uint32]int
 	// demand maps hashes of service and route to the load of its callers.
-	demand map[uint32]float64
-	at     time.Time
+	demand   map[uint32]float64
+	at       time.Time
+	demandAt time.Time
 }
 
 // peerMemory is how long a report of requests in flight counts.
-const peerMemory = time.Second
+const peerMemory = 2 * time.Second
+
+// demandMemory is how long a report of demand counts.
+const demandMemory = 5 * time.Second
 
 // InFlight is the number of requests that an instance has at an upstream.
 type InFlight struct {
@@ -33,19 +39,17 @@
 	return list
 }
 
-// SetPeerInFlight takes the report of a peer.
-func (b *Balancer) SetPeerInFlight(id string, list []InFlight) {
+// SetPeerInFlight takes the report of a peer in a region.
+func (b *Balancer) SetPeerInFlight(id, region string, list []InFlight) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, ok := b.instances[id]; !ok {
-		return
-	}
 	reported := make(map[uint32]int, len(list))
 	for _, f := range list {
 		if f.Count > 0 {
 			reported[f.Upstream] = f.Count
 		}
 	}
+	b.peer(id).region = region
 	b.setPeer(id, reported)
 	b.dispatchAll()
 }
@@ -74,18 +78,16 @@
 	return p
 }
 
-// SetPeerDemand takes the load of a peer's callers.
-func (b *Balancer) SetPeerDemand(id string, list []Demand) {
+// SetPeerDemand takes the load of the callers of a peer in a region.
+func (b *Balancer) SetPeerDemand(id, region string, list []Demand) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, ok := b.instances[id]; !ok {
-		return
-	}
 	demand := make(map[uint32]float64, len(list))
 	for _, d := range list {
 		demand[d.Route] = d.Slots
 	}
-	b.peer(id).demand = demand
+	p := b.peer(id)
+	p.region, p.demand, p.demandAt = region, demand, b.config.Now()
 }
 
 // ExpirePeers forgets reports that are too old to tell the load.
@@ -97,6 +99,45 @@
 		if len(p.inFlight) > 0 && now.Sub(p.at) > peerMemory {
 			b.setPeer(id, nil)
 		}
+		if now.Sub(p.at) > demandMemory && now.Sub(p.demandAt) > demandMemory {
+			b.setPeer(id, nil)
+			delete(b.peers, id)
+		}
 	}
 	b.dispatchAll()
 }
+
+// RegionReport sums the requests in flight and the demands of the own region.
+func (b *Balancer) RegionReport() ([]InFlight, []Demand) {
+	own := b.Demands()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	demand := make(map[uint32]float64)
+	for _, d := range own {
+		demand[d.Route] += d.Slots
+	}
+	for _, p := range b.peers {
+		if p.region == b.config.Region {
+			for route, slots := range p.demand {
+				demand[route] += slots
+			}
+		}
+	}
+	var inFlight []InFlight
+	for h, u := range b.byHash {
+		n := u.inFlight
+		for _, p := range b.peers {
+			if p.region == b.config.Region {
+				n += p.inFlight[h]
+			}
+		}
+		if n > 0 {
+			inFlight = append(inFlight, InFlight{h, n})
+		}
+	}
+	demands := make([]Demand, 0, len(demand))
+	for route, slots := range demand {
+		demands = append(demands, Demand{Route: route, Slots: slots})
+	}
+	return inFlight, demands
+}
--- a/pkg/balance/shares.go
+++ b/pkg/balance/shares.go
@@ -116,8 +116,9 @@
 	return total
 }
 
-// Demand is the load that an instance's callers put on a route, in slots.
+// Demand is the load that callers put on a route, in slots.
 type Demand struct {
+	_     struct{} `cbor:",toarray"`
 	Route uint32
 	Slots float64
 }
@@ -132,7 +133,7 @@
 		for _, r := range p.routes {
 			r.demand.roll(now)
 			if slots := r.demand.value * r.work.Seconds(); slots > 0.01 {
-				list = append(list, Demand{hash(p.service, r.route.Host, r.route.Prefix), slots})
+				list = append(list, Demand{Route: hash(p.service, r.route.Host, r.route.Prefix), Slots: slots})
 			}
 		}
 	}
@@ -194,8 +195,8 @@
 		regions[b.config.Region].demand += own
 		total += own
 		key := hash(p.service, r.route.Host, r.route.Prefix)
-		for id, peer := range b.peers {
-			if l := regions[b.instances[id].Region]; l != nil {
+		for _, peer := range b.peers {
+			if l := regions[peer.region]; l != nil {
 				l.demand += peer.demand[key]
 				total += peer.demand[key]
 			}
@@ -288,8 +289,8 @@
 func (b *Balancer) regionDemand(p *pool, r *routeState) float64 {
 	need := r.demand.value * r.work.Seconds()
 	key := hash(p.service, r.route.Host, r.route.Prefix)
-	for id, peer := range b.peers {
-		if b.instances[id].Region == b.config.Region {
+	for _, peer := range b.peers {
+		if peer.region == b.config.Region {
 			need += peer.demand[key]
 		}
 	}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -44,6 +44,9 @@
 type Listing struct {
 	Rows     []Row `cbor:"1,keyasint"`
 	Revision int64 `cbor:"2,keyasint"`
+	// Since is the revision after which Rows holds the changes, deleted rows
+	// included; 0 means that Rows holds the whole table.
+	Since int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // ErrHistoryGone tells that the store no longer has the changes asked for.
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -34,6 +34,12 @@
 	Logger *slog.Logger
 	// Changed is called with each new view, from one goroutine at a time.
 	Changed func(*steering.View)
+	// Watching tells whether this instance watches the store itself; the
+	// others take the changes from their peers. Rank is its place among those
+	// that might.
+	Watching func() (watching bool, rank int)
+	// Learned is called after a table advanced.
+	Learned func()
 }
 
 // Catalog holds what an instance knows of directives and upstreams.
@@ -57,6 +63,9 @@
 type tableState struct {
 	rows     map[string]Row
 	revision int64
+	// deleted holds the deletions after the revision floor.
+	deleted map[string]int64
+	floor   int64
 	// confirmedAt is when the store or a peer last confirmed the state.
 	confirmedAt time.Time
 }
@@ -66,6 +75,7 @@
 	c := &Catalog{opt: opt, evacuated: make(map[string]bool), upstreams: make(map[string]steering.Upstream), lapsed: make(map[string]time.Time)}
 	for i := range c.tables {
 		c.tables[i].rows = make(map[string]Row)
+		c.tables[i].deleted = make(map[string]int64)
 	}
 	c.view.Store(&steering.View{})
 	return c
@@ -90,6 +100,17 @@
 	return now.Sub(c.tables[Directives].confirmedAt), now.Sub(c.tables[Upstreams].confirmedAt)
 }
 
+// Confirm notes that a peer that watches the store knows no more.
+func (c *Catalog) Confirm(directives, upstreams int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for table, revision := range [...]int64{Directives: directives, Upstreams: upstreams} {
+		if t := &c.tables[table]; t.revision >= revision && revision > 0 {
+			t.confirmedAt = c.opt.Now()
+		}
+	}
+}
+
 // Calls returns the number of calls made to the store.
 func (c *Catalog) Calls() int64 { return c.calls.Load() }
 
@@ -100,31 +121,66 @@
 	return c.down
 }
 
-// Snapshot holds both tables, as peers pass them on.
+// Snapshot holds both tables, or their changes, as peers pass them on.
 type Snapshot struct {
 	Directives Listing `cbor:"1,keyasint"`
 	Upstreams  Listing `cbor:"2,keyasint"`
 }
 
-// Snapshot returns both tables.
-func (c *Catalog) Snapshot() Snapshot {
+// Snapshot returns what a peer lacks that knows the tables up to the given
+// revisions, 0 if it knows nothing.
+func (c *Catalog) Snapshot(directives, upstreams int64) Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Snapshot{c.tables[Directives].listing(), c.tables[Upstreams].listing()}
+	return Snapshot{c.tables[Directives].after(directives), c.tables[Upstreams].after(upstreams)}
 }
 
-func (t *tableState) listing() Listing {
+// after returns the changes after a revision, or the whole table if they are
+// no longer known.
+func (t *tableState) after(revision int64) Listing {
 	l := Listing{Revision: t.revision}
+	if revision > 0 && revision >= t.floor {
+		l.Since = revision
+	}
 	for _, r := range t.rows {
-		l.Rows = append(l.Rows, r)
+		if r.Revision > l.Since {
+			l.Rows = append(l.Rows, r)
+		}
+	}
+	if l.Since > 0 {
+		for key, at := range t.deleted {
+			if at > l.Since {
+				l.Rows = append(l.Rows, Row{Key: key, Revision: at, Deleted: true})
+			}
+		}
 	}
 	return l
 }
 
+// maxDeleted bounds the deletions that are remembered.
+const maxDeleted = 4096
+
+// noteDeleted remembers a deletion for peers that are behind.
+func (t *tableState) noteDeleted(key string, revision int64) {
+	if len(t.deleted) >= maxDeleted {
+		t.deleted = make(map[string]int64)
+		t.floor = t.revision
+	}
+	t.deleted[key] = revision
+}
+
 // Merge takes the tables of a peer that are newer than the own ones.
 func (c *Catalog) Merge(s Snapshot, peer string) {
-	c.replace(Directives, s.Directives, peer)
-	c.replace(Upstreams, s.Upstreams, peer)
+	c.take(Directives, s.Directives, peer)
+	c.take(Upstreams, s.Upstreams, peer)
+}
+
+func (c *Catalog) take(table Table, l Listing, peer string) {
+	if l.Since == 0 {
+		c.replace(table, l, peer)
+		return
+	}
+	c.update(table, l, peer)
 }
 
 // replace installs a whole table unless a newer state is known.
@@ -138,6 +194,9 @@
 		c.mu.Unlock()
 		return
 	}
+	if t.revision == 0 {
+		t.floor = l.Revision
+	}
 	present := make(map[string]bool, len(l.Rows))
 	changes := make([]Row, 0, len(l.Rows))
 	for _, r := range l.Rows {
@@ -154,23 +213,34 @@
 	c.applyLocked(table, changes, l.Revision, source)
 }
 
-// update applies the changes of a watch.
-func (c *Catalog) update(table Table, l Listing) {
+// update applies changes; those that start after the known revision would
+// leave a gap and are dropped.
+func (c *Catalog) update(table Table, l Listing, source string) {
 	c.mu.Lock()
 	t := &c.tables[table]
+	if l.Since > t.revision || l.Revision < t.revision {
+		c.mu.Unlock()
+		return
+	}
 	changes := l.Rows[:0]
 	for _, r := range l.Rows {
 		if r.Revision > t.revision {
 			changes = append(changes, r)
 		}
 	}
-	c.applyLocked(table, changes, max(l.Revision, t.revision), "store")
+	c.applyLocked(table, changes, l.Revision, source)
 }
 
 // applyLocked applies changes and publishes the new view; it unlocks the mutex.
 func (c *Catalog) applyLocked(table Table, changes []Row, revision int64, source string) {
-	defer c.mu.Unlock()
 	t := &c.tables[table]
+	advanced := revision > t.revision
+	defer func() {
+		c.mu.Unlock()
+		if advanced && c.opt.Learned != nil {
+			c.opt.Learned()
+		}
+	}()
 	t.confirmedAt = c.opt.Now()
 	t.revision = revision
 	if len(changes) == 0 {
@@ -180,8 +250,10 @@
 	for _, r := range changes {
 		if r.Deleted {
 			delete(t.rows, r.Key)
+			t.noteDeleted(r.Key, r.Revision)
 		} else {
 			t.rows[r.Key] = r
+			delete(t.deleted, r.Key)
 		}
 		if table == Directives {
 			c.applyDirective(r, source)
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -18,6 +18,12 @@
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
+	// rankBackoff is added to maxBackoff per place behind the first, so that a
+	// store that is away does not get calls from all instances.
+	rankBackoff = 300 * time.Millisecond
+	// idleCheck is how often an instance that does not watch looks whether it
+	// has to.
+	idleCheck = 250 * time.Millisecond
 )
 
 // coalesce is the pause after a change, so that a series of changes costs few
@@ -39,6 +45,12 @@
 	listed := false
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		watching, rank := c.opt.Watching()
+		if !watching {
+			listed, backoff = c.knows(table), minBackoff
+			pause(ctx, idleCheck)
+			continue
+		}
 		changed, err := c.step(ctx, table, &listed)
 		c.record(table, err)
 		switch {
@@ -46,7 +58,7 @@
 			listed = false
 		case err != nil:
 			pause(ctx, time.Duration((0.5+c.opt.Random()/2)*float64(backoff)))
-			backoff = min(2*backoff, maxBackoff)
+			backoff = min(2*backoff, maxBackoff+time.Duration(rank)*rankBackoff)
 		default:
 			backoff = minBackoff
 			if changed {
@@ -56,6 +68,13 @@
 	}
 }
 
+// knows tells whether the table is known, so that a watch can follow.
+func (c *Catalog) knows(table Table) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tables[table].revision > 0
+}
+
 // step makes one call and applies its answer.
 func (c *Catalog) step(ctx context.Context, table Table, listed *bool) (changed bool, err error) {
 	c.calls.Add(1)
@@ -79,7 +98,7 @@
 	if err != nil {
 		return false, err
 	}
-	c.update(table, l)
+	c.update(table, l, "store")
 	return len(l.Rows) > 0, nil
 }
 
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -74,18 +74,21 @@
 	leavesAt atomic.Int64
 	started  time.Time
 	behind   map[string]time.Time
+	// ahead passes on members that know more.
+	ahead chan mesh.Member
 }
 
 // New returns a Instance; Run opens its listeners.
 func New(opt Options) *Instance {
 	s := opt.Settings
-	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), started: opt.Now(), behind: make(map[string]time.Time)}
+	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), started: opt.Now(), behind: make(map[string]time.Time), ahead: make(chan mesh.Member, 1)}
 	i.live.Store(&[]mesh.Member{})
 	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now})
 	i.balancer = balance.New(balance.Config{Instance: s.ID, Region: s.Region, Domain: s.Domain, Regions: s.Regions, Bounds: s.Bounds,
 		Now: opt.Now, Random: opt.Random, Logger: opt.Logger, Forget: i.client.Forget})
 	i.store = opt.Platform.NewStore(s.StoreAddress)
-	i.catalog = catalog.New(catalog.Options{Store: i.store, Decode: opt.Platform.Decoder, Now: opt.Now, Random: opt.Random, Logger: opt.Logger, Changed: i.balancer.Update})
+	i.catalog = catalog.New(catalog.Options{Store: i.store, Decode: opt.Platform.Decoder, Now: opt.Now, Random: opt.Random, Logger: opt.Logger,
+		Changed: i.balancer.Update, Watching: i.watching, Learned: i.announce})
 	i.ingress = ingress.NewServer(ingress.Config{Headers: opt.Platform.Headers, Now: opt.Now, Handler: i, Limits: i.limits,
 		MaxConnections: s.Descriptors * 3 / 5, MaxBufferedBytes: megabytes(s.MemoryMB) / 4})
 	return i
@@ -109,6 +112,7 @@
 	i.startMesh(background, listeners)
 	go i.catalog.Run(background)
 	go i.maintain(background)
+	go i.fetchNews(background)
 	go i.register(background)
 	i.startHTTP(background, listeners)
 	served := make(chan error, 1)
@@ -162,7 +166,7 @@
 		Incarnation: uint64(i.opt.Random() * (1 << 62)),
 		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
 		Local: i.local, InFlight: i.balancer.InFlight, Demands: i.balancer.Demands,
-		Load: i.balancer.SetPeerInFlight, Demand: i.balancer.SetPeerDemand, Members: i.setMembers,
+		Region: i.balancer.RegionReport, Load: i.balancer.SetPeerInFlight, Demand: i.balancer.SetPeerDemand, Members: i.setMembers, Beat: i.heard,
 	}, l.datagrams)
 	go i.mesh.Run(ctx)
 	go mesh.ServeSnapshots(l.snapshots, i.opt.Now, i.catalog.Snapshot)
@@ -178,7 +182,71 @@
 	case !i.ready():
 		state = mesh.Starting
 	}
-	return mesh.Local{State: state, Directives: directives, Upstreams: upstreams}
+	watching, _ := i.watching()
+	return mesh.Local{State: state, Directives: directives, Upstreams: upstreams, Watching: watching && !i.catalog.StoreDown()}
+}
+
+// watchers is the number of instances of a region that watch the store; the
+// others take the changes from them.
+const watchers = 2
+
+// watching tells whether this instance watches the store: unless enough others
+// of a lower rank do and reach it.
+func (i *Instance) watching() (bool, int) {
+	others := i.mesh.Rank(func(m mesh.Member) bool { return m.Watching })
+	rank := i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })
+	return others < watchers, rank
+}
+
+// announce tells the others at once that this instance knows more, if they
+// rely on it.
+func (i *Instance) announce() {
+	if watching, _ := i.watching(); watching {
+		go i.mesh.Announce()
+	}
+}
+
+// heard takes a heartbeat of a member of the region.
+func (i *Instance) heard(m mesh.Member) {
+	if !m.Watching {
+		return
+	}
+	i.catalog.Confirm(m.Directives, m.Upstreams)
+	directives, upstreams := i.catalog.Revisions()
+	if watching, _ := i.watching(); !watching && (m.Directives > directives || m.Upstreams > upstreams) {
+		select {
+		case i.ahead <- m:
+		default:
+			// A fetch is under way; the next heartbeat repeats the news.
+		}
+	}
+}
+
+// fetchNews takes the changes that members announce.
+func (i *Instance) fetchNews(ctx context.Context) {
+	for {
+		select {
+		case m := <-i.ahead:
+			i.fetch(ctx, m)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// fetch takes what a member knows more.
+func (i *Instance) fetch(ctx context.Context, m mesh.Member) {
+	directives, upstreams := i.catalog.Revisions()
+	if m.Directives <= directives && m.Upstreams <= upstreams {
+		return
+	}
+	s, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, directives, upstreams)
+	if err != nil {
+		event.Log(i.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
+		return
+	}
+	i.metrics.snapshots.Inc(1)
+	i.catalog.Merge(s, m.ID)
 }
 
 func (i *Instance) setMembers(list []mesh.Member) {
@@ -245,13 +313,7 @@
 			continue
 		}
 		clear(i.behind)
-		s, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now)
-		if err != nil {
-			event.Log(i.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
-			return
-		}
-		i.metrics.snapshots.Inc(1)
-		i.catalog.Merge(s, m.ID)
+		i.fetch(ctx, m)
 		return
 	}
 }
--- /dev/null
+++ b/pkg/mesh/digest.go
@@ -0,0 +1,188 @@
+package mesh
+
+import (
+	"hash/fnv"
+	"net"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+)
+
+const (
+	// digestInterval is the time between digests of a region;
+	// digestPerMember stretches it for many members.
+	digestInterval  = 200 * time.Millisecond
+	digestPerMember = 20 * time.Millisecond
+	// membersEvery is the number of digests of which one lists the members.
+	membersEvery = 4
+	// regionPrefix marks the reports of a region.
+	regionPrefix = "region/"
+)
+
+// digest is what the gateway of a region tells the other regions.
+type digest struct {
+	_      struct{} `cbor:",toarray"`
+	Region string
+	// Passed tells that the gateway of the receiver's region passes it on.
+	Passed   bool
+	InFlight []uint32
+	Demand   []balance.Demand
+	Members  []digestMember
+}
+
+// digestMember is a live instance in a digest.
+type digestMember struct {
+	_          struct{} `cbor:",toarray"`
+	ID         string
+	Domain     string
+	Caller     string
+	Address    string
+	State      State
+	Directives int64
+	Upstreams  int64
+}
+
+// rank orders the instances of a region; the lowest is its gateway.
+func rank(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+// Rank returns the place of the own instance among the live ones of its region
+// that fulfil a condition.
+func (m *Mesh) Rank(counts func(Member) bool) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own, place := rank(m.config.Self.ID), 0
+	for _, x := range m.members {
+		if x.alive && x.Region == m.config.Self.Region && rank(x.ID) < own && counts(x.Member) {
+			place++
+		}
+	}
+	return place
+}
+
+// isGateway tells whether the own instance is the gateway of its region.
+func (m *Mesh) isGateway() bool {
+	own := rank(m.config.Self.ID)
+	for _, x := range m.members {
+		if x.alive && x.Region == m.config.Self.Region && x.State != Leaving && rank(x.ID) < own {
+			return false
+		}
+	}
+	return true
+}
+
+// gateways returns the gateways of the other regions.
+func (m *Mesh) gateways() []*member {
+	lowest := make(map[string]*member)
+	for _, x := range m.members {
+		if x.Region == m.config.Self.Region || !x.alive || x.State == Leaving {
+			continue
+		}
+		if g := lowest[x.Region]; g == nil || rank(x.ID) < rank(g.ID) {
+			lowest[x.Region] = x
+		}
+	}
+	list := make([]*member, 0, len(lowest))
+	for _, g := range lowest {
+		list = append(list, g)
+	}
+	return list
+}
+
+// sendDigests sends the digest of the own region to the other gateways.
+func (m *Mesh) sendDigests() {
+	inFlight, demand := m.config.Region()
+	local := m.config.Local()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	targets := m.gateways()
+	if len(targets) == 0 {
+		return
+	}
+	d := &digest{Region: m.config.Self.Region, InFlight: pack(inFlight)}
+	if m.digests++; m.digests%membersEvery == 1 {
+		d.Demand = demand
+		self := m.config.Self
+		d.Members = []digestMember{{ID: self.ID, Domain: self.Domain, Caller: self.Caller, Address: self.Address, State: local.State, Directives: local.Directives, Upstreams: local.Upstreams}}
+		for _, x := range m.members {
+			if x.alive && x.Region == self.Region {
+				d.Members = append(d.Members, digestMember{ID: x.ID, Domain: x.Domain, Caller: x.Caller, Address: x.Address, State: x.State, Directives: x.Directives, Upstreams: x.Upstreams})
+			}
+		}
+	}
+	m.sequence++
+	data := m.encode(nil, nil, d)
+	for _, g := range targets {
+		m.write(data, g.target)
+	}
+}
+
+// takeDigest applies the digest of another region and passes it on if it came
+// from there.
+func (m *Mesh) takeDigest(msg *message) {
+	d := msg.Digest
+	if d.Region == m.config.Self.Region {
+		return
+	}
+	m.mu.Lock()
+	m.received++
+	changed := m.takeMembers(d)
+	var live []Member
+	if changed {
+		live = m.live()
+	}
+	if !d.Passed {
+		m.passOn(msg)
+	}
+	m.mu.Unlock()
+	if changed {
+		m.config.Members(live)
+	}
+	m.config.Load(regionPrefix+d.Region, d.Region, unpack(d.InFlight))
+	if d.Demand != nil {
+		m.config.Demand(regionPrefix+d.Region, d.Region, d.Demand)
+	}
+}
+
+// passOn sends a digest to the members of the own region.
+func (m *Mesh) passOn(msg *message) {
+	msg.Digest.Passed = true
+	data := m.encode(nil, nil, msg.Digest)
+	for _, x := range m.members {
+		if x.alive && x.Region == m.config.Self.Region {
+			m.write(data, x.target)
+		}
+	}
+}
+
+// takeMembers notes the members of a region and tells whether any changed.
+func (m *Mesh) takeMembers(d *digest) bool {
+	now, changed := m.config.Now(), false
+	for i := range d.Members {
+		r := &d.Members[i]
+		if r.ID == m.config.Self.ID || len(m.members) >= maxMembers {
+			continue
+		}
+		x := m.members[r.ID]
+		if x == nil || x.Address != r.Address {
+			target, err := net.ResolveUDPAddr("udp4", r.Address)
+			if err != nil {
+				continue
+			}
+			x = &member{target: target}
+			m.members[r.ID] = x
+		}
+		if !x.alive {
+			event.Log(m.config.Logger, event.MemberJoined, "member", r.ID, "region", d.Region, "domain", r.Domain, "state", r.State)
+		}
+		changed = changed || !x.alive || x.State != r.State || x.Caller != r.Caller
+		x.Member = Member{ID: r.ID, Region: d.Region, Domain: r.Domain, Caller: r.Caller, State: r.State, Directives: r.Directives, Upstreams: r.Upstreams, Address: r.Address}
+		x.heard, x.alive = now, true
+		delete(m.unknown, r.Address)
+	}
+	return changed
+}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -1,12 +1,16 @@
 // Package mesh keeps the live instances of the system known to one another.
 //
-// Each instance sends small datagrams to all others: a heartbeat with its state
-// and what it knows, and more often the requests that it has in flight. An
-// instance that is not heard for DeadAfter counts as dead. New instances find
+// It has two levels. Inside a region each instance sends small datagrams to all
+// others: a heartbeat with its state and what it knows, and more often the
+// requests that it has in flight. Across regions only the gateway of each
+// region, the live instance with the lowest rank, sends a digest of its region
+// to the other gateways, which pass it on inside theirs (digest.go).
+//
+// An instance that is not heard for DeadAfter counts as dead. New instances find
 // the others through addresses in their settings, through the platform's store,
-// and through the addresses that heartbeats pass on. Whole snapshots travel
-// over TCP between the same addresses. Nothing is agreed on here: what must be
-// agreed on goes through the platform's store.
+// and through the addresses that heartbeats pass on. Changes travel over TCP
+// between the same addresses (snapshot.go). Nothing is agreed on here: what must
+// be agreed on goes through the platform's store.
 package mesh
 
 import (
@@ -29,16 +33,22 @@
 	beatInterval = 500 * time.Millisecond
 	// DeadAfter is the silence after which an instance counts as dead.
 	DeadAfter = 2500 * time.Millisecond
+	// farDeadAfter is the same for instances of other regions, which are known
+	// through digests.
+	farDeadAfter = 5 * time.Second
 	// forgetAfter is the silence after which an instance gets no heartbeats.
 	forgetAfter = 30 * time.Second
-	// nearLoadInterval and farLoadInterval are the times between reports of the
-	// requests in flight, inside the region and across regions.
-	nearLoadInterval = 100 * time.Millisecond
-	farLoadInterval  = 200 * time.Millisecond
-	// loadIntervalPerMember stretches both for many members, so that an
-	// instance sends at most about 100 reports per second.
-	loadIntervalPerMember = 10 * time.Millisecond
-	tick                  = 50 * time.Millisecond
+	// helloInterval is the time between heartbeats to addresses at which no
+	// instance is known yet.
+	helloInterval = time.Second
+	// loadInterval is the time between reports of the requests in flight.
+	loadInterval = 100 * time.Millisecond
+	// intervalPerMember stretches the intervals for many members of a region,
+	// so that an instance sends at most about 100 datagrams per second.
+	intervalPerMember = 10 * time.Millisecond
+	beatPerMember     = 40 * time.Millisecond
+	maxBeatInterval   = time.Second
+	tick              = 50 * time.Millisecond
 	// passedAddresses is the number of addresses that a heartbeat passes on.
 	passedAddresses = 4
 	// maxMembers bounds the members, and maxDatagram the size of a message.
@@ -71,6 +81,8 @@
 	// Directives and Upstreams are the revisions that the member knows.
 	Directives int64
 	Upstreams  int64
+	// Watching tells that the member watches the store and reaches it.
+	Watching bool
 	// Address is the address of its mesh.
 	Address string
 }
@@ -85,6 +97,7 @@
 	HasLoad     bool
 	InFlight    []uint32
 	Beat        *beat
+	Digest      *digest
 }
 
 type beat struct {
@@ -95,6 +108,7 @@
 	State      State
 	Directives int64
 	Upstreams  int64
+	Watching   bool
 	Demand     []balance.Demand
 	Addresses  []string
 }
@@ -104,6 +118,7 @@
 	State      State
 	Directives int64
 	Upstreams  int64
+	Watching   bool
 }
 
 // Config holds the inputs of a Mesh.
@@ -120,11 +135,15 @@
 	Local    func() Local
 	InFlight func() []balance.InFlight
 	Demands  func() []balance.Demand
-	// Load and Demand take the reports of a member, Members the live ones
-	// whenever they change.
-	Load    func(id string, list []balance.InFlight)
-	Demand  func(id string, list []balance.Demand)
+	// Region returns the sums over the own region.
+	Region func() ([]balance.InFlight, []balance.Demand)
+	// Load and Demand take the reports of a member or a region, Members the
+	// live members whenever they change, and Beat each heartbeat of a member
+	// of the own region.
+	Load    func(id, region string, list []balance.InFlight)
+	Demand  func(id, region string, list []balance.Demand)
 	Members func([]Member)
+	Beat    func(Member)
 }
 
 // Mesh exchanges datagrams with the other instances.
@@ -138,8 +157,10 @@
 	sequence uint64
 	ticked   time.Time
 	beatAt   time.Time
-	nearAt   time.Time
-	farAt    time.Time
+	helloAt  time.Time
+	loadAt   time.Time
+	digestAt time.Time
+	digests  int
 	sent     int64
 	received int64
 }
@@ -240,26 +261,46 @@
 	m.mu.Lock()
 	m.forgivePause(now)
 	changed := m.expire(now)
-	n := time.Duration(len(m.members))
-	sendBeat := now.Sub(m.beatAt) >= beatInterval
-	near := now.Sub(m.nearAt) >= max(nearLoadInterval, n*loadIntervalPerMember)
-	far := now.Sub(m.farAt) >= max(farLoadInterval, n*loadIntervalPerMember)
-	if sendBeat {
-		m.beatAt = now
-	}
-	if near {
-		m.nearAt = now
-	}
-	if far {
-		m.farAt = now
+	near := time.Duration(m.near())
+	due := schedule{
+		beat:   elapsed(&m.beatAt, now, min(maxBeatInterval, max(beatInterval, near*beatPerMember))),
+		load:   elapsed(&m.loadAt, now, max(loadInterval, near*intervalPerMember)),
+		hello:  elapsed(&m.helloAt, now, helloInterval),
+		digest: m.isGateway() && elapsed(&m.digestAt, now, max(digestInterval, near*digestPerMember)),
 	}
 	m.mu.Unlock()
 	if changed != nil {
 		m.config.Members(changed)
 	}
-	if sendBeat || near || far {
-		m.send(sendBeat, near, far)
+	if due.beat || due.load || due.hello {
+		m.send(due)
+	}
+	if due.digest {
+		m.sendDigests()
+	}
+}
+
+// schedule tells which messages are due.
+type schedule struct{ beat, load, hello, digest bool }
+
+// elapsed tells whether an interval has passed since *at, and starts the next.
+func elapsed(at *time.Time, now time.Time, interval time.Duration) bool {
+	if now.Sub(*at) < interval {
+		return false
+	}
+	*at = now
+	return true
+}
+
+// near returns the number of members of the own region.
+func (m *Mesh) near() int {
+	n := 0
+	for _, x := range m.members {
+		if x.Region == m.config.Self.Region {
+			n++
+		}
 	}
+	return n
 }
 
 // forgivePause moves the times of the last messages when the process stood
@@ -278,7 +319,11 @@
 	changed := false
 	for id, x := range m.members {
 		silent := now.Sub(x.heard)
-		if x.alive && silent > DeadAfter {
+		limit := DeadAfter
+		if x.Region != m.config.Self.Region {
+			limit = farDeadAfter
+		}
+		if x.alive && silent > limit {
 			x.alive, changed = false, true
 			event.Log(m.config.Logger, event.MemberDead, "member", id, "silent_ms", silent.Milliseconds())
 		}
@@ -297,36 +342,32 @@
 	return m.live()
 }
 
-// send sends the messages that are due.
-func (m *Mesh) send(sendBeat, near, far bool) {
+// send sends the messages that are due inside the region, and heartbeats to
+// the addresses of instances that are not known yet.
+func (m *Mesh) send(due schedule) {
 	inFlight := pack(m.config.InFlight())
-	var b *beat
-	if sendBeat {
-		local := m.config.Local()
-		b = &beat{Region: m.config.Self.Region, Domain: m.config.Self.Domain, Caller: m.config.Self.Caller,
-			State: local.State, Directives: local.Directives, Upstreams: local.Upstreams, Demand: m.config.Demands()}
+	local := m.config.Local()
+	b := &beat{Region: m.config.Self.Region, Domain: m.config.Self.Domain, Caller: m.config.Self.Caller,
+		State: local.State, Directives: local.Directives, Upstreams: local.Upstreams, Watching: local.Watching}
+	if due.beat {
+		b.Demand = m.config.Demands()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sequence++
-	load := m.encode(inFlight, nil)
-	full := load
-	if b != nil {
-		b.Addresses = m.someAddresses()
-		full = m.encode(inFlight, b)
-		for a := range m.unknown {
-			if target, err := net.ResolveUDPAddr("udp4", a); err == nil {
-				m.write(full, target)
-			}
-		}
+	b.Addresses = m.someAddresses()
+	load, full := m.encode(inFlight, nil, nil), m.encode(inFlight, b, nil)
+	if due.hello {
+		m.sendHellos(full)
 	}
 	idle := len(inFlight) == 0
 	for _, x := range m.members {
-		isNear := x.Region == m.config.Self.Region
 		switch {
-		case b != nil:
+		case x.Region != m.config.Self.Region:
+			continue
+		case due.beat:
 			m.write(full, x.target)
-		case (isNear && near || !isNear && far) && !(idle && x.idle):
+		case due.load && !(idle && x.idle):
 			m.write(load, x.target)
 		default:
 			continue
@@ -335,6 +376,14 @@
 	}
 }
 
+func (m *Mesh) sendHellos(full []byte) {
+	for a := range m.unknown {
+		if target, err := net.ResolveUDPAddr("udp4", a); err == nil {
+			m.write(full, target)
+		}
+	}
+}
+
 // pack lists the hash and the count of each upstream.
 func pack(list []balance.InFlight) []uint32 {
 	packed := make([]uint32, 0, 2*len(list))
@@ -344,8 +393,8 @@
 	return packed
 }
 
-func (m *Mesh) encode(inFlight []uint32, b *beat) []byte {
-	data, err := cbor.Marshal(&message{ID: m.config.Self.ID, Incarnation: m.config.Incarnation, Sequence: m.sequence, HasLoad: true, InFlight: inFlight, Beat: b})
+func (m *Mesh) encode(inFlight []uint32, b *beat, d *digest) []byte {
+	data, err := cbor.Marshal(&message{ID: m.config.Self.ID, Incarnation: m.config.Incarnation, Sequence: m.sequence, HasLoad: d == nil, InFlight: inFlight, Beat: b, Digest: d})
 	if err != nil {
 		// Only a programming error makes the types above impossible to encode.
 		panic(err)
@@ -388,6 +437,10 @@
 		if err := cbor.Unmarshal(buffer[:n], &msg); err != nil || msg.ID == "" || msg.ID == m.config.Self.ID {
 			continue
 		}
+		if msg.Digest != nil {
+			m.takeDigest(&msg)
+			continue
+		}
 		m.take(&msg, from)
 	}
 }
@@ -421,15 +474,22 @@
 	if changed {
 		live = m.live()
 	}
+	current := x.Member
 	m.mu.Unlock()
 	if changed {
 		m.config.Members(live)
 	}
+	if current.Region != m.config.Self.Region {
+		return
+	}
 	if msg.HasLoad {
-		m.config.Load(msg.ID, unpack(msg.InFlight))
+		m.config.Load(msg.ID, current.Region, unpack(msg.InFlight))
 	}
 	if msg.Beat != nil {
-		m.config.Demand(msg.ID, msg.Beat.Demand)
+		if msg.Beat.Demand != nil {
+			m.config.Demand(msg.ID, current.Region, msg.Beat.Demand)
+		}
+		m.config.Beat(current)
 	}
 }
 
@@ -440,7 +500,7 @@
 		changed = changed || x.State != b.State || x.Caller != b.Caller
 		x.target = from
 		x.Member = Member{ID: msg.ID, Region: b.Region, Domain: b.Domain, Caller: b.Caller, State: b.State,
-			Directives: b.Directives, Upstreams: b.Upstreams, Address: from.String()}
+			Directives: b.Directives, Upstreams: b.Upstreams, Watching: b.Watching, Address: from.String()}
 		delete(m.unknown, x.Address)
 		for i, a := range b.Addresses {
 			if i < passedAddresses {
--- a/pkg/mesh/snapshot.go
+++ b/pkg/mesh/snapshot.go
@@ -18,13 +18,24 @@
 	snapshotTimeout = 2 * time.Second
 	// maxSnapshotBytes bounds its size.
 	maxSnapshotBytes = 32 << 20
+	maxRequestBytes  = 64
 	// maxTransfers bounds the snapshots that are sent at the same time.
-	maxTransfers = 8
+	maxTransfers = 64
 )
 
-// ServeSnapshots sends the snapshot to every connection until the listener is
-// closed.
-func ServeSnapshots(l net.Listener, now func() time.Time, snapshot func() catalog.Snapshot) {
+// request names the revisions that the sender knows.
+type request struct {
+	_          struct{} `cbor:",toarray"`
+	Directives int64
+	Upstreams  int64
+}
+
+// Snapshots returns what an instance lacks that knows the given revisions.
+type Snapshots func(directives, upstreams int64) catalog.Snapshot
+
+// ServeSnapshots answers each connection with what its sender lacks until the
+// listener is closed.
+func ServeSnapshots(l net.Listener, now func() time.Time, snapshots Snapshots) {
 	slots := make(chan struct{}, maxTransfers)
 	for {
 		c, err := l.Accept()
@@ -38,7 +49,7 @@
 		case slots <- struct{}{}:
 			go func() {
 				defer func() { <-slots }()
-				sendSnapshot(c, now, snapshot)
+				sendSnapshot(c, now, snapshots)
 			}()
 		default:
 			_ = c.Close()
@@ -46,13 +57,17 @@
 	}
 }
 
-// sendSnapshot writes a snapshot; the receiver sees a failure as an early end.
-func sendSnapshot(c net.Conn, now func() time.Time, snapshot func() catalog.Snapshot) {
+// sendSnapshot answers a request; the receiver sees a failure as an early end.
+func sendSnapshot(c net.Conn, now func() time.Time, snapshots Snapshots) {
 	defer func() { _ = c.Close() }()
 	if c.SetDeadline(now().Add(snapshotTimeout)) != nil {
 		return
 	}
-	if cbor.NewEncoder(c).Encode(snapshot()) != nil {
+	var r request
+	if cbor.NewDecoder(io.LimitReader(c, maxRequestBytes)).Decode(&r) != nil {
+		return
+	}
+	if cbor.NewEncoder(c).Encode(snapshots(r.Directives, r.Upstreams)) != nil {
 		return
 	}
 	if half, ok := c.(*net.TCPConn); ok && half.CloseWrite() == nil {
@@ -60,8 +75,9 @@
 	}
 }
 
-// FetchSnapshot reads the snapshot of the instance at address.
-func FetchSnapshot(ctx context.Context, address string, now func() time.Time) (catalog.Snapshot, error) {
+// FetchSnapshot reads what is newer than the given revisions from the instance
+// at address.
+func FetchSnapshot(ctx context.Context, address string, now func() time.Time, directives, upstreams int64) (catalog.Snapshot, error) {
 	var s catalog.Snapshot
 	c, err := exchange.Dial(ctx, address, snapshotTimeout)
 	if err != nil {
@@ -71,6 +87,9 @@
 	if err := c.SetDeadline(now().Add(snapshotTimeout)); err != nil {
 		return s, errors.Trace(err)
 	}
+	if err := cbor.NewEncoder(c).Encode(&request{Directives: directives, Upstreams: upstreams}); err != nil {
+		return s, errors.Trace(err)
+	}
 	err = cbor.NewDecoder(io.LimitReader(c, maxSnapshotBytes)).Decode(&s)
 	return s, errors.Trace(err)
 }
