Keep an object on two upstreams of a region and drop leaving ones in time

Cause: (1) with four homes an upstream at 75 machines is home to as many objects as it holds, and half of the requests found theirs gone (request lines: 300 ms against 780 ms). Change: two homes, the first preferred; holds depend on the time of the last failure, and are shorter when the store seemed in order.

--- a/pkg/balance/admit.go
+++ b/pkg/balance/admit.go
@@ -215,14 +215,16 @@
 	load     int
 	slow     float64
 	warm     bool
+	// place is the place of the upstream among the homes of the object.
+	place int
 }
 
 // best returns the admitting upstream with the lowest expected latency. The
 // second value tells whether the region has any upstream for the route.
 func (b *Balancer) best(p *pool, route *routeState, ask Ask, region string, now time.Time) (best candidate, reachable bool) {
 	homes := b.homesOf(p, route, ask, region, now)
-	for _, u := range homes {
-		c := candidate{upstream: u, load: u.load(now), warm: true}
+	for i, u := range homes {
+		c := candidate{upstream: u, place: i, load: u.load(now), warm: true}
 		if b.admits(u, ask, c.load, now) {
 			b.estimate(&c, p, route, now)
 			best.keep(c)
@@ -335,6 +337,7 @@
 	c.expected = time.Duration(expected)
 	penalty := u.failing(now) * float64(max(route.route.TargetLatency, route.work))
 	crowd := 0.05 * work * float64(c.load) / float64(u.Slots)
+	crowd += placePenalty * work * float64(c.place)
 	c.score = (expected+penalty+crowd)*(1+jitter*b.config.Random()) + float64(time.Microsecond)
 	if math.IsNaN(c.score) {
 		c.score = math.MaxFloat64
--- a/pkg/balance/affinity.go
+++ b/pkg/balance/affinity.go
@@ -14,7 +14,10 @@
 	coldObject = 3.0
 	// maxHomes is the number of upstreams of a region that share an object;
 	// fewer wait for each other, more forget objects before they come again.
-	maxHomes = 4
+	maxHomes = 2
+	// placePenalty is the part of the work that each place among the homes
+	// weighs, so that an object is held by few upstreams while load is low.
+	placePenalty = 0.15
 	// heldObjects is the number of objects that an upstream is assumed to hold.
 	heldObjects = 45
 	// rankedHomes bounds the upstreams that are ranked for an object.
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -11,10 +11,13 @@
 )
 
 const (
-	// lapseHold is how long a registration that lapsed with the store away, or
-	// together with many others, is kept: upstreams that are alive register
-	// again within about two seconds.
-	lapseHold = 2 * time.Second
+	// outageHold is how long a registration that lapsed with the store away is
+	// kept: upstreams that are alive register again within about two seconds.
+	outageHold = 2200 * time.Millisecond
+	// massHold is the same for a registration that lapsed together with many
+	// others while the store seemed in order. It is shorter, because the
+	// upstreams may have left on purpose.
+	massHold = 1500 * time.Millisecond
 	// outageMemory is how long after a failed call a lapse counts as caused by
 	// the store.
 	outageMemory = 3 * time.Second
@@ -246,7 +249,10 @@
 	if len(changes) == 0 {
 		return
 	}
-	hold := table == Upstreams && c.holdLapses(changes)
+	var hold time.Duration
+	if table == Upstreams {
+		hold = c.holdLapses(changes)
+	}
 	for _, r := range changes {
 		if r.Deleted {
 			delete(t.rows, r.Key)
@@ -293,16 +299,16 @@
 	event.Log(c.opt.Logger, event.VersionInForce, "version", d.Config.Version, "routes", d.Config.Routes(), "revision", r.Revision, "source", source)
 }
 
-func (c *Catalog) applyUpstream(r Row, hold bool, source string) {
+func (c *Catalog) applyUpstream(r Row, hold time.Duration, source string) {
 	old, known := c.upstreams[r.Key]
 	if r.Deleted {
 		if !known {
 			return
 		}
-		if hold && old.State == steering.Ready {
+		if hold > 0 && old.State == steering.Ready {
 			if _, held := c.lapsed[r.Key]; !held {
-				c.lapsed[r.Key] = c.opt.Now().Add(lapseHold)
-				event.Log(c.opt.Logger, event.UpstreamLapsed, "upstream", r.Key, "revision", r.Revision, "source", source, "hold_ms", lapseHold.Milliseconds())
+				c.lapsed[r.Key] = c.opt.Now().Add(hold)
+				event.Log(c.opt.Logger, event.UpstreamLapsed, "upstream", r.Key, "revision", r.Revision, "source", source, "hold_ms", hold.Milliseconds())
 			}
 			return
 		}
@@ -333,11 +339,10 @@
 	event.Log(c.opt.Logger, event.UpstreamGone, "upstream", id, "reason", reason, "source", source)
 }
 
-// holdLapses tells whether the registrations that vanish in changes are kept
-// for a while.
-func (c *Catalog) holdLapses(changes []Row) bool {
-	if c.down || (!c.failedAt.IsZero() && c.opt.Now().Sub(c.failedAt) < outageMemory) {
-		return true
+// holdLapses tells how long the registrations that vanish in changes are kept.
+func (c *Catalog) holdLapses(changes []Row) time.Duration {
+	if !c.failedAt.IsZero() && c.opt.Now().Sub(c.failedAt) < outageMemory {
+		return outageHold
 	}
 	gone, all := make(map[string]int), make(map[string]int)
 	for _, u := range c.upstreams {
@@ -350,10 +355,10 @@
 	}
 	for service, n := range gone {
 		if n >= massLapse && float64(n) > massLapsePart*float64(all[service]) {
-			return true
+			return massHold
 		}
 	}
-	return false
+	return 0
 }
 
 // Expire forgets the lapsed upstreams whose hold has ended.
