--- a/pkg/balance/affinity.go
+++ b/pkg/balance/affinity.go
@@ -17,7 +17,7 @@
 	maxHomes = 2
 	// placePenalty is the part of the work that each place among the homes
 	// weighs, so that an object is held by few upstreams while load is low.
-	placePenalty = 0.15
+	placePenalty = 0.5
 	// heldObjects is the number of objects that an upstream is assumed to hold.
 	heldObjects = 45
 	// rankedHomes bounds the upstreams that are ranked for an object.
