Test the mesh between instances

Guards the finding of instances over two regions, the death of a gateway, leaving, the transfer of changes, and datagrams of unknown origin.

--- /dev/null
+++ b/pkg/mesh/mesh_test.go
@@ -0,0 +1,186 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+)
+
+// peer is a mesh on a loopback socket with what it was told.
+type peer struct {
+	*Mesh
+	address string
+	stop    context.CancelFunc
+
+	mu     sync.Mutex
+	load   map[string]int
+	demand map[string]float64
+	state  State
+}
+
+func (p *peer) setState(s State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+}
+
+func (p *peer) loadOf(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.load[id]
+}
+
+func start(t *testing.T, id, region string, seeds ...string) *peer {
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, state: Serving}
+	p.Mesh = New(Config{
+		Self:        Member{ID: id, Region: region, Domain: region + "-a", Caller: "10.0.0.1:1", Address: p.address},
+		Incarnation: uint64(time.Now().UnixNano()), Seeds: seeds, Now: time.Now, Random: func() float64 { return 0.5 }, Logger: event.Discard(),
+		Local: func() Local {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return Local{State: p.state, Directives: 3, Upstreams: 4, Watching: true}
+		},
+		InFlight: func() []balance.InFlight { return []balance.InFlight{{Upstream: 7, Count: 2}} },
+		Demands:  func() []balance.Demand { return []balance.Demand{{Route: 9, Slots: 1.5}} },
+		Region: func() ([]balance.InFlight, []balance.Demand) {
+			return []balance.InFlight{{Upstream: 7, Count: 5}}, []balance.Demand{{Route: 9, Slots: 3}}
+		},
+		Load: func(from, _ string, list []balance.InFlight) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.load[from] = 0
+			for _, f := range list {
+				p.load[from] += f.Count
+			}
+		},
+		Demand: func(from, _ string, list []balance.Demand) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for _, d := range list {
+				p.demand[from] = d.Slots
+			}
+		},
+		Members: func([]Member) {}, Beat: func(Member) {},
+	}, conn)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	t.Cleanup(cancel)
+	go p.Run(ctx)
+	return p
+}
+
+func knows(p *peer, n int) func() bool { return func() bool { return len(p.Live()) == n } }
+
+const patience = 15 * time.Second
+
+// Guards against instances that never find each other, loads that do not
+// travel, and a region that cannot be seen from another.
+func TestInstancesOfAllRegionsFindEachOther(t *testing.T) {
+	first := start(t, "n0", "n")
+	all := []*peer{first}
+	for i := 1; i < 6; i++ {
+		all = append(all, start(t, fmt.Sprintf("%c%d", "ns"[i%2], i), string("ns"[i%2]), first.address))
+	}
+	for _, p := range all {
+		require.Eventually(t, knows(p, 5), patience, 10*time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return first.loadOf("n2") == 2 }, patience, 10*time.Millisecond)
+	for _, p := range all {
+		other := regionPrefix + map[string]string{"n": "s", "s": "n"}[p.config.Self.Region]
+		require.Eventually(t, func() bool { return p.loadOf(other) == 5 }, patience, 10*time.Millisecond, "%s hears %s", p.config.Self.ID, other)
+	}
+}
+
+// Guards against dead instances that stay in look-ups, and against a region
+// that is cut off from the others when its gateway dies.
+func TestDeathOfTheGateway(t *testing.T) {
+	first := start(t, "n0", "n")
+	second := start(t, "n1", "n", first.address)
+	far := start(t, "s0", "s", first.address)
+	for _, p := range []*peer{first, second, far} {
+		require.Eventually(t, knows(p, 2), patience, 10*time.Millisecond)
+	}
+	gateway, other := first, second
+	if rank("n1") < rank("n0") {
+		gateway, other = second, first
+	}
+	gateway.stop()
+	require.Eventually(t, knows(other, 1), patience, 10*time.Millisecond)
+	require.Eventually(t, knows(far, 1), patience, 10*time.Millisecond)
+	require.Equal(t, other.config.Self.ID, far.Live()[0].ID)
+}
+
+// Guards against a leaving instance that others still name.
+func TestLeavingIsAnnounced(t *testing.T) {
+	a := start(t, "n0", "n")
+	b := start(t, "n1", "n", a.address)
+	require.Eventually(t, knows(a, 1), patience, 10*time.Millisecond)
+	b.setState(Leaving)
+	b.Announce()
+	require.Eventually(t, func() bool { return a.Live()[0].State == Leaving }, patience, time.Millisecond)
+}
+
+// Guards against changes that do not arrive whole.
+func TestSnapshotTravels(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	want := catalog.Snapshot{Upstreams: catalog.Listing{Revision: 9, Since: 5, Rows: []catalog.Row{{Key: "u", Revision: 8, Deleted: true}, {Key: "v", Revision: 9, Value: make([]byte, 1<<20)}}}}
+	go ServeSnapshots(l, time.Now, func(directives, upstreams int64) catalog.Snapshot {
+		if directives != 2 || upstreams != 5 {
+			return catalog.Snapshot{}
+		}
+		return want
+	})
+	got, err := FetchSnapshot(context.Background(), l.Addr().String(), time.Now, 2, 5)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
+
+// FuzzDatagram guards against datagrams that stop the process or grow its
+// state without bound.
+func FuzzDatagram(f *testing.F) {
+	for _, m := range []message{{ID: "a"}, {ID: "a", Incarnation: 1, Sequence: 2, HasLoad: true, InFlight: []uint32{1, 2, 3}, Beat: &beat{Region: "n", Addresses: []string{"x", "1.2.3.4:5"}}},
+		{ID: "b", Digest: &digest{Region: "s", InFlight: []uint32{1}, Members: []digestMember{{ID: "c", Address: "?"}, {ID: "d", Address: "127.0.0.1:9"}}}}} {
+		data, err := cbor.Marshal(&m)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(f, err)
+	f.Cleanup(func() { _ = conn.Close() })
+	from := conn.LocalAddr()
+	m := New(Config{Self: Member{ID: "self", Region: "n"}, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.Discard(),
+		Local: func() Local { return Local{} }, Load: func(string, string, []balance.InFlight) {}, Demand: func(string, string, []balance.Demand) {},
+		Members: func([]Member) {}, Beat: func(Member) {}}, &discardConn{conn})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var msg message
+		if cbor.Unmarshal(data, &msg) != nil || msg.ID == "" {
+			return
+		}
+		if msg.Digest != nil {
+			m.takeDigest(&msg)
+		} else {
+			m.take(&msg, from)
+		}
+		require.LessOrEqual(t, len(m.members), maxMembers)
+		require.LessOrEqual(t, len(m.unknown), maxMembers)
+	})
+}
+
+// discardConn sends nothing.
+type discardConn struct{ net.PacketConn }
+
+func (*discardConn) WriteTo(b []byte, _ net.Addr) (int, error) { return len(b), nil }
