Test an instance against a store and upstreams in memory

Guards delivery, outcomes, pipelining, time-outs, graceful stop, learning from peers, logs and smuggling; and the decoding and the calls of platform/. Mended on the way: a request with both a length and chunks was accepted; TestSmugglingIsRefused failed before.

--- a/pkg/ingress/session.go
+++ b/pkg/ingress/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -192,13 +193,23 @@
 	if r.Host == "" || r.URI == "" || r.URI[0] != '/' {
 		return nil, &refusal{http.StatusBadRequest, errors.New("request without host or path")}
 	}
-	if len(message.Header.Peek("Transfer-Encoding")) > 0 && len(message.Header.Peek("Content-Length")) > 0 && message.Header.ContentLength() >= 0 {
+	if message.Header.ContentLength() == -1 && hasField(message.Header.RawHeaders(), "content-length") {
 		return nil, &refusal{http.StatusBadRequest, errors.New("two framings of the body")}
 	}
 	err := x.readBody(message, r, limits.BodyBytes)
 	return r, err
 }
 
+// hasField tells whether raw header lines hold a field; name is in lower case.
+func hasField(raw []byte, name string) bool {
+	for line := range bytes.Lines(raw) {
+		if len(line) > len(name) && line[len(name)] == ':' && equalFold(string(line[:len(name)]), name) {
+			return true
+		}
+	}
+	return false
+}
+
 // readHeader reads the request line and the header fields. A header longer
 // than the buffer needs a larger buffer, up to the limit in force.
 func (x *session) readHeader(message *fasthttp.Request, limit int) error {
--- /dev/null
+++ b/pkg/instance/fake_test.go
@@ -0,0 +1,383 @@
+package instance
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+// fakeStore holds rows in memory. Directives are numbers of configurations
+// that the test defines; upstreams are "service address domain slots".
+type fakeStore struct {
+	mu       sync.Mutex
+	revision int64
+	rows     [3]map[string]catalog.Row
+	changes  [3][]catalog.Row
+	changed  chan struct{}
+	down     bool
+}
+
+func newFakeStore() *fakeStore {
+	s := &fakeStore{changed: make(chan struct{})}
+	for i := range s.rows {
+		s.rows[i] = make(map[string]catalog.Row)
+	}
+	return s
+}
+
+var errDown = errors.New("store away")
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) write(table catalog.Table, key, value string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	r := catalog.Row{Key: key, Value: []byte(value), Revision: s.revision, Deleted: deleted}
+	if deleted {
+		delete(s.rows[table], key)
+	} else {
+		s.rows[table][key] = r
+	}
+	s.changes[table] = append(s.changes[table], r)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// List implements catalog.Store.
+func (s *fakeStore) List(_ context.Context, table catalog.Table) (catalog.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return catalog.Listing{}, errDown
+	}
+	l := catalog.Listing{Revision: max(1, s.revision)}
+	for _, r := range s.rows[table] {
+		l.Rows = append(l.Rows, r)
+	}
+	return l, nil
+}
+
+// Watch implements catalog.Store.
+func (s *fakeStore) Watch(ctx context.Context, table catalog.Table, after int64, wait time.Duration) (catalog.Listing, error) {
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		l := catalog.Listing{Revision: max(1, s.revision)}
+		for _, r := range s.changes[table] {
+			if r.Revision > after {
+				l.Rows = append(l.Rows, r)
+			}
+		}
+		changed, down := s.changed, s.down
+		s.mu.Unlock()
+		if down {
+			return catalog.Listing{}, errDown
+		}
+		if len(l.Rows) > 0 {
+			return l, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return l, nil
+		case <-ctx.Done():
+			return l, ctx.Err()
+		}
+	}
+}
+
+// Put implements catalog.Store.
+func (s *fakeStore) Put(_ context.Context, table catalog.Table, key string, value []byte) error {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		return errDown
+	}
+	s.write(table, key, string(value), false)
+	return nil
+}
+
+// Remove implements catalog.Store.
+func (s *fakeStore) Remove(context.Context, catalog.Table, []string) error { return nil }
+
+// fakeUpstream serves requests with a handler and counts what it runs.
+type fakeUpstream struct {
+	id      string
+	address string
+	runs    atomic.Int64
+	gone    atomic.Int64
+	mu      sync.Mutex
+	handle  func(r *http.Request, c net.Conn) string
+	ids     map[string]int
+}
+
+func (u *fakeUpstream) ran(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ids[id]
+}
+
+func (u *fakeUpstream) set(handle func(r *http.Request, c net.Conn) string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.handle = handle
+}
+
+func ok(r *http.Request, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), len(body), body)
+}
+
+func shed(r *http.Request) string {
+	return fmt.Sprintf("HTTP/1.1 503 Unavailable\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+}
+
+func newFakeUpstream(t *testing.T, id string) *fakeUpstream {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	u := &fakeUpstream{id: id, address: l.Addr().String(), ids: make(map[string]int)}
+	u.handle = func(r *http.Request, _ net.Conn) string { return ok(r, r.URL.RequestURI()) }
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	return u
+}
+
+func (u *fakeUpstream) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	b := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(b)
+		if err != nil {
+			u.gone.Add(1)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		u.runs.Add(1)
+		u.mu.Lock()
+		u.ids[r.Header.Get("X-Id")]++
+		handle := u.handle
+		u.mu.Unlock()
+		text := handle(r, c)
+		if text == "" {
+			return
+		}
+		if _, err := c.Write([]byte(text)); err != nil {
+			return
+		}
+	}
+}
+
+// world is a store with upstreams and instances.
+type world struct {
+	t         *testing.T
+	store     *fakeStore
+	instances []*testInstance
+	mu        sync.Mutex
+	configs   map[int]*steering.Config
+}
+
+type testInstance struct {
+	*Instance
+	stop context.CancelFunc
+	done chan struct{}
+	log  *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// String returns what was written.
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: newFakeStore(), configs: make(map[int]*steering.Config)}
+	w.configure(1, route("safe", "/safe/", true), route("unsafe", "/unsafe/", false))
+	return w
+}
+
+func route(name, prefix string, idempotent bool) *steering.Route {
+	return &steering.Route{Name: name, Host: "h.example", Prefix: prefix, Idempotent: idempotent, Timeout: 2 * time.Second, TargetLatency: 200 * time.Millisecond,
+		MaxAttempts: 2, Split: []steering.Share{{Service: "shop", Weight: 1}}}
+}
+
+func (w *world) configure(version int, routes ...*steering.Route) {
+	c := &steering.Config{Version: steering.Version(version), Services: map[string]*steering.Service{"shop": {Name: "shop", ColdRate: 16, ColdStart: time.Second}}}
+	c.SetRoutes(routes)
+	w.mu.Lock()
+	w.configs[version] = c
+	w.mu.Unlock()
+	w.store.write(catalog.Directives, "config", strconv.Itoa(version), false)
+}
+
+func (w *world) upstream(id string) *fakeUpstream {
+	u := newFakeUpstream(w.t, id)
+	w.store.write(catalog.Upstreams, id, "shop "+u.address+" n-a ready", false)
+	return u
+}
+
+func (w *world) decoder() catalog.Decoder {
+	return catalog.Decoder{
+		Directive: func(key string, value []byte) (steering.Directive, error) {
+			if domain, ok := strings.CutPrefix(key, "evacuate/"); ok {
+				return steering.Directive{Evacuate: domain}, nil
+			}
+			n, err := strconv.Atoi(string(value))
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return steering.Directive{Config: w.configs[n]}, err
+		},
+		Upstream: func(key string, value []byte) (steering.Upstream, error) {
+			f := strings.Fields(string(value))
+			if len(f) != 4 {
+				return steering.Upstream{}, errors.New("unreadable")
+			}
+			u := steering.Upstream{ID: key, Service: f[0], Address: f[1], Domain: f[2], Slots: 4, State: steering.Ready}
+			if f[3] == "draining" {
+				u.State = steering.Draining
+			}
+			return u, nil
+		},
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start runs an instance; seeds are the mesh addresses of others.
+func (w *world) start(id string, seeds ...string) *testInstance {
+	s := &Settings{ID: id, Region: "n", Domain: "n-a", Regions: map[string]string{"n-a": "n", "n-b": "n"}, CallerAddress: freeAddress(w.t), ReadyAddress: freeAddress(w.t),
+		LookupAddress: freeAddress(w.t), MeshAddress: freeAddress(w.t), StoreAddress: "127.0.0.1:1", MemoryMB: 256, Descriptors: 1000, Seeds: seeds,
+		Bounds: steering.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, MaxShift: 0.15, MaxLookupTTL: 5 * time.Second, Grace: 3 * time.Second}}
+	log := &lockedBuffer{}
+	headers := exchange.Headers{RequestID: "X-Id", Deadline: "X-Deadline", AffinityKey: "X-Key", Signature: "X-Signature", Target: "X-Target",
+		Load: "X-Load", NotRun: "X-Not-Run", Upstream: "X-Upstream", ColdRemaining: "X-Cold"}
+	i := New(Options{Settings: s, Now: time.Now, Random: func() float64 { return 0.5 }, Logger: event.NewLogger(log, 0, "instance", id), Platform: Platform{
+		Headers: headers, Paths: Paths{Ready: "/ready", Lookup: "/lookup", LookupRegion: "region", LookupDomain: "zone"}, Decoder: w.decoder(),
+		LookupAnswer: func(list []string, _ time.Duration) []byte { return []byte(strings.Join(list, " ")) },
+		NewStore:     func(string) catalog.Store { return w.store },
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &testInstance{Instance: i, stop: cancel, done: make(chan struct{}), log: log}
+	go func() {
+		defer close(x.done)
+		if err := i.Run(ctx); err != nil {
+			w.t.Error(err)
+		}
+	}()
+	w.t.Cleanup(func() { cancel(); <-x.done })
+	w.instances = append(w.instances, x)
+	return x
+}
+
+// awaitReady waits until the instance steers to n upstreams.
+func (w *world) awaitReady(x *testInstance, n int) {
+	require.Eventually(w.t, func() bool {
+		status, _ := w.get(x.settings.ReadyAddress, "/ready")
+		return status == http.StatusOK && len(x.catalog.View().Upstreams) == n
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
+func (w *world) get(address, path string) (int, string) {
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(w.t, err)
+	return resp.StatusCode, string(body)
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	t *testing.T
+	c net.Conn
+	b *bufio.Reader
+}
+
+func (w *world) caller(x *testInstance) *caller {
+	c, err := net.Dial("tcp4", x.settings.CallerAddress)
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { _ = c.Close() })
+	require.NoError(w.t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	return &caller{w.t, c, bufio.NewReader(c)}
+}
+
+func text(method, path, id, body string) string {
+	s := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nX-Id: %s\r\nX-Deadline: 5000\r\n", method, path, id)
+	if body != "" {
+		s += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	return s + "\r\n" + body
+}
+
+func (c *caller) send(s string) {
+	_, err := c.c.Write([]byte(s))
+	require.NoError(c.t, err)
+}
+
+func (c *caller) receive() (*http.Response, string) {
+	r, err := http.ReadResponse(c.b, nil)
+	require.NoError(c.t, err)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(c.t, err)
+	return r, string(body)
+}
+
+func (c *caller) do(method, path, id, body string) (*http.Response, string) {
+	c.send(text(method, path, id, body))
+	return c.receive()
+}
