--- a/pkg/instance/http.go
+++ b/pkg/instance/http.go
@@ -1,7 +1,7 @@
 package instance
 
 import (
-	"context"
+	"encoding/json"
 	"io"
 	"log"
 	"net"
@@ -9,7 +9,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/sequoiacove/sequoiacove/pkg/admin"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 )
@@ -22,22 +21,19 @@
 )
 
 // startHTTP serves look-ups, readiness checks, metrics and the state dump.
-func (i *Instance) startHTTP(ctx context.Context, l *listeners) {
-	i.serveAPI(l.ready)
-	if l.lookup != nil {
-		i.serveAPI(l.lookup)
-	}
-	if l.admin != nil {
-		go func() {
-			if err := admin.ServeListener(ctx, l.admin, i.state, i.metrics.registry); err != nil {
-				event.Log(i.logger, event.ListenerFailed, "address", l.admin.Addr().String(), "error", err.Error())
-			}
-		}()
-	}
+func (i *Instance) startHTTP(l *listeners) {
+	i.serveHTTP(l.ready, i.api)
+	i.serveHTTP(l.lookup, i.api)
+	i.serveHTTP(l.admin, i.adminAPI)
+	i.serveHTTP(l.metrics, i.adminAPI)
 }
 
-func (i *Instance) serveAPI(l net.Listener) {
-	server := &fasthttp.Server{Handler: i.api, ReadTimeout: apiTimeout, WriteTimeout: apiTimeout, IdleTimeout: apiTimeout * 4, GetOnly: true,
+// serveHTTP serves a listener, if there is one.
+func (i *Instance) serveHTTP(l net.Listener, handler fasthttp.RequestHandler) {
+	if l == nil {
+		return
+	}
+	server := &fasthttp.Server{Handler: handler, ReadTimeout: apiTimeout, WriteTimeout: apiTimeout, IdleTimeout: apiTimeout * 4, GetOnly: true,
 		NoDefaultServerHeader: true, ReduceMemoryUsage: true, ReadBufferSize: 4 << 10, Logger: log.New(io.Discard, "", 0)}
 	go func() {
 		if err := server.Serve(l); err != nil {
@@ -60,6 +56,25 @@
 	}
 }
 
+// adminAPI serves the metrics and the state dump.
+func (i *Instance) adminAPI(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/metrics":
+		ctx.SetContentType("text/plain; version=0.0.4")
+		ctx.SetBody(i.metricsText())
+	case "/state":
+		body, err := json.Marshal(i.state())
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(body)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
 // lookup answers with the instances that should serve a caller: those of its
 // region, or all if the region has none.
 func (i *Instance) lookup(ctx *fasthttp.RequestCtx, region, domain string) {
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -13,8 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
@@ -114,7 +112,7 @@
 	go i.maintain(background)
 	go i.fetchNews(background)
 	go i.register(background)
-	i.startHTTP(background, listeners)
+	i.startHTTP(listeners)
 	served := make(chan error, 1)
 	go func() { served <- i.ingress.Serve(listeners.callers) }()
 	event.Log(i.logger, event.ProcessStarted, "region", i.settings.Region, "domain", i.settings.Domain, "callers", i.settings.CallerAddress, "mesh", i.settings.MeshAddress)
@@ -133,6 +131,7 @@
 	ready     net.Listener
 	lookup    net.Listener
 	admin     net.Listener
+	metrics   net.Listener
 	snapshots net.Listener
 	datagrams net.PacketConn
 }
@@ -147,7 +146,7 @@
 	for _, x := range []struct {
 		address string
 		target  *net.Listener
-	}{{s.CallerAddress, &l.callers}, {s.ReadyAddress, &l.ready}, {s.LookupAddress, &l.lookup}, {s.AdminAddress, &l.admin}, {s.MeshAddress, &l.snapshots}} {
+	}{{s.CallerAddress, &l.callers}, {s.ReadyAddress, &l.ready}, {s.LookupAddress, &l.lookup}, {s.AdminAddress, &l.admin}, {s.MetricsAddress, &l.metrics}, {s.MeshAddress, &l.snapshots}} {
 		if x.address == "" {
 			continue
 		}
@@ -355,17 +354,3 @@
 	}
 	i.mesh.AddAddresses(list)
 }
-
-// instanceMetrics holds the counters of an instance.
-type instanceMetrics struct {
-	registry  metrics.Registry
-	snapshots metrics.Counter
-	hedges    metrics.Counter
-	repeats   metrics.Counter
-}
-
-func newMetrics() *instanceMetrics {
-	r := metrics.NewRegistry()
-	return &instanceMetrics{registry: r, snapshots: metrics.NewRegisteredCounter("snapshots_fetched", r),
-		hedges: metrics.NewRegisteredCounter("hedges", r), repeats: metrics.NewRegisteredCounter("repeats", r)}
-}
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -380,3 +380,29 @@
 	}
 	require.Less(t, time.Since(start), x.settings.Bounds.Grace)
 }
+
+// Guards against metrics that collectors cannot read or that miss requests.
+func TestMetricsTellOutcomes(t *testing.T) {
+	w := newWorld(t)
+	u := w.upstream("u1")
+	x := w.start("i1")
+	w.awaitReady(x, 1)
+	w.caller(x).do("GET", "/safe/x", "1", "")
+	u.set(func(*http.Request, net.Conn) string { return "" })
+	w.caller(x).do("POST", "/unsafe/x", "2", "b")
+	status, body := w.get(x.settings.AdminAddress, "/metrics")
+	require.Equal(t, 200, status)
+	for _, line := range []string{
+		`sequoiacove_requests{outcome="answered",status="200",reason="answered"} 1`,
+		`sequoiacove_requests{outcome="failed",status="502",reason="lost"} 1`,
+		`sequoiacove_request_time_us_count{service="shop",kind="safe"} 1`,
+		`sequoiacove_configuration_version 1`,
+		`sequoiacove_store_down 0`,
+	} {
+		require.Contains(t, body, line+"\n")
+	}
+	require.Contains(t, body, `sequoiacove_request_time_us{service="shop",kind="safe",quantile="0.99"} `)
+	status, body = w.get(x.settings.AdminAddress, "/state")
+	require.Equal(t, 200, status)
+	require.Contains(t, body, `"instance":"i1"`)
+}
--- /dev/null
+++ b/pkg/instance/metrics.go
@@ -0,0 +1,134 @@
+package instance
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+)
+
+// histogramSamples is the number of observations that a histogram keeps.
+const histogramSamples = 512
+
+// instanceMetrics holds the counters and histograms of an instance. Times are
+// in microseconds.
+type instanceMetrics struct {
+	registry  metrics.Registry
+	snapshots metrics.Counter
+	hedges    metrics.Counter
+	repeats   metrics.Counter
+}
+
+func newMetrics() *instanceMetrics {
+	r := metrics.NewRegistry()
+	return &instanceMetrics{registry: r, snapshots: metrics.NewRegisteredCounter("changes_fetched_from_peers", r),
+		hedges: metrics.NewRegisteredCounter("hedges", r), repeats: metrics.NewRegisteredCounter("repeats", r)}
+}
+
+// outcomeNames names the ends of a request in the metrics.
+var outcomeNames = map[event.ID]string{event.RequestAnswered: "answered", event.RequestRefused: "refused", event.RequestFailed: "failed", event.RequestAbandoned: "abandoned"}
+
+// ended counts a request that ended.
+func (m *instanceMetrics) ended(c *call, id event.ID, status int, reason string, took time.Duration) {
+	kind := "unsafe"
+	if c.route.Idempotent {
+		kind = "safe"
+	}
+	m.count("requests", "outcome", outcomeNames[id], "status", strconv.Itoa(status), "reason", reason)
+	m.observe("request_time_us", took, "service", c.service, "kind", kind)
+	m.observe("request_wait_us", c.waited, "service", c.service, "kind", kind)
+}
+
+func (m *instanceMetrics) count(name string, labels ...string) {
+	metrics.GetOrRegisterCounter(label(name, labels), m.registry).Inc(1)
+}
+
+func (m *instanceMetrics) observe(name string, d time.Duration, labels ...string) {
+	h := m.registry.GetOrRegister(label(name, labels), func() metrics.Histogram { return metrics.NewHistogram(metrics.NewUniformSample(histogramSamples)) })
+	if h, ok := h.(metrics.Histogram); ok {
+		h.Update(d.Microseconds())
+	}
+}
+
+// label renders a name with labels as collectors of metrics read them.
+func label(name string, labels []string) string {
+	var b strings.Builder
+	b.WriteString(name)
+	separator := byte('{')
+	for i := 0; i+1 < len(labels); i += 2 {
+		b.WriteByte(separator)
+		separator = ','
+		b.WriteString(labels[i])
+		b.WriteByte('=')
+		b.WriteString(strconv.Quote(labels[i+1]))
+	}
+	if len(labels) > 0 {
+		b.WriteByte('}')
+	}
+	return b.String()
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// text renders all metrics, one a line.
+func (i *Instance) metricsText() []byte {
+	var lines []string
+	add := func(name string, value any) { lines = append(lines, fmt.Sprintf("sequoiacove_%s %v", name, value)) }
+	i.metrics.registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			add(name, m.Count())
+		case metrics.Histogram:
+			s := m.Snapshot()
+			for _, q := range []float64{0.5, 0.9, 0.99} {
+				add(withLabel(name, "", fmt.Sprintf("quantile=%q", strconv.FormatFloat(q, 'g', -1, 64))), s.Percentile(q))
+			}
+			add(withLabel(name, "_count", ""), s.Count())
+			add(withLabel(name, "_sum", ""), s.Sum())
+		}
+	})
+	directives, upstreams := i.catalog.Ages()
+	view := i.catalog.View()
+	if view.Config != nil {
+		add("configuration_version", int64(view.Config.Version))
+	}
+	add("configuration_age_ms", directives.Milliseconds())
+	add("upstream_list_age_ms", upstreams.Milliseconds())
+	add("upstreams", len(view.Upstreams))
+	add("store_calls", i.catalog.Calls())
+	add("store_down", btoi(i.catalog.StoreDown()))
+	add("members", len(*i.live.Load()))
+	add("connections", i.ingress.Connections())
+	add("requests_in_flight", i.ingress.Active())
+	add("upstream_connections_opened", i.client.Dials())
+	sent, received := i.mesh.Datagrams()
+	add("datagrams_sent", sent)
+	add("datagrams_received", received)
+	sort.Strings(lines)
+	return append(bytes.TrimSpace([]byte(strings.Join(lines, "\n"))), '\n')
+}
+
+// withLabel adds a suffix and a label to a labelled name.
+func withLabel(name, suffix, extra string) string {
+	base, labels, labelled := strings.Cut(name, "{")
+	labels = strings.TrimSuffix(labels, "}")
+	if extra != "" && labels != "" {
+		labels += ","
+	}
+	labels += extra
+	if !labelled && extra == "" {
+		return base + suffix
+	}
+	return base + suffix + "{" + labels + "}"
+}
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -243,6 +243,7 @@
 func (c *call) exchange(ctx context.Context, l *balance.Lease, fresh bool) *exchange.Result {
 	r := c.instance.client.Do(ctx, l.Target, &c.request.Request, c.end, fresh)
 	l.Done(r)
+	c.instance.metrics.observe("upstream_time_us", r.Elapsed, "service", c.service)
 	if r.Reason != exchange.Complete && r.Reason != exchange.Cancelled {
 		event.Log(c.instance.logger, event.AttemptFailed, "request", c.request.ID, "upstream", l.Target.ID, "reason", r.Reason.String(), "status", r.Status,
 			"took_ms", r.Elapsed.Milliseconds(), "new_connection", r.NewConnection, "load", l.Load, "slots", l.Slots, "error", errorText(r.Err))
@@ -305,6 +306,7 @@
 func (c *call) log(id event.ID, status int, reason string) {
 	now := c.instance.opt.Now()
 	took := now.Sub(c.request.Arrived)
+	c.instance.metrics.ended(c, id, status, reason, took)
 	args := []any{"request", c.request.ID, "route", c.route.Name, "service", c.service, "version", c.version, "status", status, "reason", reason,
 		"took_ms", millis(took), "waited_ms", millis(c.waited), "attempts", c.attempts, "left_ms", c.end.Sub(now).Milliseconds()}
 	if l := c.lease; l != nil {
--- a/pkg/instance/settings.go
+++ b/pkg/instance/settings.go
@@ -23,6 +23,8 @@
 	// MeshAddress serves the other instances over TCP and UDP.
 	MeshAddress  string
 	AdminAddress string
+	// MetricsAddress serves the metrics and the state dump to collectors.
+	MetricsAddress string
 	// Seeds are mesh addresses of instances to try first.
 	Seeds        []string
 	StoreAddress string
@@ -48,18 +50,19 @@
 // ReadSettings reads and checks all sections.
 func ReadSettings(r *settings.Reader, parse BoundsParser) (*Settings, error) {
 	s := &Settings{
-		ID:            r.String("instance", "id"),
-		Region:        r.String("instance", "region"),
-		Domain:        r.String("instance", "domain"),
-		Regions:       r.Section("regions"),
-		CallerAddress: r.Address("listen", "callers"),
-		ReadyAddress:  r.Address("listen", "readiness"),
-		LookupAddress: r.AddressOr("listen", "lookup", ""),
-		MeshAddress:   r.Address("listen", "mesh"),
-		AdminAddress:  r.AddressOr("listen", "admin", ""),
-		StoreAddress:  r.Address("store", "address"),
-		MemoryMB:      r.Int("limits", "memory_mb", 256, 32, 1<<20),
-		Descriptors:   r.Int("limits", "descriptors", 1024, 64, 1<<20),
+		ID:             r.String("instance", "id"),
+		Region:         r.String("instance", "region"),
+		Domain:         r.String("instance", "domain"),
+		Regions:        r.Section("regions"),
+		CallerAddress:  r.Address("listen", "callers"),
+		ReadyAddress:   r.Address("listen", "readiness"),
+		LookupAddress:  r.AddressOr("listen", "lookup", ""),
+		MeshAddress:    r.Address("listen", "mesh"),
+		AdminAddress:   r.AddressOr("listen", "admin", ""),
+		MetricsAddress: r.AddressOr("listen", "metrics", ""),
+		StoreAddress:   r.Address("store", "address"),
+		MemoryMB:       r.Int("limits", "memory_mb", 256, 32, 1<<20),
+		Descriptors:    r.Int("limits", "descriptors", 1024, 64, 1<<20),
 	}
 	level := r.OneOf("log", "level", "info", "debug", "warn", "error")
 	// OneOf returns only names that the level knows.
--- a/pkg/instance/stop.go
+++ b/pkg/instance/stop.go
@@ -11,7 +11,7 @@
 	// lookupTTL is the life of a look-up answer.
 	lookupTTL = 2 * time.Second
 	// exitMargin is left before the kill for the end of the process.
-	exitMargin = 400 * time.Millisecond
+	exitMargin = 700 * time.Millisecond
 	// acceptPart is the part of the grace during which a leaving instance takes
 	// new connections: some callers keep look-up answers for longer.
 	acceptPart = 0.6
