--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -66,10 +66,8 @@
 	metrics  *instanceMetrics
 
 	live atomic.Pointer[[]mesh.Member]
-	// stopAt is the time in Unix nanoseconds at which a leaving instance
-	// stops, 0 while it serves.
-	stopAt   atomic.Int64
-	leavesAt atomic.Int64
+	// leave is nil while the instance serves.
+	leave atomic.Pointer[departure]
 	started  time.Time
 	behind   map[string]time.Time
 	// ahead passes on members that know more.
@@ -263,7 +261,7 @@
 	return v.Config != nil && !i.leaving()
 }
 
-func (i *Instance) leaving() bool { return i.stopAt.Load() != 0 }
+func (i *Instance) leaving() bool { return i.leave.Load() != nil }
 
 // maintain runs the periodic work.
 func (i *Instance) maintain(ctx context.Context) {
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -406,3 +406,17 @@
 	require.Equal(t, 200, status)
 	require.Contains(t, body, `"instance":"i1"`)
 }
+
+// Guards against a jump of the time of day during a stop that makes the
+// instance refuse requests at once or take them until it is killed.
+func TestStopKeepsTheMonotonicClock(t *testing.T) {
+	w := newWorld(t)
+	w.upstream("u1")
+	x := w.start("i1")
+	w.awaitReady(x, 1)
+	x.stop()
+	require.Eventually(t, func() bool { return x.leave.Load() != nil }, patience, time.Millisecond)
+	leave := x.leave.Load()
+	require.Contains(t, leave.at.String(), "m=", "without the monotonic clock the time of day counts")
+	require.Contains(t, leave.end.String(), "m=")
+}
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -98,12 +98,11 @@
 
 // mayStart tells whether a request can end before a leaving instance stops.
 func (i *Instance) mayStart(c *call) bool {
-	stop := i.stopAt.Load()
-	if stop == 0 {
+	leave := i.leave.Load()
+	if leave == nil {
 		return true
 	}
-	since := i.opt.Now().Sub(time.Unix(0, i.leavesAt.Load()))
-	return since < latestStart || c.end.Before(time.Unix(0, stop))
+	return i.opt.Now().Sub(leave.at) < latestStart || c.end.Before(leave.end)
 }
 
 // run tries upstreams until the request has its answer.
--- a/pkg/instance/stop.go
+++ b/pkg/instance/stop.go
@@ -20,14 +20,17 @@
 	latestStart = 2500 * time.Millisecond
 )
 
+// departure holds when a leaving instance was told to stop and when it ends.
+// Both keep the monotonic clock, because the time of day may jump meanwhile.
+type departure struct{ at, end time.Time }
+
 // stop leaves: look-ups of all instances drop this one, callers are told to
 // connect elsewhere, and the requests in flight are answered.
 func (i *Instance) stop(l *listeners) {
 	now := i.opt.Now()
 	grace := i.settings.Bounds.Grace
 	end := now.Add(grace - exitMargin)
-	i.leavesAt.Store(now.UnixNano())
-	i.stopAt.Store(end.UnixNano())
+	i.leave.Store(&departure{at: now, end: end})
 	event.Log(i.logger, event.ProcessStopping, "grace_ms", grace.Milliseconds(), "in_flight", i.ingress.Active(), "connections", i.ingress.Connections())
 	i.ingress.Drain()
 	i.mesh.Announce()
