Add a soak of real processes under random faults

Callers and stand-ins of the platform's store and upstreams run in the test, instances as processes on loopback addresses. Faults: kills, stops, pauses, the store busy, silent, slow, losing answers, dropping its history or cut off, its connections silenced, upstreams crashing, slow, losing answers and resetting connections. Checks: whole own answers with signatures, at most once, true refusals, no denials, stops within the grace time, changes in force and leaving upstreams unused 3 s after their acknowledgement, and service after the last fault.

--- a/pkg/harness/harness.go
+++ b/pkg/harness/harness.go
@@ -87,7 +87,7 @@
 
 // process makes a process that Close ends.
 func (c *Cluster) process(name, binary string, args ...string) *Process {
-	p := newProcess(name, filepath.Join(c.Spec.Binaries, binary), c.Dir, args...)
+	p := NewProcess(name, filepath.Join(c.Spec.Binaries, binary), c.Dir, args...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.processes = append(c.processes, p)
--- a/pkg/harness/process.go
+++ b/pkg/harness/process.go
@@ -33,8 +33,9 @@
 	stopped bool
 }
 
-// newProcess describes a process of the binary at path without starting it.
-func newProcess(name, path, dir string, args ...string) *Process {
+// NewProcess describes a process of the binary at path without starting it;
+// its log goes to dir.
+func NewProcess(name, path, dir string, args ...string) *Process {
 	return &Process{Name: name, LogPath: filepath.Join(dir, name+".log"), path: path, args: args}
 }
 
--- a/pkg/harness/process_test.go
+++ b/pkg/harness/process_test.go
@@ -31,7 +31,7 @@
 
 func child(t *testing.T) *Process {
 	t.Setenv(childKey, "1")
-	p := newProcess("child", os.Args[0], t.TempDir())
+	p := NewProcess("child", os.Args[0], t.TempDir())
 	require.NoError(t, p.Start())
 	t.Cleanup(func() { _ = p.Kill() })
 	_, err := Await(limit, "child", func() error {
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -67,9 +67,9 @@
 
 	live atomic.Pointer[[]mesh.Member]
 	// leave is nil while the instance serves.
-	leave atomic.Pointer[departure]
-	started  time.Time
-	behind   map[string]time.Time
+	leave   atomic.Pointer[departure]
+	started time.Time
+	behind  map[string]time.Time
 	// ahead passes on members that know more.
 	ahead chan mesh.Member
 }
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,235 @@
+package soak
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/faultproxy"
+	"github.com/sequoiacove/sequoiacove/platform"
+	"github.com/sequoiacove/sequoiacove/platform/platformtest"
+)
+
+var (
+	firstSeed = flag.Uint64("soak.seed", 1, "first seed")
+	seeds     = flag.Uint64("soak.seeds", 1, "number of seeds")
+	duration  = flag.Duration("soak.duration", 12*time.Second, "time with faults per seed")
+)
+
+const (
+	callers = 24
+	// inForce is the time in which a change must be in force on instances that
+	// were left alone.
+	inForce = 3 * time.Second
+	// calmFor is how long an instance must have been left alone for that.
+	calmFor = 4 * time.Second
+	// recovery is the time after the last fault in which service is whole.
+	recovery = 8 * time.Second
+)
+
+// Guards the promises under random faults: whole own answers, at most once,
+// true refusals, configurations in force that never go back, no work for
+// upstreams that left, and full service after the last fault.
+func TestSoak(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	w.awaitReady(10 * time.Second)
+	stop := make(chan struct{})
+	var callersDone sync.WaitGroup
+	for n := range callers {
+		callersDone.Add(1)
+		go func() {
+			defer callersDone.Done()
+			w.call(seed*1000+uint64(n), stop)
+		}()
+	}
+	w.disturb(*duration)
+	w.settle()
+	good, all := w.records.good.Load(), w.records.all.Load()
+	time.Sleep(2 * time.Second)
+	good, all = w.records.good.Load()-good, w.records.all.Load()-all
+	close(stop)
+	callersDone.Wait()
+	require.Empty(t, w.records.judge())
+	require.Positive(t, all)
+	require.GreaterOrEqual(t, float64(good), 0.95*float64(all), "service after the last fault: %d of %d", good, all)
+	t.Logf("seed %d: %d of %d requests served, %d store calls", seed, w.records.good.Load(), w.records.all.Load(), w.store.Calls())
+}
+
+// disturb injects faults one after the other, some of which overlap.
+func (w *world) disturb(d time.Duration) {
+	var ends sync.WaitGroup
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		fault := w.fault()
+		ends.Add(1)
+		go func() {
+			defer ends.Done()
+			fault()
+		}()
+		time.Sleep(time.Duration(200+w.rng.IntN(900)) * time.Millisecond)
+	}
+	ends.Wait()
+}
+
+// fault draws a fault; the returned function injects it and ends it.
+func (w *world) fault() func() {
+	i := w.instances[w.rng.IntN(len(w.instances))]
+	u := w.upstreams[w.rng.IntN(len(w.upstreams))]
+	pause := time.Duration(200+w.rng.IntN(2500)) * time.Millisecond
+	switch w.rng.IntN(11) {
+	case 0:
+		return func() { w.kill(i) }
+	case 1:
+		return func() { w.terminate(i) }
+	case 2:
+		return func() { w.freeze(i, pause) }
+	case 3:
+		return w.storeTrouble(platformtest.Trouble(1+w.rng.IntN(4)), pause)
+	case 4:
+		return w.store.DropHistory
+	case 5:
+		return func() { w.relay.Silence() }
+	case 6:
+		return func() { w.crash(u, pause) }
+	case 7:
+		return func() { u.SetLost(300); time.Sleep(pause); u.SetLost(0) }
+	case 8:
+		return func() { u.SetSlowness(20); time.Sleep(pause); u.SetSlowness(1) }
+	case 9:
+		return u.Reset
+	}
+	return func() {
+		w.relay.Set(faultproxy.Faults{Cut: true})
+		time.Sleep(pause)
+		w.relay.Set(faultproxy.Faults{})
+	}
+}
+
+func (w *world) storeTrouble(trouble platformtest.Trouble, pause time.Duration) func() {
+	return func() {
+		w.store.SetTrouble(trouble)
+		time.Sleep(pause)
+		w.store.SetTrouble(platformtest.None)
+	}
+}
+
+// exclusive runs a fault on a process unless another one is under way.
+func (i *instance) exclusive(fault func()) {
+	if !i.busy.TryLock() {
+		return
+	}
+	defer i.busy.Unlock()
+	fault()
+}
+
+func (w *world) kill(i *instance) {
+	i.exclusive(func() {
+		_ = i.Kill()
+		w.restart(i)
+	})
+}
+
+func (w *world) terminate(i *instance) {
+	i.exclusive(func() {
+		took, err := i.Terminate(2 * grace)
+		if err != nil || took > grace {
+			w.records.breach("%s took %v to stop: %v", i.Name, took, err)
+			_ = i.Kill()
+		}
+		w.restart(i)
+	})
+}
+
+func (w *world) restart(i *instance) {
+	if err := i.Start(); err != nil {
+		w.records.breach("%s does not start: %v", i.Name, err)
+	}
+}
+
+func (w *world) freeze(i *instance, pause time.Duration) {
+	i.exclusive(func() {
+		if i.Signal(syscall.SIGSTOP) == nil {
+			time.Sleep(pause)
+			_ = i.Signal(syscall.SIGCONT)
+		}
+	})
+}
+
+// crash ends an upstream; its registration lapses and it starts again.
+func (w *world) crash(u *upstream, pause time.Duration) {
+	if !u.busy.TryLock() {
+		return
+	}
+	defer u.busy.Unlock()
+	u.Crash()
+	time.Sleep(pause)
+	w.store.Register(u.Upstream, "")
+	if err := u.Start(); err != nil {
+		w.records.breach("%s does not start: %v", u.ID, err)
+		return
+	}
+	w.store.Register(u.Upstream, "ready")
+}
+
+// settle waits until the faults have passed and checks that changes are in
+// force everywhere then.
+func (w *world) settle() {
+	w.awaitReady(recovery)
+	time.Sleep(calmFor)
+	w.configure()
+	leaving := w.upstreams[0]
+	w.store.Register(leaving.Upstream, "draining")
+	acknowledged := time.Now()
+	time.Sleep(inForce)
+	for _, i := range w.instances {
+		if status := w.probe(i, fmt.Sprintf("/v%d/", w.version)); status != http.StatusOK {
+			w.records.breach("%s answers %d on a route that was added %v ago: %s", i.Name, status, time.Since(acknowledged), i.LogTail(500))
+		}
+		if status := w.probe(i, fmt.Sprintf("/v%d/", w.version-1)); status != http.StatusNotFound {
+			w.records.breach("%s answers %d on a route that was dropped %v ago", i.Name, status, time.Since(acknowledged))
+		}
+	}
+	w.records.mu.Lock()
+	w.records.left = leaving.ID
+	w.records.mu.Unlock()
+}
+
+// probe sends one request on a connection of its own.
+func (w *world) probe(i *instance, path string) int {
+	c, err := net.DialTimeout("tcp4", i.caller(), time.Second)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	if c.SetDeadline(time.Now().Add(3*time.Second)) != nil {
+		return 0
+	}
+	h := platform.Headers()
+	id := fmt.Sprintf("p%d", w.records.next.Add(1))
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 2000\r\n\r\n", path, host, h.RequestID, id, h.Deadline); err != nil {
+		return 0
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return 0
+	}
+	return r.StatusCode
+}
