Read the bounds as the platform renders them

Cause: the template renders the bounds as a table, not as the list that the settings page shows; the parser ignored what has no equals sign, so the budget for repeats was zero and no request was ever sent again, nor hedged.

--- a/pkg/instance/settings.go
+++ b/pkg/instance/settings.go
@@ -35,6 +35,9 @@
 	LogLevel    slog.Level
 }
 
+// defaultRetryRatio applies where no bound on repeats is stated.
+const defaultRetryRatio = 0.1
+
 // BoundsParser reads the text of the bounds.
 type BoundsParser func(text string) (steering.Bounds, error)
 
@@ -78,10 +81,13 @@
 // readBounds reads the bounds and gives those that are not stated a value that
 // breaks no usual one.
 func readBounds(r *settings.Reader, parse BoundsParser) steering.Bounds {
-	b, err := parse(r.StringOr("bounds", "platform", ""))
+	b, err := parse(r.StringOr("bounds", "platform", "{}"))
 	if err != nil {
 		r.Fail("bounds", "platform", "%v", err)
 	}
+	if b.RetryRatio <= 0 && b.RetrySlack <= 0 {
+		b.RetryRatio = defaultRetryRatio
+	}
 	if b.RetryWindow <= 0 {
 		b.RetryWindow = 10 * time.Second
 	}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -124,7 +124,7 @@
 	for _, d := range domainNames {
 		fmt.Fprintf(&regions, "%s = %s\n", d, regionOf[d])
 	}
-	settings := fmt.Sprintf("[instance]\nid = i%d\nregion = %s\ndomain = %s\n[regions]\n%s[listen]\ncallers = %s\nreadiness = %s\nlookup = %s\nmesh = %s:%d\n[mesh]\nseeds = %s1:1\n[store]\naddress = %s\n[bounds]\nplatform = retryBudgetRatio=0.2,budgetSlack=60,budgetWindow=10s,maxShift=0.15,coldOver=1.5,coldSlack=5,ttl_max=5s,grace=%s\n",
+	settings := fmt.Sprintf("[instance]\nid = i%d\nregion = %s\ndomain = %s\n[regions]\n%s[listen]\ncallers = %s\nreadiness = %s\nlookup = %s\nmesh = %s:%d\n[mesh]\nseeds = %s1:1\n[store]\naddress = %s\n[bounds]\nplatform = {\"retryBudgetRatio\":0.2,\"budgetSlack\":60,\"budgetWindow\":\"10s\",\"maxShift\":0.15,\"coldOver\":1.5,\"coldSlack\":5,\"ttl_max\":\"5s\",\"grace\":\"%s\"}\n",
 		n, regionOf[domain], domain, regions.String(), i.caller(), i.ready(), i.lookup(), i.ip, seedPort, net, w.relay.Addr(), grace)
 	path := filepath.Join(w.dir, fmt.Sprintf("i%d.ini", n))
 	require.NoError(w.t, os.WriteFile(path, []byte(settings), 0o600))
