--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -43,7 +43,6 @@
 	RequestFailed     ID = 407
 	RequestAbandoned  ID = 408
 	AttemptFailed     ID = 409
-	RequestHedged     ID = 410
 	SharesMoved       ID = 411
 
 	PoolAcquired       ID = 500
@@ -106,7 +105,6 @@
 	{RequestFailed, slog.LevelWarn, "request failed", "See docs/OPERATIONS.md: the fields tell which upstream failed and how."},
 	{RequestAbandoned, slog.LevelInfo, "caller left before the answer", "None."},
 	{AttemptFailed, slog.LevelInfo, "attempt at an upstream failed", "Check the upstream if it repeats."},
-	{RequestHedged, slog.LevelInfo, "request sent to a second upstream", "None."},
 	{SharesMoved, slog.LevelInfo, "region shares of a service moved", "None."},
 
 	{PoolAcquired, slog.LevelInfo, "pool acquired", "None."},
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -67,19 +67,16 @@
 
 // Do sends the request to the target and reads its answer until deadline. A
 // cancelled ctx closes the connection, which ends the work at the upstream.
-func (c *Client) Do(ctx context.Context, t Target, req *Request, deadline time.Time, fresh bool) *Result {
+func (c *Client) Do(ctx context.Context, t Target, req *Request, deadline time.Time) *Result {
 	start := c.config.Now()
-	r := c.do(ctx, t, req, deadline, fresh, start)
+	r := c.do(ctx, t, req, deadline, start)
 	r.Elapsed = c.config.Now().Sub(start)
 	return r
 }
 
-func (c *Client) do(ctx context.Context, t Target, req *Request, deadline time.Time, fresh bool, start time.Time) *Result {
+func (c *Client) do(ctx context.Context, t Target, req *Request, deadline time.Time, start time.Time) *Result {
 	p := c.pool(t)
-	var k *conn
-	if !fresh {
-		k = p.take(start, req.Idempotent)
-	}
+	k := p.take(start, req.Idempotent)
 	opened := k == nil
 	if opened {
 		var err error
@@ -143,10 +140,6 @@
 	p.retire(c.config.Now().Add(time.Hour))
 }
 
-// Retire closes the idle connections to an upstream that were opened before a
-// time and returns their number.
-func (c *Client) Retire(t Target, before time.Time) int { return c.pool(t).retire(before) }
-
 // exchange writes the request and reads its answer. The second value tells
 // whether the connection can carry another request.
 func (c *Client) exchange(ctx context.Context, k *conn, t Target, req *Request, deadline time.Time) (*Result, bool) {
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -66,7 +66,7 @@
 }
 
 func do(c *Client, u *upstream, id string, wait time.Duration) *Result {
-	return c.Do(context.Background(), Target{ID: "u", Address: u.address, Near: true}, testRequest(id), time.Now().Add(wait), false)
+	return c.Do(context.Background(), Target{ID: "u", Address: u.address, Near: true}, testRequest(id), time.Now().Add(wait))
 }
 
 // Guards against a kept connection that is thrown away because the deadline of
@@ -154,7 +154,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	r := testClient().Do(ctx, Target{ID: "u", Address: u.address}, testRequest("1"), time.Now().Add(5*time.Second), false)
+	r := testClient().Do(ctx, Target{ID: "u", Address: u.address}, testRequest("1"), time.Now().Add(5*time.Second))
 	require.Equal(t, Cancelled, r.Reason)
 	select {
 	case <-closed:
@@ -169,7 +169,7 @@
 	require.NoError(t, err)
 	address := l.Addr().String()
 	require.NoError(t, l.Close())
-	r := testClient().Do(context.Background(), Target{ID: "u", Address: address}, testRequest("1"), time.Now().Add(time.Second), false)
+	r := testClient().Do(context.Background(), Target{ID: "u", Address: address}, testRequest("1"), time.Now().Add(time.Second))
 	require.Equal(t, NotRun, r.Outcome)
 	require.Equal(t, ConnectFailed, r.Reason)
 }
--- a/pkg/instance/metrics.go
+++ b/pkg/instance/metrics.go
@@ -21,14 +21,13 @@
 type instanceMetrics struct {
 	registry  metrics.Registry
 	snapshots metrics.Counter
-	hedges    metrics.Counter
 	repeats   metrics.Counter
 }
 
 func newMetrics() *instanceMetrics {
 	r := metrics.NewRegistry()
 	return &instanceMetrics{registry: r, snapshots: metrics.NewRegisteredCounter("changes_fetched_from_peers", r),
-		hedges: metrics.NewRegisteredCounter("hedges", r), repeats: metrics.NewRegisteredCounter("repeats", r)}
+		repeats: metrics.NewRegisteredCounter("repeats", r)}
 }
 
 // outcomeNames names the ends of a request in the metrics.
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -31,10 +31,8 @@
 	waitPart = 0.3
 	// maxConnectTries bounds the upstreams that are tried without a connection.
 	maxConnectTries = 4
-	// hedgeFactor and hedgeFloor give the time after which an idempotent
-	// request is sent to a second upstream.
-	hedgeFactor = 2.0
-	hedgeFloor  = 60 * time.Millisecond
+	// minRepeatTime is the time that must be left to send a request again.
+	minRepeatTime = 30 * time.Millisecond
 )
 
 // call is the work on one request.
@@ -47,10 +45,11 @@
 	end      time.Time
 	tried    []string
 	attempts int
-	hedged   bool
-	waited   time.Duration
-	lease    *balance.Lease
-	last     *exchange.Result
+	// unknown tells that an attempt may have run the request.
+	unknown bool
+	waited  time.Duration
+	lease   *balance.Lease
+	last    *exchange.Result
 }
 
 // Idempotent implements ingress.Handler.
@@ -121,6 +120,7 @@
 			return c.abandoned()
 		}
 		c.last = r
+		c.unknown = c.unknown || r.Outcome != exchange.NotRun
 		if r.Outcome == exchange.Answered && (r.Status < 500 || !c.mayRepeat(r, tries)) {
 			return c.answer(r)
 		}
@@ -149,7 +149,7 @@
 // takes the repeat from the budget.
 func (c *call) mayRepeat(r *exchange.Result, tries int) bool {
 	switch {
-	case c.end.Sub(c.instance.opt.Now()) < hedgeFloor/2:
+	case c.end.Sub(c.instance.opt.Now()) < minRepeatTime:
 		return false
 	case r.Reason == exchange.ConnectFailed:
 		// Nothing reached the upstream.
@@ -160,88 +160,15 @@
 	return c.attempts < c.route.MaxAttempts && c.instance.balancer.AllowRepeat(c.service)
 }
 
-// attempt sends the request to an upstream and, if the answer takes long, an
-// idempotent one to a second upstream as well.
-func (c *call) attempt(ctx context.Context, lease *balance.Lease) *exchange.Result {
-	if !c.route.Idempotent || c.attempts+1 >= c.route.MaxAttempts {
-		return c.send(ctx, lease)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan *exchange.Result, 2)
-	c.begin(lease)
-	go func() { results <- c.exchange(ctx, lease, false) }()
-	delay := max(time.Duration(hedgeFactor*float64(lease.Expected)), lease.Expected+hedgeFloor)
-	t := time.NewTimer(delay)
-	defer t.Stop()
-	select {
-	case r := <-results:
-		c.lease = lease
-		return c.finish(r)
-	case <-t.C:
-	}
-	second := c.hedge(ctx)
-	if second == nil {
-		c.lease = lease
-		return c.finish(<-results)
-	}
-	secondResults := make(chan *exchange.Result, 1)
-	go func() { secondResults <- c.exchange(ctx, second, true) }()
-	return c.firstAnswer(lease, second, results, secondResults)
-}
-
-// hedge returns a second upstream with a free slot, if the budget allows it.
-func (c *call) hedge(ctx context.Context) *balance.Lease {
-	if c.end.Sub(c.instance.opt.Now()) < hedgeFloor {
-		return nil
-	}
-	l := c.instance.balancer.Acquire(ctx, balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: true, Idle: true}, 0)
-	if l == nil {
-		return nil
-	}
-	if !c.instance.balancer.AllowRepeat(c.service) {
-		l.Done(&exchange.Result{Outcome: exchange.NotRun, Reason: exchange.Cancelled})
-		return nil
-	}
-	c.begin(l)
-	c.hedged = true
-	c.instance.metrics.hedges.Inc(1)
-	event.Log(c.instance.logger, event.RequestHedged, "request", c.request.ID, "upstream", l.Target.ID, "load", l.Load, "slots", l.Slots)
-	return l
-}
-
-// firstAnswer returns the first good answer of two attempts, or the last end.
-func (c *call) firstAnswer(first, second *balance.Lease, a, b <-chan *exchange.Result) *exchange.Result {
-	var r *exchange.Result
-	for range 2 {
-		select {
-		case r = <-a:
-			c.lease, a = first, nil
-		case r = <-b:
-			c.lease, b = second, nil
-		}
-		if r.Outcome == exchange.Answered && r.Status < 500 {
-			break
-		}
-	}
-	return c.finish(r)
-}
-
-func (c *call) begin(l *balance.Lease) {
+// attempt sends the request to an upstream and gives the lease back.
+func (c *call) attempt(ctx context.Context, l *balance.Lease) *exchange.Result {
 	c.tried = append(c.tried, l.Target.ID)
-	c.attempts++
-}
-
-func (c *call) send(ctx context.Context, l *balance.Lease) *exchange.Result {
-	c.begin(l)
 	c.lease = l
-	return c.finish(c.exchange(ctx, l, false))
-}
-
-// exchange makes one attempt and gives its lease back.
-func (c *call) exchange(ctx context.Context, l *balance.Lease, fresh bool) *exchange.Result {
-	r := c.instance.client.Do(ctx, l.Target, &c.request.Request, c.end, fresh)
+	r := c.instance.client.Do(ctx, l.Target, &c.request.Request, c.end)
 	l.Done(r)
+	if r.Reason != exchange.ConnectFailed {
+		c.attempts++
+	}
 	c.instance.metrics.observe("upstream_time_us", r.Elapsed, "service", c.service)
 	if r.Reason != exchange.Complete && r.Reason != exchange.Cancelled {
 		event.Log(c.instance.logger, event.AttemptFailed, "request", c.request.ID, "upstream", l.Target.ID, "reason", r.Reason.String(), "status", r.Status,
@@ -257,14 +184,6 @@
 	return err.Error()
 }
 
-// finish corrects the count of attempts: one without a connection is none.
-func (c *call) finish(r *exchange.Result) *exchange.Result {
-	if r.Reason == exchange.ConnectFailed {
-		c.attempts--
-	}
-	return r
-}
-
 // answer passes on the upstream's answer.
 func (c *call) answer(r *exchange.Result) *ingress.Response {
 	c.log(event.RequestAnswered, r.Status, "answered")
@@ -273,7 +192,7 @@
 
 // giveUp answers a request for which no upstream gave an answer.
 func (c *call) giveUp(reason string) *ingress.Response {
-	if c.last == nil || c.last.Outcome == exchange.NotRun && !c.hedged && c.attempts <= 1 {
+	if !c.unknown {
 		return c.refuse(reason)
 	}
 	if c.last.Outcome == exchange.Answered {
