--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -197,11 +198,10 @@
 	acknowledged := time.Now()
 	time.Sleep(inForce)
 	for _, i := range w.instances {
-		if status := w.probe(i, fmt.Sprintf("/v%d/", w.version)); status != http.StatusOK {
-			w.records.breach("%s answers %d on a route that was added %v ago: %s", i.Name, status, time.Since(acknowledged), i.LogTail(500))
-		}
-		if status := w.probe(i, fmt.Sprintf("/v%d/", w.version-1)); status != http.StatusNotFound {
-			w.records.breach("%s answers %d on a route that was dropped %v ago", i.Name, status, time.Since(acknowledged))
+		for path, want := range map[string]int{fmt.Sprintf("/v%d/", w.version): http.StatusOK, fmt.Sprintf("/v%d/", w.version-1): http.StatusNotFound} {
+			if id, status := w.probe(i, path); status != want {
+				w.records.breach("%s answers %d on %s, %v after the change: %s", i.Name, status, path, time.Since(acknowledged), linesOf(i, id))
+			}
 		}
 	}
 	w.records.mu.Lock()
@@ -209,27 +209,40 @@
 	w.records.mu.Unlock()
 }
 
-// probe sends one request on a connection of its own.
-func (w *world) probe(i *instance, path string) int {
+// linesOf returns the log lines of a request at an instance.
+func linesOf(i *instance, id string) string {
+	const tail = 1 << 20
+	var lines []string
+	for line := range strings.Lines(i.LogTail(tail)) {
+		if strings.Contains(line, `"request":"`+id+`"`) {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "")
+}
+
+// probe sends one request on a connection of its own and returns its
+// identifier and the status of the answer, 0 if there is none.
+func (w *world) probe(i *instance, path string) (id string, status int) {
+	h := platform.Headers()
+	id = fmt.Sprintf("p%d", w.records.next.Add(1))
 	c, err := net.DialTimeout("tcp4", i.caller(), time.Second)
 	if err != nil {
-		return 0
+		return id, 0
 	}
 	defer func() { _ = c.Close() }()
 	if c.SetDeadline(time.Now().Add(3*time.Second)) != nil {
-		return 0
+		return id, 0
 	}
-	h := platform.Headers()
-	id := fmt.Sprintf("p%d", w.records.next.Add(1))
 	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 2000\r\n\r\n", path, host, h.RequestID, id, h.Deadline); err != nil {
-		return 0
+		return id, 0
 	}
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return 0
+		return id, 0
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return 0
+		return id, 0
 	}
-	return r.StatusCode
+	return id, r.StatusCode
 }
