Give a silent watch of the store up within four seconds

Cause: a watch waits for 6 s and its answer for 1.5 s more, so an instance whose connection to the store went silent learned of changes up to 7.5 s late; keep-alive does not show it where something on the way answers for the store. Ruled out: changes lost between peers (all four instances lagged). Change: 2.5 s and 1 s; TestSilentWatchIsGivenUpInTime failed before.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -242,3 +242,39 @@
 	defer s.mu.Unlock()
 	require.Equal(t, []string{"list", "watch 3", "list", "watch 9"}, s.calls[:4])
 }
+
+// silentStore answers no watch.
+type silentStore struct {
+	Store
+	deadlines chan time.Duration
+}
+
+func (s *silentStore) List(context.Context, Table) (Listing, error) { return Listing{Revision: 1}, nil }
+
+func (s *silentStore) Watch(ctx context.Context, _ Table, _ int64, _ time.Duration) (Listing, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return Listing{}, errors.New("no deadline")
+	}
+	select {
+	case s.deadlines <- time.Until(deadline):
+	default:
+	}
+	<-ctx.Done()
+	return Listing{}, ctx.Err()
+}
+
+// Guards against a watch on a connection that went silent, which hides changes
+// for longer than an instance may take to be in touch again.
+func TestSilentWatchIsGivenUpInTime(t *testing.T) {
+	const inTouch = 4 * time.Second
+	s := &silentStore{deadlines: make(chan time.Duration, 1)}
+	c := New(Options{Store: s, Decode: decoder, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.Discard(),
+		Watching: func() (bool, int) { return true, 0 }})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	require.Less(t, <-s.deadlines, inTouch)
+	cancel()
+	<-done
+}
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -12,9 +12,12 @@
 const (
 	// callTimeout bounds a call that does not wait for changes.
 	callTimeout = 1500 * time.Millisecond
-	// watchWait is the longest wait of a watch. A watch on a connection that
-	// went silent is noticed only after it.
-	watchWait = 6 * time.Second
+	// watchWait is the longest wait of a watch, answerTimeout the time for its
+	// answer after that. A watch on a connection that went silent is noticed
+	// only after both, which must be less than the four seconds in which an
+	// instance has to be in touch again.
+	watchWait     = 2500 * time.Millisecond
+	answerTimeout = time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
@@ -89,7 +92,7 @@
 		c.replace(table, l, "store")
 		return false, nil
 	}
-	call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	call, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
 	defer cancel()
 	c.mu.Lock()
 	after := c.tables[table].revision
