--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -376,3 +376,21 @@
 	require.InDelta(t, 100, counts["b"], 2)
 	require.Zero(t, counts["c"])
 }
+
+// Guards against a refusal that does not tell which limit caused it.
+func TestExplainCountsEveryUpstreamOnce(t *testing.T) {
+	f := newFixture(1, 2)
+	f.view.Evacuated["n-a"] = true
+	u := f.view.Upstreams["n-b-0"]
+	u.State = steering.Draining
+	f.view.Upstreams["n-b-0"] = u
+	cold := f.view.Upstreams["n-b-1"]
+	cold.ColdRemaining, cold.Born = time.Minute, 2
+	f.view.Upstreams["n-b-1"] = cold
+	f.publish()
+	b := f.all[0]
+	r := testRoute(2)
+	full := []InFlight{{Upstream: hash("s-a-0"), Count: 40}, {Upstream: hash("s-a-1"), Count: 40}, {Upstream: hash("n-b-1"), Count: 40}}
+	b.SetPeerInFlight("p", "n", full)
+	require.Equal(t, Refusal{Upstreams: 8, Evacuated: 2, LeftOut: 1, Cold: 1, Full: 2, Displacing: 1, Tried: 1}, b.Explain(Ask{Service: service, Route: r, Exclude: []string{"s-b-0"}}))
+}
--- /dev/null
+++ b/pkg/balance/explain.go
@@ -0,0 +1,74 @@
+package balance
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Refusal tells why no upstream took a request.
+type Refusal struct {
+	// Region is where the shares send the object of the request, if it has one.
+	Region string
+	// Upstreams counts those that the route allows; the others say how many of
+	// them could not take the request, each counted once.
+	Upstreams int
+	Evacuated int
+	// LeftOut counts those that leave, failed or are probed by another request.
+	LeftOut int
+	// Tried counts those that had the request before.
+	Tried int
+	// Cold counts cold ones whose rate is used up or whose slots are taken.
+	Cold int
+	// Full counts those with as many requests as the route's priority may wait
+	// behind.
+	Full int
+	// Displacing counts those with room only for objects that they hold.
+	Displacing int
+}
+
+// LogValue implements slog.LogValuer.
+func (r Refusal) LogValue() slog.Value {
+	return slog.GroupValue(slog.String("region", r.Region), slog.Int("upstreams", r.Upstreams), slog.Int("full", r.Full), slog.Int("displacing", r.Displacing),
+		slog.Int("cold", r.Cold), slog.Int("left_out", r.LeftOut), slog.Int("evacuated", r.Evacuated), slog.Int("tried", r.Tried))
+}
+
+// Explain tells why no upstream takes the request at the moment.
+func (b *Balancer) Explain(ask Ask) Refusal {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.config.Now()
+	p := b.pool(ask.Service)
+	route := b.route(p, ask.Route)
+	var r Refusal
+	if ask.Key != "" {
+		r.Region = route.shares.byObject(route.shares.allowed(ask.Route, b.open(p, now)), ask.Key, b.config.Region)
+	}
+	for _, u := range p.upstreams {
+		if ask.Route.AllowsRegion(u.region) {
+			r.Upstreams++
+			b.classify(&r, u, ask, now)
+		}
+	}
+	return r
+}
+
+func (b *Balancer) classify(r *Refusal, u *upstream, ask Ask, now time.Time) {
+	tried := false
+	for _, id := range ask.Exclude {
+		tried = tried || id == u.ID
+	}
+	switch {
+	case tried:
+		r.Tried++
+	case b.evacuated[u.Domain]:
+		r.Evacuated++
+	case !u.usable(now) || now.Before(u.shedUntil) || u.ejections > 0:
+		r.LeftOut++
+	case b.admits(u, ask, u.load(now), now):
+		r.Displacing++
+	case now.Before(u.coldUntil):
+		r.Cold++
+	default:
+		r.Full++
+	}
+}
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -35,6 +35,9 @@
 	minRepeatTime = 30 * time.Millisecond
 )
 
+// noUpstream is the reason of a request that no upstream took.
+const noUpstream = "no_upstream"
+
 // call is the work on one request.
 type call struct {
 	instance *Instance
@@ -48,6 +51,7 @@
 	// unknown tells that an attempt may have run the request.
 	unknown bool
 	waited  time.Duration
+	ask     balance.Ask
 	lease   *balance.Lease
 	last    *exchange.Result
 }
@@ -113,7 +117,7 @@
 			return c.abandoned()
 		}
 		if lease == nil {
-			return c.giveUp("no_upstream")
+			return c.giveUp(noUpstream)
 		}
 		r := c.attempt(ctx, lease)
 		if ctx.Err() != nil && r.Reason == exchange.Cancelled {
@@ -140,7 +144,8 @@
 	start := c.instance.opt.Now()
 	hold := time.Duration(holdPart*float64(target)) - start.Sub(c.request.Arrived)
 	hold = min(hold, c.end.Sub(start))
-	l := c.instance.balancer.Acquire(ctx, balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: again}, hold)
+	c.ask = balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: again}
+	l := c.instance.balancer.Acquire(ctx, c.ask, hold)
 	c.waited += c.instance.opt.Now().Sub(start)
 	return l
 }
@@ -231,6 +236,9 @@
 		args = append(args, "upstream", l.Target.ID, "domain", l.Domain, "load", l.Load, "slots", l.Slots, "slowness", round(l.Slowness),
 			"expected_ms", millis(l.Expected), "warm", l.Warm, "cold", l.Cold)
 	}
+	if reason == noUpstream {
+		args = append(args, "refusal", c.instance.balancer.Explain(c.ask))
+	}
 	if id != event.RequestAnswered {
 		directives, upstreams := c.instance.catalog.Ages()
 		args = append(args, "directives_age_ms", directives.Milliseconds(), "upstreams_age_ms", upstreams.Milliseconds())
