--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -60,7 +60,6 @@
 	// nothing after wait.
 	Watch(ctx context.Context, table Table, after int64, wait time.Duration) (Listing, error)
 	Put(ctx context.Context, table Table, key string, value []byte) error
-	Remove(ctx context.Context, table Table, keys []string) error
 }
 
 // Decoder reads the values of rows.
--- a/pkg/instance/fake_test.go
+++ b/pkg/instance/fake_test.go
@@ -122,9 +122,6 @@
 	return nil
 }
 
-// Remove implements catalog.Store.
-func (s *fakeStore) Remove(context.Context, catalog.Table, []string) error { return nil }
-
 // fakeUpstream serves requests with a handler and counts what it runs.
 type fakeUpstream struct {
 	id      string
