--- /dev/null
+++ b/pkg/mesh/receive.go
@@ -0,0 +1,113 @@
+package mesh
+
+import (
+	"context"
+	"net"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+)
+
+// receive takes datagrams until the socket is closed.
+func (m *Mesh) receive(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := m.conn.ReadFrom(buffer)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		var msg message
+		if err := cbor.Unmarshal(buffer[:n], &msg); err != nil || msg.ID == "" || msg.ID == m.config.Self.ID {
+			continue
+		}
+		if msg.Digest != nil {
+			m.takeDigest(&msg)
+			continue
+		}
+		m.take(&msg, from)
+	}
+}
+
+// take applies a message.
+func (m *Mesh) take(msg *message, from net.Addr) {
+	now := m.config.Now()
+	m.mu.Lock()
+	m.received++
+	x := m.members[msg.ID]
+	if x == nil && (msg.Beat == nil || len(m.members) >= maxMembers) {
+		m.mu.Unlock()
+		return
+	}
+	if x == nil {
+		x = &member{}
+		m.members[msg.ID] = x
+	}
+	if x.incarnation == msg.Incarnation && msg.Sequence <= x.sequence {
+		m.mu.Unlock()
+		return
+	}
+	restarted := x.incarnation != msg.Incarnation
+	if restarted && msg.Beat == nil {
+		m.mu.Unlock()
+		return
+	}
+	x.incarnation, x.sequence, x.heard = msg.Incarnation, msg.Sequence, now
+	changed := m.takeBeat(x, msg, from, restarted)
+	var live []Member
+	if changed {
+		live = m.live()
+	}
+	current := x.Member
+	m.mu.Unlock()
+	if changed {
+		m.config.Members(live)
+	}
+	if current.Region != m.config.Self.Region {
+		return
+	}
+	if msg.HasLoad {
+		m.config.Load(msg.ID, current.Region, unpack(msg.InFlight))
+	}
+	if msg.Beat != nil {
+		if msg.Beat.Demand != nil {
+			m.config.Demand(msg.ID, current.Region, msg.Beat.Demand)
+		}
+		m.config.Beat(current)
+	}
+}
+
+// takeBeat updates a member and tells whether the live members changed.
+func (m *Mesh) takeBeat(x *member, msg *message, from net.Addr, restarted bool) bool {
+	changed := !x.alive || restarted
+	if b := msg.Beat; b != nil {
+		changed = changed || x.State != b.State || x.Caller != b.Caller
+		x.target = from
+		x.Member = Member{ID: msg.ID, Region: b.Region, Domain: b.Domain, Caller: b.Caller, State: b.State,
+			Directives: b.Directives, Upstreams: b.Upstreams, Watching: b.Watching, Address: from.String()}
+		delete(m.unknown, x.Address)
+		for i, a := range b.Addresses {
+			if i < passedAddresses {
+				m.addAddress(a)
+			}
+		}
+	}
+	if !x.alive || restarted {
+		event.Log(m.config.Logger, event.MemberJoined, "member", msg.ID, "region", x.Region, "domain", x.Domain, "state", x.State)
+	}
+	x.alive = true
+	return changed
+}
+
+func unpack(packed []uint32) []balance.InFlight {
+	list := make([]balance.InFlight, 0, len(packed)/2)
+	for i := 0; i+1 < len(packed); i += 2 {
+		list = append(list, balance.InFlight{Upstream: packed[i], Count: int(min(packed[i+1], 1<<16))})
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/mesh/send.go
@@ -0,0 +1,116 @@
+package mesh
+
+import (
+	"net"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/sequoiacove/sequoiacove/pkg/balance"
+)
+
+// message is the content of a datagram. A load report carries the fields up to
+// InFlight, a heartbeat all of them.
+type message struct {
+	_           struct{} `cbor:",toarray"`
+	ID          string
+	Incarnation uint64
+	Sequence    uint64
+	HasLoad     bool
+	InFlight    []uint32
+	Beat        *beat
+	Digest      *digest
+}
+
+type beat struct {
+	_          struct{} `cbor:",toarray"`
+	Region     string
+	Domain     string
+	Caller     string
+	State      State
+	Directives int64
+	Upstreams  int64
+	Watching   bool
+	Demand     []balance.Demand
+	Addresses  []string
+}
+
+// send sends the messages that are due inside the region, and heartbeats to
+// the addresses of instances that are not known yet.
+func (m *Mesh) send(due schedule) {
+	inFlight := pack(m.config.InFlight())
+	local := m.config.Local()
+	b := &beat{Region: m.config.Self.Region, Domain: m.config.Self.Domain, Caller: m.config.Self.Caller,
+		State: local.State, Directives: local.Directives, Upstreams: local.Upstreams, Watching: local.Watching}
+	if due.beat {
+		b.Demand = m.config.Demands()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sequence++
+	b.Addresses = m.someAddresses()
+	load, full := m.encode(inFlight, nil, nil), m.encode(inFlight, b, nil)
+	if due.hello {
+		m.sendHellos(full)
+	}
+	idle := len(inFlight) == 0
+	for _, x := range m.members {
+		switch {
+		case x.Region != m.config.Self.Region:
+			continue
+		case due.beat:
+			m.write(full, x.target)
+		case due.load && !(idle && x.idle):
+			m.write(load, x.target)
+		default:
+			continue
+		}
+		x.idle = idle
+	}
+}
+
+func (m *Mesh) sendHellos(full []byte) {
+	for a := range m.unknown {
+		if target, err := net.ResolveUDPAddr("udp4", a); err == nil {
+			m.write(full, target)
+		}
+	}
+}
+
+// pack lists the hash and the count of each upstream.
+func pack(list []balance.InFlight) []uint32 {
+	packed := make([]uint32, 0, 2*len(list))
+	for _, f := range list {
+		packed = append(packed, f.Upstream, uint32(f.Count))
+	}
+	return packed
+}
+
+func (m *Mesh) encode(inFlight []uint32, b *beat, d *digest) []byte {
+	data, err := cbor.Marshal(&message{ID: m.config.Self.ID, Incarnation: m.config.Incarnation, Sequence: m.sequence, HasLoad: d == nil, InFlight: inFlight, Beat: b, Digest: d})
+	if err != nil {
+		// Only a programming error makes the types above impossible to encode.
+		panic(err)
+	}
+	return data
+}
+
+// write sends a datagram. An error is like a loss, which the next one repairs.
+func (m *Mesh) write(data []byte, to net.Addr) {
+	if _, err := m.conn.WriteTo(data, to); err == nil {
+		m.sent++
+	}
+}
+
+func (m *Mesh) someAddresses() []string {
+	all := make([]string, 0, len(m.members))
+	for _, x := range m.members {
+		if x.alive {
+			all = append(all, x.Address)
+		}
+	}
+	for i := range min(passedAddresses, len(all)) {
+		j := i + int(m.config.Random()*float64(len(all)-i))
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:min(passedAddresses, len(all))]
+}
