--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -124,6 +124,21 @@
 	require.NotEmpty(t, r.Header.Get("Retry-After"))
 }
 
+// Guards against a request that two upstreams refused and that is answered as
+// if it might have run.
+func TestTwoRefusalsAreNotRun(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.upstream("u1"), w.upstream("u2")
+	refuse := func(r *http.Request, _ net.Conn) string { return shed(r) }
+	a.set(refuse)
+	b.set(refuse)
+	x := w.start("i1")
+	w.awaitReady(x, 2)
+	r, _ := w.caller(x).do("POST", "/unsafe/x", "1", "b")
+	require.Equal(t, 503, r.StatusCode)
+	require.Equal(t, 2, a.ran("1")+b.ran("1"), "both were asked")
+}
+
 // Guards against requests sent behind one another whose answers change places
 // or that wait for each other.
 func TestPipelinedRequests(t *testing.T) {
