--- a/spec/catalog.pml
+++ b/spec/catalog.pml
@@ -28,8 +28,8 @@
 #endif
 
 byte revision;            /* of the store */
-bool present[5];          /* state of the row after each revision */
-byte changed[5];          /* revision of the row's last change by then */
+bool present[8];          /* state of the row after each revision */
+byte changed[8];          /* revision of the row's last change by then */
 
 byte own;                 /* revision that the instance knows */
 bool own_present;
