--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -72,6 +72,17 @@
 	x.unsafe, x.status = unsafe, status
 }
 
+// statuses counts all requests by the status of their answer, 0 for none.
+func (r *records) statuses() map[int]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[int]int)
+	for _, x := range r.byID {
+		counts[x.status]++
+	}
+	return counts
+}
+
 // judge returns the breaches of at-most-once and of "not run" over all requests.
 func (r *records) judge() []string {
 	r.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -70,7 +70,7 @@
 	callersDone.Wait()
 	require.Empty(t, w.records.judge())
 	require.Positive(t, all)
-	require.GreaterOrEqual(t, float64(good), 0.95*float64(all), "service after the last fault: %d of %d", good, all)
+	require.GreaterOrEqual(t, float64(good), 0.95*float64(all), "service after the last fault: %d of %d, all by status: %v", good, all, w.records.statuses())
 	t.Logf("seed %d: %d of %d requests served, %d store calls", seed, w.records.good.Load(), w.records.all.Load(), w.store.Calls())
 }
 
