Ask the store when a member does not pass on its changes

Ruled out: the store (watching members had the change within 0.1 s). Change: 0.4 s to connect and 1 s in all; an instance whose fetch failed watches the store itself for 5 s. The new test failed before.

--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -70,6 +70,9 @@
 	leave   atomic.Pointer[departure]
 	started time.Time
 	behind  map[string]time.Time
+	// aloneUntil ends the time in which the instance watches the store because
+	// a member did not pass on what it knows.
+	aloneUntil atomic.Pointer[time.Time]
 	// ahead passes on members that know more.
 	ahead chan mesh.Member
 }
@@ -187,12 +190,17 @@
 // others take the changes from them.
 const watchers = 2
 
+// aloneTime is how long an instance watches the store after it failed to get
+// changes from a member.
+const aloneTime = 5 * time.Second
+
 // watching tells whether this instance watches the store: unless enough others
-// of a lower rank do and reach it.
+// of a lower rank do and reach it, and pass on what they learn.
 func (i *Instance) watching() (bool, int) {
 	others := i.mesh.Rank(func(m mesh.Member) bool { return m.Watching })
 	rank := i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })
-	return others < watchers, rank
+	alone := i.aloneUntil.Load()
+	return others < watchers || alone != nil && i.opt.Now().Before(*alone), rank
 }
 
 // announce tells the others at once that this instance knows more, if they
@@ -240,6 +248,8 @@
 	s, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, directives, upstreams)
 	if err != nil {
 		event.Log(i.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
+		until := i.opt.Now().Add(aloneTime)
+		i.aloneUntil.Store(&until)
 		return
 	}
 	i.metrics.snapshots.Inc(1)
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 )
 
 const patience = 10 * time.Second
@@ -286,6 +287,31 @@
 	require.Less(t, time.Since(start), 2500*time.Millisecond)
 }
 
+// Guards against an instance that lags because a member announces changes and
+// does not pass them on.
+func TestInstanceAsksTheStoreWhenAMemberFails(t *testing.T) {
+	w := newWorld(t)
+	first := w.start("i1")
+	for i := 2; i <= 4; i++ {
+		w.start(fmt.Sprint("i", i), first.settings.MeshAddress)
+	}
+	for _, x := range w.instances {
+		w.awaitReady(x, 0)
+	}
+	var idle *testInstance
+	require.Eventually(t, func() bool {
+		for _, x := range w.instances {
+			if yes, _ := x.watching(); !yes {
+				idle = x
+			}
+		}
+		return idle != nil
+	}, patience, 10*time.Millisecond)
+	idle.fetch(context.Background(), mesh.Member{ID: "dead", Address: freeAddress(t), Directives: 1 << 40, Upstreams: 1 << 40})
+	yes, _ := idle.watching()
+	require.True(t, yes)
+}
+
 // Guards against a killed upstream that costs more than a few requests.
 func TestDeadUpstreamIsLeftOut(t *testing.T) {
 	w := newWorld(t)
--- a/pkg/mesh/snapshot.go
+++ b/pkg/mesh/snapshot.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// snapshotTimeout bounds the transfer of a snapshot.
-	snapshotTimeout = 2 * time.Second
+	// dialTimeout and snapshotTimeout bound the transfer of changes. They are
+	// short, because an instance that does not get them asks the store.
+	dialTimeout     = 400 * time.Millisecond
+	snapshotTimeout = time.Second
 	// maxSnapshotBytes bounds its size.
 	maxSnapshotBytes = 32 << 20
 	maxRequestBytes  = 64
@@ -79,7 +81,7 @@
 // at address.
 func FetchSnapshot(ctx context.Context, address string, now func() time.Time, directives, upstreams int64) (catalog.Snapshot, error) {
 	var s catalog.Snapshot
-	c, err := exchange.Dial(ctx, address, snapshotTimeout)
+	c, err := exchange.Dial(ctx, address, dialTimeout)
 	if err != nil {
 		return s, errors.Trace(err)
 	}
