--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -145,12 +146,13 @@
 func TestPipelinedRequests(t *testing.T) {
 	w := newWorld(t)
 	u := w.upstream("u1")
-	release := make(chan struct{})
+	// The first is answered only after all have arrived, in whatever order.
+	var arrivals sync.WaitGroup
+	arrivals.Add(3)
 	u.set(func(r *http.Request, _ net.Conn) string {
+		arrivals.Done()
 		if r.Header.Get("X-Id") == "1" {
-			<-release
-		} else if u.runs.Load() == 3 {
-			close(release)
+			arrivals.Wait()
 		}
 		return ok(r, r.Header.Get("X-Id"))
 	})
