Deliver answers that are there at the deadline, and learn which idle connections are forgotten

Cause: three losses of answers or requests at upstream connections. - The read of package net fails once the deadline has passed, also when the whole answer lies in the socket. A process that is scheduled late gave up answers that were there. - An upstream may forget an idle connection without notice; the next request on it is reset. A request that is not idempotent is lost by that. The idle time at such a loss now bounds the reuse for all upstreams of the service, and the bound doubles after 15 s without a loss. - Keep-alive does not run while sent bytes are unconfirmed, so a request on a connection that went silent waited for its whole time. TCP now gives up after 1 s (1.5 s between regions). Ruled out: opening a connection for every request that is not idempotent; it costs 110 ms across regions and most upstreams forget nothing. Tests: TestAnswerThatIsThereAtTheDeadlineCounts, TestForgottenConnectionsAreNotUsed, TestSilenceOfSentBytesIsBounded.

--- a/cmd/sequoia-instance/main.go
+++ b/cmd/sequoia-instance/main.go
@@ -22,10 +22,9 @@
 		Paths:        platform.Paths(),
 		Decoder:      catalog.Decoder{Directive: platform.DecodeDirective, Upstream: platform.DecodeUpstream},
 		LookupAnswer: platform.LookupAnswer,
-		ParseBounds:  platform.ParseBounds,
 		NewStore: func(address string) catalog.Store {
 			return platform.NewClient(address, func(a string) (net.Conn, error) {
-				return exchange.Dial(context.Background(), a, platform.DialTimeout)
+				return exchange.Dial(context.Background(), a, platform.DialTimeout, 0)
 			})
 		},
 	}))
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -39,7 +39,7 @@
 	Headers Headers
 	Now     func() time.Time
 	// Dial opens a connection; Dial of this package is the default.
-	Dial func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+	Dial func(ctx context.Context, address string, timeout, silence time.Duration) (net.Conn, error)
 }
 
 // Client exchanges requests with upstreams.
@@ -47,6 +47,7 @@
 	config Config
 	mu     sync.Mutex
 	pools  map[string]*pool
+	limits map[string]*idleBound
 	dials  int64
 }
 
@@ -55,7 +56,7 @@
 	if config.Dial == nil {
 		config.Dial = Dial
 	}
-	return &Client{config: config, pools: make(map[string]*pool)}
+	return &Client{config: config, pools: make(map[string]*pool), limits: make(map[string]*idleBound)}
 }
 
 // Dials returns the number of connections opened.
@@ -76,8 +77,12 @@
 
 func (c *Client) do(ctx context.Context, t Target, req *Request, deadline time.Time, start time.Time) *Result {
 	p := c.pool(t)
-	k := p.take(start, req.Idempotent)
+	k := p.take(start, c.idleLimit(t, req.Idempotent, start))
 	opened := k == nil
+	var idle time.Duration
+	if !opened {
+		idle = k.idle(start)
+	}
 	if opened {
 		var err error
 		if k, err = c.open(ctx, p, t, deadline.Sub(start)); err != nil {
@@ -88,12 +93,55 @@
 	r.NewConnection = opened
 	if reusable {
 		p.put(k, c.config.Now())
-	} else {
-		p.discard(k)
+		return r
+	}
+	p.discard(k)
+	if k.silent {
+		// What cut this connection off has usually cut the older ones too.
+		p.retire(start)
 	}
+	c.noteLoss(t, r, idle, start)
 	return r
 }
 
+// noteLoss learns from a kept connection that was lost at its next request.
+func (c *Client) noteLoss(t Target, r *Result, idle time.Duration, start time.Time) {
+	now := c.config.Now()
+	if r.Reason != Lost || r.NewConnection || now.Sub(start) > forgottenLoss+roundTrip(t) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleBound(t).lost(idle, now)
+}
+
+// idleLimit returns how long a connection may have been idle that is used for
+// a request.
+func (c *Client) idleLimit(t Target, idempotent bool, now time.Time) time.Duration {
+	limit := firmIdleLimit
+	if idempotent {
+		limit = idleLimit
+	}
+	if idempotent && !t.Near {
+		// A repeat costs less than the opening of a connection across regions.
+		return limit
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(limit, c.idleBound(t).at(now))
+}
+
+// idleBound returns the bound of the target's service; the caller holds the
+// lock.
+func (c *Client) idleBound(t Target) *idleBound {
+	b := c.limits[t.Service]
+	if b == nil {
+		b = &idleBound{limit: idleLimit}
+		c.limits[t.Service] = b
+	}
+	return b
+}
+
 func (c *Client) pool(t Target) *pool {
 	key := t.ID + " " + t.Address
 	c.mu.Lock()
@@ -107,18 +155,19 @@
 }
 
 func (c *Client) open(ctx context.Context, p *pool, t Target, left time.Duration) (*conn, error) {
-	timeout := farDialTimeout
+	timeout, silence := farDialTimeout, farSilence
 	if t.Near {
-		timeout = nearDialTimeout
+		timeout, silence = nearDialTimeout, nearSilence
 	}
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	raw, err := c.config.Dial(ctx, t.Address, max(time.Millisecond, min(timeout, left)))
+	raw, err := c.config.Dial(ctx, t.Address, max(time.Millisecond, min(timeout, left)), silence)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	k := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), opened: c.config.Now()}
+	k := &conn{Conn: raw, opened: c.config.Now()}
+	k.reader = bufio.NewReaderSize(k, readBufferBytes)
 	p.add(k)
 	return k, nil
 }
@@ -251,11 +300,11 @@
 
 func (c *Client) readOne(ctx context.Context, k *conn, message *fasthttp.Response, req *Request, used bool) (r *Result, reusable, mine bool) {
 	if err := readHeader(k.reader, message); err != nil {
-		return readFailure(ctx, err), false, true
+		return readFailure(ctx, k, err), false, true
 	}
 	complete, err := readBody(k.reader, message, req.Method)
 	if err != nil {
-		return readFailure(ctx, err), false, true
+		return readFailure(ctx, k, err), false, true
 	}
 	h := &c.config.Headers
 	id := string(message.Header.Peek(h.RequestID))
@@ -320,12 +369,14 @@
 	return length != unframed, nil
 }
 
-func readFailure(ctx context.Context, err error) *Result {
+func readFailure(ctx context.Context, k *conn, err error) *Result {
 	r := &Result{Outcome: Unknown, Reason: Malformed, Err: errors.Trace(err)}
 	var netErr net.Error
 	switch {
 	case ctx.Err() != nil:
 		r.Reason = Cancelled
+	case k.silent:
+		r.Reason = Lost
 	case timeout(err):
 		r.Reason = TimedOut
 	case errors.As(err, &netErr), lostConnection(err):
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -24,17 +24,37 @@
 	// firmIdleLimit is the shorter bound for requests that are not idempotent.
 	idleLimit     = 8 * time.Second
 	firmIdleLimit = 6 * time.Second
+	// nearSilence and farSilence are how long sent bytes may stay without a
+	// confirmation of TCP. Two resends of a lost packet fit in.
+	nearSilence = time.Second
+	farSilence  = 1500 * time.Millisecond
+	// tcpUserTimeout is the socket option of that bound, which package syscall
+	// does not name.
+	tcpUserTimeout = 18
 	// keepAlivePart is the part of the upstream's own idle timeout after which
 	// a connection is not used again.
 	keepAlivePart = 0.7
 )
 
-// keepAlive detects connections that went silent without a reset.
+// keepAlive detects idle connections that went silent without a reset.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
-// Dial opens a connection with the keep-alive that all connections use.
-func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+// Dial opens a connection that ends when its peer stays silent: keep-alive
+// shows it while the connection is idle, the bound of silence on what was sent
+// while a request is under way. A silence of 0 sets no such bound.
+func Dial(ctx context.Context, address string, timeout, silence time.Duration) (net.Conn, error) {
 	d := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive}
+	if silence > 0 {
+		d.Control = func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			if controlErr := raw.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
+			}); controlErr != nil {
+				return controlErr
+			}
+			return err
+		}
+	}
 	return d.DialContext(ctx, "tcp", address)
 }
 
@@ -48,38 +68,73 @@
 	peerIdle time.Duration
 	// used tells that an earlier request was sent on the connection.
 	used bool
+	// silent tells that what was sent was not confirmed in time.
+	silent bool
 }
 
-func (c *conn) fresh(now time.Time, idempotent bool) bool {
-	limit := idleLimit
-	if !idempotent {
-		limit = firmIdleLimit
-	}
+// idle returns how long the connection has carried no request.
+func (c *conn) idle(now time.Time) time.Duration { return now.Sub(c.answered) }
+
+// fresh tells whether the connection was idle for no longer than limit and
+// than the upstream keeps it.
+func (c *conn) fresh(now time.Time, limit time.Duration) bool {
 	if c.peerIdle > 0 {
 		limit = min(limit, time.Duration(keepAlivePart*float64(c.peerIdle)))
 	}
-	return now.Sub(c.answered) <= limit
+	return c.idle(now) <= limit
 }
 
-// quiet tells that the idle connection is open and holds no bytes that no
-// request asked for.
-func (c *conn) quiet() bool {
+// Read implements net.Conn. At the deadline it still returns bytes that have
+// arrived before, which the read of package net refuses: an answer that is
+// there must not be given up.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 || !timeout(err) || len(p) == 0 {
+		return n, err
+	}
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		c.silent = true
+		return n, err
+	}
+	if arrived := c.receive(p, 0); arrived > 0 {
+		return arrived, nil
+	}
+	return n, err
+}
+
+// receive reads what has arrived without a wait and returns the number of
+// bytes, 0 if there are none, and -1 if the connection has ended. Control,
+// unlike a read, does not fail for a deadline that has passed.
+func (c *conn) receive(p []byte, flags int) int {
 	source, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0
 	}
 	raw, err := source.SyscallConn()
 	if err != nil {
-		return false
+		return -1
 	}
-	quiet := false
-	// Control, unlike Read, does not fail for the deadline of the last request.
+	n := -1
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		got, _, err := syscall.Recvfrom(int(fd), p, flags|syscall.MSG_DONTWAIT)
+		switch {
+		case err == nil && got > 0:
+			n = got
+		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+			n = 0
+		}
 	})
-	return quiet && err == nil
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
+// quiet tells that the idle connection is open and holds no bytes that no
+// request asked for.
+func (c *conn) quiet() bool {
+	var b [1]byte
+	return c.receive(b[:], syscall.MSG_PEEK) == 0
 }
 
 // pool holds the connections to one upstream, the idle ones ordered by the
@@ -91,18 +146,20 @@
 	gone bool
 }
 
-func (p *pool) take(now time.Time, idempotent bool) *conn {
+// take returns the connection that was used last if it was idle for no longer
+// than limit, or nil.
+func (p *pool) take(now time.Time, limit time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	stale := 0
-	for stale < len(p.idle) && !p.idle[stale].fresh(now, true) {
+	for stale < len(p.idle) && !p.idle[stale].fresh(now, idleLimit) {
 		p.close(p.idle[stale])
 		stale++
 	}
 	p.idle = append(p.idle[:0], p.idle[stale:]...)
 	for len(p.idle) > 0 {
 		last := p.idle[len(p.idle)-1]
-		if !last.fresh(now, idempotent) {
+		if !last.fresh(now, limit) {
 			return nil
 		}
 		p.idle = p.idle[:len(p.idle)-1]
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -52,6 +52,7 @@
 type Target struct {
 	ID      string
 	Address string
+	Service string
 	// Near tells that the upstream is in the same region.
 	Near bool
 }
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -182,3 +183,89 @@
 		require.False(t, parseLoad([]byte(bad)).Known, bad)
 	}
 }
+
+// lateReader is a connection whose reads begin only after the deadline, as
+// they do in a process that was not scheduled in time.
+type lateReader struct {
+	*net.TCPConn
+	deadline time.Time
+}
+
+// Read implements net.Conn.
+func (l *lateReader) Read(p []byte) (int, error) {
+	time.Sleep(time.Until(l.deadline.Add(5 * time.Millisecond)))
+	return l.TCPConn.Read(p)
+}
+
+// Guards against an answer that arrived in time and is replaced by a failure
+// because the process came to read it after the deadline.
+func TestAnswerThatIsThereAtTheDeadlineCounts(t *testing.T) {
+	u := newUpstream(t, func(id string, _ net.Conn) string { return whole(id, "x") })
+	deadline := time.Now().Add(100 * time.Millisecond)
+	c := NewClient(Config{Headers: testHeaders, Now: time.Now, Dial: func(ctx context.Context, address string, timeout, silence time.Duration) (net.Conn, error) {
+		raw, err := Dial(ctx, address, timeout, silence)
+		if err != nil {
+			return nil, err
+		}
+		return &lateReader{raw.(*net.TCPConn), deadline}, nil
+	}})
+	r := c.Do(context.Background(), Target{ID: "u", Address: u.address}, testRequest("1"), deadline)
+	require.Equal(t, Answered, r.Outcome, "%v", r.Err)
+	require.Equal(t, "x", string(r.Body))
+}
+
+// Guards against requests that are lost one after the other on connections
+// that the upstreams of a service forget without notice.
+func TestForgottenConnectionsAreNotUsed(t *testing.T) {
+	const idle = 300 * time.Millisecond
+	var offset, forgetful atomic.Int64
+	u := newUpstream(t, func(id string, _ net.Conn) string {
+		if forgetful.Load() > 0 && strings.HasPrefix(id, "kept") {
+			return ""
+		}
+		return whole(id, "x")
+	})
+	c := NewClient(Config{Headers: testHeaders, Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }})
+	send := func(id, service string, idempotent bool) *Result {
+		req := testRequest(id)
+		req.Idempotent = idempotent
+		return c.Do(context.Background(), Target{ID: "u", Address: u.address, Service: service, Near: true}, req, time.Now().Add(time.Second))
+	}
+	require.Equal(t, Answered, send("first", "a", false).Outcome)
+	forgetful.Store(1)
+	offset.Add(int64(idle))
+	require.Equal(t, Lost, send("kept1", "a", false).Reason)
+	forgetful.Store(0)
+	for _, idempotent := range []bool{false, true} {
+		require.Equal(t, Answered, send("next", "a", idempotent).Outcome)
+		offset.Add(int64(idle))
+		require.True(t, send("after", "a", idempotent).NewConnection)
+	}
+	require.Equal(t, Answered, send("other", "b", false).Outcome)
+	offset.Add(int64(idle))
+	require.False(t, send("other", "b", false).NewConnection, "another service")
+	for range 6 {
+		offset.Add(int64(idleRecovery))
+		require.Equal(t, Answered, send("again", "a", false).Outcome)
+	}
+	offset.Add(int64(idle))
+	require.False(t, send("again", "a", false).NewConnection, "after a time without losses")
+}
+
+// Guards against a request that waits for its whole time on a connection that
+// went silent: TCP must give up bytes that stay unconfirmed.
+func TestSilenceOfSentBytesIsBounded(t *testing.T) {
+	u := newUpstream(t, func(id string, _ net.Conn) string { return whole(id, "x") })
+	c, err := Dial(context.Background(), u.address, time.Second, nearSilence)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	raw, err := c.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	var bound int
+	var optionErr error
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		bound, optionErr = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+	}))
+	require.NoError(t, optionErr)
+	require.EqualValues(t, nearSilence.Milliseconds(), bound)
+}
--- a/pkg/mesh/snapshot.go
+++ b/pkg/mesh/snapshot.go
@@ -81,7 +81,7 @@
 // at address.
 func FetchSnapshot(ctx context.Context, address string, now func() time.Time, directives, upstreams int64) (catalog.Snapshot, error) {
 	var s catalog.Snapshot
-	c, err := exchange.Dial(ctx, address, dialTimeout)
+	c, err := exchange.Dial(ctx, address, dialTimeout, 0)
 	if err != nil {
 		return s, errors.Trace(err)
 	}
