Count instances that are cut off for the limits over all instances

Cause: the bounds on repeats and on requests to cold upstreams were divided by the live list. Instances that are cut off from each other, and an instance that starts cut off, saw fewer others and took larger parts, so the sum could exceed the bound. Instances found dead now count for a minute more, unless they were leaving, and addresses at which nobody has been heard yet count too.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -51,17 +51,22 @@
 	byHash    map[uint32]*upstream
 	pools     map[string]*pool
 	evacuated map[string]bool
-	// instances holds the live instances by id, the own one included.
-	instances map[string]Instance
-	peers     map[string]*peerLoad
-	splits    map[string]*splitter
-	seeded    bool
+	// instances holds the instances that count for the limits over all of them,
+	// by id, the own one included (limits.go).
+	instances map[string]*knownInstance
+	// unheard is the number of instances that are known by address only.
+	unheard int
+	peers   map[string]*peerLoad
+	splits  map[string]*splitter
+	seeded  bool
 }
 
 // Instance is a live instance.
 type Instance struct {
 	ID     string
 	Region string
+	// Leaving tells that the instance stops.
+	Leaving bool
 }
 
 // pool holds the upstreams of one service.
@@ -99,7 +104,7 @@
 func New(config Config) *Balancer {
 	b := &Balancer{config: config, upstreams: make(map[string]*upstream), byHash: make(map[uint32]*upstream), pools: make(map[string]*pool),
 		evacuated: make(map[string]bool), peers: make(map[string]*peerLoad), splits: make(map[string]*splitter)}
-	b.instances = map[string]Instance{config.Instance: {config.Instance, config.Region}}
+	b.instances = map[string]*knownInstance{config.Instance: {Instance: Instance{ID: config.Instance, Region: config.Region}, live: true}}
 	return b
 }
 
@@ -223,16 +228,5 @@
 }
 
 func (b *Balancer) target(u *upstream) exchange.Target {
-	return exchange.Target{ID: u.ID, Address: u.Address, Near: u.region == b.config.Region}
-}
-
-// SetInstances installs the live instances, the own one included.
-func (b *Balancer) SetInstances(list []Instance) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.instances = make(map[string]Instance, len(list)+1)
-	b.instances[b.config.Instance] = Instance{b.config.Instance, b.config.Region}
-	for _, i := range list {
-		b.instances[i.ID] = i
-	}
+	return exchange.Target{ID: u.ID, Address: u.Address, Service: u.Service, Near: u.region == b.config.Region}
 }
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -39,7 +39,14 @@
 	f.now = f.now.Add(d)
 }
 
-var bounds = steering.Bounds{RetryRatio: 0.2, RetrySlack: 62, RetryWindow: 10 * time.Second, MaxShift: 0.15, ColdOver: 1.5, ColdSlack: 5}
+var bounds = steering.Bounds{RetryRatio: 0.2, RetrySlack: 62, RetryWindow: 10 * time.Second, MaxShift: 0.15}
+
+// coldOver and coldSlack bound what a cold upstream may get in one second over
+// all instances: its rate times coldOver plus coldSlack.
+const (
+	coldOver  = 1.5
+	coldSlack = 5
+)
 
 // newFixture returns balancers, half of them in each region, and a view with
 // the given number of upstreams of 4 slots in each failure domain.
@@ -58,7 +65,7 @@
 	for i, x := range list {
 		r := rand.New(rand.NewPCG(1, uint64(i)))
 		b := New(Config{Instance: x.ID, Region: x.Region, Domain: x.Region + "-a", Regions: regions, Bounds: bounds, Now: f.Now, Random: r.Float64, Logger: event.Discard()})
-		b.SetInstances(list)
+		b.SetInstances(list, 0)
 		f.all = append(f.all, b)
 	}
 	f.publish()
@@ -97,7 +104,7 @@
 		u := steering.Upstream{ID: "cold", Service: service, Address: "c:1", Domain: "n-a", Slots: 400, State: steering.Ready, ColdRemaining: time.Minute, Born: 1}
 		f.view.Upstreams["cold"] = u
 		f.publish()
-		limit := bounds.ColdOver*16 + bounds.ColdSlack
+		limit := coldOver*16.0 + coldSlack
 		var sent []time.Time
 		for range 300 {
 			for _, b := range f.all {
@@ -394,3 +401,81 @@
 	b.SetPeerInFlight("p", "n", full)
 	require.Equal(t, Refusal{Upstreams: 8, Evacuated: 2, LeftOut: 1, Cold: 1, Full: 2, Displacing: 1, Tried: 1}, b.Explain(Ask{Service: service, Route: r, Exclude: []string{"s-b-0"}}))
 }
+
+// cutOff lets every balancer see itself alone.
+func (f *fixture) cutOff() {
+	for _, b := range f.all {
+		b.SetInstances(nil, 0)
+	}
+}
+
+// repeats counts the repeats that all balancers allow within a window, in
+// which each gets the given number of requests.
+func (f *fixture) repeats(requests int) int {
+	n := 0
+	for range requests {
+		for _, b := range f.all {
+			if l := acquire(b, testRoute(0), ""); l != nil {
+				l.Done(answered(time.Millisecond))
+			}
+			for b.AllowRepeat(service) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against instances that are cut off from each other and each take the
+// whole bound on repeats.
+func TestRetryBudgetHoldsWhileInstancesAreCutOff(t *testing.T) {
+	f := newFixture(12, 4)
+	f.cutOff()
+	f.advance(instanceMemory - time.Second)
+	limit := bounds.RetryRatio*float64(12*5) + bounds.RetrySlack
+	require.LessOrEqual(t, float64(f.repeats(5)), limit)
+}
+
+// Guards against an instance that starts cut off from the others, which it
+// knows by their addresses only, and takes the whole bound on repeats.
+func TestNewInstanceSharesTheRetryBudget(t *testing.T) {
+	f := newFixture(1, 4)
+	f.all[0].SetInstances(nil, 11)
+	require.LessOrEqual(t, float64(f.repeats(1)), bounds.RetryRatio+bounds.RetrySlack/12)
+}
+
+// Guards against an instance that stopped on purpose and keeps its part of the
+// bounds.
+func TestStoppedInstanceGivesItsPartBack(t *testing.T) {
+	f := newFixture(2, 4)
+	b := f.all[0]
+	b.SetInstances([]Instance{{ID: "i1", Region: "s", Leaving: true}}, 0)
+	b.SetInstances(nil, 0)
+	require.Equal(t, 1, b.population())
+	b.SetInstances([]Instance{{ID: "i1", Region: "s"}}, 0)
+	b.SetInstances(nil, 0)
+	require.Equal(t, 2, b.population())
+	f.advance(instanceMemory + time.Second)
+	b.ExpirePeers()
+	require.Equal(t, 1, b.population())
+}
+
+// Guards against a cold upstream that gets a full rate from each of the
+// instances that are cut off from each other.
+func TestColdUpstreamIsSparedWhileInstancesAreCutOff(t *testing.T) {
+	f := newFixture(12, 0)
+	f.view.Upstreams["cold"] = steering.Upstream{ID: "cold", Service: service, Address: "c:1", Domain: "n-a", Slots: 400, State: steering.Ready, ColdRemaining: time.Minute, Born: 1}
+	f.publish()
+	f.cutOff()
+	sent := 0
+	for range 100 {
+		for _, b := range f.all {
+			if acquire(b, testRoute(0), "") != nil {
+				sent++
+			}
+		}
+		f.advance(10 * time.Millisecond)
+	}
+	require.Positive(t, sent)
+	require.LessOrEqual(t, float64(sent), coldOver*16+coldSlack)
+}
--- a/pkg/balance/limits.go
+++ b/pkg/balance/limits.go
@@ -20,12 +20,56 @@
 	// spillPart is the part of the requests that may leave the region that the
 	// shares chose.
 	spillPart = 0.03
+	// instanceMemory is how long an instance that is heard no more still counts
+	// for the limits over all instances: it may be cut off and use its part.
+	instanceMemory = time.Minute
 	// rateMemory is the time over which rates are averaged.
 	rateMemory = 2 * time.Second
 	// windowSlots divides the retry window.
 	windowSlots = 10
 )
 
+// knownInstance is an instance that counts for the limits.
+type knownInstance struct {
+	Instance
+	live bool
+	// lost is the time at which the instance was found dead.
+	lost time.Time
+}
+
+// SetInstances installs the live instances, the own one included, and the
+// number of those that are known by address only.
+func (b *Balancer) SetInstances(list []Instance, unheard int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unheard = unheard
+	now := b.config.Now()
+	live := map[string]bool{b.config.Instance: true}
+	for _, i := range list {
+		live[i.ID] = true
+		b.instances[i.ID] = &knownInstance{Instance: i, live: true}
+	}
+	for id, i := range b.instances {
+		if i.live && !live[id] {
+			i.live, i.lost = false, now
+		}
+	}
+	b.expireInstances(now)
+}
+
+// expireInstances forgets the instances that have stopped on purpose and those
+// that were dead for long; the caller holds the lock.
+func (b *Balancer) expireInstances(now time.Time) {
+	for id, i := range b.instances {
+		if !i.live && (i.Leaving || now.Sub(i.lost) > instanceMemory) {
+			delete(b.instances, id)
+		}
+	}
+}
+
+// population is the number of instances that may use a part of a limit.
+func (b *Balancer) population() int { return len(b.instances) + b.unheard }
+
 // coldAllowed tells whether this instance may send to a cold upstream now. The
 // rate is divided among a few instances of the upstream's region, which all
 // instances know from the list of live ones.
@@ -55,10 +99,12 @@
 		}
 	}
 	sort.Slice(senders, func(i, j int) bool { return senders[i] < senders[j] })
+	// Those that are known by address only may be senders too.
+	parts := float64(min(coldSenders, len(senders)+b.unheard))
 	senders = senders[:min(coldSenders, len(senders))]
 	for _, h := range senders {
 		if h == own {
-			return coldPart * b.pool(u.Service).config.ColdRate / float64(len(senders))
+			return coldPart * b.pool(u.Service).config.ColdRate / parts
 		}
 	}
 	return 0
@@ -129,7 +175,7 @@
 		requests += s.requests
 		repeats += s.repeats
 	}
-	limit := retryPart * (bounds.RetryRatio*float64(requests) + bounds.RetrySlack/float64(len(b.instances)))
+	limit := retryPart * (bounds.RetryRatio*float64(requests) + bounds.RetrySlack/float64(b.population()))
 	if float64(repeats+1) > limit {
 		return false
 	}
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -95,6 +95,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.config.Now()
+	b.expireInstances(now)
 	for id, p := range b.peers {
 		if len(p.inFlight) > 0 && now.Sub(p.at) > peerMemory {
 			b.setPeer(id, nil)
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -220,6 +220,14 @@
 	return list
 }
 
+// Unheard returns the number of addresses at which no instance has been heard
+// yet.
+func (m *Mesh) Unheard() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.unknown)
+}
+
 // Datagrams returns the numbers of datagrams sent and received.
 func (m *Mesh) Datagrams() (sent, received int64) {
 	m.mu.Lock()
