Read the bounds under the product's own names and keep the rows of instances in order

Causes, one per change: - The bounds arrived as one JSON object with the platform's names, which platform/ had to parse. The template now renders each under its name in our INI; an empty value counts as absent. ParseBounds goes. The time in which a leaving upstream must be dropped is a setting too, and the holds of lapsed registrations keep to it: they were fixed at 2.2 s and 1.5 s. - A settings file that changed without a signal was noticed at the next start only. It is read every 2 s now. - Rows of replaced instances stayed in the store for ever. Instances renew theirs every ten minutes, and one of a region removes those that were not renewed for thirty, on the condition that they did not change. - An instance that takes its changes from a peer did not know of the peer's outage and dropped upstreams whose registrations had lapsed in it. Changes now carry the age of the last failed call. - A request with less than a tenth of its target latency left was sent to an upstream, which could not answer it. It is refused as not run at once. - Connections that were closed for lack of descriptors left no trace; they are counted and logged. Tests seen to fail without their change: TestFollowerHoldsLapsesOfAnOutage, TestHoldsKeepToTheLeaveTime. Others: TestStaleRegistrationsAreRemoved, TestChangedSettingsAreTakenWithoutASignal, TestRequestWithoutTimeIsRefused.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -60,6 +60,8 @@
 	// nothing after wait.
 	Watch(ctx context.Context, table Table, after int64, wait time.Duration) (Listing, error)
 	Put(ctx context.Context, table Table, key string, value []byte) error
+	// Remove removes a row if it still has the given revision.
+	Remove(ctx context.Context, table Table, key string, revision int64) error
 }
 
 // Decoder reads the values of rows.
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -278,3 +278,32 @@
 	cancel()
 	<-done
 }
+
+// Guards against an instance that takes its changes from a peer and drops the
+// upstreams whose registrations lapsed in an outage that only the peer saw.
+func TestFollowerHoldsLapsesOfAnOutage(t *testing.T) {
+	watcher, _ := newCatalog()
+	follower, k := newCatalog()
+	watcher.replace(Upstreams, ready("a", 10), "store")
+	follower.Merge(watcher.Snapshot(0, 0), "watcher")
+	watcher.record(Upstreams, errors.New("away"))
+	watcher.update(Upstreams, Listing{Rows: []Row{deletion("a1", 11)}, Revision: 11}, "store")
+	follower.Merge(watcher.Snapshot(1, 10), "watcher")
+	require.Contains(t, follower.View().Upstreams, "a1")
+	k.advance(outageHold + time.Millisecond)
+	follower.Expire()
+	require.NotContains(t, follower.View().Upstreams, "a1")
+}
+
+// Guards against a hold that outlasts the time in which a leaving upstream has
+// to be dropped where a deployment states a shorter one.
+func TestHoldsKeepToTheLeaveTime(t *testing.T) {
+	c, k := newCatalog()
+	c.SetLeaveTime(time.Second)
+	c.replace(Upstreams, ready("a", 10), "store")
+	c.record(Upstreams, errors.New("away"))
+	c.update(Upstreams, Listing{Rows: []Row{deletion("a1", 11)}, Revision: 11}, "store")
+	k.advance(900 * time.Millisecond)
+	c.Expire()
+	require.NotContains(t, c.View().Upstreams, "a1")
+}
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -18,6 +18,11 @@
 	// others while the store seemed in order. It is shorter, because the
 	// upstreams may have left on purpose.
 	massHold = 1500 * time.Millisecond
+	// outageHoldPart and massHoldPart bound the holds by the time within which
+	// a leaving upstream must get no more requests; the rest is for the change
+	// to reach all instances.
+	outageHoldPart = 0.88
+	massHoldPart   = 0.6
 	// outageMemory is how long after a failed call a lapse counts as caused by
 	// the store.
 	outageMemory = 3 * time.Second
@@ -35,6 +40,9 @@
 	// Random returns a number in [0, 1).
 	Random func() float64
 	Logger *slog.Logger
+	// LeaveTime is the time within which an upstream that leaves must get no
+	// more requests; 0 sets no bound.
+	LeaveTime time.Duration
 	// Changed is called with each new view, from one goroutine at a time.
 	Changed func(*steering.View)
 	// Watching tells whether this instance watches the store itself; the
@@ -128,6 +136,10 @@
 type Snapshot struct {
 	Directives Listing `cbor:"1,keyasint"`
 	Upstreams  Listing `cbor:"2,keyasint"`
+	// Outage is the time since the sender's last failed call to the store, 0 if
+	// that is long ago. Receivers do not call the store themselves and would
+	// take a lapse that the outage caused for a leaving upstream.
+	Outage time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot returns what a peer lacks that knows the tables up to the given
@@ -135,7 +147,11 @@
 func (c *Catalog) Snapshot(directives, upstreams int64) Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Snapshot{c.tables[Directives].after(directives), c.tables[Upstreams].after(upstreams)}
+	s := Snapshot{Directives: c.tables[Directives].after(directives), Upstreams: c.tables[Upstreams].after(upstreams)}
+	if age := c.opt.Now().Sub(c.failedAt); !c.failedAt.IsZero() && age < outageMemory {
+		s.Outage = max(age, 1)
+	}
+	return s
 }
 
 // after returns the changes after a revision, or the whole table if they are
@@ -174,10 +190,21 @@
 
 // Merge takes the tables of a peer that are newer than the own ones.
 func (c *Catalog) Merge(s Snapshot, peer string) {
+	if s.Outage > 0 {
+		c.noteOutage(c.opt.Now().Add(-s.Outage))
+	}
 	c.take(Directives, s.Directives, peer)
 	c.take(Upstreams, s.Upstreams, peer)
 }
 
+func (c *Catalog) noteOutage(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.failedAt) {
+		c.failedAt = at
+	}
+}
+
 func (c *Catalog) take(table Table, l Listing, peer string) {
 	if l.Since == 0 {
 		c.replace(table, l, peer)
@@ -342,7 +369,7 @@
 // holdLapses tells how long the registrations that vanish in changes are kept.
 func (c *Catalog) holdLapses(changes []Row) time.Duration {
 	if !c.failedAt.IsZero() && c.opt.Now().Sub(c.failedAt) < outageMemory {
-		return outageHold
+		return c.boundHold(outageHold, outageHoldPart)
 	}
 	gone, all := make(map[string]int), make(map[string]int)
 	for _, u := range c.upstreams {
@@ -355,12 +382,26 @@
 	}
 	for service, n := range gone {
 		if n >= massLapse && float64(n) > massLapsePart*float64(all[service]) {
-			return massHold
+			return c.boundHold(massHold, massHoldPart)
 		}
 	}
 	return 0
 }
 
+func (c *Catalog) boundHold(hold time.Duration, part float64) time.Duration {
+	if c.opt.LeaveTime <= 0 {
+		return hold
+	}
+	return min(hold, time.Duration(part*float64(c.opt.LeaveTime)))
+}
+
+// SetLeaveTime installs a new bound on the holds.
+func (c *Catalog) SetLeaveTime(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.opt.LeaveTime = d
+}
+
 // Expire forgets the lapsed upstreams whose hold has ended.
 func (c *Catalog) Expire() {
 	c.mu.Lock()
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -43,6 +43,7 @@
 	RequestFailed     ID = 407
 	RequestAbandoned  ID = 408
 	AttemptFailed     ID = 409
+	CallersTurnedAway ID = 410
 	SharesMoved       ID = 411
 
 	PoolAcquired       ID = 500
@@ -56,12 +57,13 @@
 	UpstreamLapsed     ID = 508
 	UpstreamRowInvalid ID = 509
 
-	StoreDown          ID = 600
-	StoreUp            ID = 601
-	LeaseHeld          ID = 602
-	LeaseLost          ID = 603
-	RegistrationFailed ID = 605
-	StoreHistoryGone   ID = 604
+	StoreDown           ID = 600
+	StoreUp             ID = 601
+	LeaseHeld           ID = 602
+	LeaseLost           ID = 603
+	StoreHistoryGone    ID = 604
+	RegistrationFailed  ID = 605
+	RegistrationRemoved ID = 606
 
 	OperatorRefused ID = 700
 )
@@ -105,6 +107,7 @@
 	{RequestFailed, slog.LevelWarn, "request failed", "See docs/OPERATIONS.md: the fields tell which upstream failed and how."},
 	{RequestAbandoned, slog.LevelInfo, "caller left before the answer", "None."},
 	{AttemptFailed, slog.LevelInfo, "attempt at an upstream failed", "Check the upstream if it repeats."},
+	{CallersTurnedAway, slog.LevelWarn, "connections of callers closed unread", "Add instances, or raise the descriptors of an instance."},
 	{SharesMoved, slog.LevelInfo, "region shares of a service moved", "None."},
 
 	{PoolAcquired, slog.LevelInfo, "pool acquired", "None."},
@@ -124,6 +127,7 @@
 	{LeaseLost, slog.LevelInfo, "lease lost", "None."},
 	{StoreHistoryGone, slog.LevelWarn, "platform store no longer has the changes asked for", "None; the table is listed again."},
 	{RegistrationFailed, slog.LevelWarn, "instance not registered in the platform store", "None if the store is away: the instance tries again."},
+	{RegistrationRemoved, slog.LevelInfo, "registration of a replaced instance removed", "None."},
 
 	{OperatorRefused, slog.LevelWarn, "operator request refused", "Check the operator's token and rate."},
 }
--- a/pkg/ingress/ingress.go
+++ b/pkg/ingress/ingress.go
@@ -68,6 +68,8 @@
 	draining atomic.Bool
 	buffered atomic.Int64
 	closed   atomic.Bool
+	// turnedAway counts connections closed for lack of descriptors.
+	turnedAway atomic.Int64
 
 	mu       sync.Mutex
 	sessions map[*session]bool
@@ -111,6 +113,8 @@
 	}
 	s.mu.Unlock()
 	if full {
+		// A caller whose request was not read may send it elsewhere.
+		s.turnedAway.Add(1)
 		_ = c.Close()
 		return
 	}
@@ -120,6 +124,10 @@
 // Drain makes every answer close its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// TurnedAway returns the number of connections that were closed unread because
+// too many were open.
+func (s *Server) TurnedAway() int64 { return s.turnedAway.Load() }
+
 // Connections returns the number of open connections.
 func (s *Server) Connections() int {
 	s.mu.Lock()
--- a/pkg/instance/fake_test.go
+++ b/pkg/instance/fake_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
@@ -67,6 +69,13 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *fakeStore) has(table catalog.Table, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.rows[table][key]
+	return ok
+}
+
 // List implements catalog.Store.
 func (s *fakeStore) List(_ context.Context, table catalog.Table) (catalog.Listing, error) {
 	s.mu.Lock()
@@ -122,6 +131,21 @@
 	return nil
 }
 
+// Remove implements catalog.Store.
+func (s *fakeStore) Remove(_ context.Context, table catalog.Table, key string, revision int64) error {
+	s.mu.Lock()
+	current, down := s.rows[table][key].Revision, s.down
+	s.mu.Unlock()
+	switch {
+	case down:
+		return errDown
+	case current != revision:
+		return result.New(result.StoreConflict, "revision %d", current)
+	}
+	s.write(table, key, "", true)
+	return nil
+}
+
 // fakeUpstream serves requests with a handler and counts what it runs.
 type fakeUpstream struct {
 	id      string
@@ -235,7 +259,10 @@
 	return l.b.String()
 }
 
+// newWorld returns a world without instances; its test runs beside others,
+// because each stop of an instance takes a few seconds.
 func newWorld(t *testing.T) *world {
+	t.Parallel()
 	w := &world{t: t, store: newFakeStore(), configs: make(map[int]*steering.Config)}
 	w.configure(1, route("safe", "/safe/", true), route("unsafe", "/unsafe/", false))
 	return w
@@ -286,17 +313,21 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// addresses counts the loopback addresses that the tests of this process use.
+var addresses atomic.Uint32
+
+// freeAddress returns a loopback address of its own with a port outside the
+// range of outgoing connections, so that no other socket takes it.
+func freeAddress() string {
+	const port, hosts = 7000, 250
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%hosts, 1+n/hosts%hosts, 1+n%hosts, port)
 }
 
 // start runs an instance; seeds are the mesh addresses of others.
 func (w *world) start(id string, seeds ...string) *testInstance {
-	s := &Settings{ID: id, Region: "n", Domain: "n-a", Regions: map[string]string{"n-a": "n", "n-b": "n"}, CallerAddress: freeAddress(w.t), ReadyAddress: freeAddress(w.t),
-		LookupAddress: freeAddress(w.t), AdminAddress: freeAddress(w.t), MeshAddress: freeAddress(w.t), StoreAddress: "127.0.0.1:1", MemoryMB: 256, Descriptors: 1000, Seeds: seeds,
+	s := &Settings{ID: id, Region: "n", Domain: "n-a", Regions: map[string]string{"n-a": "n", "n-b": "n"}, CallerAddress: freeAddress(), ReadyAddress: freeAddress(),
+		LookupAddress: freeAddress(), AdminAddress: freeAddress(), MeshAddress: freeAddress(), StoreAddress: "127.0.0.1:1", MemoryMB: 256, Descriptors: 1000, Seeds: seeds,
 		Bounds: steering.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, MaxShift: 0.15, MaxLookupTTL: 5 * time.Second, Grace: 3 * time.Second}}
 	log := &lockedBuffer{}
 	headers := exchange.Headers{RequestID: "X-Id", Deadline: "X-Deadline", AffinityKey: "X-Key", Signature: "X-Signature", Target: "X-Target",
--- a/pkg/instance/http.go
+++ b/pkg/instance/http.go
@@ -94,7 +94,7 @@
 		all[a], all[b] = all[b], all[a]
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(i.opt.Platform.LookupAnswer(all[:min(maxLookup, len(all))], min(lookupTTL, i.settings.Bounds.MaxLookupTTL)))
+	ctx.SetBody(i.opt.Platform.LookupAnswer(all[:min(maxLookup, len(all))], min(lookupTTL, i.bounds.Load().MaxLookupTTL)))
 }
 
 // serving returns the caller addresses of the serving instances of a region and
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -39,7 +39,6 @@
 	Decoder      catalog.Decoder
 	LookupAnswer func(addresses []string, ttl time.Duration) []byte
 	NewStore     func(address string) catalog.Store
-	ParseBounds  BoundsParser
 }
 
 // Options holds the inputs of a Instance.
@@ -65,7 +64,9 @@
 	mesh     *mesh.Mesh
 	metrics  *instanceMetrics
 
-	live atomic.Pointer[[]mesh.Member]
+	// bounds holds the bounds in force; the settings hold those of the start.
+	bounds atomic.Pointer[steering.Bounds]
+	live   atomic.Pointer[[]mesh.Member]
 	// leave is nil while the instance serves.
 	leave   atomic.Pointer[departure]
 	started time.Time
@@ -82,12 +83,13 @@
 	s := opt.Settings
 	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), started: opt.Now(), behind: make(map[string]time.Time), ahead: make(chan mesh.Member, 1)}
 	i.live.Store(&[]mesh.Member{})
+	i.bounds.Store(&s.Bounds)
 	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now})
 	i.balancer = balance.New(balance.Config{Instance: s.ID, Region: s.Region, Domain: s.Domain, Regions: s.Regions, Bounds: s.Bounds,
 		Now: opt.Now, Random: opt.Random, Logger: opt.Logger, Forget: i.client.Forget})
 	i.store = opt.Platform.NewStore(s.StoreAddress)
 	i.catalog = catalog.New(catalog.Options{Store: i.store, Decode: opt.Platform.Decoder, Now: opt.Now, Random: opt.Random, Logger: opt.Logger,
-		Changed: i.balancer.Update, Watching: i.watching, Learned: i.announce})
+		LeaveTime: s.Bounds.LeaveTime, Changed: i.balancer.Update, Watching: i.watching, Learned: i.announce})
 	i.ingress = ingress.NewServer(ingress.Config{Headers: opt.Platform.Headers, Now: opt.Now, Handler: i, Limits: i.limits,
 		MaxConnections: s.Descriptors * 3 / 5, MaxBufferedBytes: megabytes(s.MemoryMB) / 4})
 	return i
@@ -112,7 +114,7 @@
 	go i.catalog.Run(background)
 	go i.maintain(background)
 	go i.fetchNews(background)
-	go i.register(background)
+	go (&registrar{instance: i, now: i.opt.Now}).run(background)
 	i.startHTTP(listeners)
 	served := make(chan error, 1)
 	go func() { served <- i.ingress.Serve(listeners.callers) }()
@@ -258,11 +260,17 @@
 
 func (i *Instance) setMembers(list []mesh.Member) {
 	i.live.Store(&list)
+	i.countInstances()
+}
+
+// countInstances tells the balancer how many instances share its limits.
+func (i *Instance) countInstances() {
+	list := *i.live.Load()
 	instances := make([]balance.Instance, 0, len(list))
 	for _, m := range list {
-		instances = append(instances, balance.Instance{ID: m.ID, Region: m.Region})
+		instances = append(instances, balance.Instance{ID: m.ID, Region: m.Region, Leaving: m.State == mesh.Leaving})
 	}
-	i.balancer.SetInstances(instances)
+	i.balancer.SetInstances(instances, i.mesh.Unheard())
 }
 
 // ready tells whether the instance can steer requests.
@@ -287,6 +295,7 @@
 		}
 		now := i.opt.Now()
 		i.catalog.Expire()
+		i.countInstances()
 		i.balancer.ExpirePeers()
 		i.balancer.Rebalance(min(now.Sub(last), 2*step))
 		i.catchUp(ctx, now)
@@ -294,14 +303,9 @@
 	}
 }
 
-const (
-	// catchUpDelay is how long a peer may be ahead before its snapshot is
-	// fetched: usually the own watch brings the change.
-	catchUpDelay = 600 * time.Millisecond
-	// registerRetry is the pause between tries to register.
-	registerRetry = 2 * time.Second
-	registerCall  = 1500 * time.Millisecond
-)
+// catchUpDelay is how long a peer may be ahead before its snapshot is fetched:
+// usually the own watch brings the change.
+const catchUpDelay = 600 * time.Millisecond
 
 // catchUp fetches the snapshot of a peer that has known more for a while.
 func (i *Instance) catchUp(ctx context.Context, now time.Time) {
@@ -324,41 +328,3 @@
 		return
 	}
 }
-
-// register makes the own mesh address known through the store and learns those
-// of the others, until the store has answered once.
-func (i *Instance) register(ctx context.Context) {
-	put := false
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, registerCall)
-		var err error
-		if !put {
-			err = i.store.Put(call, catalog.Instances, i.settings.ID, []byte(i.settings.MeshAddress))
-			put = err == nil
-		}
-		if put {
-			var l catalog.Listing
-			if l, err = i.store.List(call, catalog.Instances); err == nil {
-				cancel()
-				i.addInstances(l)
-				return
-			}
-		}
-		cancel()
-		event.Log(i.logger, event.RegistrationFailed, "error", err.Error())
-		select {
-		case <-time.After(registerRetry):
-		case <-ctx.Done():
-		}
-	}
-}
-
-func (i *Instance) addInstances(l catalog.Listing) {
-	var list []string
-	for _, r := range l.Rows {
-		if _, _, err := net.SplitHostPort(string(r.Value)); err == nil && r.Key != i.settings.ID {
-			list = append(list, string(r.Value))
-		}
-	}
-	i.mesh.AddAddresses(list)
-}
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -309,7 +309,7 @@
 		}
 		return idle != nil
 	}, patience, 10*time.Millisecond)
-	idle.fetch(context.Background(), mesh.Member{ID: "dead", Address: freeAddress(t), Directives: 1 << 40, Upstreams: 1 << 40})
+	idle.fetch(context.Background(), mesh.Member{ID: "dead", Address: freeAddress(), Directives: 1 << 40, Upstreams: 1 << 40})
 	yes, _ := idle.watching()
 	require.True(t, yes)
 }
@@ -318,7 +318,7 @@
 func TestDeadUpstreamIsLeftOut(t *testing.T) {
 	w := newWorld(t)
 	w.upstream("u1")
-	dead := freeAddress(t)
+	dead := freeAddress()
 	w.store.write(catalog.Upstreams, "u2", "shop "+dead+" n-a ready", false)
 	x := w.start("i1")
 	w.awaitReady(x, 2)
--- a/pkg/instance/main.go
+++ b/pkg/instance/main.go
@@ -34,7 +34,12 @@
 		fmt.Fprintf(os.Stderr, "sequoia-instance: %v\n", err)
 		return 2
 	}
-	s, err := LoadSettings(*file, p.ParseBounds)
+	text, err := os.ReadFile(*file)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "sequoia-instance: %v\n", err)
+		return 1
+	}
+	s, err := ParseSettings(text)
 	if err != nil {
 		event.Log(event.NewLogger(os.Stdout, 0, "instance", ""), event.SettingsInvalid, "file", *file, "errors", result.Detail(err))
 		return 1
@@ -50,8 +55,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	i := New(Options{Settings: s, Platform: p, Now: time.Now, Random: rand.Float64, Logger: logger})
-	go i.watchLog(ctx, out)
-	go i.watchSettings(ctx, *file)
+	go i.watchLosses(ctx, out)
+	go i.watchSettings(ctx, *file, text)
 	if err := i.Run(ctx); err != nil {
 		event.Log(logger, event.ListenerFailed, "error", err.Error())
 		return 1
@@ -59,12 +64,13 @@
 	return 0
 }
 
-// watchLog reports dropped log lines.
-func (i *Instance) watchLog(ctx context.Context, out *logWriter) {
+// watchLosses reports dropped log lines and connections of callers that were
+// turned away.
+func (i *Instance) watchLosses(ctx context.Context, out *logWriter) {
 	const interval = 5 * time.Second
 	t := time.NewTicker(interval)
 	defer t.Stop()
-	var last int64
+	var last, lastTurned int64
 	for {
 		select {
 		case <-t.C:
@@ -75,28 +81,9 @@
 			event.Log(i.logger, event.LogLinesDropped, "dropped", dropped-last, "all", total)
 			last = dropped
 		}
-	}
-}
-
-// watchSettings reads the settings again on SIGHUP and takes the bounds; all
-// other settings need a restart.
-func (i *Instance) watchSettings(ctx context.Context, file string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-hup:
-		case <-ctx.Done():
-			return
-		}
-		s, err := LoadSettings(file, i.opt.Platform.ParseBounds)
-		if err != nil {
-			event.Log(i.logger, event.SettingsInvalid, "file", file, "errors", result.Detail(err))
-			continue
+		if turned := i.ingress.TurnedAway(); turned > lastTurned {
+			event.Log(i.logger, event.CallersTurnedAway, "connections", turned-lastTurned, "all", turned, "open", i.ingress.Connections())
+			lastTurned = turned
 		}
-		i.balancer.SetBounds(s.Bounds)
-		i.mesh.AddAddresses(s.Seeds)
-		event.Log(i.logger, event.SettingsReloaded, "file", file)
 	}
 }
--- /dev/null
+++ b/pkg/instance/register.go
@@ -0,0 +1,118 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/mesh"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+const (
+	// registerRetry is the pause between tries to register.
+	registerRetry = 2 * time.Second
+	registerCall  = 1500 * time.Millisecond
+	// registerInterval is the time between renewals of a registration.
+	registerInterval = 10 * time.Minute
+	// staleAfter is the time without a renewal after which a registration is
+	// removed: the instance was replaced.
+	staleAfter = 3 * registerInterval
+)
+
+// registration is the row of another instance as it was seen first with its
+// current revision.
+type registration struct {
+	revision int64
+	since    time.Time
+}
+
+// registrar keeps the own mesh address in the store, so that instances find
+// each other, and removes the rows of instances that are gone.
+type registrar struct {
+	instance *Instance
+	now      func() time.Time
+	seen     map[string]registration
+	listed   bool
+}
+
+// run registers until ctx ends.
+func (r *registrar) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := registerInterval
+		if err := r.renew(ctx); err != nil {
+			event.Log(r.instance.logger, event.RegistrationFailed, "error", err.Error())
+			pause = registerRetry
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// renew writes the own row. The first time, and on one instance of a region
+// every time, it also reads those of the others.
+func (r *registrar) renew(ctx context.Context) error {
+	i := r.instance
+	call, cancel := context.WithTimeout(ctx, registerCall)
+	defer cancel()
+	if err := i.store.Put(call, catalog.Instances, i.settings.ID, []byte(i.settings.MeshAddress)); err != nil {
+		return err
+	}
+	sweeps := i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving }) == 0
+	if r.listed && !sweeps {
+		return nil
+	}
+	l, err := i.store.List(call, catalog.Instances)
+	if err != nil {
+		return err
+	}
+	r.listed = true
+	i.mesh.AddAddresses(r.others(l))
+	if !sweeps {
+		return nil
+	}
+	return r.sweep(call, l)
+}
+
+// others returns the mesh addresses of the other instances.
+func (r *registrar) others(l catalog.Listing) []string {
+	var list []string
+	for _, row := range l.Rows {
+		if _, _, err := net.SplitHostPort(string(row.Value)); err == nil && row.Key != r.instance.settings.ID {
+			list = append(list, string(row.Value))
+		}
+	}
+	return list
+}
+
+// sweep removes the rows that were not renewed for long. A row that is renewed
+// meanwhile has another revision and stays.
+func (r *registrar) sweep(ctx context.Context, l catalog.Listing) error {
+	now := r.now()
+	known := make(map[string]registration, len(l.Rows))
+	for _, row := range l.Rows {
+		seen, ok := r.seen[row.Key]
+		if !ok || seen.revision != row.Revision {
+			seen = registration{row.Revision, now}
+		}
+		known[row.Key] = seen
+		if row.Key == r.instance.settings.ID || now.Sub(seen.since) < staleAfter {
+			continue
+		}
+		err := r.instance.store.Remove(ctx, catalog.Instances, row.Key, row.Revision)
+		if result.CodeOf(err) == result.StoreConflict {
+			// Renewed or removed by another instance meanwhile.
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		event.Log(r.instance.logger, event.RegistrationRemoved, "member", row.Key, "revision", row.Revision, "since_ms", now.Sub(seen.since).Milliseconds())
+	}
+	r.seen = known
+	return nil
+}
--- /dev/null
+++ b/pkg/instance/register_test.go
@@ -0,0 +1,89 @@
+package instance
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+)
+
+// Guards against rows of replaced instances that pile up in the store, and
+// against the removal of one that was renewed.
+func TestStaleRegistrationsAreRemoved(t *testing.T) {
+	w := newWorld(t)
+	x := w.start("i1")
+	require.Eventually(t, func() bool { return w.store.has(catalog.Instances, "i1") }, patience, 5*time.Millisecond)
+	now := time.Now()
+	r := &registrar{instance: x.Instance, now: func() time.Time { return now }}
+	w.store.write(catalog.Instances, "replaced", "127.0.0.1:1", false)
+	w.store.write(catalog.Instances, "renewed", "127.0.0.1:2", false)
+	require.NoError(t, r.renew(context.Background()))
+	now = now.Add(staleAfter - time.Second)
+	w.store.write(catalog.Instances, "renewed", "127.0.0.1:2", false)
+	require.NoError(t, r.renew(context.Background()))
+	require.True(t, w.store.has(catalog.Instances, "replaced"))
+	now = now.Add(2 * time.Second)
+	require.NoError(t, r.renew(context.Background()))
+	require.False(t, w.store.has(catalog.Instances, "replaced"))
+	require.True(t, w.store.has(catalog.Instances, "renewed"))
+	require.True(t, w.store.has(catalog.Instances, "i1"))
+}
+
+const reloadedSettings = `[instance]
+id = i1
+region = n
+domain = n-a
+[regions]
+n-a = n
+[listen]
+callers = 127.0.0.1:1
+readiness = 127.0.0.1:2
+mesh = 127.0.0.1:3
+[store]
+address = 127.0.0.1:4
+[bounds]
+repeat_ratio = 0.3
+repeat_slack = 10
+stop_time = 4s
+lookup_ttl =
+`
+
+// Guards against a change of the settings file that nothing notices because no
+// signal announces it, and against a broken file that changes anything.
+func TestChangedSettingsAreTakenWithoutASignal(t *testing.T) {
+	w := newWorld(t)
+	x := w.start("i1")
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	require.NoError(t, os.WriteFile(file, []byte("[instance]\n"), 0o600))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go x.watchSettings(ctx, file, nil)
+	logged := func(text string) func() bool { return func() bool { return strings.Contains(x.log.String(), text) } }
+	require.Eventually(t, logged(`"event":103`), patience, 10*time.Millisecond)
+	require.Equal(t, 3*time.Second, x.bounds.Load().Grace)
+	require.NoError(t, os.WriteFile(file, []byte(reloadedSettings), 0o600))
+	require.Eventually(t, logged(`"event":105`), patience, 10*time.Millisecond)
+	require.Equal(t, 4*time.Second, x.bounds.Load().Grace)
+	require.Equal(t, 0.3, x.bounds.Load().RetryRatio)
+	require.Equal(t, 5*time.Second, x.bounds.Load().MaxLookupTTL, "the default of an empty value")
+}
+
+// Guards against a request that is sent although no upstream could answer it
+// in time: it takes a slot for nothing, and "not run" would not be certain.
+func TestRequestWithoutTimeIsRefused(t *testing.T) {
+	w := newWorld(t)
+	u := w.upstream("u1")
+	x := w.start("i1")
+	w.awaitReady(x, 1)
+	c := w.caller(x)
+	c.send("POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Id: late\r\nX-Deadline: 15\r\nContent-Length: 1\r\n\r\nx")
+	r, _ := c.receive()
+	require.Equal(t, 503, r.StatusCode)
+	require.Zero(t, u.ran("late"))
+}
--- /dev/null
+++ b/pkg/instance/reload.go
@@ -0,0 +1,60 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// settingsInterval is the time between looks at the settings file, which may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchSettings takes over changes of the settings file until ctx ends: on
+// SIGHUP at once, else when the file differs from last, which was read before.
+func (i *Instance) watchSettings(ctx context.Context, file string, last []byte) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(settingsInterval)
+	defer t.Stop()
+	for {
+		signalled := false
+		select {
+		case <-hup:
+			signalled = true
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		text, err := os.ReadFile(file)
+		switch {
+		case err != nil && signalled:
+			event.Log(i.logger, event.SettingsInvalid, "file", file, "errors", err.Error())
+		case err == nil && (signalled || !bytes.Equal(text, last)):
+			i.reload(file, text)
+			last = text
+		}
+	}
+}
+
+// reload takes the bounds and the seeds of the settings; all other settings
+// need a restart. Invalid settings change nothing.
+func (i *Instance) reload(file string, text []byte) {
+	s, err := ParseSettings(text)
+	if err != nil {
+		event.Log(i.logger, event.SettingsInvalid, "file", file, "errors", result.Detail(err))
+		return
+	}
+	i.bounds.Store(&s.Bounds)
+	i.balancer.SetBounds(s.Bounds)
+	i.catalog.SetLeaveTime(s.Bounds.LeaveTime)
+	i.mesh.AddAddresses(s.Seeds)
+	event.Log(i.logger, event.SettingsReloaded, "file", file, "bounds", s.Bounds)
+}
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -31,12 +31,20 @@
 	waitPart = 0.3
 	// maxConnectTries bounds the upstreams that are tried without a connection.
 	maxConnectTries = 4
-	// minRepeatTime is the time that must be left to send a request again.
-	minRepeatTime = 30 * time.Millisecond
+	// minSendTime and minSendPart, a part of the target latency, are the time
+	// that must be left to send a request: with less, an upstream could not
+	// answer in time.
+	minSendTime = 30 * time.Millisecond
+	minSendPart = 0.1
 )
 
-// noUpstream is the reason of a request that no upstream took.
-const noUpstream = "no_upstream"
+// Reasons of requests that were not sent.
+const (
+	// noUpstream is that of a request that no upstream took.
+	noUpstream = "no_upstream"
+	// tooLate is that of a request without the time for an answer.
+	tooLate = "too_late"
+)
 
 // call is the work on one request.
 type call struct {
@@ -112,6 +120,9 @@
 func (c *call) run(ctx context.Context) *ingress.Response {
 	i := c.instance
 	for tries := 0; ; tries++ {
+		if !c.timeToSend() {
+			return c.giveUp(tooLate)
+		}
 		lease := c.acquire(ctx, tries > 0)
 		if ctx.Err() != nil && lease == nil {
 			return c.abandoned()
@@ -135,14 +146,24 @@
 	}
 }
 
+// target returns the target latency of the request.
+func (c *call) target() time.Duration {
+	if c.route.TargetLatency > 0 {
+		return c.route.TargetLatency
+	}
+	return defaultTarget
+}
+
+// timeToSend tells whether an upstream could still answer in time.
+func (c *call) timeToSend() bool {
+	needed := max(minSendTime, time.Duration(minSendPart*float64(c.target())))
+	return c.end.Sub(c.instance.opt.Now()) >= needed
+}
+
 // acquire asks for an upstream; a request that was sent before does not wait.
 func (c *call) acquire(ctx context.Context, again bool) *balance.Lease {
-	target := c.route.TargetLatency
-	if target <= 0 {
-		target = defaultTarget
-	}
 	start := c.instance.opt.Now()
-	hold := time.Duration(holdPart*float64(target)) - start.Sub(c.request.Arrived)
+	hold := time.Duration(holdPart*float64(c.target())) - start.Sub(c.request.Arrived)
 	hold = min(hold, c.end.Sub(start))
 	c.ask = balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: again}
 	l := c.instance.balancer.Acquire(ctx, c.ask, hold)
@@ -154,7 +175,7 @@
 // takes the repeat from the budget.
 func (c *call) mayRepeat(r *exchange.Result, tries int) bool {
 	switch {
-	case c.end.Sub(c.instance.opt.Now()) < minRepeatTime:
+	case !c.timeToSend():
 		return false
 	case r.Reason == exchange.ConnectFailed:
 		// Nothing reached the upstream.
--- a/pkg/instance/settings.go
+++ b/pkg/instance/settings.go
@@ -35,23 +35,17 @@
 	LogLevel    slog.Level
 }
 
-// defaultRetryRatio applies where no bound on repeats is stated.
-const defaultRetryRatio = 0.1
-
-// BoundsParser reads the text of the bounds.
-type BoundsParser func(text string) (steering.Bounds, error)
-
-// LoadSettings reads and checks a settings file.
-func LoadSettings(path string, parse BoundsParser) (*Settings, error) {
-	r, err := settings.Load(path)
+// ParseSettings reads and checks the text of a settings file.
+func ParseSettings(text []byte) (*Settings, error) {
+	r, err := settings.Parse(text)
 	if err != nil {
 		return nil, err
 	}
-	return ReadSettings(r, parse)
+	return readSettings(r)
 }
 
-// ReadSettings reads and checks all sections.
-func ReadSettings(r *settings.Reader, parse BoundsParser) (*Settings, error) {
+// readSettings reads and checks all sections.
+func readSettings(r *settings.Reader) (*Settings, error) {
 	s := &Settings{
 		ID:             r.String("instance", "id"),
 		Region:         r.String("instance", "region"),
@@ -66,6 +60,7 @@
 		StoreAddress:   r.Address("store", "address"),
 		MemoryMB:       r.Int("limits", "memory_mb", 256, 32, 1<<20),
 		Descriptors:    r.Int("limits", "descriptors", 1024, 64, 1<<20),
+		Bounds:         readBounds(r),
 	}
 	level := r.OneOf("log", "level", "info", "debug", "warn", "error")
 	// OneOf returns only names that the level knows.
@@ -74,33 +69,21 @@
 	if _, ok := s.Regions[s.Domain]; !ok && s.Domain != "" {
 		r.Fail("regions", s.Domain, "the own failure domain has no region")
 	}
-	s.Bounds = readBounds(r, parse)
 	return s, r.Err()
 }
 
-// readBounds reads the bounds and gives those that are not stated a value that
-// breaks no usual one.
-func readBounds(r *settings.Reader, parse BoundsParser) steering.Bounds {
-	b, err := parse(r.StringOr("bounds", "platform", "{}"))
-	if err != nil {
-		r.Fail("bounds", "platform", "%v", err)
-	}
-	if b.RetryRatio <= 0 && b.RetrySlack <= 0 {
-		b.RetryRatio = defaultRetryRatio
-	}
-	if b.RetryWindow <= 0 {
-		b.RetryWindow = 10 * time.Second
-	}
-	if b.MaxShift <= 0 {
-		b.MaxShift = 0.15
-	}
-	if b.MaxLookupTTL <= 0 {
-		b.MaxLookupTTL = 5 * time.Second
-	}
-	if b.Grace <= 0 {
-		b.Grace = 6 * time.Second
+// readBounds reads the bounds; the defaults are cautious ones.
+func readBounds(r *settings.Reader) steering.Bounds {
+	const section = "bounds"
+	return steering.Bounds{
+		RetryRatio:   r.Float(section, "repeat_ratio", 0.1, 0, 10),
+		RetrySlack:   r.Float(section, "repeat_slack", 0, 0, 1e6),
+		RetryWindow:  r.Duration(section, "repeat_window", 10*time.Second, time.Second, time.Hour),
+		MaxShift:     r.Float(section, "region_shift", 0.15, 0, 1),
+		LeaveTime:    r.Duration(section, "leave_time", 2500*time.Millisecond, 100*time.Millisecond, time.Minute),
+		Grace:        r.Duration(section, "stop_time", 6*time.Second, time.Second, time.Hour),
+		MaxLookupTTL: r.Duration(section, "lookup_ttl", 5*time.Second, 10*time.Millisecond, time.Hour),
 	}
-	return b
 }
 
 // meshAddresses gives every seed the port of the own mesh address: all
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -48,14 +48,17 @@
 	r.errors = append(r.errors, fmt.Sprintf("[%s] %s: %s", section, key, fmt.Sprintf(format, args...)))
 }
 
-// raw returns the text of a key and whether it is present, and marks it as read.
+// raw returns the text of a key and whether it has any, and marks it as read.
+// An empty value counts as absent, because a template leaves it so where the
+// platform states nothing.
 func (r *Reader) raw(section, key string) (string, bool) {
 	r.used[settingKey{section, key}] = true
 	s, err := r.file.GetSection(section)
 	if err != nil || !s.HasKey(key) {
 		return "", false
 	}
-	return strings.TrimSpace(s.Key(key).String()), true
+	v := strings.TrimSpace(s.Key(key).String())
+	return v, v != ""
 }
 
 // String returns a required value.
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -170,12 +170,11 @@
 	// MaxShift is the part of a region's requests that may change the region
 	// that serves them between two windows of ShiftWindow.
 	MaxShift float64
-	// ColdOver and ColdSlack bound the requests that a cold upstream gets in
-	// one second: its cold rate times ColdOver plus ColdSlack.
-	ColdOver  float64
-	ColdSlack float64
 	// MaxLookupTTL is the longest life of a look-up answer that callers honor.
 	MaxLookupTTL time.Duration
+	// LeaveTime is the time within which an upstream that leaves must get no
+	// more requests.
+	LeaveTime time.Duration
 	// Grace is the time between the stop signal and the kill.
 	Grace time.Duration
 }
