Move the operator API to a package of its own

Cause: the API of docs/protocols.md was part of the agent, so the process of an instance on the platform could not serve it: operators could not patch the description there. It now asks a small interface for what depends on the process.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -24,6 +24,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/lease"
 	"github.com/sequoiacove/sequoiacove/pkg/membership"
+	"github.com/sequoiacove/sequoiacove/pkg/operatorapi"
 	"github.com/sequoiacove/sequoiacove/pkg/peer"
 	"github.com/sequoiacove/sequoiacove/pkg/platform"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
@@ -56,7 +57,7 @@
 	instances   *instances
 	checkpoints *checkpoints
 	link        *entryLink
-	api         *api
+	api         *operatorapi.API
 
 	operatorListener net.Listener
 	adminListener    net.Listener
@@ -161,13 +162,20 @@
 		Members: a.members, Versions: a.sync, Upstreams: a.instances.domainUpstreams,
 		Checkpoint: a.checkpoints.current, Resync: a.resync, Logger: a.logger,
 	})
-	a.api = newAPI(a)
+	a.api = a.newAPI()
 	a.server.Handle(peer.SyncMembers, a.members.HandleSync)
 	a.server.Handle(peer.PushVersion, a.sync.HandlePush)
 	a.server.Handle(peer.FetchVersion, a.sync.HandleFetch)
 	a.server.Handle(peer.FetchInstances, a.instances.handle)
 }
 
+func (a *Agent) newAPI() *operatorapi.API {
+	return operatorapi.New(operatorapi.Config{
+		Instance: a.settings.ID, Store: a.store, Backend: backend{a}, Operators: a.settings.Agent.Operators,
+		RequestsPerSecond: a.settings.Agent.OperatorRequestsPerSecond, Now: time.Now, Logger: a.logger, Registry: a.registry,
+	})
+}
+
 // onVersion passes a new version on to the entry and, by the next heartbeat,
 // to the peers.
 func (a *Agent) onVersion(v cluster.Version) {
--- a/pkg/agent/checkpoint.go
+++ b/pkg/agent/checkpoint.go
@@ -144,7 +144,7 @@
 	}
 	for service, shares := range a {
 		other, ok := b[service]
-		if !ok || !sameShares(shares, other, checkpointChange) {
+		if !ok || !cluster.SameShares(shares, other, checkpointChange) {
 			return false
 		}
 	}
--- a/pkg/agent/api_drain.go
+++ b/pkg/agent/drain.go
@@ -18,29 +18,29 @@
 // instance that is being drained: the bound for leaving upstreams.
 const drainSpread = 3 * time.Second
 
-// drain tells how far an upstream or instance is on its way out of use.
-func (p *api) drain(c *call) (any, error) {
-	a, id := p.agent, c.argument
+// Drain implements operatorapi.Backend.
+func (b backend) Drain(ctx context.Context, id string) (operator.Drain, error) {
+	a := b.Agent
 	d, version, err := a.description()
 	if err != nil {
-		return nil, err
+		return operator.Drain{}, err
 	}
 	members := a.members.Members()
 	at := slices.IndexFunc(members, func(m cluster.Member) bool { return m.ID == id })
 	if at >= 0 {
-		return a.drainInstance(c.ctx, d, version, members[at])
+		return a.drainInstance(ctx, d, version, members[at])
 	}
 	listed, ok := a.instances.find(id)
 	draining := d.Drained(id) || d.InstanceDrained(id)
 	switch {
 	case !ok && !draining:
-		return nil, result.New(result.NotFound, "no upstream or instance %q", clip(id))
+		return operator.Drain{}, result.New(result.NotFound, "no upstream or instance %.128q", id)
 	case !ok || d.InstanceDrained(id):
 		// Neither the platform nor the members know it any more.
 		return operator.Drain{ID: id, State: operator.DrainDrained}, nil
 	}
 	draining = draining || listed.State == cluster.Leaving
-	return a.drainUpstream(c.ctx, id, listed.Domain, draining, members, a.settled(version, drainSpread))
+	return a.drainUpstream(ctx, id, listed.Domain, draining, members, a.settled(version, drainSpread))
 }
 
 // settled reports whether the time in which a version takes effect has passed.
@@ -50,7 +50,7 @@
 
 // drainInstance asks the entry of an instance for its requests in flight.
 // Callers may use cached look-up answers that name it until their lifetime ends.
-func (a *Agent) drainInstance(ctx context.Context, d *description.Description, version cluster.Version, m cluster.Member) (any, error) {
+func (a *Agent) drainInstance(ctx context.Context, d *description.Description, version cluster.Version, m cluster.Member) (operator.Drain, error) {
 	reply := operator.Drain{ID: m.ID, State: operator.DrainServing}
 	if m.State == cluster.Dead || m.EntryIncarnation == 0 {
 		reply.State = operator.DrainDrained
@@ -59,7 +59,7 @@
 	var err error
 	reply.InFlight, err = a.inFlight(ctx, m, m.ID)
 	if err != nil {
-		return nil, err
+		return reply, err
 	}
 	if m.State == cluster.Leaving || d.InstanceDrained(m.ID) {
 		reply.State = operator.DrainDraining
@@ -72,12 +72,12 @@
 
 // drainUpstream sums the executions on an upstream over the entries of its
 // domain. A former pool owner may still run some, so all of them are asked.
-func (a *Agent) drainUpstream(ctx context.Context, id, domain string, draining bool, members []cluster.Member, settled bool) (any, error) {
+func (a *Agent) drainUpstream(ctx context.Context, id, domain string, draining bool, members []cluster.Member, settled bool) (operator.Drain, error) {
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	var failure error
 	reply := operator.Drain{ID: id, State: operator.DrainServing}
-	for _, m := range liveEntries(members) {
+	for _, m := range cluster.Live(members) {
 		if m.Domain != domain {
 			continue
 		}
@@ -93,7 +93,7 @@
 	}
 	group.Wait()
 	if failure != nil {
-		return nil, failure
+		return reply, failure
 	}
 	if draining {
 		reply.State = operator.DrainDraining
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -52,7 +52,7 @@
 		a.logListener(a.settings.Agent.AdminAddress, err)
 	})
 	tasks.Go(func() {
-		err := a.api.serve(work, a.operatorListener)
+		err := a.api.Serve(work, a.operatorListener)
 		a.logListener(a.settings.Agent.OperatorAddress, err)
 	})
 	<-ctx.Done()
--- a/pkg/agent/shares.go
+++ b/pkg/agent/shares.go
@@ -56,19 +56,3 @@
 	}
 	return math.Abs(sum-1) <= shareSumTolerance
 }
-
-// sameShares reports whether two share vectors differ by at most limit in
-// every domain.
-func sameShares(a, b map[string]float64, limit float64) bool {
-	for domain, share := range a {
-		if math.Abs(share-b[domain]) > limit {
-			return false
-		}
-	}
-	for domain, share := range b {
-		if math.Abs(share-a[domain]) > limit {
-			return false
-		}
-	}
-	return true
-}
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -12,6 +12,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"sort"
 )
 
@@ -30,6 +31,22 @@
 // shares of one service sum to 1.
 type Shares map[string]map[string]float64
 
+// SameShares reports whether two share vectors differ by at most limit in
+// every domain.
+func SameShares(a, b map[string]float64, limit float64) bool {
+	for domain, share := range a {
+		if math.Abs(share-b[domain]) > limit {
+			return false
+		}
+	}
+	for domain, share := range b {
+		if math.Abs(share-a[domain]) > limit {
+			return false
+		}
+	}
+	return true
+}
+
 // Demand maps a service to the requests per second that callers send to one
 // instance.
 type Demand map[string]float64
@@ -62,6 +79,18 @@
 	Demand           Demand       `cbor:"de,omitempty" json:"demand,omitempty"`
 }
 
+// Live returns the members that are not dead and whose request path is known to
+// run.
+func Live(members []Member) []Member {
+	var live []Member
+	for _, m := range members {
+		if m.State != Dead && m.EntryIncarnation != 0 {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
 // PoolReport is the load of one pool as its owner sees it.
 type PoolReport struct {
 	Service string `cbor:"s" json:"service"`
--- a/pkg/agent/api.go
+++ b/pkg/operatorapi/api.go
@@ -1,10 +1,17 @@
-package agent
+// Package operatorapi serves the operator API of docs/protocols.md: patches and
+// versions of the description, members, moves, drains, explanations and the
+// state of an instance.
+//
+// The API reads and writes versions through the configuration store; everything
+// else it asks the process that it runs in.
+package operatorapi
 
 import (
 	"context"
 	"encoding/json"
 	"io"
 	"log"
+	"log/slog"
 	"net"
 	"strings"
 	"time"
@@ -12,6 +19,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/configstore"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/operator"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
@@ -27,30 +36,64 @@
 	// apiConnectionsPerIP is a quarter of apiConcurrency, so that one address
 	// cannot take all connections.
 	apiConnectionsPerIP = 64
+	// closeTimeout bounds the end of open connections.
+	closeTimeout = 2 * time.Second
 )
 
-// api serves the operator API.
-type api struct {
-	agent     *Agent
+// Backend is the process that an API runs in.
+type Backend interface {
+	// Current returns the version in force, without the store.
+	Current() cluster.Version
+	// Adopt puts an accepted version into force and passes it on; it does not
+	// wait for the distribution.
+	Adopt(v cluster.Version)
+	Members() []cluster.Member
+	Drain(ctx context.Context, id string) (operator.Drain, error)
+	// Explain tells where a request would go and why.
+	Explain(ctx context.Context, service, method, path string) (any, error)
+	State(ctx context.Context) (operator.State, error)
+}
+
+// Config holds the inputs of an API.
+type Config struct {
+	// Instance is the id of the own instance.
+	Instance string
+	Store    *configstore.Store
+	Backend  Backend
+	// Operators maps the names of operators to their tokens.
+	Operators map[string]string
+	// RequestsPerSecond bounds the requests of each operator.
+	RequestsPerSecond float64
+	Now               func() time.Time
+	Logger            *slog.Logger
+	Registry          metrics.Registry
+}
+
+// API serves the operator API.
+type API struct {
+	config    Config
+	backend   Backend
 	operators *operators
 	requests  metrics.Counter
 	refusals  metrics.Counter
 }
 
-func newAPI(a *Agent) *api {
-	return &api{
-		agent:     a,
-		operators: newOperators(a.settings.Agent.Operators, a.settings.Agent.OperatorRequestsPerSecond, time.Now),
-		requests:  metrics.GetOrRegisterCounter("operator.requests", a.registry),
-		refusals:  metrics.GetOrRegisterCounter("operator.refusals", a.registry),
+// New returns an API.
+func New(c Config) *API {
+	return &API{
+		config:    c,
+		backend:   c.Backend,
+		operators: newOperators(c.Operators, c.RequestsPerSecond, c.Now),
+		requests:  metrics.GetOrRegisterCounter("operator.requests", c.Registry),
+		refusals:  metrics.GetOrRegisterCounter("operator.refusals", c.Registry),
 	}
 }
 
-// serve answers operators until ctx ends.
-func (p *api) serve(ctx context.Context, listener net.Listener) error {
+// Serve answers operators until ctx ends.
+func (p *API) Serve(ctx context.Context, listener net.Listener) error {
 	server := &fasthttp.Server{
-		Name:               "sequoia-agent",
-		Handler:            p.handle,
+		Name:               "sequoiacove",
+		Handler:            p.Handle,
 		Concurrency:        apiConcurrency,
 		MaxConnsPerIP:      apiConnectionsPerIP,
 		ReadTimeout:        apiIOTimeout,
@@ -102,8 +145,8 @@
 
 func (c *call) query(name string) string { return string(c.http.QueryArgs().Peek(name)) }
 
-// handle authorizes a request and answers it.
-func (p *api) handle(http *fasthttp.RequestCtx) {
+// Handle authorizes a request and answers it.
+func (p *API) Handle(http *fasthttp.RequestCtx) {
 	p.requests.Inc(1)
 	name, err := p.operators.authorize(string(http.Request.Header.Peek("Authorization")))
 	if err != nil {
@@ -128,16 +171,19 @@
 	http.SetBody(body)
 }
 
-func (p *api) refuseOperator(http *fasthttp.RequestCtx, name string, err error) {
+func (p *API) refuseOperator(http *fasthttp.RequestCtx, name string, err error) {
 	p.refusals.Inc(1)
 	if p.operators.refused.AllowN(p.operators.now(), 1) {
-		event.Log(p.agent.logger, event.OperatorRefused, "operator", name, "remote", http.RemoteAddr().String(), "error", result.Detail(err))
+		event.Log(p.config.Logger, event.OperatorRefused, "operator", name, "remote", http.RemoteAddr().String(), "error", result.Detail(err))
 	}
 	refuse(http, err, 0)
 }
 
+// handler answers the calls of one path.
+type handler func(*call) (any, error)
+
 // route finds the handler of a request by method and path.
-func (p *api) route(c *call) (any, error) {
+func (p *API) route(c *call) (any, error) {
 	path := string(c.http.Path())
 	if c.http.IsPost() {
 		switch path {
@@ -151,25 +197,25 @@
 	if !c.http.IsGet() {
 		return nil, result.New(result.BadRequest, "method %s is not supported; use GET or POST", clip(string(c.http.Method())))
 	}
-	exact := map[string]func(*call) (any, error){
+	exact := map[string]handler{
 		operator.PathCurrent:  p.current,
 		operator.PathVersions: p.versions,
 		operator.PathMembers:  p.members,
 		operator.PathExplain:  p.explain,
 		operator.PathState:    p.state,
 	}
-	if handler, ok := exact[path]; ok {
-		return handler(c)
+	if answer, ok := exact[path]; ok {
+		return answer(c)
 	}
-	byPrefix := map[string]func(*call) (any, error){
+	byPrefix := map[string]handler{
 		operator.PathVersions + "/": p.version,
 		operator.PathMoves:          p.move,
 		operator.PathDrains:         p.drain,
 	}
-	for prefix, handler := range byPrefix {
+	for prefix, answer := range byPrefix {
 		if argument, ok := strings.CutPrefix(path, prefix); ok && argument != "" {
 			c.argument = argument
-			return handler(c)
+			return answer(c)
 		}
 	}
 	return nil, result.New(result.NotFound, "no such resource: GET %s", clip(path))
--- a/pkg/agent/auth.go
+++ b/pkg/operatorapi/auth.go
@@ -1,4 +1,4 @@
-package agent
+package operatorapi
 
 import (
 	"crypto/sha256"
--- a/pkg/agent/api_config.go
+++ b/pkg/operatorapi/config.go
@@ -1,4 +1,4 @@
-package agent
+package operatorapi
 
 import (
 	"encoding/json"
@@ -33,38 +33,36 @@
 
 // patch accepts a patch and passes the new version on. It is in force here when
 // the answer is sent; the answer does not wait for the distribution.
-func (p *api) patch(c *call) (any, error) {
+func (p *API) patch(c *call) (any, error) {
 	proposal, err := c.proposal()
 	if err != nil {
 		return nil, err
 	}
-	accepted, err := p.agent.store.Accept(c.ctx, proposal)
+	accepted, err := p.config.Store.Accept(c.ctx, proposal)
 	if err != nil {
 		c.current = accepted.Version.Number
 		p.refusedPatch(c, proposal, err)
 		return nil, err
 	}
 	version := accepted.Version
-	p.agent.sync.Offer(version)
-	if version.Number >= p.agent.sync.Current().Number {
-		// Another agent may have accepted the patch and died before its push.
-		p.agent.distribute(version)
-	}
+	// Also a replayed one: another instance may have accepted the patch and died
+	// before it passed the version on.
+	p.backend.Adopt(version)
 	if !accepted.Replayed {
-		event.Log(p.agent.logger, event.PatchAccepted, "version", version.Number, "operator", c.operator, "patch_id", proposal.PatchID)
+		event.Log(p.config.Logger, event.PatchAccepted, "version", version.Number, "operator", c.operator, "patch_id", proposal.PatchID)
 	}
 	return operator.PatchReply{Version: version.Number, Hash: version.Hash, Replayed: accepted.Replayed}, nil
 }
 
-func (p *api) refusedPatch(c *call, proposal configstore.Proposal, err error) {
+func (p *API) refusedPatch(c *call, proposal configstore.Proposal, err error) {
 	id := event.PatchRefused
 	if result.OutcomeOf(err) == result.Unknown {
 		id = event.PatchUnknown
 	}
-	event.Log(p.agent.logger, id, "operator", c.operator, "patch_id", clip(proposal.PatchID), "error", result.Detail(err))
+	event.Log(p.config.Logger, id, "operator", c.operator, "patch_id", clip(proposal.PatchID), "error", result.Detail(err))
 }
 
-func (p *api) validate(c *call) (any, error) {
+func (p *API) validate(c *call) (any, error) {
 	proposal, err := c.proposal()
 	if err != nil {
 		return nil, err
@@ -72,22 +70,22 @@
 	if proposal.PatchID == "" {
 		proposal.PatchID = "validate"
 	}
-	diff, err := p.agent.store.Validate(c.ctx, proposal)
+	diff, err := p.config.Store.Validate(c.ctx, proposal)
 	if err != nil {
 		if result.CodeOf(err) == result.VersionConflict {
-			c.current = p.agent.sync.Current().Number
+			c.current = p.backend.Current().Number
 		}
 		return nil, err
 	}
 	return operator.ValidateReply{Diff: append([]string{}, diff...)}, nil
 }
 
-// current returns the version in force at this agent, without the store.
-func (p *api) current(*call) (any, error) {
-	return operator.NewVersion(p.agent.sync.Current(), true), nil
+// current returns the version in force at this instance, without the store.
+func (p *API) current(*call) (any, error) {
+	return operator.NewVersion(p.backend.Current(), true), nil
 }
 
-func (p *api) versions(c *call) (any, error) {
+func (p *API) versions(c *call) (any, error) {
 	before, err := c.number("before", 0)
 	if err != nil {
 		return nil, err
@@ -96,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	history, err := p.agent.store.History(c.ctx, before, int(min(limit, configstore.MaxHistory)))
+	history, err := p.config.Store.History(c.ctx, before, int(min(limit, configstore.MaxHistory)))
 	if err != nil {
 		return nil, err
 	}
@@ -107,15 +105,15 @@
 	return reply, nil
 }
 
-func (p *api) version(c *call) (any, error) {
+func (p *API) version(c *call) (any, error) {
 	number, err := strconv.ParseUint(c.argument, 10, 64)
 	if err != nil {
 		return nil, result.New(result.BadRequest, "%q is not a version number", clip(c.argument))
 	}
-	if current := p.agent.sync.Current(); number == current.Number {
+	if current := p.backend.Current(); number == current.Number {
 		return operator.NewVersion(current, true), nil
 	}
-	v, err := p.agent.store.Load(c.ctx, number)
+	v, err := p.config.Store.Load(c.ctx, number)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/pkg/operatorapi/move.go
@@ -0,0 +1,103 @@
+package operatorapi
+
+import (
+	"sort"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// shareTolerance is the distance to the target at which a move counts as
+// finished; it is above the rounding of float64 shares.
+const shareTolerance = 1e-4
+
+func (p *API) members(*call) (any, error) {
+	return operator.MembersReply{Instance: p.config.Instance, Members: p.backend.Members()}, nil
+}
+
+func (p *API) move(c *call) (any, error) {
+	version := p.backend.Current()
+	if version.Number == 0 {
+		return nil, result.New(result.NoConfiguration, "no version has arrived")
+	}
+	d, err := description.Parse(version.Body)
+	if err != nil {
+		return nil, err
+	}
+	service, ok := d.Services[c.argument]
+	if !ok {
+		return nil, result.New(result.UnknownService, "version %d has no service %q", version.Number, clip(c.argument))
+	}
+	return newMove(c.argument, version.Number, service.DomainShares(), p.backend.Members()), nil
+}
+
+func (p *API) drain(c *call) (any, error) { return p.backend.Drain(c.ctx, c.argument) }
+
+func (p *API) explain(c *call) (any, error) {
+	service, method := clip(c.query("service")), clip(c.query("method"))
+	if service == "" {
+		return nil, result.New(result.BadRequest, "service is required")
+	}
+	if method == "" {
+		method = "GET"
+	}
+	return p.backend.Explain(c.ctx, service, method, c.query("path"))
+}
+
+func (p *API) state(c *call) (any, error) { return p.backend.State(c.ctx) }
+
+// newMove compares the target with the shares of all live instances.
+func newMove(service string, version uint64, configured map[string]float64, members []cluster.Member) operator.Move {
+	live := cluster.Live(members)
+	target, unreachable := reachableTarget(configured, live)
+	move := operator.Move{
+		Service:     service,
+		Version:     version,
+		Target:      target,
+		Unreachable: unreachable,
+		Instances:   []operator.MoveInstance{},
+		Finished:    true,
+	}
+	for _, m := range live {
+		shares := m.Shares[service]
+		finished := m.Version >= version && cluster.SameShares(shares, target, shareTolerance)
+		move.Finished = move.Finished && finished
+		move.Instances = append(move.Instances, operator.MoveInstance{
+			ID: m.ID, Domain: m.Domain, Version: m.Version, Shares: shares, Finished: finished,
+		})
+	}
+	return move
+}
+
+// reachableTarget rescales shares to the failure domains with a live entry; if
+// there is none, it returns them as they are.
+func reachableTarget(configured map[string]float64, live []cluster.Member) (target map[string]float64, unreachable []string) {
+	reachable := make(map[string]bool)
+	for _, m := range live {
+		reachable[m.Domain] = true
+	}
+	var sum float64
+	unreachable = []string{}
+	for domain, share := range configured {
+		if reachable[domain] {
+			sum += share
+		} else if share > 0 {
+			unreachable = append(unreachable, domain)
+		}
+	}
+	sort.Strings(unreachable)
+	if len(unreachable) == 0 || sum == 0 {
+		return configured, unreachable
+	}
+	target = make(map[string]float64)
+	for domain, share := range configured {
+		if reachable[domain] {
+			target[domain] = share / sum
+		} else {
+			target[domain] = 0
+		}
+	}
+	return target, unreachable
+}
