--- a/pkg/agent/checkpoint.go
+++ b/pkg/agent/checkpoint.go
@@ -102,7 +102,7 @@
 		return nil, result.New(result.StoreProtocol, "row %q: %v", checkpointKey, err)
 	}
 	for service, shares := range v.Shares {
-		if !proper(shares) {
+		if !cluster.Proper(shares) {
 			delete(v.Shares, service)
 		}
 	}
@@ -122,7 +122,7 @@
 	if !c.lease.Held() {
 		return nil
 	}
-	shares := meanShares(c.members(), "")
+	shares := cluster.MeanShares(c.members(), "")
 	if len(shares) == 0 || unchanged(shares, c.current()) {
 		return nil
 	}
--- a/pkg/agent/delta.go
+++ b/pkg/agent/delta.go
@@ -24,7 +24,7 @@
 
 func knownOf(m *cluster.Member, self string) knownMember {
 	k := knownMember{key: keyOf(m)}
-	if isLivePeer(m, self) {
+	if cluster.IsLivePeer(m, self) {
 		k.shares = m.Shares
 	}
 	return k
@@ -62,7 +62,7 @@
 		s.Members, s.Removed = d.changes(members)
 	}
 	if s.Base == 0 || d.meanChanges(s, self) {
-		d.mean = meanShares(members, self)
+		d.mean = cluster.MeanShares(members, self)
 	}
 	s.PeerShares = d.mean
 }
--- a/pkg/agent/shares_test.go
+++ b/pkg/agent/shares_test.go
@@ -27,7 +27,7 @@
 	dead.State = cluster.Dead
 	silent := member("e", "a", map[string]float64{"a": 0, "b": 1})
 	silent.EntryIncarnation = 0
-	mean := meanShares([]cluster.Member{
+	mean := cluster.MeanShares([]cluster.Member{
 		member("self", "a", map[string]float64{"a": 0, "b": 1}),
 		member("x", "a", map[string]float64{"a": 1, "b": 0}),
 		member("y", "a", map[string]float64{"a": 0.5, "b": 0.5}),
@@ -36,7 +36,7 @@
 		dead, silent,
 	}, "self")
 	require.Equal(t, cluster.Shares{"s": {"a": 0.75, "b": 0.25}}, mean)
-	require.Empty(t, meanShares(nil, ""))
+	require.Empty(t, cluster.MeanShares(nil, ""))
 }
 
 // fakeLease is a lease whose state the test sets.
--- a/pkg/balance/admit.go
+++ b/pkg/balance/admit.go
@@ -36,6 +36,8 @@
 	Route   *steering.Route
 	// Key names the object of the request, or is empty.
 	Key string
+	// Domain is the only failure domain for the request, or is empty.
+	Domain string
 	// Exclude holds the ids of upstreams that had the request before.
 	Exclude []string
 	// Again tells that the request was sent before; it follows no shares.
@@ -92,6 +94,10 @@
 		}
 		region = route.shares.next(ask.Route, ask.Key, b.config.Region, b.open(p, now))
 	}
+	if ask.Domain != "" {
+		// The operators' shares chose the place.
+		region = b.config.Regions[ask.Domain]
+	}
 	l := b.pick(p, route, ask, region, now)
 	if l != nil || hold <= 0 {
 		b.mu.Unlock()
@@ -189,7 +195,7 @@
 // admitting upstream in the region, a few requests go to free slots elsewhere.
 func (b *Balancer) pick(p *pool, route *routeState, ask Ask, region string, now time.Time) *Lease {
 	best, reachable := b.best(p, route, ask, region, now)
-	if best.upstream == nil && region != "" {
+	if best.upstream == nil && region != "" && ask.Domain == "" {
 		switch {
 		case !reachable:
 			best, _ = b.best(p, route, ask, "", now)
@@ -294,7 +300,7 @@
 
 // eligible tells whether the upstream may get the request at all.
 func (b *Balancer) eligible(u *upstream, ask Ask, region string, now time.Time) bool {
-	return (region == "" || u.region == region) && !b.evacuated[u.Domain] && ask.Route.AllowsRegion(u.region) &&
+	return (region == "" || u.region == region) && (ask.Domain == "" || u.Domain == ask.Domain) && !b.evacuated[u.Domain] && ask.Route.AllowsRegion(u.region) &&
 		!slices.Contains(ask.Exclude, u.ID) && u.usable(now)
 }
 
--- a/pkg/balance/explain.go
+++ b/pkg/balance/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"sort"
 	"time"
 )
 
@@ -72,3 +73,36 @@
 		r.Full++
 	}
 }
+
+// UpstreamState is what the balancer believes of an upstream.
+type UpstreamState struct {
+	ID     string `json:"id"`
+	Region string `json:"region"`
+	Domain string `json:"domain"`
+	// Usable tells that the upstream may get requests.
+	Usable    bool    `json:"usable"`
+	Evacuated bool    `json:"evacuated"`
+	Cold      bool    `json:"cold"`
+	Load      int     `json:"load"`
+	Slots     int     `json:"slots"`
+	Slowness  float64 `json:"slowness"`
+	Failing   float64 `json:"failing"`
+}
+
+// State returns the upstreams of a service by id.
+func (b *Balancer) State(service string) []UpstreamState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := []UpstreamState{}
+	p := b.pools[service]
+	if p == nil {
+		return list
+	}
+	now := b.config.Now()
+	for _, u := range p.upstreams {
+		list = append(list, UpstreamState{ID: u.ID, Region: u.region, Domain: u.Domain, Usable: u.usable(now), Evacuated: b.evacuated[u.Domain],
+			Cold: now.Before(u.coldUntil), Load: u.load(now), Slots: u.Slots, Slowness: u.slow(now), Failing: u.failing(now)})
+	}
+	sort.Slice(list, func(x, y int) bool { return list[x].ID < list[y].ID })
+	return list
+}
--- a/pkg/balance/limits.go
+++ b/pkg/balance/limits.go
@@ -29,6 +29,50 @@
 	windowSlots = 10
 )
 
+// Part returns the rank of the own instance among those that share the limits
+// over all instances, and their number.
+func (b *Balancer) Part() (rank, instances int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.instances {
+		if id < b.config.Instance {
+			rank++
+		}
+	}
+	return rank, b.population()
+}
+
+// Reachable returns, per service, the failure domains with an upstream that may
+// get requests.
+func (b *Balancer) Reachable() map[string]map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.config.Now()
+	reachable := make(map[string]map[string]bool, len(b.pools))
+	for name, p := range b.pools {
+		domains := make(map[string]bool)
+		for _, u := range p.upstreams {
+			if u.usable(now) && !b.evacuated[u.Domain] {
+				domains[u.Domain] = true
+			}
+		}
+		reachable[name] = domains
+	}
+	return reachable
+}
+
+// InFlightAt returns the requests of all instances at an upstream; ok is false
+// if the upstream is not known.
+func (b *Balancer) InFlightAt(id string) (n int, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.upstreams[id]
+	if u == nil {
+		return 0, false
+	}
+	return u.inFlight + u.peers, true
+}
+
 // knownInstance is an instance that counts for the limits.
 type knownInstance struct {
 	Instance
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -45,14 +45,23 @@
 	LeaveTime time.Duration
 	// Changed is called with each new view, from one goroutine at a time.
 	Changed func(*steering.View)
-	// Watching tells whether this instance watches the store itself; the
-	// others take the changes from their peers. Rank is its place among those
-	// that might.
-	Watching func() (watching bool, rank int)
+	// Duty tells which part this instance has in watching the store.
+	Duty func() Duty
 	// Learned is called after a table advanced.
 	Learned func()
 }
 
+// Duty is the part of an instance in watching the store.
+type Duty struct {
+	// Watches tells that the instance watches the store itself; the others take
+	// the changes from their peers.
+	Watches bool
+	// First tells that no other instance of the region watches before it.
+	First bool
+	// Rank is its place among those that might watch.
+	Rank int
+}
+
 // Catalog holds what an instance knows of directives and upstreams.
 type Catalog struct {
 	opt  Options
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -16,8 +16,11 @@
 	// answer after that. A watch on a connection that went silent is noticed
 	// only after both, which must be less than the four seconds in which an
 	// instance has to be in touch again.
-	watchWait     = 2500 * time.Millisecond
+	watchWait     = 2900 * time.Millisecond
 	answerTimeout = time.Second
+	// backupWait is the longest wait where another instance of the region
+	// watches first and tells what this one misses.
+	backupWait = 3 * watchWait
 	// minBackoff and maxBackoff bound the pause after a failed call.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
@@ -48,20 +51,20 @@
 	listed := false
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		watching, rank := c.opt.Watching()
-		if !watching {
+		duty := c.opt.Duty()
+		if !duty.Watches {
 			listed, backoff = c.knows(table), minBackoff
 			pause(ctx, idleCheck)
 			continue
 		}
-		changed, err := c.step(ctx, table, &listed)
+		changed, err := c.step(ctx, table, duty, &listed)
 		c.record(table, err)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			listed = false
 		case err != nil:
 			pause(ctx, time.Duration((0.5+c.opt.Random()/2)*float64(backoff)))
-			backoff = min(2*backoff, maxBackoff+time.Duration(rank)*rankBackoff)
+			backoff = min(2*backoff, maxBackoff+time.Duration(duty.Rank)*rankBackoff)
 		default:
 			backoff = minBackoff
 			if changed {
@@ -79,7 +82,7 @@
 }
 
 // step makes one call and applies its answer.
-func (c *Catalog) step(ctx context.Context, table Table, listed *bool) (changed bool, err error) {
+func (c *Catalog) step(ctx context.Context, table Table, duty Duty, listed *bool) (changed bool, err error) {
 	c.calls.Add(1)
 	if !*listed {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -92,12 +95,16 @@
 		c.replace(table, l, "store")
 		return false, nil
 	}
-	call, cancel := context.WithTimeout(ctx, watchWait+answerTimeout)
+	wait := watchWait
+	if !duty.First {
+		wait = backupWait
+	}
+	call, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	c.mu.Lock()
 	after := c.tables[table].revision
 	c.mu.Unlock()
-	l, err := c.opt.Store.Watch(call, table, after, watchWait)
+	l, err := c.opt.Store.Watch(call, table, after, wait)
 	if err != nil {
 		return false, err
 	}
--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -12,7 +12,6 @@
 
 import (
 	"hash/fnv"
-	"math"
 	"sort"
 )
 
@@ -31,22 +30,6 @@
 // shares of one service sum to 1.
 type Shares map[string]map[string]float64
 
-// SameShares reports whether two share vectors differ by at most limit in
-// every domain.
-func SameShares(a, b map[string]float64, limit float64) bool {
-	for domain, share := range a {
-		if math.Abs(share-b[domain]) > limit {
-			return false
-		}
-	}
-	for domain, share := range b {
-		if math.Abs(share-a[domain]) > limit {
-			return false
-		}
-	}
-	return true
-}
-
 // Demand maps a service to the requests per second that callers send to one
 // instance.
 type Demand map[string]float64
--- /dev/null
+++ b/pkg/cluster/shares.go
@@ -0,0 +1,70 @@
+package cluster
+
+import "math"
+
+// SameShares reports whether two share vectors differ by at most limit in
+// every domain.
+func SameShares(a, b map[string]float64, limit float64) bool {
+	for domain, share := range a {
+		if math.Abs(share-b[domain]) > limit {
+			return false
+		}
+	}
+	for domain, share := range b {
+		if math.Abs(share-a[domain]) > limit {
+			return false
+		}
+	}
+	return true
+}
+
+// MeanShares returns the mean effective shares of the live members other than
+// the one with id self. A peer counts only for the services that it has.
+func MeanShares(members []Member, self string) Shares {
+	sums := make(Shares)
+	counts := make(map[string]float64)
+	for i := range members {
+		if !IsLivePeer(&members[i], self) {
+			continue
+		}
+		for service, shares := range members[i].Shares {
+			if !Proper(shares) {
+				continue
+			}
+			counts[service]++
+			if sums[service] == nil {
+				sums[service] = make(map[string]float64)
+			}
+			for domain, share := range shares {
+				sums[service][domain] += share
+			}
+		}
+	}
+	for service, shares := range sums {
+		for domain := range shares {
+			shares[domain] /= counts[service]
+		}
+	}
+	return sums
+}
+
+// IsLivePeer reports whether a member other than self has an entry that answers.
+func IsLivePeer(m *Member, self string) bool {
+	return m.ID != self && m.State != Dead && m.EntryIncarnation != 0
+}
+
+// shareSumTolerance is far above the rounding of a moving vector and far below
+// a share that matters.
+const shareSumTolerance = 1e-3
+
+// Proper reports whether shares are non-negative and sum to 1.
+func Proper(shares map[string]float64) bool {
+	var sum float64
+	for _, share := range shares {
+		if !(share >= 0 && share <= 1) {
+			return false
+		}
+		sum += share
+	}
+	return math.Abs(sum-1) <= shareSumTolerance
+}
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -13,16 +13,19 @@
 	SettingsReloaded ID = 105
 	LogLinesDropped  ID = 106
 
-	VersionInForce    ID = 200
-	VersionPushFailed ID = 201
-	PatchAccepted     ID = 202
-	PatchRefused      ID = 203
-	PatchUnknown      ID = 204
-	VersionMismatch   ID = 205
-	StoreBehind       ID = 206
-	VersionRefused    ID = 207
-	EvacuationStarted ID = 208
-	EvacuationEnded   ID = 209
+	VersionInForce     ID = 200
+	VersionPushFailed  ID = 201
+	PatchAccepted      ID = 202
+	PatchRefused       ID = 203
+	PatchUnknown       ID = 204
+	VersionMismatch    ID = 205
+	StoreBehind        ID = 206
+	VersionRefused     ID = 207
+	EvacuationStarted  ID = 208
+	EvacuationEnded    ID = 209
+	DescriptionInForce ID = 210
+	DescriptionUnread  ID = 211
+	DescriptionUnknown ID = 212
 
 	MemberJoined   ID = 300
 	MemberSuspect  ID = 301
@@ -87,6 +90,9 @@
 	{VersionRefused, slog.LevelError, "configuration version refused as invalid", "Check that this instance runs the same release as the instance that accepted the version."},
 	{EvacuationStarted, slog.LevelInfo, "evacuation of a failure domain started", "None."},
 	{EvacuationEnded, slog.LevelInfo, "evacuation of a failure domain ended", "None; its upstreams count as cold for a while."},
+	{DescriptionInForce, slog.LevelInfo, "description in force", "None."},
+	{DescriptionUnread, slog.LevelWarn, "description not read from the store", "None if the store is away: the instance tries again and asks its peers."},
+	{DescriptionUnknown, slog.LevelWarn, "serving without knowledge of the description", "Check the store: the shares and limits of the description are not applied until it is read."},
 
 	{MemberJoined, slog.LevelInfo, "member joined", "None."},
 	{MemberSuspect, slog.LevelInfo, "member suspect", "None."},
--- /dev/null
+++ b/pkg/instance/description.go
@@ -0,0 +1,102 @@
+package instance
+
+import (
+	"maps"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/mesh"
+	"github.com/sequoiacove/sequoiacove/pkg/policy"
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+// descriptionWait is how long an instance that knows the configuration waits
+// to learn the description before it serves. A store that is away in part must
+// not keep it from serving for longer.
+const descriptionWait = 3 * time.Second
+
+// mayServe tells whether the instance knows the description or has waited for
+// it for long enough.
+func (i *Instance) mayServe() bool {
+	if i.policy.Known() {
+		return true
+	}
+	if i.opt.Now().Sub(i.started) < descriptionWait {
+		return false
+	}
+	if !i.unruled.Swap(true) {
+		event.Log(i.logger, event.DescriptionUnknown, "waited_ms", descriptionWait.Milliseconds())
+	}
+	return true
+}
+
+// adopt takes a description that came into force: it passes it on and drops
+// what operators drain.
+func (i *Instance) adopt() {
+	i.stepShares()
+	i.install()
+	go i.mesh.Announce()
+}
+
+// install gives the balancer the current view, in which the upstreams that
+// operators drain are leaving.
+func (i *Instance) install() {
+	i.installing.Lock()
+	defer i.installing.Unlock()
+	v := i.catalog.View()
+	drained := i.policy.Description().DrainedUpstreams
+	if len(drained) == 0 {
+		i.balancer.Update(v)
+		return
+	}
+	changed := &steering.View{Config: v.Config, Upstreams: maps.Clone(v.Upstreams), Evacuated: v.Evacuated}
+	for _, id := range drained {
+		if u, ok := changed.Upstreams[id]; ok {
+			u.State = steering.Draining
+			changed.Upstreams[id] = u
+		}
+	}
+	i.balancer.Update(changed)
+}
+
+// drained tells whether operators drain this instance.
+func (i *Instance) drained() bool {
+	return i.policy.Description().InstanceDrained(i.settings.ID)
+}
+
+// setRegionShares takes the mean of the shares in effect in another region.
+func (i *Instance) setRegionShares(region string, shares cluster.Shares) {
+	i.regionShares.Store(region, shares)
+}
+
+// stepShares moves the shares of the description.
+func (i *Instance) stepShares() {
+	if i.policy.Current().Number == 0 {
+		return
+	}
+	in := policy.Inputs{Reachable: i.balancer.Reachable(), Instances: 1}
+	regions := make(map[string]uint64)
+	for _, m := range *i.live.Load() {
+		if m.Region == i.settings.Region {
+			in.Instances++
+			in.Peers = append(in.Peers, policy.Peer{ID: m.ID, Region: m.Region, Domain: m.Domain, Version: m.Version, Shares: m.Shares})
+			continue
+		}
+		regions[m.Region] = max(regions[m.Region], m.Version)
+	}
+	for region, version := range regions {
+		if shares, ok := i.regionShares.Load(region); ok {
+			in.Peers = append(in.Peers, policy.Peer{ID: region, Region: region, Version: version, Shares: shares.(cluster.Shares)})
+		}
+	}
+	i.policy.Step(in)
+}
+
+// memberState names the state of a member for operators.
+func memberState(s mesh.State) cluster.State {
+	if s == mesh.Leaving {
+		return cluster.Leaving
+	}
+	return cluster.Serving
+}
--- a/pkg/instance/fake_test.go
+++ b/pkg/instance/fake_test.go
@@ -19,9 +19,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/configstore"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/standin"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
@@ -34,8 +36,21 @@
 	changes  [3][]catalog.Row
 	changed  chan struct{}
 	down     bool
+	// silent makes watches of callers that wait for longer than patientWait
+	// miss every change.
+	silent bool
+	// patient counts the watches that miss every change.
+	patient atomic.Int64
 }
 
+// awaitPatientWatches waits until n watches miss every change.
+func (s *fakeStore) awaitPatientWatches(t *testing.T, n int64) {
+	require.Eventually(t, func() bool { return s.patient.Load() == n }, patience, 5*time.Millisecond)
+}
+
+// patientWait separates the watch of a first watcher from that of a backup.
+const patientWait = 4 * time.Second
+
 func newFakeStore() *fakeStore {
 	s := &fakeStore{changed: make(chan struct{})}
 	for i := range s.rows {
@@ -101,8 +116,14 @@
 				l.Rows = append(l.Rows, r)
 			}
 		}
-		changed, down := s.changed, s.down
+		changed, down, silent := s.changed, s.down, s.silent && wait > patientWait
 		s.mu.Unlock()
+		if silent {
+			s.patient.Add(1)
+			defer s.patient.Add(-1)
+			<-ctx.Done()
+			return catalog.Listing{}, ctx.Err()
+		}
 		if down {
 			return catalog.Listing{}, errDown
 		}
@@ -228,6 +249,7 @@
 type world struct {
 	t         *testing.T
 	store     *fakeStore
+	versions  *configstore.Store
 	instances []*testInstance
 	mu        sync.Mutex
 	configs   map[int]*steering.Config
@@ -263,7 +285,8 @@
 // because each stop of an instance takes a few seconds.
 func newWorld(t *testing.T) *world {
 	t.Parallel()
-	w := &world{t: t, store: newFakeStore(), configs: make(map[int]*steering.Config)}
+	direct := standin.NewPlatform(time.Now).Direct()
+	w := &world{t: t, store: newFakeStore(), versions: configstore.New(direct, direct.Objects(), time.Now), configs: make(map[int]*steering.Config)}
 	w.configure(1, route("safe", "/safe/", true), route("unsafe", "/unsafe/", false))
 	return w
 }
@@ -313,6 +336,9 @@
 	}
 }
 
+// token is that of the operator ana.
+const token = "a-token-of-some-length"
+
 // addresses counts the loopback addresses that the tests of this process use.
 var addresses atomic.Uint32
 
@@ -321,13 +347,13 @@
 func freeAddress() string {
 	const port, hosts = 7000, 250
 	n := addresses.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%hosts, 1+n/hosts%hosts, 1+n%hosts, port)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%200, 1+n/hosts%hosts, 1+n%hosts, port)
 }
 
 // start runs an instance; seeds are the mesh addresses of others.
 func (w *world) start(id string, seeds ...string) *testInstance {
 	s := &Settings{ID: id, Region: "n", Domain: "n-a", Regions: map[string]string{"n-a": "n", "n-b": "n"}, CallerAddress: freeAddress(), ReadyAddress: freeAddress(),
-		LookupAddress: freeAddress(), AdminAddress: freeAddress(), MeshAddress: freeAddress(), StoreAddress: "127.0.0.1:1", MemoryMB: 256, Descriptors: 1000, Seeds: seeds,
+		LookupAddress: freeAddress(), AdminAddress: freeAddress(), Operators: map[string]string{"ana": token}, MeshAddress: freeAddress(), StoreAddress: "127.0.0.1:1", MemoryMB: 256, Descriptors: 1000, Seeds: seeds,
 		Bounds: steering.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, MaxShift: 0.15, MaxLookupTTL: 5 * time.Second, Grace: 3 * time.Second}}
 	log := &lockedBuffer{}
 	headers := exchange.Headers{RequestID: "X-Id", Deadline: "X-Deadline", AffinityKey: "X-Key", Signature: "X-Signature", Target: "X-Target",
@@ -335,7 +361,7 @@
 	i := New(Options{Settings: s, Now: time.Now, Random: func() float64 { return 0.5 }, Logger: event.NewLogger(log, 0, "instance", id), Platform: Platform{
 		Headers: headers, Paths: Paths{Ready: "/ready", Lookup: "/lookup", LookupRegion: "region", LookupDomain: "zone"}, Decoder: w.decoder(),
 		LookupAnswer: func(list []string, _ time.Duration) []byte { return []byte(strings.Join(list, " ")) },
-		NewStore:     func(string) catalog.Store { return w.store },
+		NewStore:     func(string) Store { return Store{Tables: w.store, Versions: w.versions} },
 	}})
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &testInstance{Instance: i, stop: cancel, done: make(chan struct{}), log: log}
--- a/pkg/instance/http.go
+++ b/pkg/instance/http.go
@@ -5,12 +5,14 @@
 	"io"
 	"log"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
 )
 
 const (
@@ -22,18 +24,18 @@
 
 // startHTTP serves look-ups, readiness checks, metrics and the state dump.
 func (i *Instance) startHTTP(l *listeners) {
-	i.serveHTTP(l.ready, i.api)
-	i.serveHTTP(l.lookup, i.api)
-	i.serveHTTP(l.admin, i.adminAPI)
-	i.serveHTTP(l.metrics, i.adminAPI)
+	i.serveHTTP(l.ready, i.api, true)
+	i.serveHTTP(l.lookup, i.api, true)
+	i.serveHTTP(l.admin, i.adminAPI, false)
+	i.serveHTTP(l.metrics, i.dumps, true)
 }
 
-// serveHTTP serves a listener, if there is one.
-func (i *Instance) serveHTTP(l net.Listener, handler fasthttp.RequestHandler) {
+// serveHTTP serves a listener, if there is one. Reads have no body.
+func (i *Instance) serveHTTP(l net.Listener, handler fasthttp.RequestHandler, readOnly bool) {
 	if l == nil {
 		return
 	}
-	server := &fasthttp.Server{Handler: handler, ReadTimeout: apiTimeout, WriteTimeout: apiTimeout, IdleTimeout: apiTimeout * 4, GetOnly: true,
+	server := &fasthttp.Server{Handler: handler, ReadTimeout: apiTimeout, WriteTimeout: apiTimeout, IdleTimeout: apiTimeout * 4, GetOnly: readOnly, MaxRequestBodySize: operator.MaxBodyBytes,
 		NoDefaultServerHeader: true, ReduceMemoryUsage: true, ReadBufferSize: 4 << 10, Logger: log.New(io.Discard, "", 0)}
 	go func() {
 		if err := server.Serve(l); err != nil {
@@ -56,8 +58,17 @@
 	}
 }
 
-// adminAPI serves the metrics and the state dump.
+// adminAPI serves the operator API, the metrics and the state dump.
 func (i *Instance) adminAPI(ctx *fasthttp.RequestCtx) {
+	if len(i.settings.Operators) > 0 && strings.HasPrefix(string(ctx.Path()), operator.PathPrefix) {
+		i.operator.Handle(ctx)
+		return
+	}
+	i.dumps(ctx)
+}
+
+// dumps serves the metrics and the state dump.
+func (i *Instance) dumps(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/metrics":
 		ctx.SetContentType("text/plain; version=0.0.4")
@@ -94,13 +105,22 @@
 		all[a], all[b] = all[b], all[a]
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(i.opt.Platform.LookupAnswer(all[:min(maxLookup, len(all))], min(lookupTTL, i.bounds.Load().MaxLookupTTL)))
+	ctx.SetBody(i.opt.Platform.LookupAnswer(all[:min(maxLookup, len(all))], i.lookupTTL()))
+}
+
+// lookupTTL returns the life of a look-up answer.
+func (i *Instance) lookupTTL() time.Duration {
+	ttl := min(lookupTTL, i.bounds.Load().MaxLookupTTL)
+	if described := i.policy.Description().Lookup.TTL(); described > 0 {
+		ttl = min(ttl, described)
+	}
+	return ttl
 }
 
 // serving returns the caller addresses of the serving instances of a region and
 // of all regions.
 func (i *Instance) serving(region string) (near, all []string) {
-	if i.ready() {
+	if i.ready() && !i.drained() {
 		all = append(all, i.settings.CallerAddress)
 		if i.settings.Region == region {
 			near = append(near, i.settings.CallerAddress)
@@ -124,6 +144,8 @@
 	Region         string        `json:"region"`
 	Domain         string        `json:"domain"`
 	Version        int64         `json:"version"`
+	Description    uint64        `json:"description"`
+	Shares         any           `json:"shares,omitempty"`
 	Directives     int64         `json:"directives_revision"`
 	Upstreams      int64         `json:"upstreams_revision"`
 	StoreDown      bool          `json:"store_down"`
@@ -141,7 +163,7 @@
 	d, u := i.catalog.Revisions()
 	s := stateDump{Instance: i.settings.ID, Region: i.settings.Region, Domain: i.settings.Domain, Directives: d, Upstreams: u,
 		StoreDown: i.catalog.StoreDown(), StoreCalls: i.catalog.Calls(), Connections: i.ingress.Connections(), InFlight: i.ingress.Active(),
-		Members: *i.live.Load(), KnownUpstreams: len(v.Upstreams), Dials: i.client.Dials()}
+		Members: *i.live.Load(), KnownUpstreams: len(v.Upstreams), Dials: i.client.Dials(), Description: i.policy.Current().Number, Shares: i.policy.Shares()}
 	if v.Config != nil {
 		s.Version = int64(v.Config.Version)
 	}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -10,15 +10,19 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/configstore"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
 	"github.com/sequoiacove/sequoiacove/pkg/ingress"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
+	"github.com/sequoiacove/sequoiacove/pkg/operatorapi"
+	"github.com/sequoiacove/sequoiacove/pkg/policy"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
@@ -38,7 +42,14 @@
 	Paths        Paths
 	Decoder      catalog.Decoder
 	LookupAnswer func(addresses []string, ttl time.Duration) []byte
-	NewStore     func(address string) catalog.Store
+	NewStore     func(address string) Store
+}
+
+// Store is the platform's store: its tables, and the versions of the
+// description.
+type Store struct {
+	Tables   catalog.Store
+	Versions *configstore.Store
 }
 
 // Options holds the inputs of a Instance.
@@ -59,6 +70,8 @@
 	store    catalog.Store
 	catalog  *catalog.Catalog
 	balancer *balance.Balancer
+	policy   *policy.Policy
+	operator *operatorapi.API
 	client   *exchange.Client
 	ingress  *ingress.Server
 	mesh     *mesh.Mesh
@@ -71,6 +84,12 @@
 	leave   atomic.Pointer[departure]
 	started time.Time
 	behind  map[string]time.Time
+	// unruled is set when the instance began to serve without knowing the
+	// description.
+	unruled      atomic.Bool
+	regionShares sync.Map
+	// installing orders the views that the balancer gets.
+	installing sync.Mutex
 	// aloneUntil ends the time in which the instance watches the store because
 	// a member did not pass on what it knows.
 	aloneUntil atomic.Pointer[time.Time]
@@ -87,9 +106,14 @@
 	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now})
 	i.balancer = balance.New(balance.Config{Instance: s.ID, Region: s.Region, Domain: s.Domain, Regions: s.Regions, Bounds: s.Bounds,
 		Now: opt.Now, Random: opt.Random, Logger: opt.Logger, Forget: i.client.Forget})
-	i.store = opt.Platform.NewStore(s.StoreAddress)
+	store := opt.Platform.NewStore(s.StoreAddress)
+	i.store = store.Tables
+	i.policy = policy.New(policy.Config{Instance: s.ID, Region: s.Region, Store: store.Versions, Polls: i.watches, Part: i.balancer.Part, Changed: i.adopt,
+		Now: opt.Now, Random: opt.Random, Logger: opt.Logger})
+	i.operator = operatorapi.New(operatorapi.Config{Instance: s.ID, Store: store.Versions, Backend: backend{i}, Operators: s.Operators,
+		RequestsPerSecond: operatorRequestsPerSecond, Now: opt.Now, Logger: opt.Logger, Registry: i.metrics.registry})
 	i.catalog = catalog.New(catalog.Options{Store: i.store, Decode: opt.Platform.Decoder, Now: opt.Now, Random: opt.Random, Logger: opt.Logger,
-		LeaveTime: s.Bounds.LeaveTime, Changed: i.balancer.Update, Watching: i.watching, Learned: i.announce})
+		LeaveTime: s.Bounds.LeaveTime, Changed: func(*steering.View) { i.install() }, Duty: i.duty, Learned: i.announce})
 	i.ingress = ingress.NewServer(ingress.Config{Headers: opt.Platform.Headers, Now: opt.Now, Handler: i, Limits: i.limits,
 		MaxConnections: s.Descriptors * 3 / 5, MaxBufferedBytes: megabytes(s.MemoryMB) / 4})
 	return i
@@ -112,6 +136,7 @@
 	defer cancel()
 	i.startMesh(background, listeners)
 	go i.catalog.Run(background)
+	go i.policy.Run(background)
 	go i.maintain(background)
 	go i.fetchNews(background)
 	go (&registrar{instance: i, now: i.opt.Now}).run(background)
@@ -169,9 +194,10 @@
 		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
 		Local: i.local, InFlight: i.balancer.InFlight, Demands: i.balancer.Demands,
 		Region: i.balancer.RegionReport, Load: i.balancer.SetPeerInFlight, Demand: i.balancer.SetPeerDemand, Members: i.setMembers, Beat: i.heard,
+		RegionShares: i.setRegionShares,
 	}, l.datagrams)
 	go i.mesh.Run(ctx)
-	go mesh.ServeSnapshots(l.snapshots, i.opt.Now, i.catalog.Snapshot)
+	go mesh.ServeSnapshots(l.snapshots, i.opt.Now, i.changes)
 }
 
 // local tells the peers what this instance is and knows.
@@ -179,13 +205,13 @@
 	directives, upstreams := i.catalog.Revisions()
 	state := mesh.Serving
 	switch {
-	case i.leaving():
+	case i.leaving(), i.drained():
 		state = mesh.Leaving
 	case !i.ready():
 		state = mesh.Starting
 	}
-	watching, _ := i.watching()
-	return mesh.Local{State: state, Directives: directives, Upstreams: upstreams, Watching: watching && !i.catalog.StoreDown()}
+	return mesh.Local{State: state, Directives: directives, Upstreams: upstreams, Watching: i.watches() && !i.catalog.StoreDown(),
+		Version: i.policy.Current().Number, Active: i.ingress.Active(), Shares: i.policy.Shares()}
 }
 
 // watchers is the number of instances of a region that watch the store; the
@@ -196,36 +222,42 @@
 // changes from a member.
 const aloneTime = 5 * time.Second
 
-// watching tells whether this instance watches the store: unless enough others
-// of a lower rank do and reach it, and pass on what they learn.
-func (i *Instance) watching() (bool, int) {
+// duty returns the part of this instance in watching the store: it watches
+// unless enough others of a lower rank do and reach it, and pass on what they
+// learn.
+func (i *Instance) duty() catalog.Duty {
 	others := i.mesh.Rank(func(m mesh.Member) bool { return m.Watching })
-	rank := i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })
 	alone := i.aloneUntil.Load()
-	return others < watchers || alone != nil && i.opt.Now().Before(*alone), rank
+	return catalog.Duty{First: others == 0, Watches: others < watchers || alone != nil && i.opt.Now().Before(*alone),
+		Rank: i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })}
 }
 
+// watches tells whether this instance watches the store.
+func (i *Instance) watches() bool { return i.duty().Watches }
+
 // announce tells the others at once that this instance knows more, if they
 // rely on it.
 func (i *Instance) announce() {
-	if watching, _ := i.watching(); watching {
+	if i.watches() {
 		go i.mesh.Announce()
 	}
 }
 
 // heard takes a heartbeat of a member of the region.
 func (i *Instance) heard(m mesh.Member) {
-	if !m.Watching {
+	news := m.Version > i.policy.Current().Number
+	if m.Watching {
+		i.catalog.Confirm(m.Directives, m.Upstreams)
+		directives, upstreams := i.catalog.Revisions()
+		news = news || !i.watches() && (m.Directives > directives || m.Upstreams > upstreams)
+	}
+	if !news {
 		return
 	}
-	i.catalog.Confirm(m.Directives, m.Upstreams)
-	directives, upstreams := i.catalog.Revisions()
-	if watching, _ := i.watching(); !watching && (m.Directives > directives || m.Upstreams > upstreams) {
-		select {
-		case i.ahead <- m:
-		default:
-			// A fetch is under way; the next heartbeat repeats the news.
-		}
+	select {
+	case i.ahead <- m:
+	default:
+		// A fetch is under way; the next heartbeat repeats the news.
 	}
 }
 
@@ -241,13 +273,28 @@
 	}
 }
 
+// known returns what this instance knows.
+func (i *Instance) known() mesh.Known {
+	directives, upstreams := i.catalog.Revisions()
+	return mesh.Known{Directives: directives, Upstreams: upstreams, Version: i.policy.Current().Number}
+}
+
+// changes returns what a member lacks.
+func (i *Instance) changes(known mesh.Known) mesh.Changes {
+	c := mesh.Changes{Tables: i.catalog.Snapshot(known.Directives, known.Upstreams), VersionKnown: i.policy.Known()}
+	if v := i.policy.Current(); v.Number > known.Version {
+		c.Version = &v
+	}
+	return c
+}
+
 // fetch takes what a member knows more.
 func (i *Instance) fetch(ctx context.Context, m mesh.Member) {
-	directives, upstreams := i.catalog.Revisions()
-	if m.Directives <= directives && m.Upstreams <= upstreams {
+	known := i.known()
+	if m.Directives <= known.Directives && m.Upstreams <= known.Upstreams && m.Version <= known.Version {
 		return
 	}
-	s, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, directives, upstreams)
+	c, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, known)
 	if err != nil {
 		event.Log(i.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
 		until := i.opt.Now().Add(aloneTime)
@@ -255,7 +302,13 @@
 		return
 	}
 	i.metrics.snapshots.Inc(1)
-	i.catalog.Merge(s, m.ID)
+	i.catalog.Merge(c.Tables, m.ID)
+	switch {
+	case c.Version != nil:
+		i.policy.Offer(*c.Version, m.ID)
+	case c.VersionKnown:
+		i.policy.SetKnown()
+	}
 }
 
 func (i *Instance) setMembers(list []mesh.Member) {
@@ -276,7 +329,7 @@
 // ready tells whether the instance can steer requests.
 func (i *Instance) ready() bool {
 	v := i.catalog.View()
-	return v.Config != nil && !i.leaving()
+	return v.Config != nil && i.mayServe() && !i.leaving()
 }
 
 func (i *Instance) leaving() bool { return i.leave.Load() != nil }
@@ -298,6 +351,7 @@
 		i.countInstances()
 		i.balancer.ExpirePeers()
 		i.balancer.Rebalance(min(now.Sub(last), 2*step))
+		i.stepShares()
 		i.catchUp(ctx, now)
 		last = now
 	}
@@ -309,9 +363,9 @@
 
 // catchUp fetches the snapshot of a peer that has known more for a while.
 func (i *Instance) catchUp(ctx context.Context, now time.Time) {
-	directives, upstreams := i.catalog.Revisions()
+	known := i.known()
 	for _, m := range i.mesh.Live() {
-		if m.Directives <= directives && m.Upstreams <= upstreams {
+		if m.Directives <= known.Directives && m.Upstreams <= known.Upstreams && m.Version <= known.Version {
 			delete(i.behind, m.ID)
 			continue
 		}
@@ -320,7 +374,7 @@
 			i.behind[m.ID] = now
 			since = now
 		}
-		if directives != 0 && upstreams != 0 && now.Sub(since) < catchUpDelay {
+		if known.Directives != 0 && known.Upstreams != 0 && m.Version <= known.Version && now.Sub(since) < catchUpDelay {
 			continue
 		}
 		clear(i.behind)
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -270,7 +270,7 @@
 	watching := func() int {
 		n := 0
 		for _, x := range w.instances {
-			if yes, _ := x.watching(); yes {
+			if x.watches() {
 				n++
 			}
 		}
@@ -289,6 +289,26 @@
 	require.Less(t, time.Since(start), 2500*time.Millisecond)
 }
 
+// Guards against a backup watcher that misses changes for as long as its watch
+// waits because its connection to the store fell silent.
+func TestSilentBackupIsToldByTheFirstWatcher(t *testing.T) {
+	w := newWorld(t)
+	w.store.silent = true
+	a := w.start("i1")
+	b := w.start("i2", a.settings.MeshAddress)
+	w.awaitReady(a, 0)
+	w.awaitReady(b, 0)
+	settled := func() bool {
+		return len(a.mesh.Live()) == 1 && len(b.mesh.Live()) == 1 && a.duty().First != b.duty().First && a.watches() && b.watches()
+	}
+	require.Eventually(t, settled, patience, 5*time.Millisecond)
+	w.store.awaitPatientWatches(t, 2)
+	w.configure(2, route("safe", "/safe/", true))
+	for _, x := range []*testInstance{a, b} {
+		require.Eventually(t, func() bool { c := x.catalog.View().Config; return c != nil && c.Version == 2 }, 3*time.Second, 5*time.Millisecond)
+	}
+}
+
 // Guards against an instance that lags because a member announces changes and
 // does not pass them on.
 func TestInstanceAsksTheStoreWhenAMemberFails(t *testing.T) {
@@ -303,14 +323,14 @@
 	var idle *testInstance
 	require.Eventually(t, func() bool {
 		for _, x := range w.instances {
-			if yes, _ := x.watching(); !yes {
+			if !x.watches() {
 				idle = x
 			}
 		}
 		return idle != nil
 	}, patience, 10*time.Millisecond)
 	idle.fetch(context.Background(), mesh.Member{ID: "dead", Address: freeAddress(), Directives: 1 << 40, Upstreams: 1 << 40})
-	yes, _ := idle.watching()
+	yes := idle.watches()
 	require.True(t, yes)
 }
 
--- /dev/null
+++ b/pkg/instance/operator_test.go
@@ -0,0 +1,177 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/operator"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// described sends the given part of a service to the domain n-a, the rest to
+// n-b; more holds further fields of the document.
+func described(share float64, more string) string {
+	return fmt.Sprintf(`{"regions": {"n": {"domains": ["n-a", "n-b"]}}, "lookup": {"ttl_ms": 500}, %s
+ "services": {"shop": {"regions": {"n": {"share": 1, "domains": {"n-a": %g, "n-b": %g}}},
+  "caps": {"region_share_per_second": 0, "domain_share_per_second": 0, "failover_share_per_second": 0}, "max_request_ms": 5000}}}`, more, share, 1-share)
+}
+
+func (x *testInstance) operator() *operator.Client {
+	return operator.NewClient(operator.ClientConfig{Addresses: []string{x.settings.AdminAddress}, Token: token})
+}
+
+func (w *world) patch(x *testInstance, base uint64, body string) operator.PatchReply {
+	reply, err := x.operator().Patch(context.Background(), operator.PatchRequest{BaseVersion: base, PatchID: fmt.Sprint("p", base), Kind: description.MergePatch, Patch: json.RawMessage(body)})
+	require.NoError(w.t, err)
+	return reply
+}
+
+// upstreamIn starts an upstream in a failure domain.
+func (w *world) upstreamIn(id, domain string) *fakeUpstream {
+	u := newFakeUpstream(w.t, id)
+	w.store.write(catalog.Upstreams, id, "shop "+u.address+" "+domain+" ready", false)
+	return u
+}
+
+func (w *world) awaitVersion(n uint64, list ...*testInstance) {
+	for _, x := range list {
+		require.Eventually(w.t, func() bool { return x.policy.Current().Number == n }, patience, 5*time.Millisecond)
+	}
+}
+
+// send sends idempotent requests one after the other.
+func (w *world) send(x *testInstance, n int, prefix string) {
+	c := w.caller(x)
+	for i := range n {
+		r, _ := c.do("GET", "/safe/x", fmt.Sprint(prefix, i), "")
+		require.Equal(w.t, 200, r.StatusCode)
+	}
+}
+
+// Guards against a patch that is accepted and in force on one instance only,
+// shares that requests do not follow, and an upstream that operators drain and
+// that keeps getting requests.
+func TestPatchedDescriptionIsInForce(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.upstreamIn("ua", "n-a"), w.upstreamIn("ub", "n-b")
+	first := w.start("i1")
+	second := w.start("i2", first.settings.MeshAddress)
+	for _, x := range []*testInstance{first, second} {
+		w.awaitReady(x, 2)
+	}
+	reply := w.patch(first, 0, described(0.25, ""))
+	require.EqualValues(t, 1, reply.Version)
+	w.awaitVersion(1, first, second)
+	for _, x := range []*testInstance{first, second} {
+		require.Eventually(t, func() bool { return x.policy.Shares()["shop"]["n-a"] == 0.25 }, patience, 5*time.Millisecond)
+		before := a.runs.Load()
+		w.send(x, 40, x.settings.ID)
+		require.InDelta(t, 10, a.runs.Load()-before, 1)
+	}
+	w.patch(second, 1, `{"drained_upstreams": ["ub"]}`)
+	w.awaitVersion(2, first, second)
+	drained := func() bool {
+		d, err := first.operator().Drain(context.Background(), "ub")
+		return err == nil && d.State == operator.DrainDrained
+	}
+	require.Eventually(t, drained, patience, 20*time.Millisecond)
+	before := b.runs.Load()
+	require.Eventually(t, func() bool { return first.policy.Shares()["shop"]["n-a"] == 1 }, patience, 5*time.Millisecond)
+	w.send(first, 10, "late")
+	require.Equal(t, before, b.runs.Load())
+}
+
+// Guards against an instance that starts while the store is away and serves
+// without the description that its peers know.
+func TestDescriptionIsLearnedFromPeers(t *testing.T) {
+	w := newWorld(t)
+	w.upstreamIn("ua", "n-a")
+	first := w.start("i1")
+	w.awaitReady(first, 1)
+	w.patch(first, 0, described(1, ""))
+	w.store.setDown(true)
+	second := w.start("i2", first.settings.MeshAddress)
+	w.awaitVersion(1, second)
+	w.awaitReady(second, 1)
+	require.Equal(t, first.policy.Current().Hash, second.policy.Current().Hash)
+}
+
+// Guards against a drained instance that look-ups still name, and against an
+// instance that stops serving the callers it has.
+func TestDrainedInstanceLeavesTheLookups(t *testing.T) {
+	w := newWorld(t)
+	w.upstreamIn("ua", "n-a")
+	first := w.start("i1")
+	second := w.start("i2", first.settings.MeshAddress)
+	for _, x := range []*testInstance{first, second} {
+		w.awaitReady(x, 1)
+	}
+	w.patch(first, 0, described(1, `"drained_instances": ["i2"],`))
+	for _, x := range []*testInstance{first, second} {
+		require.Eventually(t, func() bool {
+			status, body := w.get(x.settings.LookupAddress, "/lookup?region=n")
+			return status == http.StatusOK && body == first.settings.CallerAddress
+		}, patience, 10*time.Millisecond)
+	}
+	w.send(second, 3, "kept")
+}
+
+// Guards against calls of the operator API that fail on an instance, and
+// against one that is served without a token.
+func TestOperatorCalls(t *testing.T) {
+	w := newWorld(t)
+	w.upstreamIn("ua", "n-a")
+	x := w.start("i1")
+	w.awaitReady(x, 1)
+	ctx, c := context.Background(), x.operator()
+	w.patch(x, 0, described(1, ""))
+	require.Eventually(t, func() bool { return len(x.policy.Shares()) == 1 }, patience, 5*time.Millisecond)
+	members, err := c.Members(ctx)
+	require.NoError(t, err)
+	require.Len(t, members.Members, 1)
+	require.EqualValues(t, 1, members.Members[0].Version)
+	move, err := c.Move(ctx, "shop")
+	require.NoError(t, err)
+	require.True(t, move.Finished)
+	explained, err := c.Explain(ctx, "shop", "GET", "/")
+	require.NoError(t, err)
+	require.Contains(t, string(explained), `"id":"ua"`)
+	require.Contains(t, string(explained), `"share":1`)
+	state, err := c.State(ctx)
+	require.NoError(t, err)
+	require.Contains(t, string(state.Instance), `"description":1`)
+	_, err = c.Drain(ctx, "none")
+	require.Equal(t, result.NotFound, result.CodeOf(err))
+	_, err = c.Explain(ctx, "none", "GET", "/")
+	require.Equal(t, result.UnknownService, result.CodeOf(err))
+	stranger := operator.NewClient(operator.ClientConfig{Addresses: []string{x.settings.AdminAddress}, Token: "another-token-of-length"})
+	_, err = stranger.Members(ctx)
+	require.Equal(t, result.Unauthorized, result.CodeOf(err))
+	status, body := w.get(x.settings.AdminAddress, "/metrics")
+	require.Equal(t, http.StatusOK, status)
+	require.True(t, strings.Contains(body, "sequoiacove_"))
+}
+
+// Guards against a request that the description cannot place and that is sent
+// anyway or reported as if it might have run.
+func TestRequestWithoutPlaceIsRefused(t *testing.T) {
+	w := newWorld(t)
+	u := w.upstreamIn("ua", "n-a")
+	x := w.start("i1")
+	w.awaitReady(x, 1)
+	w.patch(x, 0, described(0, ""))
+	require.Eventually(t, func() bool { return len(x.policy.Shares()) == 1 }, patience, 5*time.Millisecond)
+	r, _ := w.caller(x).do("POST", "/unsafe/x", "1", "b")
+	require.Equal(t, 503, r.StatusCode)
+	require.Zero(t, u.ran("1"))
+	require.Contains(t, x.log.String(), `"reason":"no_destination"`)
+}
--- a/pkg/instance/register.go
+++ b/pkg/instance/register.go
@@ -15,6 +15,8 @@
 	// registerRetry is the pause between tries to register.
 	registerRetry = 2 * time.Second
 	registerCall  = 1500 * time.Millisecond
+	// seedTime is the time for the instances that the settings name to answer.
+	seedTime = 1500 * time.Millisecond
 	// registerInterval is the time between renewals of a registration.
 	registerInterval = 10 * time.Minute
 	// staleAfter is the time without a renewal after which a registration is
@@ -35,7 +37,9 @@
 	instance *Instance
 	now      func() time.Time
 	seen     map[string]registration
+	// listed tells that the other instances need not be looked for in the store.
 	listed   bool
+	renewals int
 }
 
 // run registers until ctx ends.
@@ -57,15 +61,20 @@
 // every time, it also reads those of the others.
 func (r *registrar) renew(ctx context.Context) error {
 	i := r.instance
-	call, cancel := context.WithTimeout(ctx, registerCall)
-	defer cancel()
-	if err := i.store.Put(call, catalog.Instances, i.settings.ID, []byte(i.settings.MeshAddress)); err != nil {
+	if err := r.put(ctx); err != nil {
 		return err
 	}
-	sweeps := i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving }) == 0
+	if !r.listed {
+		// Members that are known pass on the addresses of the others.
+		r.listed = r.acquainted(ctx)
+	}
+	sweeps := r.renewals > 0 && i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving }) == 0
+	r.renewals++
 	if r.listed && !sweeps {
 		return nil
 	}
+	call, cancel := context.WithTimeout(ctx, registerCall)
+	defer cancel()
 	l, err := i.store.List(call, catalog.Instances)
 	if err != nil {
 		return err
@@ -78,6 +87,23 @@
 	return r.sweep(call, l)
 }
 
+func (r *registrar) put(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, registerCall)
+	defer cancel()
+	s := r.instance.settings
+	return r.instance.store.Put(call, catalog.Instances, s.ID, []byte(s.MeshAddress))
+}
+
+// acquainted waits a moment for the instances that the settings name and tells
+// whether one of them has been heard.
+func (r *registrar) acquainted(ctx context.Context) bool {
+	select {
+	case <-time.After(seedTime):
+	case <-ctx.Done():
+	}
+	return len(r.instance.mesh.Live()) > 0
+}
+
 // others returns the mesh addresses of the other instances.
 func (r *registrar) others(l catalog.Listing) []string {
 	var list []string
--- a/pkg/instance/register_test.go
+++ b/pkg/instance/register_test.go
@@ -20,7 +20,7 @@
 	x := w.start("i1")
 	require.Eventually(t, func() bool { return w.store.has(catalog.Instances, "i1") }, patience, 5*time.Millisecond)
 	now := time.Now()
-	r := &registrar{instance: x.Instance, now: func() time.Time { return now }}
+	r := &registrar{instance: x.Instance, now: func() time.Time { return now }, listed: true, renewals: 1}
 	w.store.write(catalog.Instances, "replaced", "127.0.0.1:1", false)
 	w.store.write(catalog.Instances, "renewed", "127.0.0.1:2", false)
 	require.NoError(t, r.renew(context.Background()))
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -9,6 +9,8 @@
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
 	"github.com/sequoiacove/sequoiacove/pkg/ingress"
+	"github.com/sequoiacove/sequoiacove/pkg/policy"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
@@ -59,9 +61,11 @@
 	// unknown tells that an attempt may have run the request.
 	unknown bool
 	waited  time.Duration
-	ask     balance.Ask
-	lease   *balance.Lease
-	last    *exchange.Result
+	// place is the failure domain that the description chose, or nil.
+	place *policy.Place
+	ask   balance.Ask
+	lease *balance.Lease
+	last  *exchange.Result
 }
 
 // Idempotent implements ingress.Handler.
@@ -92,7 +96,29 @@
 	if !i.mayStart(c) {
 		return c.refuse("leaving")
 	}
-	return c.run(ctx)
+	if reason := c.choosePlace(); reason != "" {
+		return c.refuse(reason)
+	}
+	answer := c.run(ctx)
+	if c.place != nil {
+		size := 0
+		if answer != nil {
+			size = len(answer.Body)
+		}
+		c.place.Release(size)
+	}
+	return answer
+}
+
+// choosePlace takes the failure domain of the request from the description, if
+// that names the service, and returns why there is none.
+func (c *call) choosePlace() (reason string) {
+	place, err := c.instance.policy.Place(c.service, len(c.request.Head)+len(c.request.Body), c.route.AllowsRegion)
+	if err != nil {
+		return result.Lookup(result.CodeOf(err)).Name
+	}
+	c.place = place
+	return ""
 }
 
 // deadline returns the time at which the request is given up.
@@ -166,6 +192,9 @@
 	hold := time.Duration(holdPart*float64(c.target())) - start.Sub(c.request.Arrived)
 	hold = min(hold, c.end.Sub(start))
 	c.ask = balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: again}
+	if c.place != nil {
+		c.ask.Domain = c.place.Domain
+	}
 	l := c.instance.balancer.Acquire(ctx, c.ask, hold)
 	c.waited += c.instance.opt.Now().Sub(start)
 	return l
--- a/pkg/instance/settings.go
+++ b/pkg/instance/settings.go
@@ -32,7 +32,10 @@
 	// Descriptors bounds the open sockets and files.
 	Descriptors int
 	Bounds      steering.Bounds
-	LogLevel    slog.Level
+	// Operators maps the names of operators to their tokens; without any, the
+	// operator API is not served.
+	Operators map[string]string
+	LogLevel  slog.Level
 }
 
 // ParseSettings reads and checks the text of a settings file.
@@ -62,6 +65,7 @@
 		Descriptors:    r.Int("limits", "descriptors", 1024, 64, 1<<20),
 		Bounds:         readBounds(r),
 	}
+	s.Operators = readOperators(r)
 	level := r.OneOf("log", "level", "info", "debug", "warn", "error")
 	// OneOf returns only names that the level knows.
 	_ = s.LogLevel.UnmarshalText([]byte(level))
@@ -72,6 +76,20 @@
 	return s, r.Err()
 }
 
+// minTokenBytes is the shortest token of an operator.
+const minTokenBytes = 16
+
+func readOperators(r *settings.Reader) map[string]string {
+	const section = "operators"
+	tokens := r.Section(section)
+	for name, token := range tokens {
+		if len(token) < minTokenBytes {
+			r.Fail(section, name, "a token has at least %d characters", minTokenBytes)
+		}
+	}
+	return tokens
+}
+
 // readBounds reads the bounds; the defaults are cautious ones.
 func readBounds(r *settings.Reader) steering.Bounds {
 	const section = "bounds"
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
 
@@ -22,25 +23,27 @@
 
 // digest is what the gateway of a region tells the other regions.
 type digest struct {
-	_      struct{} `cbor:",toarray"`
-	Region string
+	Region string `cbor:"1,keyasint,omitempty"`
 	// Passed tells that the gateway of the receiver's region passes it on.
-	Passed   bool
-	InFlight []uint32
-	Demand   []balance.Demand
-	Members  []digestMember
+	Passed   bool             `cbor:"2,keyasint,omitempty"`
+	InFlight []uint32         `cbor:"3,keyasint,omitempty"`
+	Demand   []balance.Demand `cbor:"4,keyasint"`
+	Members  []digestMember   `cbor:"5,keyasint,omitempty"`
+	// Shares is the mean of the shares in effect, with Members.
+	Shares cluster.Shares `cbor:"6,keyasint,omitempty"`
 }
 
 // digestMember is a live instance in a digest.
 type digestMember struct {
-	_          struct{} `cbor:",toarray"`
-	ID         string
-	Domain     string
-	Caller     string
-	Address    string
-	State      State
-	Directives int64
-	Upstreams  int64
+	ID         string `cbor:"1,keyasint,omitempty"`
+	Domain     string `cbor:"2,keyasint,omitempty"`
+	Caller     string `cbor:"3,keyasint,omitempty"`
+	Address    string `cbor:"4,keyasint,omitempty"`
+	State      State  `cbor:"5,keyasint,omitempty"`
+	Directives int64  `cbor:"6,keyasint,omitempty"`
+	Upstreams  int64  `cbor:"7,keyasint,omitempty"`
+	Version    uint64 `cbor:"8,keyasint,omitempty"`
+	Active     int    `cbor:"9,keyasint,omitempty"`
 }
 
 // rank orders the instances of a region; the lowest is its gateway.
@@ -107,12 +110,9 @@
 	if m.digests++; m.digests%membersEvery == 1 {
 		d.Demand = demand
 		self := m.config.Self
-		d.Members = []digestMember{{ID: self.ID, Domain: self.Domain, Caller: self.Caller, Address: self.Address, State: local.State, Directives: local.Directives, Upstreams: local.Upstreams}}
-		for _, x := range m.members {
-			if x.alive && x.Region == self.Region {
-				d.Members = append(d.Members, digestMember{ID: x.ID, Domain: x.Domain, Caller: x.Caller, Address: x.Address, State: x.State, Directives: x.Directives, Upstreams: x.Upstreams})
-			}
-		}
+		self.State, self.Directives, self.Upstreams, self.Version = local.State, local.Directives, local.Upstreams, local.Version
+		self.Active, self.Shares = local.Active, local.Shares
+		m.describe(d, self)
 	}
 	m.sequence++
 	data := m.encode(nil, nil, d)
@@ -121,6 +121,23 @@
 	}
 }
 
+// describe adds the members of the own region and the mean of their shares.
+func (m *Mesh) describe(d *digest, self Member) {
+	near := []Member{self}
+	for _, x := range m.members {
+		if x.alive && x.Region == self.Region {
+			near = append(near, x.Member)
+		}
+	}
+	shares := make([]cluster.Member, 0, len(near))
+	for _, x := range near {
+		d.Members = append(d.Members, digestMember{ID: x.ID, Domain: x.Domain, Caller: x.Caller, Address: x.Address, State: x.State,
+			Directives: x.Directives, Upstreams: x.Upstreams, Version: x.Version, Active: x.Active})
+		shares = append(shares, cluster.Member{ID: x.ID, EntryIncarnation: 1, Shares: x.Shares})
+	}
+	d.Shares = cluster.MeanShares(shares, "")
+}
+
 // takeDigest applies the digest of another region and passes it on if it came
 // from there.
 func (m *Mesh) takeDigest(msg *message) {
@@ -146,6 +163,9 @@
 	if d.Demand != nil {
 		m.config.Demand(regionPrefix+d.Region, d.Region, d.Demand)
 	}
+	if len(d.Members) > 0 {
+		m.config.RegionShares(d.Region, d.Shares)
+	}
 }
 
 // passOn sends a digest to the members of the own region.
@@ -180,7 +200,7 @@
 			event.Log(m.config.Logger, event.MemberJoined, "member", r.ID, "region", d.Region, "domain", r.Domain, "state", r.State)
 		}
 		changed = changed || !x.alive || x.State != r.State || x.Caller != r.Caller
-		x.Member = Member{ID: r.ID, Region: d.Region, Domain: r.Domain, Caller: r.Caller, State: r.State, Directives: r.Directives, Upstreams: r.Upstreams, Address: r.Address}
+		x.Member = Member{ID: r.ID, Region: d.Region, Domain: r.Domain, Caller: r.Caller, State: r.State, Directives: r.Directives, Upstreams: r.Upstreams, Version: r.Version, Active: r.Active, Address: r.Address}
 		x.heard, x.alive = now, true
 		delete(m.unknown, r.Address)
 	}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
 
@@ -80,6 +81,13 @@
 	Upstreams  int64
 	// Watching tells that the member watches the store and reaches it.
 	Watching bool
+	// Version is the version of the description in force there.
+	Version uint64
+	// Active is the number of callers' requests in flight.
+	Active int
+	// Shares holds the shares in effect; those of instances of other regions
+	// are known as the mean of the region only.
+	Shares cluster.Shares
 	// Address is the address of its mesh.
 	Address string
 }
@@ -90,6 +98,9 @@
 	Directives int64
 	Upstreams  int64
 	Watching   bool
+	Version    uint64
+	Active     int
+	Shares     cluster.Shares
 }
 
 // Config holds the inputs of a Mesh.
@@ -115,6 +126,8 @@
 	Demand  func(id, region string, list []balance.Demand)
 	Members func([]Member)
 	Beat    func(Member)
+	// RegionShares takes the mean of the shares in effect in another region.
+	RegionShares func(region string, shares cluster.Shares)
 }
 
 // Mesh exchanges datagrams with the other instances.
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
 
@@ -25,9 +28,16 @@
 	mu     sync.Mutex
 	load   map[string]int
 	demand map[string]float64
+	shares map[string]cluster.Shares
 	state  State
 }
 
+func (p *peer) sharesOf(region string) cluster.Shares {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shares[region]
+}
+
 func (p *peer) setState(s State) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -40,17 +50,19 @@
 	return p.load[id]
 }
 
+var testShares = cluster.Shares{"shop": {"n-a": 0.25, "s-a": 0.75}}
+
 func start(t *testing.T, id, region string, seeds ...string) *peer {
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, state: Serving}
+	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, shares: map[string]cluster.Shares{}, state: Serving}
 	p.Mesh = New(Config{
 		Self:        Member{ID: id, Region: region, Domain: region + "-a", Caller: "10.0.0.1:1", Address: p.address},
 		Incarnation: uint64(time.Now().UnixNano()), Seeds: seeds, Now: time.Now, Random: func() float64 { return 0.5 }, Logger: event.Discard(),
 		Local: func() Local {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			return Local{State: p.state, Directives: 3, Upstreams: 4, Watching: true}
+			return Local{State: p.state, Directives: 3, Upstreams: 4, Watching: true, Version: 6, Active: 8, Shares: testShares}
 		},
 		InFlight: func() []balance.InFlight { return []balance.InFlight{{Upstream: 7, Count: 2}} },
 		Demands:  func() []balance.Demand { return []balance.Demand{{Route: 9, Slots: 1.5}} },
@@ -73,6 +85,11 @@
 			}
 		},
 		Members: func([]Member) {}, Beat: func(Member) {},
+		RegionShares: func(region string, shares cluster.Shares) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.shares[region] = shares
+		},
 	}, conn)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
@@ -100,6 +117,12 @@
 	for _, p := range all {
 		other := regionPrefix + map[string]string{"n": "s", "s": "n"}[p.config.Self.Region]
 		require.Eventually(t, func() bool { return p.loadOf(other) == 5 }, patience, 10*time.Millisecond, "%s hears %s", p.config.Self.ID, other)
+		region := strings.TrimPrefix(other, regionPrefix)
+		require.Eventually(t, func() bool { return reflect.DeepEqual(p.sharesOf(region), testShares) }, patience, 10*time.Millisecond)
+		for _, m := range p.Live() {
+			require.EqualValues(t, 6, m.Version)
+			require.Equal(t, 8, m.Active)
+		}
 	}
 }
 
@@ -137,14 +160,16 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
-	want := catalog.Snapshot{Upstreams: catalog.Listing{Revision: 9, Since: 5, Rows: []catalog.Row{{Key: "u", Revision: 8, Deleted: true}, {Key: "v", Revision: 9, Value: make([]byte, 1<<20)}}}}
-	go ServeSnapshots(l, time.Now, func(directives, upstreams int64) catalog.Snapshot {
-		if directives != 2 || upstreams != 5 {
-			return catalog.Snapshot{}
+	want := Changes{VersionKnown: true, Version: &cluster.Version{Number: 7, Body: []byte("{}")},
+		Tables: catalog.Snapshot{Upstreams: catalog.Listing{Revision: 9, Since: 5, Rows: []catalog.Row{{Key: "u", Revision: 8, Deleted: true}, {Key: "v", Revision: 9, Value: make([]byte, 1<<20)}}}}}
+	known := Known{Directives: 2, Upstreams: 5, Version: 6}
+	go ServeSnapshots(l, time.Now, func(k Known) Changes {
+		if k != known {
+			return Changes{}
 		}
 		return want
 	})
-	got, err := FetchSnapshot(context.Background(), l.Addr().String(), time.Now, 2, 5)
+	got, err := FetchSnapshot(context.Background(), l.Addr().String(), time.Now, known)
 	require.NoError(t, err)
 	require.Equal(t, want, got)
 }
@@ -164,7 +189,7 @@
 	from := conn.LocalAddr()
 	m := New(Config{Self: Member{ID: "self", Region: "n"}, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.Discard(),
 		Local: func() Local { return Local{} }, Load: func(string, string, []balance.InFlight) {}, Demand: func(string, string, []balance.Demand) {},
-		Members: func([]Member) {}, Beat: func(Member) {}}, &discardConn{conn})
+		Members: func([]Member) {}, Beat: func(Member) {}, RegionShares: func(string, cluster.Shares) {}}, &discardConn{conn})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var msg message
 		if cbor.Unmarshal(data, &msg) != nil || msg.ID == "" {
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -89,7 +89,7 @@
 		changed = changed || x.State != b.State || x.Caller != b.Caller
 		x.target = from
 		x.Member = Member{ID: msg.ID, Region: b.Region, Domain: b.Domain, Caller: b.Caller, State: b.State,
-			Directives: b.Directives, Upstreams: b.Upstreams, Watching: b.Watching, Address: from.String()}
+			Directives: b.Directives, Upstreams: b.Upstreams, Watching: b.Watching, Version: b.Version, Active: b.Active, Shares: b.Shares, Address: from.String()}
 		delete(m.unknown, x.Address)
 		for i, a := range b.Addresses {
 			if i < passedAddresses {
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 )
 
 // message is the content of a datagram. A load report carries the fields up to
@@ -21,17 +22,21 @@
 	Digest      *digest
 }
 
+// beat is the content of a heartbeat. Its fields are numbered, so that releases
+// with other fields read each other.
 type beat struct {
-	_          struct{} `cbor:",toarray"`
-	Region     string
-	Domain     string
-	Caller     string
-	State      State
-	Directives int64
-	Upstreams  int64
-	Watching   bool
-	Demand     []balance.Demand
-	Addresses  []string
+	Region     string           `cbor:"1,keyasint,omitempty"`
+	Domain     string           `cbor:"2,keyasint,omitempty"`
+	Caller     string           `cbor:"3,keyasint,omitempty"`
+	State      State            `cbor:"4,keyasint,omitempty"`
+	Directives int64            `cbor:"5,keyasint,omitempty"`
+	Upstreams  int64            `cbor:"6,keyasint,omitempty"`
+	Watching   bool             `cbor:"7,keyasint,omitempty"`
+	Demand     []balance.Demand `cbor:"8,keyasint"`
+	Addresses  []string         `cbor:"9,keyasint,omitempty"`
+	Version    uint64           `cbor:"10,keyasint,omitempty"`
+	Active     int              `cbor:"11,keyasint,omitempty"`
+	Shares     cluster.Shares   `cbor:"12,keyasint,omitempty"`
 }
 
 // send sends the messages that are due inside the region, and heartbeats to
@@ -40,7 +45,8 @@
 	inFlight := pack(m.config.InFlight())
 	local := m.config.Local()
 	b := &beat{Region: m.config.Self.Region, Domain: m.config.Self.Domain, Caller: m.config.Self.Caller,
-		State: local.State, Directives: local.Directives, Upstreams: local.Upstreams, Watching: local.Watching}
+		State: local.State, Directives: local.Directives, Upstreams: local.Upstreams, Watching: local.Watching,
+		Version: local.Version, Active: local.Active, Shares: local.Shares}
 	if due.beat {
 		b.Demand = m.config.Demands()
 	}
--- a/pkg/mesh/snapshot.go
+++ b/pkg/mesh/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
 )
 
@@ -20,24 +21,31 @@
 	snapshotTimeout = time.Second
 	// maxSnapshotBytes bounds its size.
 	maxSnapshotBytes = 32 << 20
-	maxRequestBytes  = 64
+	maxRequestBytes  = 256
 	// maxTransfers bounds the snapshots that are sent at the same time.
 	maxTransfers = 64
 )
 
-// request names the revisions that the sender knows.
-type request struct {
-	_          struct{} `cbor:",toarray"`
-	Directives int64
-	Upstreams  int64
+// Known names what an instance knows: the revisions of both tables and the
+// version of the description.
+type Known struct {
+	Directives int64  `cbor:"1,keyasint,omitempty"`
+	Upstreams  int64  `cbor:"2,keyasint,omitempty"`
+	Version    uint64 `cbor:"3,keyasint,omitempty"`
 }
 
-// Snapshots returns what an instance lacks that knows the given revisions.
-type Snapshots func(directives, upstreams int64) catalog.Snapshot
+// Changes is what an instance lacks that another one knows.
+type Changes struct {
+	Tables catalog.Snapshot `cbor:"1,keyasint"`
+	// VersionKnown tells that the sender knows which version of the description
+	// is in force; Version is that version if the receiver lacks it.
+	VersionKnown bool             `cbor:"2,keyasint,omitempty"`
+	Version      *cluster.Version `cbor:"3,keyasint,omitempty"`
+}
 
 // ServeSnapshots answers each connection with what its sender lacks until the
 // listener is closed.
-func ServeSnapshots(l net.Listener, now func() time.Time, snapshots Snapshots) {
+func ServeSnapshots(l net.Listener, now func() time.Time, changes func(Known) Changes) {
 	slots := make(chan struct{}, maxTransfers)
 	for {
 		c, err := l.Accept()
@@ -51,7 +59,7 @@
 		case slots <- struct{}{}:
 			go func() {
 				defer func() { <-slots }()
-				sendSnapshot(c, now, snapshots)
+				sendSnapshot(c, now, changes)
 			}()
 		default:
 			_ = c.Close()
@@ -60,16 +68,16 @@
 }
 
 // sendSnapshot answers a request; the receiver sees a failure as an early end.
-func sendSnapshot(c net.Conn, now func() time.Time, snapshots Snapshots) {
+func sendSnapshot(c net.Conn, now func() time.Time, changes func(Known) Changes) {
 	defer func() { _ = c.Close() }()
 	if c.SetDeadline(now().Add(snapshotTimeout)) != nil {
 		return
 	}
-	var r request
-	if cbor.NewDecoder(io.LimitReader(c, maxRequestBytes)).Decode(&r) != nil {
+	var known Known
+	if cbor.NewDecoder(io.LimitReader(c, maxRequestBytes)).Decode(&known) != nil {
 		return
 	}
-	if cbor.NewEncoder(c).Encode(snapshots(r.Directives, r.Upstreams)) != nil {
+	if cbor.NewEncoder(c).Encode(changes(known)) != nil {
 		return
 	}
 	if half, ok := c.(*net.TCPConn); ok && half.CloseWrite() == nil {
@@ -77,21 +85,20 @@
 	}
 }
 
-// FetchSnapshot reads what is newer than the given revisions from the instance
-// at address.
-func FetchSnapshot(ctx context.Context, address string, now func() time.Time, directives, upstreams int64) (catalog.Snapshot, error) {
-	var s catalog.Snapshot
+// FetchSnapshot reads what the instance at address knows beyond known.
+func FetchSnapshot(ctx context.Context, address string, now func() time.Time, known Known) (Changes, error) {
+	var changes Changes
 	c, err := exchange.Dial(ctx, address, dialTimeout, 0)
 	if err != nil {
-		return s, errors.Trace(err)
+		return changes, errors.Trace(err)
 	}
 	defer func() { _ = c.Close() }()
 	if err := c.SetDeadline(now().Add(snapshotTimeout)); err != nil {
-		return s, errors.Trace(err)
+		return changes, errors.Trace(err)
 	}
-	if err := cbor.NewEncoder(c).Encode(&request{Directives: directives, Upstreams: upstreams}); err != nil {
-		return s, errors.Trace(err)
+	if err := cbor.NewEncoder(c).Encode(&known); err != nil {
+		return changes, errors.Trace(err)
 	}
-	err = cbor.NewDecoder(io.LimitReader(c, maxSnapshotBytes)).Decode(&s)
-	return s, errors.Trace(err)
+	err = cbor.NewDecoder(io.LimitReader(c, maxSnapshotBytes)).Decode(&changes)
+	return changes, errors.Trace(err)
 }
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -21,6 +21,7 @@
 
 // Paths of the operator API.
 const (
+	PathPrefix   = "/v1/"
 	PathPatches  = "/v1/config/patches"
 	PathValidate = "/v1/config/validate"
 	PathCurrent  = "/v1/config/current"
@@ -130,8 +131,11 @@
 
 // State is the state dump of an instance.
 type State struct {
-	Agent json.RawMessage `json:"agent"`
-	Entry json.RawMessage `json:"entry,omitempty"`
+	// Instance is the state of an instance that is one process; Agent and Entry
+	// are those of the two processes of other ones.
+	Instance json.RawMessage `json:"instance,omitempty"`
+	Agent    json.RawMessage `json:"agent,omitempty"`
+	Entry    json.RawMessage `json:"entry,omitempty"`
 	// EntryError tells why the entry's state is missing.
 	EntryError string `json:"entry_error,omitempty"`
 }
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -20,6 +20,8 @@
 	SinceAccepted time.Duration
 	// Reachable holds the domains that have a reachable entry instance.
 	Reachable map[string]bool
+	// ReachableFor holds the same per service and replaces Reachable if set.
+	ReachableFor map[string]map[string]bool
 	// PeerShares is the mean of the effective shares of the live peers.
 	PeerShares cluster.Shares
 	// CheckpointShares are the shares of the last checkpoint.
@@ -109,6 +111,9 @@
 		reachable: in.Reachable,
 		peers:     &peerShares{service: name, members: in.Peers, mean: in.PeerShares, regionOf: regionOf},
 	}
+	if in.ReachableFor != nil {
+		si.reachable = in.ReachableFor[name]
+	}
 	if svc.Locality == description.LocalityNearest {
 		si.home = in.Home
 		si.ownDemand = in.Own[name]
