Keep to the connections that an upstream accepts

Cause: the number of connections that a service accepts from all callers was read and not used. With few of them, upstreams reset what was beyond, and requests on those connections were lost. Each instance now keeps to its part: an upstream gets no more requests than that, and an idle connection is closed before one too many is opened. Tried and not kept: learning the length of the upstreams' queues from their refusals.

--- a/pkg/balance/admit.go
+++ b/pkg/balance/admit.go
@@ -307,6 +307,9 @@
 // admits tells whether the upstream takes a request of the route.
 func (b *Balancer) admits(u *upstream, ask Ask, load int, now time.Time) bool {
 	allowed := u.Slots + depth(ask.Route.Priority)
+	if limit := b.maxConnections(u); limit > 0 && u.inFlight >= limit {
+		return false
+	}
 	switch {
 	case ask.Idle:
 		allowed = u.Slots
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -83,7 +83,7 @@
 	// cleared when the upstreams change.
 	ranked map[homeKey][]*upstream
 	// work is the mean time of a request at an upstream.
-	work time.Duration
+	work  time.Duration
 	// capacity is the usual number of slots; lostAt is when many were lost.
 	capacity float64
 	lostAt   time.Time
@@ -228,5 +228,5 @@
 }
 
 func (b *Balancer) target(u *upstream) exchange.Target {
-	return exchange.Target{ID: u.ID, Address: u.Address, Service: u.Service, Near: u.region == b.config.Region}
+	return exchange.Target{ID: u.ID, Address: u.Address, Service: u.Service, Near: u.region == b.config.Region, MaxConnections: b.maxConnections(u)}
 }
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -479,3 +479,25 @@
 	require.Positive(t, sent)
 	require.LessOrEqual(t, float64(sent), coldOver*16+coldSlack)
 }
+
+// Guards against more connections to an upstream from all instances together
+// than its service allows.
+func TestConnectionsHoldOverAllInstances(t *testing.T) {
+	const limit = 20
+	f := newFixture(12, 0)
+	f.view.Config.Services[service].MaxConnections = limit
+	f.view.Upstreams["u"] = steering.Upstream{ID: "u", Service: service, Address: "u:1", Domain: "n-a", Slots: 400, State: steering.Ready, Born: 1}
+	f.publish()
+	for range 50 {
+		for _, b := range f.all {
+			acquire(b, testRoute(0), "")
+		}
+	}
+	open := 0
+	for _, b := range f.all {
+		l := b.upstreams["u"]
+		require.Positive(t, l.inFlight, "every instance may have one")
+		open += l.inFlight
+	}
+	require.LessOrEqual(t, open, limit)
+}
--- a/pkg/balance/limits.go
+++ b/pkg/balance/limits.go
@@ -20,6 +20,8 @@
 	// spillPart is the part of the requests that may leave the region that the
 	// shares chose.
 	spillPart = 0.03
+	// connectionPart is the part of the connections of an upstream that is used.
+	connectionPart = 0.9
 	// instanceMemory is how long an instance that is heard no more still counts
 	// for the limits over all instances: it may be cut off and use its part.
 	instanceMemory = time.Minute
@@ -154,6 +156,16 @@
 	return 0
 }
 
+// maxConnections returns the part of the connections of an upstream that this
+// instance may have open, 0 if there is no bound. Every instance may have one.
+func (b *Balancer) maxConnections(u *upstream) int {
+	limit := b.pool(u.Service).config.MaxConnections
+	if limit <= 0 {
+		return 0
+	}
+	return max(1, int(connectionPart*float64(limit)/float64(b.population())))
+}
+
 // rate is an average of events per second.
 type rate struct {
 	value float64
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -159,6 +159,7 @@
 	if t.Near {
 		timeout, silence = nearDialTimeout, nearSilence
 	}
+	p.makeRoom(t.MaxConnections)
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -186,6 +186,16 @@
 	}
 }
 
+// makeRoom closes the oldest idle connections until one more may be opened.
+func (p *pool) makeRoom(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for limit > 0 && len(p.open) >= limit && len(p.idle) > 0 {
+		p.close(p.idle[0])
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+	}
+}
+
 func (p *pool) add(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -55,6 +55,9 @@
 	Service string
 	// Near tells that the upstream is in the same region.
 	Near bool
+	// MaxConnections is the number of connections that this instance may have
+	// open to the upstream; 0 means no bound.
+	MaxConnections int
 }
 
 // Outcome tells what is known of an execution.
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -269,3 +270,39 @@
 	require.NoError(t, optionErr)
 	require.EqualValues(t, nearSilence.Milliseconds(), bound)
 }
+
+// Guards against more connections than the upstream accepts: it resets those
+// beyond, and the requests on them are lost.
+func TestConnectionsStayWithinTheBound(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, func(id string, _ net.Conn) string {
+		if strings.HasPrefix(id, "held") {
+			<-release
+		}
+		return whole(id, "x")
+	})
+	var offset atomic.Int64
+	c := NewClient(Config{Headers: testHeaders, Now: func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }})
+	target := Target{ID: "u", Address: u.address, Near: true, MaxConnections: 2}
+	var done sync.WaitGroup
+	for i := range 2 {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			c.Do(context.Background(), target, testRequest(fmt.Sprint("held", i)), time.Now().Add(10*time.Second))
+		}()
+	}
+	require.Eventually(t, func() bool { return u.connections.Load() == 2 }, 5*time.Second, time.Millisecond)
+	close(release)
+	done.Wait()
+	// Both connections are idle for too long for a request that must not be
+	// repeated, but not for others.
+	offset.Add(int64(firmIdleLimit + time.Second))
+	req := testRequest("firm")
+	req.Idempotent = false
+	require.Equal(t, Answered, c.Do(context.Background(), target, req, time.Now().Add(time.Second)).Outcome)
+	p := c.pool(target)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.Len(t, p.open, 2)
+}
