--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -83,7 +83,7 @@
 	// cleared when the upstreams change.
 	ranked map[homeKey][]*upstream
 	// work is the mean time of a request at an upstream.
-	work  time.Duration
+	work time.Duration
 	// capacity is the usual number of slots; lostAt is when many were lost.
 	capacity float64
 	lostAt   time.Time
