Let the hedge test begin with a budget for hedges

A request to a slowed upstream waited for it, which the policy wants when its budget of extra executions is spent or the other upstream looks slow. The test learns costs with 120 requests first, which earn six hedges; on a busy machine they may spend them. The test now sends short requests until the budget holds five hedges and no upstream is suspect; the bound of 400 ms stays.

--- a/pkg/admission/hedge_test.go
+++ b/pkg/admission/hedge_test.go
@@ -17,6 +17,7 @@
 func TestOnlyIdempotentRequestsAreHedged(t *testing.T) {
 	r := newRig(t, 2, 1, testSettings())
 	r.learn()
+	r.awaitHedges()
 	r.upstreams[0].SetFault(standin.UpstreamFault{SlowFactor: 100})
 	for cancelled := false; !cancelled; {
 		started := time.Now()
@@ -36,6 +37,29 @@
 	require.Len(t, after, len(before)+1)
 }
 
+// awaitHedges sends short requests until the budget allows hedges and no
+// upstream looks slow. Learning on a busy machine may spend the budget of six
+// hedges; without budget a request rightly waits for a slowed upstream.
+func (r *rig) awaitHedges() {
+	const hedges = 5
+	p := r.pools["shop"]
+	ready := func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		now := p.config.Clock.Now()
+		for _, u := range p.targets {
+			if p.suspect(u, now) {
+				return false
+			}
+		}
+		return p.duplicateBudget.tokens >= hedges
+	}
+	for !ready() {
+		r.sendAll(1, "GET", "/a?work_ms=5", 10*time.Second)
+	}
+	r.idle(5 * time.Second)
+}
+
 // Guards against a long request that occupies a second slot for its whole time.
 func TestHedgeOfLongRequestIsGivenUp(t *testing.T) {
 	r := newRig(t, 2, 1, testSettings())
