Tell how long executions took in the overload test

Cause: TestOverload failed once (0.937, bound 0.95) and nothing told whether the upstreams' work or the entries' choice had lost the rest.

--- a/test/process/upstream_test.go
+++ b/test/process/upstream_test.go
@@ -139,11 +139,14 @@
 	from := report.Records[0].IntendedUnixUS + time.Second.Microseconds()
 	to := report.Records[len(report.Records)-1].IntendedUnixUS
 	useful := 0
+	var took int64
 	for _, e := range executions {
 		if e.EndUnixUS >= from && e.EndUnixUS < to && answered[load.TokenOf(e.Path)] {
 			useful++
+			took += e.EndUnixUS - e.StartUnixUS
 		}
 	}
+	t.Logf("an execution took %.1f ms at its upstream", float64(took)/float64(useful)/1000)
 	ratio := float64(useful) / (capacity * float64(to-from) / 1e6)
 	t.Logf("useful work: %.3f of capacity", ratio)
 	require.GreaterOrEqual(t, ratio, 0.95, "useful work as a part of capacity")
