Tell how a request ended from a live instance

Cause: the command line had no way from the id of a failed request to its cause without the logs. Each instance keeps the lines of the last 512 requests that were refused, failed, abandoned or late; GET /v1/requests/{id} and sequoiactl request show them, asking all given instances. Metrics: budgets of repeats, look-ups and the version of the description are counted; names have no dots, which collectors refuse; the kind label says idempotent or not_idempotent in place of the platform's words.

--- a/pkg/agent/backend.go
+++ b/pkg/agent/backend.go
@@ -43,6 +43,11 @@
 	return answer, nil
 }
 
+// Request implements operatorapi.Backend.
+func (b backend) Request(id string) (any, error) {
+	return nil, result.New(result.NotFound, "request %.128q: an entry keeps requests in its log only", id)
+}
+
 // State implements operatorapi.Backend.
 func (b backend) State(ctx context.Context) (operator.State, error) {
 	own, err := json.Marshal(b.state())
--- a/pkg/balance/explain.go
+++ b/pkg/balance/explain.go
@@ -9,22 +9,22 @@
 // Refusal tells why no upstream took a request.
 type Refusal struct {
 	// Region is where the shares send the object of the request, if it has one.
-	Region string
+	Region string `json:"region"`
 	// Upstreams counts those that the route allows; the others say how many of
 	// them could not take the request, each counted once.
-	Upstreams int
-	Evacuated int
+	Upstreams int `json:"upstreams"`
+	Evacuated int `json:"evacuated"`
 	// LeftOut counts those that leave, failed or are probed by another request.
-	LeftOut int
+	LeftOut int `json:"left_out"`
 	// Tried counts those that had the request before.
-	Tried int
+	Tried int `json:"tried"`
 	// Cold counts cold ones whose rate is used up or whose slots are taken.
-	Cold int
+	Cold int `json:"cold"`
 	// Full counts those with as many requests as the route's priority may wait
 	// behind.
-	Full int
+	Full int `json:"full"`
 	// Displacing counts those with room only for objects that they hold.
-	Displacing int
+	Displacing int `json:"displacing"`
 }
 
 // LogValue implements slog.LogValuer.
--- a/pkg/balance/limits.go
+++ b/pkg/balance/limits.go
@@ -200,12 +200,14 @@
 	slots [windowSlots]struct{ requests, repeats int }
 	head  int
 	at    time.Time
+	// denied counts repeats that were not allowed.
+	denied int
 }
 
 func (w *retryBudget) advance(now time.Time, window time.Duration) {
 	step := window / windowSlots
 	if w.at.IsZero() || now.Sub(w.at) > 2*window {
-		*w = retryBudget{at: now}
+		*w = retryBudget{at: now, denied: w.denied}
 	}
 	for now.Sub(w.at) >= step {
 		w.head = (w.head + 1) % windowSlots
@@ -223,20 +225,46 @@
 func (b *Balancer) AllowRepeat(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	bounds := b.config.Bounds
 	w := &b.pool(service).retries
+	state := b.retryState(w)
+	if float64(state.Used+1) > state.Allowed {
+		w.denied++
+		return false
+	}
+	w.slots[w.head].repeats++
+	return true
+}
+
+// RetryBudget is the state of the own part of a service's repeats.
+type RetryBudget struct {
+	// Used and Allowed count the repeats of the current window.
+	Used    int
+	Allowed float64
+	// Denied counts the repeats that were not allowed since the start.
+	Denied int
+}
+
+// RetryBudgets returns the budgets of all services.
+func (b *Balancer) RetryBudgets() map[string]RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budgets := make(map[string]RetryBudget, len(b.pools))
+	for name, p := range b.pools {
+		budgets[name] = b.retryState(&p.retries)
+	}
+	return budgets
+}
+
+func (b *Balancer) retryState(w *retryBudget) RetryBudget {
+	bounds := b.config.Bounds
 	w.advance(b.config.Now(), bounds.RetryWindow)
 	requests, repeats := 0, 0
 	for _, s := range w.slots {
 		requests += s.requests
 		repeats += s.repeats
 	}
-	limit := retryPart * (bounds.RetryRatio*float64(requests) + bounds.RetrySlack/float64(b.population()))
-	if float64(repeats+1) > limit {
-		return false
-	}
-	w.slots[w.head].repeats++
-	return true
+	allowed := retryPart * (bounds.RetryRatio*float64(requests) + bounds.RetrySlack/float64(b.population()))
+	return RetryBudget{Used: repeats, Allowed: allowed, Denied: w.denied}
 }
 
 // spillLimit bounds the requests that leave their region.
--- a/pkg/ctl/cluster.go
+++ b/pkg/ctl/cluster.go
@@ -38,6 +38,10 @@
 	method := explain.Arg("method", "Method.").Default("GET").String()
 	path := explain.Arg("path", "Path.").Default("/").String()
 	explain.Action(c.action(func(client *operator.Client) error { return c.explain(client, *name, *method, *path) }))
+
+	request := app.Command("request", "Show how a request ended that was refused, failed, abandoned or late, and why.\n\nExample: sequoiactl request 9c41d07be2a35f68")
+	requestID := request.Arg("id", "Identifier of the request.").Required().String()
+	request.Action(c.action(func(client *operator.Client) error { return c.requestEnd(client, *requestID) }))
 }
 
 // watch holds the flags of a command that can wait for its end.
@@ -170,3 +174,11 @@
 	}
 	return c.print(reply, nil)
 }
+
+func (c *command) requestEnd(client *operator.Client, id string) error {
+	reply, err := client.Request(c.ctx, id)
+	if err != nil {
+		return err
+	}
+	return c.print(reply, nil)
+}
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -191,3 +191,16 @@
 		require.NoError(t, err, name)
 	}
 }
+
+// Guards against a request that is not found because another instance than the
+// first one served it.
+func TestRequestIsSoughtOnAllInstances(t *testing.T) {
+	other := newAnswers(t, nil)
+	served := newAnswers(t, map[string][]any{operator.PathRequests + "abc": {map[string]string{"outcome": "refused"}}})
+	var out, errs bytes.Buffer
+	status := Run(context.Background(), []string{"--address", other.addr + "," + served.addr, "--token", "t", "request", "abc"}, nil, &out, &errs)
+	require.Zero(t, status, errs.String())
+	require.Contains(t, out.String(), "refused")
+	status = Run(context.Background(), []string{"--address", other.addr, "--token", "t", "request", "abc"}, nil, &out, &errs)
+	require.Equal(t, exitRefused, status)
+}
--- a/pkg/instance/http.go
+++ b/pkg/instance/http.go
@@ -97,9 +97,11 @@
 		all = near
 	}
 	if len(all) == 0 {
+		i.metrics.count("lookups", "outcome", "no_instance")
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	i.metrics.count("lookups", "outcome", "answered")
 	for a := range all {
 		b := a + int(i.opt.Random()*float64(len(all)-a))
 		all[a], all[b] = all[b], all[a]
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -72,6 +72,7 @@
 	balancer *balance.Balancer
 	policy   *policy.Policy
 	operator *operatorapi.API
+	recent   *recentRequests
 	client   *exchange.Client
 	ingress  *ingress.Server
 	mesh     *mesh.Mesh
@@ -100,7 +101,7 @@
 // New returns a Instance; Run opens its listeners.
 func New(opt Options) *Instance {
 	s := opt.Settings
-	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), started: opt.Now(), behind: make(map[string]time.Time), ahead: make(chan mesh.Member, 1)}
+	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), recent: newRecentRequests(), started: opt.Now(), behind: make(map[string]time.Time), ahead: make(chan mesh.Member, 1)}
 	i.live.Store(&[]mesh.Member{})
 	i.bounds.Store(&s.Bounds)
 	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now})
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -458,13 +458,13 @@
 	for _, line := range []string{
 		`sequoiacove_requests{outcome="answered",status="200",reason="answered"} 1`,
 		`sequoiacove_requests{outcome="failed",status="502",reason="lost"} 1`,
-		`sequoiacove_request_time_us_count{service="shop",kind="safe"} 1`,
+		`sequoiacove_request_time_us_count{service="shop",kind="idempotent"} 1`,
 		`sequoiacove_configuration_version 1`,
 		`sequoiacove_store_down 0`,
 	} {
 		require.Contains(t, body, line+"\n")
 	}
-	require.Contains(t, body, `sequoiacove_request_time_us{service="shop",kind="safe",quantile="0.99"} `)
+	require.Contains(t, body, `sequoiacove_request_time_us{service="shop",kind="idempotent",quantile="0.99"} `)
 	status, body = w.get(x.settings.AdminAddress, "/state")
 	require.Equal(t, 200, status)
 	require.Contains(t, body, `"instance":"i1"`)
--- a/pkg/instance/metrics.go
+++ b/pkg/instance/metrics.go
@@ -35,9 +35,9 @@
 
 // ended counts a request that ended.
 func (m *instanceMetrics) ended(c *call, id event.ID, status int, reason string, took time.Duration) {
-	kind := "unsafe"
+	kind := "not_idempotent"
 	if c.route.Idempotent {
-		kind = "safe"
+		kind = "idempotent"
 	}
 	m.count("requests", "outcome", outcomeNames[id], "status", strconv.Itoa(status), "reason", reason)
 	m.observe("request_time_us", took, "service", c.service, "kind", kind)
@@ -83,7 +83,9 @@
 // text renders all metrics, one a line.
 func (i *Instance) metricsText() []byte {
 	var lines []string
-	add := func(name string, value any) { lines = append(lines, fmt.Sprintf("sequoiacove_%s %v", name, value)) }
+	add := func(name string, value any) {
+		lines = append(lines, fmt.Sprintf("sequoiacove_%s %v", scraped(name), value))
+	}
 	i.metrics.registry.Each(func(name string, metric any) {
 		switch m := metric.(type) {
 		case metrics.Counter:
@@ -105,6 +107,14 @@
 	add("configuration_age_ms", directives.Milliseconds())
 	add("upstream_list_age_ms", upstreams.Milliseconds())
 	add("upstreams", len(view.Upstreams))
+	add("description_version", i.policy.Current().Number)
+	for service, b := range i.balancer.RetryBudgets() {
+		labels := []string{"service", service}
+		add(label("repeats_in_window", labels), b.Used)
+		add(label("repeats_allowed_in_window", labels), b.Allowed)
+		add(label("repeats_denied", labels), b.Denied)
+	}
+	add("callers_turned_away", i.ingress.TurnedAway())
 	add("store_calls", i.catalog.Calls())
 	add("store_down", btoi(i.catalog.StoreDown()))
 	add("members", len(*i.live.Load()))
@@ -118,6 +128,16 @@
 	return append(bytes.TrimSpace([]byte(strings.Join(lines, "\n"))), '\n')
 }
 
+// scraped replaces the dots of a metric's name, which collectors refuse.
+func scraped(name string) string {
+	base, labels, labelled := strings.Cut(name, "{")
+	base = strings.ReplaceAll(base, ".", "_")
+	if !labelled {
+		return base
+	}
+	return base + "{" + labels
+}
+
 // withLabel adds a suffix and a label to a labelled name.
 func withLabel(name, suffix, extra string) string {
 	base, labels, labelled := strings.Cut(name, "{")
--- a/pkg/instance/operator.go
+++ b/pkg/instance/operator.go
@@ -123,6 +123,14 @@
 	return e, nil
 }
 
+// Request implements operatorapi.Backend.
+func (b backend) Request(id string) (any, error) {
+	if e, ok := b.recent.get(id); ok {
+		return e, nil
+	}
+	return nil, result.New(result.NotFound, "no request %.128q among the last %d that were refused, failed, abandoned or late here", id, keptRequests)
+}
+
 // State implements operatorapi.Backend.
 func (b backend) State(context.Context) (operator.State, error) {
 	body, err := json.Marshal(b.state())
--- a/pkg/instance/operator_test.go
+++ b/pkg/instance/operator_test.go
@@ -174,4 +174,25 @@
 	require.Equal(t, 503, r.StatusCode)
 	require.Zero(t, u.ran("1"))
 	require.Contains(t, x.log.String(), `"reason":"no_destination"`)
+	report, err := x.operator().Request(context.Background(), "1")
+	require.NoError(t, err)
+	require.Contains(t, string(report), `"outcome":"refused"`)
+	require.Contains(t, string(report), `"reason":"no_destination"`)
+	_, err = x.operator().Request(context.Background(), "other")
+	require.Equal(t, result.NotFound, result.CodeOf(err))
+}
+
+// Guards against ends of requests that fill the memory, and against a recent
+// one that is forgotten.
+func TestRecentRequestsAreBounded(t *testing.T) {
+	r := newRecentRequests()
+	for i := range 3 * keptRequests {
+		r.add(&endedRequest{request: fmt.Sprint(i), lines: [][]any{{"reason", i}}})
+	}
+	require.Len(t, r.byID, keptRequests)
+	_, ok := r.get(fmt.Sprint(2*keptRequests - 1))
+	require.False(t, ok)
+	last, ok := r.get(fmt.Sprint(3*keptRequests - 1))
+	require.True(t, ok)
+	require.Equal(t, []map[string]any{{"reason": 3*keptRequests - 1}}, last.Lines)
 }
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -66,6 +66,8 @@
 	ask   balance.Ask
 	lease *balance.Lease
 	last  *exchange.Result
+	// failures holds the log lines of the attempts that failed.
+	failures [][]any
 }
 
 // Idempotent implements ingress.Handler.
@@ -226,8 +228,10 @@
 	}
 	c.instance.metrics.observe("upstream_time_us", r.Elapsed, "service", c.service)
 	if r.Reason != exchange.Complete && r.Reason != exchange.Cancelled {
-		event.Log(c.instance.logger, event.AttemptFailed, "request", c.request.ID, "upstream", l.Target.ID, "reason", r.Reason.String(), "status", r.Status,
-			"took_ms", r.Elapsed.Milliseconds(), "new_connection", r.NewConnection, "load", l.Load, "slots", l.Slots, "error", errorText(r.Err))
+		args := []any{"request", c.request.ID, "upstream", l.Target.ID, "reason", r.Reason.String(), "status", r.Status,
+			"took_ms", r.Elapsed.Milliseconds(), "new_connection", r.NewConnection, "load", l.Load, "slots", l.Slots, "error", errorText(r.Err)}
+		event.Log(c.instance.logger, event.AttemptFailed, args...)
+		c.failures = append(c.failures, args)
 	}
 	return r
 }
@@ -294,6 +298,9 @@
 		args = append(args, "directives_age_ms", directives.Milliseconds(), "upstreams_age_ms", upstreams.Milliseconds())
 	}
 	event.Log(c.instance.logger, id, args...)
+	if id != event.RequestAnswered || took > c.target() || status >= http.StatusInternalServerError {
+		c.instance.recent.add(&endedRequest{request: c.request.ID, ended: now, outcome: outcomeNames[id], lines: append(c.failures, args)})
+	}
 }
 
 func millis(d time.Duration) float64 { return round(d.Seconds() * 1000) }
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -223,6 +223,23 @@
 	return reply, err
 }
 
+// Request returns how a request ended, as JSON. Only the instance that served
+// the request knows, so all are asked until one answers.
+func (c *Client) Request(ctx context.Context, id string) (json.RawMessage, error) {
+	last := errNoAddress()
+	for _, addr := range c.cfg.Addresses {
+		answer, err := c.attempt(ctx, addr, fasthttp.MethodGet, PathRequests+url.PathEscape(id), nil)
+		if err == nil {
+			return answer, nil
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		last = err
+	}
+	return nil, last
+}
+
 // State returns the state dump of an instance.
 func (c *Client) State(ctx context.Context) (reply State, err error) {
 	err = c.get(ctx, PathState, &reply)
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -31,6 +31,7 @@
 	PathDrains   = "/v1/drains/"
 	PathExplain  = "/v1/explain"
 	PathState    = "/v1/state"
+	PathRequests = "/v1/requests/"
 )
 
 // PatchRequest submits or validates a patch.
--- a/pkg/operatorapi/api.go
+++ b/pkg/operatorapi/api.go
@@ -52,6 +52,8 @@
 	// Explain tells where a request would go and why.
 	Explain(ctx context.Context, service, method, path string) (any, error)
 	State(ctx context.Context) (operator.State, error)
+	// Request tells how a request ended that was not answered in time.
+	Request(id string) (any, error)
 }
 
 // Config holds the inputs of an API.
@@ -211,6 +213,7 @@
 		operator.PathVersions + "/": p.version,
 		operator.PathMoves:          p.move,
 		operator.PathDrains:         p.drain,
+		operator.PathRequests:       p.request,
 	}
 	for prefix, answer := range byPrefix {
 		if argument, ok := strings.CutPrefix(path, prefix); ok && argument != "" {
--- a/pkg/operatorapi/move.go
+++ b/pkg/operatorapi/move.go
@@ -46,6 +46,8 @@
 	return p.backend.Explain(c.ctx, service, method, c.query("path"))
 }
 
+func (p *API) request(c *call) (any, error) { return p.backend.Request(c.argument) }
+
 func (p *API) state(c *call) (any, error) { return p.backend.State(c.ctx) }
 
 // newMove compares the target with the shares of all live instances.
