Make log lines and metrics cheaper

Each line cloned its logger for one field and looked up its place in the code, floats went through the JSON encoder, and each metric was found by a name made anew. Times in the last line of a request are whole milliseconds now, and slowness is a percentage.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -9,6 +9,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"time"
 )
 
 // ID is the number of a log event.
@@ -34,13 +35,23 @@
 // Catalogue returns all events in ascending order.
 func Catalogue() []Info { return append([]Info(nil), catalogue...) }
 
-// Log writes the event with its level and text in the catalogue.
+// Log writes the event with its level and text in the catalogue. It makes the
+// record itself, because a logger would look up the place of each call, which
+// no line shows.
 func Log(logger *slog.Logger, id ID, args ...any) {
 	info, ok := byID[id]
 	if !ok {
 		info = Info{Level: slog.LevelError, Text: "unlisted event"}
 	}
-	logger.With("event", uint16(id)).Log(context.Background(), info.Level, info.Text, args...)
+	ctx, handler := context.Background(), logger.Handler()
+	if !handler.Enabled(ctx, info.Level) {
+		return
+	}
+	r := slog.NewRecord(time.Now(), info.Level, info.Text, 0)
+	r.AddAttrs(slog.Uint64("event", uint64(id)))
+	r.Add(args...)
+	// A line that cannot be written is lost; there is nowhere left to report it.
+	_ = handler.Handle(ctx, r)
 }
 
 // NewLogger returns a JSON logger for one process.
--- a/pkg/instance/metrics.go
+++ b/pkg/instance/metrics.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -22,11 +23,21 @@
 	registry  metrics.Registry
 	snapshots metrics.Counter
 	repeats   metrics.Counter
+
+	mu sync.Mutex
+	// series holds the metrics with labels, whose names are costly to make.
+	series map[seriesKey]any
+}
+
+// seriesKey names a metric by its name and the values of its labels.
+type seriesKey struct {
+	name   string
+	values [3]string
 }
 
 func newMetrics() *instanceMetrics {
 	r := metrics.NewRegistry()
-	return &instanceMetrics{registry: r, snapshots: metrics.NewRegisteredCounter("changes_fetched_from_peers", r),
+	return &instanceMetrics{registry: r, series: make(map[seriesKey]any), snapshots: metrics.NewRegisteredCounter("changes_fetched_from_peers", r),
 		repeats: metrics.NewRegisteredCounter("repeats", r)}
 }
 
@@ -44,17 +55,39 @@
 	m.observe("request_wait_us", c.waited, "service", c.service, "kind", kind)
 }
 
+// count adds one to a counter; labels holds names and values of up to three.
 func (m *instanceMetrics) count(name string, labels ...string) {
-	metrics.GetOrRegisterCounter(label(name, labels), m.registry).Inc(1)
+	if c, ok := m.find(name, labels, func() any { return metrics.NewCounter() }).(metrics.Counter); ok {
+		c.Inc(1)
+	}
 }
 
+// observe adds a time to a histogram; labels are those of count.
 func (m *instanceMetrics) observe(name string, d time.Duration, labels ...string) {
-	h := m.registry.GetOrRegister(label(name, labels), func() metrics.Histogram { return metrics.NewHistogram(metrics.NewUniformSample(histogramSamples)) })
+	h := m.find(name, labels, func() any { return metrics.NewHistogram(metrics.NewUniformSample(histogramSamples)) })
 	if h, ok := h.(metrics.Histogram); ok {
 		h.Update(d.Microseconds())
 	}
 }
 
+// find returns the metric of a series and makes it if there is none.
+func (m *instanceMetrics) find(name string, labels []string, newMetric func() any) any {
+	key := seriesKey{name: name}
+	for n := range key.values {
+		if 2*n+1 < len(labels) {
+			key.values[n] = labels[2*n+1]
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	metric, ok := m.series[key]
+	if !ok {
+		metric = m.registry.GetOrRegister(label(name, labels), newMetric())
+		m.series[key] = metric
+	}
+	return metric
+}
+
 // label renders a name with labels as collectors of metrics read them.
 func label(name string, labels []string) string {
 	var b strings.Builder
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -285,10 +285,10 @@
 	took := now.Sub(c.request.Arrived)
 	c.instance.metrics.ended(c, id, status, reason, took)
 	args := []any{"request", c.request.ID, "route", c.route.Name, "service", c.service, "version", c.version, "status", status, "reason", reason,
-		"took_ms", millis(took), "waited_ms", millis(c.waited), "attempts", c.attempts, "left_ms", c.end.Sub(now).Milliseconds()}
+		"took_ms", took.Milliseconds(), "waited_ms", c.waited.Milliseconds(), "attempts", c.attempts, "left_ms", c.end.Sub(now).Milliseconds()}
 	if l := c.lease; l != nil {
-		args = append(args, "upstream", l.Target.ID, "domain", l.Domain, "load", l.Load, "slots", l.Slots, "slowness", round(l.Slowness),
-			"expected_ms", millis(l.Expected), "warm", l.Warm, "cold", l.Cold)
+		args = append(args, "upstream", l.Target.ID, "domain", l.Domain, "load", l.Load, "slots", l.Slots, "slowness_percent", int(100*l.Slowness),
+			"expected_ms", l.Expected.Milliseconds(), "warm", l.Warm, "cold", l.Cold)
 	}
 	if reason == noUpstream {
 		args = append(args, "refusal", c.instance.balancer.Explain(c.ask))
@@ -302,7 +302,3 @@
 		c.instance.recent.add(&endedRequest{request: c.request.ID, ended: now, outcome: outcomeNames[id], lines: append(c.failures, args)})
 	}
 }
-
-func millis(d time.Duration) float64 { return round(d.Seconds() * 1000) }
-
-func round(v float64) float64 { return float64(int64(v*10+0.5)) / 10 }
