--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -400,6 +400,18 @@
 	full := []InFlight{{Upstream: hash("s-a-0"), Count: 40}, {Upstream: hash("s-a-1"), Count: 40}, {Upstream: hash("n-b-1"), Count: 40}}
 	b.SetPeerInFlight("p", "n", full)
 	require.Equal(t, Refusal{Upstreams: 8, Evacuated: 2, LeftOut: 1, Cold: 1, Full: 2, Displacing: 1, Tried: 1}, b.Explain(Ask{Service: service, Route: r, Exclude: []string{"s-b-0"}}))
+	// The region of an object is full while another one has room.
+	key := "object"
+	region := b.Explain(Ask{Service: service, Route: r, Key: key}).Region
+	for _, u := range b.upstreams {
+		if u.region == region {
+			full = append(full, InFlight{Upstream: u.hash, Count: 40})
+		}
+	}
+	b.SetPeerInFlight("p", "n", full)
+	refusal := b.Explain(Ask{Service: service, Route: r, Key: key})
+	require.Zero(t, refusal.Displacing)
+	require.Equal(t, refusal.Upstreams, refusal.Evacuated+refusal.LeftOut+refusal.Cold+refusal.Full+refusal.Elsewhere)
 }
 
 // cutOff lets every balancer see itself alone.
--- a/pkg/balance/explain.go
+++ b/pkg/balance/explain.go
@@ -23,13 +23,16 @@
 	// Full counts those with as many requests as the route's priority may wait
 	// behind.
 	Full int `json:"full"`
+	// Elsewhere counts those with room in other regions than Region, to which the
+	// shares send few requests.
+	Elsewhere int `json:"elsewhere"`
 	// Displacing counts those with room only for objects that they hold.
 	Displacing int `json:"displacing"`
 }
 
 // LogValue implements slog.LogValuer.
 func (r Refusal) LogValue() slog.Value {
-	return slog.GroupValue(slog.String("region", r.Region), slog.Int("upstreams", r.Upstreams), slog.Int("full", r.Full), slog.Int("displacing", r.Displacing),
+	return slog.GroupValue(slog.String("region", r.Region), slog.Int("upstreams", r.Upstreams), slog.Int("full", r.Full), slog.Int("elsewhere", r.Elsewhere), slog.Int("displacing", r.Displacing),
 		slog.Int("cold", r.Cold), slog.Int("left_out", r.LeftOut), slog.Int("evacuated", r.Evacuated), slog.Int("tried", r.Tried))
 }
 
@@ -45,7 +48,7 @@
 		r.Region = route.shares.byObject(route.shares.allowed(ask.Route, b.open(p, now)), ask.Key, b.config.Region)
 	}
 	for _, u := range p.upstreams {
-		if ask.Route.AllowsRegion(u.region) {
+		if ask.Route.AllowsRegion(u.region) && (ask.Domain == "" || u.Domain == ask.Domain) {
 			r.Upstreams++
 			b.classify(&r, u, ask, now)
 		}
@@ -65,6 +68,8 @@
 		r.Evacuated++
 	case !u.usable(now) || now.Before(u.shedUntil) || u.ejections > 0:
 		r.LeftOut++
+	case b.admits(u, ask, u.load(now), now) && r.Region != "" && u.region != r.Region:
+		r.Elsewhere++
 	case b.admits(u, ask, u.load(now), now):
 		r.Displacing++
 	case now.Before(u.coldUntil):
