--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -27,8 +27,9 @@
 	mu     sync.Mutex
 	byID   map[string]*record
 	broken []string
-	// left is the upstream that has left for so long that it must get nothing.
-	left string
+	// left holds the upstreams that have left for so long that they must get
+	// nothing.
+	left map[string]bool
 	next atomic.Int64
 	good atomic.Int64
 	all  atomic.Int64
@@ -49,7 +50,7 @@
 func (r *records) ran(id, upstream string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if upstream == r.left {
+	if r.left[upstream] {
 		r.broken = append(r.broken, fmt.Sprintf("%s reached %s, which has left", id, upstream))
 	}
 	r.get(id).runs++
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -52,6 +53,8 @@
 func soak(t *testing.T, seed uint64) {
 	w := newWorld(t, seed)
 	w.awaitReady(10 * time.Second)
+	_, err := w.patch(w.instances[0], firstDescription)
+	require.NoError(t, err)
 	stop := make(chan struct{})
 	var callersDone sync.WaitGroup
 	for n := range callers {
@@ -64,13 +67,15 @@
 	w.disturb(*duration)
 	w.settle()
 	good, all := w.records.good.Load(), w.records.all.Load()
+	from := time.Now()
 	time.Sleep(2 * time.Second)
 	good, all = w.records.good.Load()-good, w.records.all.Load()-all
 	close(stop)
 	callersDone.Wait()
+	w.judgePatches()
 	require.Empty(t, w.records.judge())
 	require.Positive(t, all)
-	require.GreaterOrEqual(t, float64(good), 0.95*float64(all), "service after the last fault: %d of %d, all by status: %v", good, all, w.records.statuses())
+	require.GreaterOrEqual(t, float64(good), 0.95*float64(all), "service after the last fault: %d of %d, all by status: %v, lines since: %v", good, all, w.records.statuses(), w.linesSince(from))
 	t.Logf("seed %d: %d of %d requests served, %d store calls", seed, w.records.good.Load(), w.records.all.Load(), w.store.Calls())
 }
 
@@ -95,7 +100,7 @@
 	i := w.instances[w.rng.IntN(len(w.instances))]
 	u := w.upstreams[w.rng.IntN(len(w.upstreams))]
 	pause := time.Duration(200+w.rng.IntN(2500)) * time.Millisecond
-	switch w.rng.IntN(11) {
+	switch w.rng.IntN(13) {
 	case 0:
 		return func() { w.kill(i) }
 	case 1:
@@ -116,6 +121,14 @@
 		return func() { u.SetSlowness(20); time.Sleep(pause); u.SetSlowness(1) }
 	case 9:
 		return u.Reset
+	case 10:
+		return func() { w.race() }
+	case 11:
+		ttl := minTTL + w.rng.IntN(1000)
+		return func() {
+			// Instances that are away refuse; what they say is recorded.
+			_, _ = w.patch(i, lookupTTL(ttl))
+		}
 	}
 	return func() {
 		w.relay.Set(faultproxy.Faults{Cut: true})
@@ -124,6 +137,22 @@
 	}
 }
 
+func lookupTTL(ms int) string { return fmt.Sprintf(`{"lookup": {"ttl_ms": %d}}`, ms) }
+
+// race lets operators patch the same version on all instances.
+func (w *world) race() {
+	var ends sync.WaitGroup
+	for n, i := range w.instances {
+		ends.Add(1)
+		go func() {
+			defer ends.Done()
+			// All but one are refused; what they are told is recorded.
+			_, _ = w.patch(i, lookupTTL(minTTL+n))
+		}()
+	}
+	ends.Wait()
+}
+
 func (w *world) storeTrouble(trouble platformtest.Trouble, pause time.Duration) func() {
 	return func() {
 		w.store.SetTrouble(trouble)
@@ -199,6 +228,11 @@
 	leaving := w.upstreams[0]
 	w.store.Register(leaving.Upstream, "draining")
 	acknowledged := time.Now()
+	version, err := w.patch(w.instances[1], fmt.Sprintf(`{"drained_upstreams": [%q]}`, w.upstreams[1].ID))
+	if err != nil {
+		w.records.breach("a patch after the last fault is not accepted: %v", err)
+	}
+	w.awaitDescription(version, inForce)
 	time.Sleep(inForce)
 	for _, i := range w.instances {
 		for path, want := range map[string]int{fmt.Sprintf("/v%d/", w.version): http.StatusOK, fmt.Sprintf("/v%d/", w.version-1): http.StatusNotFound} {
@@ -214,10 +248,36 @@
 		}
 	}
 	w.records.mu.Lock()
-	w.records.left = leaving.ID
+	w.records.left = map[string]bool{leaving.ID: true, w.upstreams[1].ID: err == nil}
 	w.records.mu.Unlock()
 }
 
+// linesSince counts the log lines of all instances by what requests met, and
+// gives one line of each kind.
+func (w *world) linesSince(from time.Time) string {
+	const tail = 4 << 20
+	counts, examples := make(map[string]int), make(map[string]string)
+	for _, i := range w.instances {
+		for line := range strings.Lines(i.LogTail(tail)) {
+			var l struct {
+				Time   time.Time `json:"time"`
+				Text   string    `json:"msg"`
+				Reason string    `json:"reason"`
+			}
+			if json.Unmarshal([]byte(line), &l) == nil && l.Time.After(from) {
+				kind := l.Text + " " + l.Reason
+				counts[kind]++
+				examples[kind] = line
+			}
+		}
+	}
+	var b strings.Builder
+	for kind, n := range counts {
+		fmt.Fprintf(&b, "\n%d %s, as %s", n, kind, examples[kind])
+	}
+	return b.String()
+}
+
 // linesOf returns the log lines of a request at an instance.
 func linesOf(i *instance, id string) string {
 	const tail = 1 << 20
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -45,6 +45,7 @@
 func (i *instance) caller() string { return i.ip + ":8144" }
 func (i *instance) lookup() string { return i.ip + ":8143" }
 func (i *instance) ready() string  { return i.ip + ":8140" }
+func (i *instance) admin() string  { return i.ip + ":8146" }
 
 // upstream is a stand-in for an upstream.
 type upstream struct {
@@ -63,13 +64,14 @@
 	instances []*instance
 	upstreams []*upstream
 	records   *records
+	patches   *patches
 	version   int
 }
 
 // newWorld starts a deployment: two regions with two failure domains, an
 // instance in each, and three upstreams in each.
 func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: t.TempDir(), records: newRecords()}
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), dir: t.TempDir(), records: newRecords(), patches: newPatches()}
 	var err error
 	w.store, err = platformtest.NewStore()
 	require.NoError(t, err)
@@ -124,8 +126,8 @@
 	for _, d := range domainNames {
 		fmt.Fprintf(&regions, "%s = %s\n", d, regionOf[d])
 	}
-	settings := fmt.Sprintf("[instance]\nid = i%d\nregion = %s\ndomain = %s\n[regions]\n%s[listen]\ncallers = %s\nreadiness = %s\nlookup = %s\nmesh = %s:%d\n[mesh]\nseeds = %s1:1\n[store]\naddress = %s\n[bounds]\nplatform = {\"retryBudgetRatio\":0.2,\"budgetSlack\":60,\"budgetWindow\":\"10s\",\"maxShift\":0.15,\"coldOver\":1.5,\"coldSlack\":5,\"ttl_max\":\"5s\",\"grace\":\"%s\"}\n",
-		n, regionOf[domain], domain, regions.String(), i.caller(), i.ready(), i.lookup(), i.ip, seedPort, net, w.relay.Addr(), grace)
+	settings := fmt.Sprintf("[instance]\nid = i%d\nregion = %s\ndomain = %s\n[regions]\n%s[listen]\ncallers = %s\nreadiness = %s\nlookup = %s\nadmin = %s\nmesh = %s:%d\n[operators]\nsoak = %s\n[mesh]\nseeds = %s1:1\n[store]\naddress = %s\n[bounds]\nrepeat_ratio = 0.2\nrepeat_slack = 60\nrepeat_window = 10s\nregion_shift = 0.15\nleave_time = 2500ms\nstop_time = %s\nlookup_ttl = 5s\n",
+		n, regionOf[domain], domain, regions.String(), i.caller(), i.ready(), i.lookup(), i.admin(), i.ip, seedPort, operatorToken, net, w.relay.Addr(), grace)
 	path := filepath.Join(w.dir, fmt.Sprintf("i%d.ini", n))
 	require.NoError(w.t, os.WriteFile(path, []byte(settings), 0o600))
 	i.Process = harness.NewProcess(fmt.Sprintf("i%d", n), "../../bin/sequoia-instance", w.dir, "--settings", path)
