--- a/spec/check.sh
+++ b/spec/check.sh
@@ -13,7 +13,7 @@
 	(
 		cd "$dir"
 		spin ${2:+-D$2} -a "$OLDPWD/$1.pml" >spin.out
-		gcc -O2 -DSAFETY -DCOLLAPSE -DVECTORSZ=2048 -o pan pan.c
+		gcc -w -O2 -DSAFETY -DCOLLAPSE -DVECTORSZ=2048 -o pan pan.c
 		./pan -m200000 -n >pan.out
 		if grep -q -e 'max search depth too small' -e 'Search not completed' -e 'out of memory' pan.out; then
 			[ -n "${2:-}" ] || { echo incomplete; exit; }
@@ -51,4 +51,5 @@
 check leaving LIST_ONLY PASS_IN_FLIGHT
 check attempts RETRY_UNKNOWN LAST_DECIDES TRUST_FOREIGN
 check catalog ANY_REVISION ACCEPT_GAP NO_REMOVALS
+check limits LIVE_ONLY START_ALONE
 exit $failed
