Send every second heartbeat short

Cause: at 301 machines heartbeats between all pairs of a region dominate a machine's bytes (452 bytes each, with a separate load report of 158 in the same second). Test: TestShortHeartbeats.

--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -47,6 +47,8 @@
 	beatPerMember     = 40 * time.Millisecond
 	maxBeatInterval   = time.Second
 	tick              = 50 * time.Millisecond
+	// fullEvery is the number of heartbeats of which one says everything.
+	fullEvery = 2
 	// passedAddresses is the number of addresses that a heartbeat passes on.
 	passedAddresses = 4
 	// maxMembers bounds the members, and maxDatagram the size of a message.
@@ -139,6 +141,7 @@
 	members  map[string]*member
 	unknown  map[string]time.Time
 	sequence uint64
+	beats    int
 	ticked   time.Time
 	beatAt   time.Time
 	helloAt  time.Time
@@ -210,7 +213,7 @@
 // Announce sends a heartbeat at once, as a change of state needs.
 func (m *Mesh) Announce() {
 	m.mu.Lock()
-	m.beatAt = time.Time{}
+	m.beatAt, m.beats = time.Time{}, 0
 	m.mu.Unlock()
 	m.tick()
 }
@@ -260,6 +263,12 @@
 		hello:  elapsed(&m.helloAt, now, helloInterval),
 		digest: m.isGateway() && elapsed(&m.digestAt, now, max(digestInterval, near*digestPerMember)),
 	}
+	if due.beat {
+		// A heartbeat reports the load too.
+		m.loadAt = now
+		due.full = m.beats%fullEvery == 0
+		m.beats++
+	}
 	m.mu.Unlock()
 	if changed != nil {
 		m.config.Members(changed)
@@ -272,8 +281,9 @@
 	}
 }
 
-// schedule tells which messages are due.
-type schedule struct{ beat, load, hello, digest bool }
+// schedule tells which messages are due; full is set with beat for a heartbeat
+// that says everything.
+type schedule struct{ beat, full, load, hello, digest bool }
 
 // elapsed tells whether an interval has passed since *at, and starts the next.
 func elapsed(at *time.Time, now time.Time, interval time.Duration) bool {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -174,6 +174,36 @@
 	require.Equal(t, want, got)
 }
 
+// Guards against a short heartbeat that makes a member without a place, and one
+// that loses what the last whole heartbeat said or the state that it brings.
+func TestShortHeartbeats(t *testing.T) {
+	m, from := quietMesh(t)
+	short := func(incarnation, sequence uint64, directives int64) *message {
+		return &message{ID: "a", Incarnation: incarnation, Sequence: sequence, HasLoad: true, Beat: &beat{State: Serving, Directives: directives}}
+	}
+	m.take(short(1, 1, 5), from)
+	require.Empty(t, m.Live())
+	whole := short(1, 2, 6)
+	whole.Beat.Region, whole.Beat.Domain, whole.Beat.Caller = "n", "n-a", "10.0.0.1:1"
+	m.take(whole, from)
+	m.take(short(1, 3, 7), from)
+	live := m.Live()
+	require.Len(t, live, 1)
+	require.Equal(t, Member{ID: "a", Region: "n", Domain: "n-a", Caller: "10.0.0.1:1", State: Serving, Directives: 7, Address: from.String()}, live[0])
+	m.take(short(2, 1, 8), from)
+	require.EqualValues(t, 7, m.Live()[0].Directives, "a new start introduces itself first")
+}
+
+// quietMesh returns a mesh that sends nothing, and an address.
+func quietMesh(t testing.TB) (*Mesh, net.Addr) {
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return New(Config{Self: Member{ID: "self", Region: "n"}, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.Discard(),
+		Local: func() Local { return Local{} }, Load: func(string, string, []balance.InFlight) {}, Demand: func(string, string, []balance.Demand) {},
+		Members: func([]Member) {}, Beat: func(Member) {}, RegionShares: func(string, cluster.Shares) {}}, &discardConn{conn}), conn.LocalAddr()
+}
+
 // FuzzDatagram guards against datagrams that stop the process or grow its
 // state without bound.
 func FuzzDatagram(f *testing.F) {
@@ -183,13 +213,7 @@
 		require.NoError(f, err)
 		f.Add(data)
 	}
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	require.NoError(f, err)
-	f.Cleanup(func() { _ = conn.Close() })
-	from := conn.LocalAddr()
-	m := New(Config{Self: Member{ID: "self", Region: "n"}, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.Discard(),
-		Local: func() Local { return Local{} }, Load: func(string, string, []balance.InFlight) {}, Demand: func(string, string, []balance.Demand) {},
-		Members: func([]Member) {}, Beat: func(Member) {}, RegionShares: func(string, cluster.Shares) {}}, &discardConn{conn})
+	m, from := quietMesh(f)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var msg message
 		if cbor.Unmarshal(data, &msg) != nil || msg.ID == "" {
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -40,7 +40,8 @@
 	m.mu.Lock()
 	m.received++
 	x := m.members[msg.ID]
-	if x == nil && (msg.Beat == nil || len(m.members) >= maxMembers) {
+	introduces := msg.Beat != nil && msg.Beat.Region != ""
+	if x == nil && (!introduces || len(m.members) >= maxMembers) {
 		m.mu.Unlock()
 		return
 	}
@@ -53,7 +54,7 @@
 		return
 	}
 	restarted := x.incarnation != msg.Incarnation
-	if restarted && msg.Beat == nil {
+	if restarted && !introduces {
 		m.mu.Unlock()
 		return
 	}
@@ -86,11 +87,15 @@
 func (m *Mesh) takeBeat(x *member, msg *message, from net.Addr, restarted bool) bool {
 	changed := !x.alive || restarted
 	if b := msg.Beat; b != nil {
-		changed = changed || x.State != b.State || x.Caller != b.Caller
-		x.target = from
-		x.Member = Member{ID: msg.ID, Region: b.Region, Domain: b.Domain, Caller: b.Caller, State: b.State,
-			Directives: b.Directives, Upstreams: b.Upstreams, Watching: b.Watching, Version: b.Version, Active: b.Active, Shares: b.Shares, Address: from.String()}
-		delete(m.unknown, x.Address)
+		changed = changed || x.State != b.State
+		x.State, x.Directives, x.Upstreams, x.Watching = b.State, b.Directives, b.Upstreams, b.Watching
+		x.Version, x.Active, x.Shares = b.Version, b.Active, b.Shares
+		if b.Region != "" {
+			changed = changed || x.Caller != b.Caller
+			x.ID, x.Region, x.Domain, x.Caller = msg.ID, b.Region, b.Domain, b.Caller
+			x.target, x.Address = from, from.String()
+			delete(m.unknown, x.Address)
+		}
 		for i, a := range b.Addresses {
 			if i < passedAddresses {
 				m.addAddress(a)
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -23,7 +23,8 @@
 }
 
 // beat is the content of a heartbeat. Its fields are numbered, so that releases
-// with other fields read each other.
+// with other fields read each other. A short one leaves out where the sender is
+// and what changes slowly: Region, Domain, Caller, Demand and Addresses.
 type beat struct {
 	Region     string           `cbor:"1,keyasint,omitempty"`
 	Domain     string           `cbor:"2,keyasint,omitempty"`
@@ -44,19 +45,28 @@
 func (m *Mesh) send(due schedule) {
 	inFlight := pack(m.config.InFlight())
 	local := m.config.Local()
-	b := &beat{Region: m.config.Self.Region, Domain: m.config.Self.Domain, Caller: m.config.Self.Caller,
-		State: local.State, Directives: local.Directives, Upstreams: local.Upstreams, Watching: local.Watching,
+	short := &beat{State: local.State, Directives: local.Directives, Upstreams: local.Upstreams, Watching: local.Watching,
 		Version: local.Version, Active: local.Active, Shares: local.Shares}
-	if due.beat {
-		b.Demand = m.config.Demands()
+	whole := *short
+	whole.Region, whole.Domain, whole.Caller = m.config.Self.Region, m.config.Self.Domain, m.config.Self.Caller
+	if due.full {
+		whole.Demand = m.config.Demands()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sequence++
-	b.Addresses = m.someAddresses()
-	load, full := m.encode(inFlight, nil, nil), m.encode(inFlight, b, nil)
+	whole.Addresses = m.someAddresses()
+	var load, heartbeat []byte
+	switch {
+	case due.beat && due.full:
+		heartbeat = m.encode(inFlight, &whole, nil)
+	case due.beat:
+		heartbeat = m.encode(inFlight, short, nil)
+	case due.load:
+		load = m.encode(inFlight, nil, nil)
+	}
 	if due.hello {
-		m.sendHellos(full)
+		m.sendHellos(m.encode(inFlight, &whole, nil))
 	}
 	idle := len(inFlight) == 0
 	for _, x := range m.members {
@@ -64,7 +74,7 @@
 		case x.Region != m.config.Self.Region:
 			continue
 		case due.beat:
-			m.write(full, x.target)
+			m.write(heartbeat, x.target)
 		case due.load && !(idle && x.idle):
 			m.write(load, x.target)
 		default:
