--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -7,11 +7,12 @@
 // which is shorter at upstreams that saw the same object lately and longer at
 // slow ones.
 //
-// The region of a request follows shares per route, which move slowly
-// (shares.go). Under overload a route may use the queue of an upstream only as
-// far as its priority allows, so that the less urgent requests are refused
-// first (admit.go). Limits that hold over all instances are divided among the
-// live ones (limits.go).
+// The region of a request follows shares per route (shares.go), which move
+// slowly to their targets (targets.go). Under overload a route may use the
+// queue of an upstream only as far as its priority allows, so that the less
+// urgent requests are refused first (admit.go, choose.go). Limits that hold
+// over all instances are divided among those that may use a part
+// (instances.go, limits.go, repeats.go).
 package balance
 
 import (
@@ -230,3 +231,41 @@
 func (b *Balancer) target(u *upstream) exchange.Target {
 	return exchange.Target{ID: u.ID, Address: u.Address, Service: u.Service, Near: u.region == b.config.Region, MaxConnections: b.maxConnections(u)}
 }
+
+// SetBounds installs new bounds.
+func (b *Balancer) SetBounds(bounds steering.Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config.Bounds = bounds
+}
+
+// Reachable returns, per service, the failure domains with an upstream that may
+// get requests.
+func (b *Balancer) Reachable() map[string]map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.config.Now()
+	reachable := make(map[string]map[string]bool, len(b.pools))
+	for name, p := range b.pools {
+		domains := make(map[string]bool)
+		for _, u := range p.upstreams {
+			if u.usable(now) && !b.evacuated[u.Domain] {
+				domains[u.Domain] = true
+			}
+		}
+		reachable[name] = domains
+	}
+	return reachable
+}
+
+// InFlightAt returns the requests of all instances at an upstream; ok is false
+// if the upstream is not known.
+func (b *Balancer) InFlightAt(id string) (n int, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.upstreams[id]
+	if u == nil {
+		return 0, false
+	}
+	return u.inFlight + u.peers, true
+}
--- /dev/null
+++ b/pkg/balance/lease.go
@@ -0,0 +1,92 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+)
+
+// Lease is the right to send one request to an upstream.
+type Lease struct {
+	Target exchange.Target
+	Domain string
+	// Expected is the expected time of the attempt.
+	Expected time.Duration
+	// Load and Slots are the requests found at the upstream and its slots.
+	Load  int
+	Slots int
+	// Slowness is the estimate that the choice used.
+	Slowness float64
+	Cold     bool
+	Warm     bool
+
+	balancer *Balancer
+	upstream *upstream
+	pool     *pool
+	route    *routeState
+	start    time.Time
+	usual    time.Duration
+	probe    bool
+}
+
+func (b *Balancer) lease(p *pool, route *routeState, c candidate, now time.Time) *Lease {
+	u := c.upstream
+	l := &Lease{Target: b.target(u), Domain: u.Domain, Expected: c.expected, Load: c.load, Slots: u.Slots, Slowness: c.slow, Warm: c.warm,
+		balancer: b, upstream: u, pool: p, route: route, start: now, usual: route.work + b.roundTrip(u)}
+	if !c.warm && route.route.Affinity {
+		l.usual = time.Duration(coldObject*float64(route.work)) + b.roundTrip(u)
+	}
+	if u.ejections > 0 {
+		l.probe, u.probing = true, true
+	}
+	if now.Before(u.coldUntil) {
+		l.Cold = true
+		b.spendCold(u, now)
+	}
+	u.inFlight++
+	u.flights = append(u.flights, l)
+	return l
+}
+
+// Done gives the lease back with the end of the attempt.
+func (l *Lease) Done(r *exchange.Result) {
+	b := l.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.config.Now()
+	u := l.upstream
+	u.inFlight--
+	if i := slices.Index(u.flights, l); i >= 0 {
+		u.flights = slices.Delete(u.flights, i, i+1)
+	}
+	before := u.ejections
+	u.learn(l, r, now, l.pool.config.ColdStart)
+	b.logEjection(u, before, r)
+	if r.Outcome == exchange.Answered && r.Status < 300 {
+		l.learnWork(r)
+	}
+	b.dispatch(l.pool, now)
+}
+
+// learnWork updates the usual work of the route and the service from an
+// attempt that had to wait for nothing but its own work.
+func (l *Lease) learnWork(r *exchange.Result) {
+	const gain, poolGain = 0.05, 0.02
+	took := r.Elapsed - l.balancer.roundTrip(l.upstream)
+	if took <= 0 || l.Load >= l.Slots || l.Cold || l.route.route.Affinity && !l.Warm {
+		return
+	}
+	work := float64(took) / l.Slowness
+	s := l.route
+	s.answers++
+	g := math.Max(gain, 1/float64(s.answers))
+	// A few requests run many times longer; they say little of the others.
+	work = math.Min(work, 3*float64(s.work))
+	s.work += time.Duration(g * (work - float64(s.work)))
+	if l.pool.work == 0 {
+		l.pool.work = s.work
+	}
+	l.pool.work += time.Duration(poolGain * (work - float64(l.pool.work)))
+}
--- /dev/null
+++ b/pkg/balance/repeats.go
@@ -0,0 +1,85 @@
+package balance
+
+import (
+	"time"
+)
+
+const (
+	// retryPart is the part of the retry bounds that is used, because the
+	// instances do not count at the same moment.
+	retryPart = 0.7
+	// windowSlots divides the retry window.
+	windowSlots = 10
+)
+
+// retryBudget counts requests and repeats of one service in a sliding window.
+type retryBudget struct {
+	slots [windowSlots]struct{ requests, repeats int }
+	head  int
+	at    time.Time
+	// denied counts repeats that were not allowed.
+	denied int
+}
+
+func (w *retryBudget) advance(now time.Time, window time.Duration) {
+	step := window / windowSlots
+	if w.at.IsZero() || now.Sub(w.at) > 2*window {
+		*w = retryBudget{at: now, denied: w.denied}
+	}
+	for now.Sub(w.at) >= step {
+		w.head = (w.head + 1) % windowSlots
+		w.slots[w.head].requests, w.slots[w.head].repeats = 0, 0
+		w.at = w.at.Add(step)
+	}
+}
+
+func (w *retryBudget) request() {
+	w.slots[w.head].requests++
+}
+
+// AllowRepeat takes one repeat from the budget of a service; false tells that
+// the request must not be sent again.
+func (b *Balancer) AllowRepeat(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := &b.pool(service).retries
+	state := b.retryState(w)
+	if float64(state.Used+1) > state.Allowed {
+		w.denied++
+		return false
+	}
+	w.slots[w.head].repeats++
+	return true
+}
+
+// RetryBudget is the state of the own part of a service's repeats.
+type RetryBudget struct {
+	// Used and Allowed count the repeats of the current window.
+	Used    int
+	Allowed float64
+	// Denied counts the repeats that were not allowed since the start.
+	Denied int
+}
+
+// RetryBudgets returns the budgets of all services.
+func (b *Balancer) RetryBudgets() map[string]RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budgets := make(map[string]RetryBudget, len(b.pools))
+	for name, p := range b.pools {
+		budgets[name] = b.retryState(&p.retries)
+	}
+	return budgets
+}
+
+func (b *Balancer) retryState(w *retryBudget) RetryBudget {
+	bounds := b.config.Bounds
+	w.advance(b.config.Now(), bounds.RetryWindow)
+	requests, repeats := 0, 0
+	for _, s := range w.slots {
+		requests += s.requests
+		repeats += s.repeats
+	}
+	allowed := retryPart * (bounds.RetryRatio*float64(requests) + bounds.RetrySlack/float64(b.population()))
+	return RetryBudget{Used: repeats, Allowed: allowed, Denied: w.denied}
+}
--- /dev/null
+++ b/pkg/balance/split.go
@@ -0,0 +1,61 @@
+package balance
+
+import (
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+// splitter distributes the requests of a route among services by weight.
+type splitter struct {
+	split   []steering.Share
+	credits []float64
+}
+
+// Service returns the service of the next request of a route.
+func (b *Balancer) Service(r *steering.Route) string {
+	if len(r.Split) == 1 {
+		return r.Split[0].Service
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := r.Host + r.Prefix
+	s := b.splits[key]
+	if s == nil || !sameSplit(s.split, r.Split) {
+		s = &splitter{split: r.Split, credits: make([]float64, len(r.Split))}
+		for i := range s.credits {
+			// Instances start at different points of the sequence.
+			s.credits[i] = b.config.Random()
+		}
+		b.splits[key] = s
+	}
+	total := 0.0
+	for _, share := range s.split {
+		total += share.Weight
+	}
+	best := -1
+	for i, share := range s.split {
+		if share.Weight <= 0 {
+			continue
+		}
+		s.credits[i] += share.Weight / total
+		if best < 0 || s.credits[i] > s.credits[best] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return s.split[0].Service
+	}
+	s.credits[best]--
+	return s.split[best].Service
+}
+
+func sameSplit(a, b []steering.Share) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/balance/targets.go
@@ -0,0 +1,249 @@
+package balance
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+const (
+	// comfort is the utilization up to which a region serves its own callers
+	// before it sends them elsewhere.
+	comfort = 0.85
+	// shiftPart is the part of the bound on region shifts that the shares use
+	// per window; the rest is left to the order of arrivals and to spills.
+	shiftPart = 0.35
+	// hurry multiplies the speed of the shares after a region lost capacity.
+	hurry     = 4
+	hurryTime = 3 * time.Second
+	// capacityLoss is the part of the slots that must be lost for that.
+	capacityLoss = 0.2
+)
+
+func sum(m map[string]float64) float64 {
+	total := 0.0
+	for _, v := range m {
+		total += v
+	}
+	return total
+}
+
+// Demand is the load that callers put on a route, in slots.
+type Demand struct {
+	_     struct{} `cbor:",toarray"`
+	Route uint32
+	Slots float64
+}
+
+// Demands returns the load of the own callers by route.
+func (b *Balancer) Demands() []Demand {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.config.Now()
+	var list []Demand
+	for _, p := range b.pools {
+		for _, r := range p.routes {
+			r.demand.roll(now)
+			if slots := r.demand.value * r.work.Seconds(); slots > 0.01 {
+				list = append(list, Demand{Route: hash(p.service, r.route.Host, r.route.Prefix), Slots: slots})
+			}
+		}
+	}
+	return list
+}
+
+// Rebalance moves the region shares towards their targets; step is the time
+// since the last call.
+func (b *Balancer) Rebalance(step time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.config.Now()
+	limit := b.config.Bounds.MaxShift * shiftPart * step.Seconds() / steering.ShiftWindow.Seconds()
+	for _, p := range b.pools {
+		b.rebalance(p, limit, now)
+	}
+}
+
+// regionLoad is the demand and the capacity of a region at a service, in slots.
+type regionLoad struct{ demand, capacity float64 }
+
+func (b *Balancer) rebalance(p *pool, limit float64, now time.Time) {
+	regions := b.loads(p, now)
+	if len(regions) == 0 {
+		return
+	}
+	if p.lostCapacity(regions, now) {
+		limit *= hurry
+	}
+	targets := b.targets(p, regions, now)
+	for name, r := range p.routes {
+		r.shares.move(targets[name], limit)
+		if r.shares.worthLogging() {
+			event.Log(b.config.Logger, event.SharesMoved, "service", p.service, "route", name, "shares", r.shares.logged, "demand", regions[b.config.Region].demand, "capacity", regions[b.config.Region].capacity)
+		}
+	}
+}
+
+// loads returns the demand and capacity of every region.
+func (b *Balancer) loads(p *pool, now time.Time) map[string]*regionLoad {
+	regions := make(map[string]*regionLoad)
+	for _, u := range p.upstreams {
+		l := regions[u.region]
+		if l == nil {
+			l = &regionLoad{}
+			regions[u.region] = l
+		}
+		if u.State == steering.Ready && !u.misdirected && u.ejections == 0 && !b.evacuated[u.Domain] {
+			l.capacity += float64(u.Slots)
+		}
+	}
+	if regions[b.config.Region] == nil {
+		regions[b.config.Region] = &regionLoad{}
+	}
+	total := 0.0
+	for _, r := range p.routes {
+		r.demand.roll(now)
+		own := r.demand.value * r.work.Seconds()
+		regions[b.config.Region].demand += own
+		total += own
+		key := hash(p.service, r.route.Host, r.route.Prefix)
+		for _, peer := range b.peers {
+			if l := regions[peer.region]; l != nil {
+				l.demand += peer.demand[key]
+				total += peer.demand[key]
+			}
+		}
+	}
+	if total < 1 {
+		b.assumeDemand(regions)
+	}
+	return regions
+}
+
+// assumeDemand spreads a usual load over the regions before any is known.
+func (b *Balancer) assumeDemand(regions map[string]*regionLoad) {
+	capacity := 0.0
+	for _, l := range regions {
+		capacity += l.capacity
+	}
+	for _, l := range regions {
+		l.demand = comfort * capacity / float64(len(regions))
+	}
+}
+
+// lostCapacity tells whether the own region lost slots a moment ago.
+func (p *pool) lostCapacity(regions map[string]*regionLoad, now time.Time) bool {
+	capacity := 0.0
+	for _, l := range regions {
+		capacity += l.capacity
+	}
+	if capacity < (1-capacityLoss)*p.capacity {
+		p.lostAt = now
+	}
+	const gain = 0.1
+	p.capacity += gain * (capacity - p.capacity)
+	if capacity > p.capacity {
+		p.capacity = capacity
+	}
+	return !p.lostAt.IsZero() && now.Sub(p.lostAt) < hurryTime
+}
+
+// targets returns the region shares that each route should have. The slots of
+// the own region go first to the routes that lose most elsewhere; what does
+// not fit goes to the other regions by their headroom.
+func (b *Balancer) targets(p *pool, regions map[string]*regionLoad, now time.Time) map[string]map[string]float64 {
+	demand, capacity := 0.0, 0.0
+	for _, l := range regions {
+		demand += l.demand
+		capacity += l.capacity
+	}
+	utilization := comfort
+	if capacity > 0 {
+		utilization = math.Max(comfort, demand/capacity)
+	}
+	headroom := make(map[string]float64)
+	for name, l := range regions {
+		if name != b.config.Region {
+			headroom[name] = math.Max(0, utilization*l.capacity-l.demand)
+		}
+	}
+	away := sum(headroom)
+	own := regions[b.config.Region]
+	room := math.Min(own.demand, utilization*own.capacity)
+	targets := make(map[string]map[string]float64)
+	for _, r := range b.byLoss(p) {
+		need := b.regionDemand(p, r)
+		local := 1.0
+		if need > 0 {
+			local = math.Min(1, room/need)
+		} else if own.demand > 0 {
+			local = math.Min(1, utilization*own.capacity/own.demand)
+		}
+		room = math.Max(0, room-need)
+		if away <= 0 {
+			local = 1
+		}
+		if own.capacity <= 0 {
+			local = 0
+		}
+		weights := map[string]float64{b.config.Region: local}
+		for name, h := range headroom {
+			if away > 0 {
+				weights[name] = (1 - local) * h / away
+			}
+		}
+		targets[r.route.Name] = weights
+	}
+	return targets
+}
+
+// regionDemand returns the load of the own region's callers on a route.
+func (b *Balancer) regionDemand(p *pool, r *routeState) float64 {
+	need := r.demand.value * r.work.Seconds()
+	key := hash(p.service, r.route.Host, r.route.Prefix)
+	for _, peer := range b.peers {
+		if peer.region == b.config.Region {
+			need += peer.demand[key]
+		}
+	}
+	return need
+}
+
+// byLoss orders the routes by what an hour of a slot in the own region gains
+// over one elsewhere: answers in time, weighed by priority, per work.
+func (b *Balancer) byLoss(p *pool) []*routeState {
+	list := make([]*routeState, 0, len(p.routes))
+	for _, r := range p.routes {
+		list = append(list, r)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		x, y := list[i].loss(), list[j].loss()
+		if x != y {
+			return x > y
+		}
+		return list[i].route.Name < list[j].route.Name
+	})
+	return list
+}
+
+func (r *routeState) loss() float64 {
+	const lowest = 4
+	worth := float64(max(1, lowest-r.route.Priority))
+	near, far := r.inTime(0), r.inTime(regionLatency)
+	return worth * (near - far + 0.01) / math.Max(0.001, r.work.Seconds())
+}
+
+// inTime estimates the part of the requests that are answered within the
+// target latency after a way of the given time.
+func (r *routeState) inTime(way time.Duration) float64 {
+	if r.route.TargetLatency <= 0 {
+		return 1
+	}
+	target := float64(r.route.TargetLatency)
+	slack := target - float64(r.work+way)
+	const spread = 0.3
+	return 1 / (1 + math.Exp(-slack/(spread*0.5*target)))
+}
--- a/pkg/balance/upstream.go
+++ b/pkg/balance/upstream.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
@@ -200,3 +201,13 @@
 	u.ejections++
 	u.ejectedUntil = now.Add(min(pause, maxEjection))
 }
+
+func (b *Balancer) logEjection(u *upstream, before int, r *exchange.Result) {
+	switch {
+	case u.ejections > before:
+		event.Log(b.config.Logger, event.UpstreamEjected, "upstream", u.ID, "service", u.Service, "reason", r.Reason.String(), "status", r.Status,
+			"failures", u.failures, "until_ms", time.Until(u.ejectedUntil).Milliseconds())
+	case before > 0 && u.ejections == 0:
+		event.Log(b.config.Logger, event.UpstreamReturned, "upstream", u.ID, "service", u.Service)
+	}
+}
--- /dev/null
+++ b/pkg/exchange/fields.go
@@ -0,0 +1,39 @@
+package exchange
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// parseLoad reads "running,waiting,slots" and an optional slowness in percent.
+func parseLoad(value []byte) Load {
+	parts := bytes.Split(value, []byte{','})
+	if len(parts) < 3 {
+		return Load{}
+	}
+	var n [4]int
+	n[3] = 100
+	for i := range min(len(parts), len(n)) {
+		v, err := strconv.Atoi(string(bytes.TrimSpace(parts[i])))
+		if err != nil || v < 0 || v > maxSlots*maxSlowness {
+			return Load{}
+		}
+		n[i] = v
+	}
+	return Load{Known: true, Running: min(n[0], maxSlots), Waiting: min(n[1], maxSlots), Slots: min(n[2], maxSlots), Slowness: min(maxSlowness, max(0.1, float64(n[3])/100))}
+}
+
+// parseKeepAlive reads the idle timeout of a Keep-Alive field.
+func parseKeepAlive(value []byte) time.Duration {
+	for _, part := range strings.Split(string(value), ",") {
+		name, number, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if strings.EqualFold(name, "timeout") {
+			if n, err := strconv.Atoi(strings.TrimSpace(number)); err == nil && n > 0 && n < 1<<20 {
+				return time.Duration(n) * time.Second
+			}
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/exchange/fuzz_test.go
@@ -0,0 +1,41 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzAnswer guards against bytes of an upstream that stop the process, and
+// against a success without the signature or of another request.
+func FuzzAnswer(f *testing.F) {
+	for _, seed := range []string{whole("1", "x"), whole("2", "y") + whole("1", "x"), "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n" + whole("1", ""),
+		"HTTP/1.1 503 No\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", "HTTP/1.1 200", "\x00"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := NewClient(Config{Headers: testHeaders, Now: time.Now, Dial: func(context.Context, string, time.Duration, time.Duration) (net.Conn, error) {
+			own, theirs := net.Pipe()
+			go func() {
+				b := make([]byte, 4096)
+				// The client may close the connection before it has read all.
+				if _, err := theirs.Read(b); err == nil {
+					_, _ = theirs.Write(data)
+				}
+				_ = theirs.Close()
+			}()
+			return own, nil
+		}})
+		r := c.Do(context.Background(), Target{ID: "u", Address: "a"}, testRequest("1"), time.Now().Add(time.Second))
+		if r.Outcome == Answered && r.Status < 300 {
+			require.True(t, r.Signed)
+			require.Contains(t, r.Header, Field{"X-Id", "1"})
+		}
+		if r.Outcome == NotRun {
+			require.Contains(t, []Reason{Shed, Misdirected}, r.Reason, "the request was sent")
+		}
+	})
+}
--- /dev/null
+++ b/pkg/exchange/write.go
@@ -0,0 +1,70 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// write sends the message, a long one beside the reading of the answer. The
+// channel holds the end of the writing.
+func write(k *conn, message []byte) (<-chan error, int, error) {
+	written := make(chan error, 1)
+	if len(message) <= inlineWriteBytes {
+		n, err := k.Write(message)
+		written <- err
+		return written, n, err
+	}
+	go func() {
+		_, err := k.Write(message)
+		written <- err
+	}()
+	return written, len(message), nil
+}
+
+func writeFailure(ctx context.Context, n int, err error) *Result {
+	r := &Result{Outcome: Unknown, Reason: Lost, Err: errors.Trace(err)}
+	switch {
+	case ctx.Err() != nil:
+		r.Reason = Cancelled
+	case timeout(err):
+		r.Reason = TimedOut
+	}
+	if n == 0 {
+		r.Outcome = NotRun
+		if r.Reason == Lost {
+			r.Reason = ConnectFailed
+		}
+	}
+	return r
+}
+
+func timeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// encode renders the request with the fields of this attempt.
+func (c *Client) encode(t Target, req *Request, deadline time.Time) []byte {
+	b := make([]byte, 0, len(req.Head)+len(req.Body)+256)
+	b = append(b, req.Head...)
+	b = appendField(b, c.config.Headers.Target, t.ID)
+	left := max(1, deadline.Sub(c.config.Now()).Milliseconds())
+	b = appendField(b, c.config.Headers.Deadline, strconv.FormatInt(left, 10))
+	if req.HasBody {
+		b = appendField(b, "Content-Length", strconv.Itoa(len(req.Body)))
+	}
+	b = append(b, "\r\n"...)
+	return append(b, req.Body...)
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/pkg/ingress/read.go
@@ -0,0 +1,186 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+)
+
+// refusal is an error that is answered before the connection closes.
+type refusal struct {
+	status int
+	cause  error
+}
+
+// Error implements error.
+func (r *refusal) Error() string { return r.cause.Error() }
+
+func (x *session) read() (*Request, error) {
+	limits := x.server.config.Limits()
+	timeout := limits.HeaderTimeout
+	if timeout <= 0 {
+		timeout = defaultHeaderTimeout
+	}
+	now := x.server.config.Now()
+	if err := x.conn.SetReadDeadline(now.Add(timeout)); err != nil {
+		return nil, errors.Trace(err)
+	}
+	message := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(message)
+	message.Header.DisableNormalizing()
+	if err := x.readHeader(message, limits.HeaderBytes); err != nil {
+		return nil, err
+	}
+	r := x.convert(message, now)
+	if r.Host == "" || r.URI == "" || r.URI[0] != '/' {
+		return nil, &refusal{http.StatusBadRequest, errors.New("request without host or path")}
+	}
+	if message.Header.ContentLength() == -1 && hasField(message.Header.RawHeaders(), "content-length") {
+		return nil, &refusal{http.StatusBadRequest, errors.New("two framings of the body")}
+	}
+	err := x.readBody(message, r, limits.BodyBytes)
+	return r, err
+}
+
+// hasField tells whether raw header lines hold a field; name is in lower case.
+func hasField(raw []byte, name string) bool {
+	for line := range bytes.Lines(raw) {
+		if len(line) > len(name) && line[len(name)] == ':' && equalFold(string(line[:len(name)]), name) {
+			return true
+		}
+	}
+	return false
+}
+
+// readHeader reads the request line and the header fields. A header longer
+// than the buffer needs a larger buffer, up to the limit in force.
+func (x *session) readHeader(message *fasthttp.Request, limit int) error {
+	if limit <= 0 {
+		limit = defaultHeaderBytes
+	}
+	err := message.Header.Read(x.reader)
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) && x.reader.Size() < limit {
+		x.reader = bufio.NewReaderSize(io.MultiReader(bytesOf(x.reader), x.conn), limit)
+		err = message.Header.Read(x.reader)
+	}
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &small):
+		return &refusal{http.StatusRequestHeaderFieldsTooLarge, err}
+	case errors.Is(err, io.EOF) || isNetError(err):
+		return errors.Trace(err)
+	}
+	return &refusal{http.StatusBadRequest, err}
+}
+
+// bytesOf returns a reader of the bytes that are buffered in b.
+func bytesOf(b *bufio.Reader) io.Reader {
+	return io.LimitReader(b, int64(b.Buffered()))
+}
+
+func isNetError(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr)
+}
+
+func (x *session) readBody(message *fasthttp.Request, r *Request, limit int) error {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	length := message.Header.ContentLength()
+	if length == 0 || length == -2 {
+		r.HasBody = length == 0 && len(message.Header.Peek("Content-Length")) > 0
+		return nil
+	}
+	if length > limit {
+		return &refusal{http.StatusRequestEntityTooLarge, errors.New("body exceeds the limit")}
+	}
+	if message.MayContinue() {
+		if _, err := x.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if err := x.conn.SetReadDeadline(x.server.config.Now().Add(bodyTimeout)); err != nil {
+		return errors.Trace(err)
+	}
+	if err := message.ContinueReadBody(x.reader, limit, false); err != nil {
+		switch {
+		case errors.Is(err, fasthttp.ErrBodyTooLarge):
+			return &refusal{http.StatusRequestEntityTooLarge, err}
+		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetError(err):
+			return errors.Trace(err)
+		}
+		return &refusal{http.StatusBadRequest, err}
+	}
+	r.Body = append([]byte(nil), message.Body()...)
+	r.HasBody = true
+	if x.server.buffered.Add(int64(len(r.Body))) > x.server.config.MaxBufferedBytes {
+		x.server.buffered.Add(-int64(len(r.Body)))
+		return &refusal{http.StatusServiceUnavailable, errors.New("too many bytes of bodies in memory")}
+	}
+	return nil
+}
+
+func (x *session) convert(message *fasthttp.Request, now time.Time) *Request {
+	h := &x.server.config.Headers
+	header := &message.Header
+	r := &Request{Host: string(header.Host()), URI: string(header.RequestURI()), Arrived: now}
+	r.Method = string(header.Method())
+	head := make([]byte, 0, 256)
+	head = append(head, r.Method...)
+	head = append(head, ' ')
+	head = append(head, r.URI...)
+	head = append(head, " HTTP/1.1\r\n"...)
+	for key, value := range header.All() {
+		name := string(key)
+		switch {
+		case equalFold(name, h.RequestID):
+			r.ID = string(value)
+		case equalFold(name, h.AffinityKey):
+			r.AffinityKey = string(value)
+		case equalFold(name, h.Deadline):
+			r.Wait = parseMillis(value)
+			continue
+		case equalFold(name, h.Target), !exchange.Passed(name):
+			continue
+		}
+		head = append(head, name...)
+		head = append(head, ": "...)
+		head = append(head, value...)
+		head = append(head, "\r\n"...)
+	}
+	r.Head = head
+	return r
+}
+
+func parseMillis(value []byte) time.Duration {
+	n, err := strconv.ParseInt(string(value), 10, 32)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
+func equalFold(a, b string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := 0; i < len(a); i++ {
+		x, y := a[i], b[i]
+		if x|0x20 != y|0x20 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/instance/changes.go
@@ -0,0 +1,85 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/mesh"
+)
+
+// fetchNews takes the changes that members announce.
+func (i *Instance) fetchNews(ctx context.Context) {
+	for {
+		select {
+		case m := <-i.ahead:
+			i.fetch(ctx, m)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// known returns what this instance knows.
+func (i *Instance) known() mesh.Known {
+	directives, upstreams := i.catalog.Revisions()
+	return mesh.Known{Directives: directives, Upstreams: upstreams, Version: i.policy.Current().Number}
+}
+
+// changes returns what a member lacks.
+func (i *Instance) changes(known mesh.Known) mesh.Changes {
+	c := mesh.Changes{Tables: i.catalog.Snapshot(known.Directives, known.Upstreams), VersionKnown: i.policy.Known()}
+	if v := i.policy.Current(); v.Number > known.Version {
+		c.Version = &v
+	}
+	return c
+}
+
+// fetch takes what a member knows more.
+func (i *Instance) fetch(ctx context.Context, m mesh.Member) {
+	known := i.known()
+	if m.Directives <= known.Directives && m.Upstreams <= known.Upstreams && m.Version <= known.Version {
+		return
+	}
+	c, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, known)
+	if err != nil {
+		event.Log(i.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
+		until := i.opt.Now().Add(aloneTime)
+		i.aloneUntil.Store(&until)
+		return
+	}
+	i.metrics.snapshots.Inc(1)
+	i.catalog.Merge(c.Tables, m.ID)
+	switch {
+	case c.Version != nil:
+		i.policy.Offer(*c.Version, m.ID)
+	case c.VersionKnown:
+		i.policy.SetKnown()
+	}
+}
+
+// catchUpDelay is how long a peer may be ahead before its snapshot is fetched:
+// usually the own watch brings the change.
+const catchUpDelay = 600 * time.Millisecond
+
+// catchUp fetches the snapshot of a peer that has known more for a while.
+func (i *Instance) catchUp(ctx context.Context, now time.Time) {
+	known := i.known()
+	for _, m := range i.mesh.Live() {
+		if m.Directives <= known.Directives && m.Upstreams <= known.Upstreams && m.Version <= known.Version {
+			delete(i.behind, m.ID)
+			continue
+		}
+		since, ok := i.behind[m.ID]
+		if !ok {
+			i.behind[m.ID] = now
+			since = now
+		}
+		if known.Directives != 0 && known.Upstreams != 0 && m.Version <= known.Version && now.Sub(since) < catchUpDelay {
+			continue
+		}
+		clear(i.behind)
+		i.fetch(ctx, m)
+		return
+	}
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +22,6 @@
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 	"github.com/sequoiacove/sequoiacove/pkg/operatorapi"
 	"github.com/sequoiacove/sequoiacove/pkg/policy"
-	"github.com/sequoiacove/sequoiacove/pkg/result"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
@@ -154,179 +152,6 @@
 	return nil
 }
 
-// listeners holds the open sockets of an instance.
-type listeners struct {
-	callers   net.Listener
-	ready     net.Listener
-	lookup    net.Listener
-	admin     net.Listener
-	metrics   net.Listener
-	snapshots net.Listener
-	datagrams net.PacketConn
-}
-
-func (i *Instance) listen() (*listeners, error) {
-	l := &listeners{}
-	s := i.settings
-	var err error
-	if l.datagrams, err = net.ListenPacket("udp4", s.MeshAddress); err != nil {
-		return nil, result.New(result.SettingsInvalid, "mesh address: %v", err)
-	}
-	for _, x := range []struct {
-		address string
-		target  *net.Listener
-	}{{s.CallerAddress, &l.callers}, {s.ReadyAddress, &l.ready}, {s.LookupAddress, &l.lookup}, {s.AdminAddress, &l.admin}, {s.MetricsAddress, &l.metrics}, {s.MeshAddress, &l.snapshots}} {
-		if x.address == "" {
-			continue
-		}
-		if *x.target, err = net.Listen("tcp4", x.address); err != nil {
-			event.Log(i.logger, event.ListenerFailed, "address", x.address, "error", err.Error())
-			return nil, result.New(result.SettingsInvalid, "address %s: %v", x.address, err)
-		}
-	}
-	return l, nil
-}
-
-func (i *Instance) startMesh(ctx context.Context, l *listeners) {
-	s := i.settings
-	i.mesh = mesh.New(mesh.Config{
-		Self:        mesh.Member{ID: s.ID, Region: s.Region, Domain: s.Domain, Caller: s.CallerAddress, Address: s.MeshAddress},
-		Incarnation: uint64(i.opt.Random() * (1 << 62)),
-		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
-		Local: i.local, InFlight: i.balancer.InFlight, Demands: i.balancer.Demands,
-		Region: i.balancer.RegionReport, Load: i.balancer.SetPeerInFlight, Demand: i.balancer.SetPeerDemand, Members: i.setMembers, Beat: i.heard,
-		RegionShares: i.setRegionShares,
-	}, l.datagrams)
-	go i.mesh.Run(ctx)
-	go mesh.ServeSnapshots(l.snapshots, i.opt.Now, i.changes)
-}
-
-// local tells the peers what this instance is and knows.
-func (i *Instance) local() mesh.Local {
-	directives, upstreams := i.catalog.Revisions()
-	state := mesh.Serving
-	switch {
-	case i.leaving(), i.drained():
-		state = mesh.Leaving
-	case !i.ready():
-		state = mesh.Starting
-	}
-	return mesh.Local{State: state, Directives: directives, Upstreams: upstreams, Watching: i.watches() && !i.catalog.StoreDown(),
-		Version: i.policy.Current().Number, Active: i.ingress.Active(), Shares: i.policy.Shares()}
-}
-
-// watchers is the number of instances of a region that watch the store; the
-// others take the changes from them.
-const watchers = 2
-
-// aloneTime is how long an instance watches the store after it failed to get
-// changes from a member.
-const aloneTime = 5 * time.Second
-
-// duty returns the part of this instance in watching the store: it watches
-// unless enough others of a lower rank do and reach it, and pass on what they
-// learn.
-func (i *Instance) duty() catalog.Duty {
-	others := i.mesh.Rank(func(m mesh.Member) bool { return m.Watching })
-	alone := i.aloneUntil.Load()
-	return catalog.Duty{First: others == 0, Watches: others < watchers || alone != nil && i.opt.Now().Before(*alone),
-		Rank: i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })}
-}
-
-// watches tells whether this instance watches the store.
-func (i *Instance) watches() bool { return i.duty().Watches }
-
-// announce tells the others at once that this instance knows more, if they
-// rely on it.
-func (i *Instance) announce() {
-	if i.watches() {
-		go i.mesh.Announce()
-	}
-}
-
-// heard takes a heartbeat of a member of the region.
-func (i *Instance) heard(m mesh.Member) {
-	news := m.Version > i.policy.Current().Number
-	if m.Watching {
-		i.catalog.Confirm(m.Directives, m.Upstreams)
-		directives, upstreams := i.catalog.Revisions()
-		news = news || !i.watches() && (m.Directives > directives || m.Upstreams > upstreams)
-	}
-	if !news {
-		return
-	}
-	select {
-	case i.ahead <- m:
-	default:
-		// A fetch is under way; the next heartbeat repeats the news.
-	}
-}
-
-// fetchNews takes the changes that members announce.
-func (i *Instance) fetchNews(ctx context.Context) {
-	for {
-		select {
-		case m := <-i.ahead:
-			i.fetch(ctx, m)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// known returns what this instance knows.
-func (i *Instance) known() mesh.Known {
-	directives, upstreams := i.catalog.Revisions()
-	return mesh.Known{Directives: directives, Upstreams: upstreams, Version: i.policy.Current().Number}
-}
-
-// changes returns what a member lacks.
-func (i *Instance) changes(known mesh.Known) mesh.Changes {
-	c := mesh.Changes{Tables: i.catalog.Snapshot(known.Directives, known.Upstreams), VersionKnown: i.policy.Known()}
-	if v := i.policy.Current(); v.Number > known.Version {
-		c.Version = &v
-	}
-	return c
-}
-
-// fetch takes what a member knows more.
-func (i *Instance) fetch(ctx context.Context, m mesh.Member) {
-	known := i.known()
-	if m.Directives <= known.Directives && m.Upstreams <= known.Upstreams && m.Version <= known.Version {
-		return
-	}
-	c, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, known)
-	if err != nil {
-		event.Log(i.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
-		until := i.opt.Now().Add(aloneTime)
-		i.aloneUntil.Store(&until)
-		return
-	}
-	i.metrics.snapshots.Inc(1)
-	i.catalog.Merge(c.Tables, m.ID)
-	switch {
-	case c.Version != nil:
-		i.policy.Offer(*c.Version, m.ID)
-	case c.VersionKnown:
-		i.policy.SetKnown()
-	}
-}
-
-func (i *Instance) setMembers(list []mesh.Member) {
-	i.live.Store(&list)
-	i.countInstances()
-}
-
-// countInstances tells the balancer how many instances share its limits.
-func (i *Instance) countInstances() {
-	list := *i.live.Load()
-	instances := make([]balance.Instance, 0, len(list))
-	for _, m := range list {
-		instances = append(instances, balance.Instance{ID: m.ID, Region: m.Region, Leaving: m.State == mesh.Leaving})
-	}
-	i.balancer.SetInstances(instances, i.mesh.Unheard())
-}
-
 // ready tells whether the instance can steer requests.
 func (i *Instance) ready() bool {
 	v := i.catalog.View()
@@ -357,29 +182,3 @@
 		last = now
 	}
 }
-
-// catchUpDelay is how long a peer may be ahead before its snapshot is fetched:
-// usually the own watch brings the change.
-const catchUpDelay = 600 * time.Millisecond
-
-// catchUp fetches the snapshot of a peer that has known more for a while.
-func (i *Instance) catchUp(ctx context.Context, now time.Time) {
-	known := i.known()
-	for _, m := range i.mesh.Live() {
-		if m.Directives <= known.Directives && m.Upstreams <= known.Upstreams && m.Version <= known.Version {
-			delete(i.behind, m.ID)
-			continue
-		}
-		since, ok := i.behind[m.ID]
-		if !ok {
-			i.behind[m.ID] = now
-			since = now
-		}
-		if known.Directives != 0 && known.Upstreams != 0 && m.Version <= known.Version && now.Sub(since) < catchUpDelay {
-			continue
-		}
-		clear(i.behind)
-		i.fetch(ctx, m)
-		return
-	}
-}
--- /dev/null
+++ b/pkg/instance/listen.go
@@ -0,0 +1,41 @@
+package instance
+
+import (
+	"net"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+)
+
+// listeners holds the open sockets of an instance.
+type listeners struct {
+	callers   net.Listener
+	ready     net.Listener
+	lookup    net.Listener
+	admin     net.Listener
+	metrics   net.Listener
+	snapshots net.Listener
+	datagrams net.PacketConn
+}
+
+func (i *Instance) listen() (*listeners, error) {
+	l := &listeners{}
+	s := i.settings
+	var err error
+	if l.datagrams, err = net.ListenPacket("udp4", s.MeshAddress); err != nil {
+		return nil, result.New(result.SettingsInvalid, "mesh address: %v", err)
+	}
+	for _, x := range []struct {
+		address string
+		target  *net.Listener
+	}{{s.CallerAddress, &l.callers}, {s.ReadyAddress, &l.ready}, {s.LookupAddress, &l.lookup}, {s.AdminAddress, &l.admin}, {s.MetricsAddress, &l.metrics}, {s.MeshAddress, &l.snapshots}} {
+		if x.address == "" {
+			continue
+		}
+		if *x.target, err = net.Listen("tcp4", x.address); err != nil {
+			event.Log(i.logger, event.ListenerFailed, "address", x.address, "error", err.Error())
+			return nil, result.New(result.SettingsInvalid, "address %s: %v", x.address, err)
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/pkg/instance/members.go
@@ -0,0 +1,100 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/mesh"
+)
+
+func (i *Instance) startMesh(ctx context.Context, l *listeners) {
+	s := i.settings
+	i.mesh = mesh.New(mesh.Config{
+		Self:        mesh.Member{ID: s.ID, Region: s.Region, Domain: s.Domain, Caller: s.CallerAddress, Address: s.MeshAddress},
+		Incarnation: uint64(i.opt.Random() * (1 << 62)),
+		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
+		Local: i.local, InFlight: i.balancer.InFlight, Demands: i.balancer.Demands,
+		Region: i.balancer.RegionReport, Load: i.balancer.SetPeerInFlight, Demand: i.balancer.SetPeerDemand, Members: i.setMembers, Beat: i.heard,
+		RegionShares: i.setRegionShares,
+	}, l.datagrams)
+	go i.mesh.Run(ctx)
+	go mesh.ServeSnapshots(l.snapshots, i.opt.Now, i.changes)
+}
+
+// local tells the peers what this instance is and knows.
+func (i *Instance) local() mesh.Local {
+	directives, upstreams := i.catalog.Revisions()
+	state := mesh.Serving
+	switch {
+	case i.leaving(), i.drained():
+		state = mesh.Leaving
+	case !i.ready():
+		state = mesh.Starting
+	}
+	return mesh.Local{State: state, Directives: directives, Upstreams: upstreams, Watching: i.watches() && !i.catalog.StoreDown(),
+		Version: i.policy.Current().Number, Active: i.ingress.Active(), Shares: i.policy.Shares()}
+}
+
+// watchers is the number of instances of a region that watch the store; the
+// others take the changes from them.
+const watchers = 2
+
+// aloneTime is how long an instance watches the store after it failed to get
+// changes from a member.
+const aloneTime = 5 * time.Second
+
+// duty returns the part of this instance in watching the store: it watches
+// unless enough others of a lower rank do and reach it, and pass on what they
+// learn.
+func (i *Instance) duty() catalog.Duty {
+	others := i.mesh.Rank(func(m mesh.Member) bool { return m.Watching })
+	alone := i.aloneUntil.Load()
+	return catalog.Duty{First: others == 0, Watches: others < watchers || alone != nil && i.opt.Now().Before(*alone),
+		Rank: i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })}
+}
+
+// watches tells whether this instance watches the store.
+func (i *Instance) watches() bool { return i.duty().Watches }
+
+// announce tells the others at once that this instance knows more, if they
+// rely on it.
+func (i *Instance) announce() {
+	if i.watches() {
+		go i.mesh.Announce()
+	}
+}
+
+// heard takes a heartbeat of a member of the region.
+func (i *Instance) heard(m mesh.Member) {
+	news := m.Version > i.policy.Current().Number
+	if m.Watching {
+		i.catalog.Confirm(m.Directives, m.Upstreams)
+		directives, upstreams := i.catalog.Revisions()
+		news = news || !i.watches() && (m.Directives > directives || m.Upstreams > upstreams)
+	}
+	if !news {
+		return
+	}
+	select {
+	case i.ahead <- m:
+	default:
+		// A fetch is under way; the next heartbeat repeats the news.
+	}
+}
+
+func (i *Instance) setMembers(list []mesh.Member) {
+	i.live.Store(&list)
+	i.countInstances()
+}
+
+// countInstances tells the balancer how many instances share its limits.
+func (i *Instance) countInstances() {
+	list := *i.live.Load()
+	instances := make([]balance.Instance, 0, len(list))
+	for _, m := range list {
+		instances = append(instances, balance.Instance{ID: m.ID, Region: m.Region, Leaving: m.State == mesh.Leaving})
+	}
+	i.balancer.SetInstances(instances, i.mesh.Unheard())
+}
