Let the nearest locality work on the platform

Cause: a service whose description says locality nearest was spread like any other, because instances on the platform did not tell each other the requests of their callers. Whole heartbeats carry them, digests their sum. Test: TestNearestKeepsRequestsInTheirRegion.

--- a/pkg/instance/description.go
+++ b/pkg/instance/description.go
@@ -65,9 +65,25 @@
 	return i.policy.Description().InstanceDrained(i.settings.ID)
 }
 
-// setRegionShares takes the mean of the shares in effect in another region.
-func (i *Instance) setRegionShares(region string, shares cluster.Shares) {
-	i.regionShares.Store(region, shares)
+// regionTraffic is what the gateway of another region reports of it.
+type regionTraffic struct {
+	shares cluster.Shares
+	rates  cluster.Demand
+}
+
+// setRegionShares takes the mean of the shares in effect in another region and
+// the sum of its requests per second.
+func (i *Instance) setRegionShares(region string, shares cluster.Shares, rates cluster.Demand) {
+	i.regions.Store(region, regionTraffic{shares, rates})
+}
+
+// traffic returns what is known of another region.
+func (i *Instance) traffic(region string) (regionTraffic, bool) {
+	t, ok := i.regions.Load(region)
+	if !ok {
+		return regionTraffic{}, false
+	}
+	return t.(regionTraffic), true
 }
 
 // stepShares moves the shares of the description.
@@ -80,14 +96,14 @@
 	for _, m := range *i.live.Load() {
 		if m.Region == i.settings.Region {
 			in.Instances++
-			in.Peers = append(in.Peers, policy.Peer{ID: m.ID, Region: m.Region, Domain: m.Domain, Version: m.Version, Shares: m.Shares})
+			in.Peers = append(in.Peers, policy.Peer{ID: m.ID, Region: m.Region, Domain: m.Domain, Version: m.Version, Shares: m.Shares, Rates: m.Rates})
 			continue
 		}
 		regions[m.Region] = max(regions[m.Region], m.Version)
 	}
 	for region, version := range regions {
-		if shares, ok := i.regionShares.Load(region); ok {
-			in.Peers = append(in.Peers, policy.Peer{ID: region, Region: region, Version: version, Shares: shares.(cluster.Shares)})
+		if t, ok := i.traffic(region); ok {
+			in.Peers = append(in.Peers, policy.Peer{ID: region, Region: region, Version: version, Shares: t.shares, Rates: t.rates})
 		}
 	}
 	i.policy.Step(in)
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -85,8 +85,9 @@
 	behind  map[string]time.Time
 	// unruled is set when the instance began to serve without knowing the
 	// description.
-	unruled      atomic.Bool
-	regionShares sync.Map
+	unruled atomic.Bool
+	// regions holds the regionTraffic of the other regions by name.
+	regions sync.Map
 	// installing orders the views that the balancer gets.
 	installing sync.Mutex
 	// aloneUntil ends the time in which the instance watches the store because
--- a/pkg/instance/operator.go
+++ b/pkg/instance/operator.go
@@ -38,8 +38,8 @@
 	for _, m := range *b.live.Load() {
 		shares := m.Shares
 		if m.Region != s.Region {
-			if mean, ok := b.regionShares.Load(m.Region); ok {
-				shares = mean.(cluster.Shares)
+			if t, ok := b.traffic(m.Region); ok {
+				shares = t.shares
 			}
 		}
 		list = append(list, cluster.Member{ID: m.ID, EntryIncarnation: 1, Region: m.Region, Domain: m.Domain, State: memberState(m.State),
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -31,6 +31,8 @@
 	Members  []digestMember   `cbor:"5,keyasint,omitempty"`
 	// Shares is the mean of the shares in effect, with Members.
 	Shares cluster.Shares `cbor:"6,keyasint,omitempty"`
+	// Rates is the sum of the requests per second, with Members.
+	Rates cluster.Demand `cbor:"7,keyasint,omitempty"`
 }
 
 // digestMember is a live instance in a digest.
@@ -111,7 +113,7 @@
 		d.Demand = demand
 		self := m.config.Self
 		self.State, self.Directives, self.Upstreams, self.Version = local.State, local.Directives, local.Upstreams, local.Version
-		self.Active, self.Shares = local.Active, local.Shares
+		self.Active, self.Shares, self.Rates = local.Active, local.Shares, local.Rates
 		m.describe(d, self)
 	}
 	m.sequence++
@@ -121,7 +123,8 @@
 	}
 }
 
-// describe adds the members of the own region and the mean of their shares.
+// describe adds the members of the own region, the mean of their shares and the
+// sum of their requests.
 func (m *Mesh) describe(d *digest, self Member) {
 	near := []Member{self}
 	for _, x := range m.members {
@@ -130,9 +133,13 @@
 		}
 	}
 	shares := make([]cluster.Member, 0, len(near))
+	d.Rates = make(cluster.Demand)
 	for _, x := range near {
 		d.Members = append(d.Members, digestMember{ID: x.ID, Domain: x.Domain, Caller: x.Caller, Address: x.Address, State: x.State,
 			Directives: x.Directives, Upstreams: x.Upstreams, Version: x.Version, Active: x.Active})
+		for service, rate := range x.Rates {
+			d.Rates[service] += rate
+		}
 		shares = append(shares, cluster.Member{ID: x.ID, EntryIncarnation: 1, Shares: x.Shares})
 	}
 	d.Shares = cluster.MeanShares(shares, "")
@@ -164,7 +171,7 @@
 		m.config.Demand(regionPrefix+d.Region, d.Region, d.Demand)
 	}
 	if len(d.Members) > 0 {
-		m.config.RegionShares(d.Region, d.Shares)
+		m.config.RegionShares(d.Region, d.Shares, d.Rates)
 	}
 }
 
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -90,6 +90,10 @@
 	// Shares holds the shares in effect; those of instances of other regions
 	// are known as the mean of the region only.
 	Shares cluster.Shares
+	// Rates holds the requests per second of the own callers by service, for
+	// services that the description names; those of other regions are known as
+	// sums.
+	Rates cluster.Demand
 	// Address is the address of its mesh.
 	Address string
 }
@@ -103,6 +107,7 @@
 	Version    uint64
 	Active     int
 	Shares     cluster.Shares
+	Rates      cluster.Demand
 }
 
 // Config holds the inputs of a Mesh.
@@ -128,8 +133,9 @@
 	Demand  func(id, region string, list []balance.Demand)
 	Members func([]Member)
 	Beat    func(Member)
-	// RegionShares takes the mean of the shares in effect in another region.
-	RegionShares func(region string, shares cluster.Shares)
+	// RegionShares takes the mean of the shares in effect in another region and
+	// the sum of its requests per second.
+	RegionShares func(region string, shares cluster.Shares, rates cluster.Demand)
 }
 
 // Mesh exchanges datagrams with the other instances.
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -29,6 +29,7 @@
 	load   map[string]int
 	demand map[string]float64
 	shares map[string]cluster.Shares
+	rates  map[string]float64
 	state  State
 }
 
@@ -38,6 +39,12 @@
 	return p.shares[region]
 }
 
+func (p *peer) rateOf(region string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rates[region]
+}
+
 func (p *peer) setState(s State) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -55,14 +62,14 @@
 func start(t *testing.T, id, region string, seeds ...string) *peer {
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, shares: map[string]cluster.Shares{}, state: Serving}
+	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, shares: map[string]cluster.Shares{}, rates: map[string]float64{}, state: Serving}
 	p.Mesh = New(Config{
 		Self:        Member{ID: id, Region: region, Domain: region + "-a", Caller: "10.0.0.1:1", Address: p.address},
 		Incarnation: uint64(time.Now().UnixNano()), Seeds: seeds, Now: time.Now, Random: func() float64 { return 0.5 }, Logger: event.Discard(),
 		Local: func() Local {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			return Local{State: p.state, Directives: 3, Upstreams: 4, Watching: true, Version: 6, Active: 8, Shares: testShares}
+			return Local{State: p.state, Directives: 3, Upstreams: 4, Watching: true, Version: 6, Active: 8, Shares: testShares, Rates: cluster.Demand{"shop": 5}}
 		},
 		InFlight: func() []balance.InFlight { return []balance.InFlight{{Upstream: 7, Count: 2}} },
 		Demands:  func() []balance.Demand { return []balance.Demand{{Route: 9, Slots: 1.5}} },
@@ -85,10 +92,10 @@
 			}
 		},
 		Members: func([]Member) {}, Beat: func(Member) {},
-		RegionShares: func(region string, shares cluster.Shares) {
+		RegionShares: func(region string, shares cluster.Shares, rates cluster.Demand) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.shares[region] = shares
+			p.shares[region], p.rates[region] = shares, rates["shop"]
 		},
 	}, conn)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -118,7 +125,7 @@
 		other := regionPrefix + map[string]string{"n": "s", "s": "n"}[p.config.Self.Region]
 		require.Eventually(t, func() bool { return p.loadOf(other) == 5 }, patience, 10*time.Millisecond, "%s hears %s", p.config.Self.ID, other)
 		region := strings.TrimPrefix(other, regionPrefix)
-		require.Eventually(t, func() bool { return reflect.DeepEqual(p.sharesOf(region), testShares) }, patience, 10*time.Millisecond)
+		require.Eventually(t, func() bool { return reflect.DeepEqual(p.sharesOf(region), testShares) && p.rateOf(region) == 15 }, patience, 10*time.Millisecond)
 		for _, m := range p.Live() {
 			require.EqualValues(t, 6, m.Version)
 			require.Equal(t, 8, m.Active)
@@ -201,7 +208,7 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	return New(Config{Self: Member{ID: "self", Region: "n"}, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.Discard(),
 		Local: func() Local { return Local{} }, Load: func(string, string, []balance.InFlight) {}, Demand: func(string, string, []balance.Demand) {},
-		Members: func([]Member) {}, Beat: func(Member) {}, RegionShares: func(string, cluster.Shares) {}}, &discardConn{conn}), conn.LocalAddr()
+		Members: func([]Member) {}, Beat: func(Member) {}, RegionShares: func(string, cluster.Shares, cluster.Demand) {}}, &discardConn{conn}), conn.LocalAddr()
 }
 
 // FuzzDatagram guards against datagrams that stop the process or grow its
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -93,7 +93,7 @@
 		if b.Region != "" {
 			changed = changed || x.Caller != b.Caller
 			x.ID, x.Region, x.Domain, x.Caller = msg.ID, b.Region, b.Domain, b.Caller
-			x.target, x.Address = from, from.String()
+			x.target, x.Address, x.Rates = from, from.String(), b.Rates
 			delete(m.unknown, x.Address)
 		}
 		for i, a := range b.Addresses {
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -24,7 +24,7 @@
 
 // beat is the content of a heartbeat. Its fields are numbered, so that releases
 // with other fields read each other. A short one leaves out where the sender is
-// and what changes slowly: Region, Domain, Caller, Demand and Addresses.
+// and what changes slowly: Region, Domain, Caller, Demand, Rates and Addresses.
 type beat struct {
 	Region     string           `cbor:"1,keyasint,omitempty"`
 	Domain     string           `cbor:"2,keyasint,omitempty"`
@@ -38,6 +38,7 @@
 	Version    uint64           `cbor:"10,keyasint,omitempty"`
 	Active     int              `cbor:"11,keyasint,omitempty"`
 	Shares     cluster.Shares   `cbor:"12,keyasint,omitempty"`
+	Rates      cluster.Demand   `cbor:"13,keyasint,omitempty"`
 }
 
 // send sends the messages that are due inside the region, and heartbeats to
@@ -49,6 +50,7 @@
 		Version: local.Version, Active: local.Active, Shares: local.Shares}
 	whole := *short
 	whole.Region, whole.Domain, whole.Caller = m.config.Self.Region, m.config.Self.Domain, m.config.Self.Caller
+	whole.Rates = local.Rates
 	if due.full {
 		whole.Demand = m.config.Demands()
 	}
--- a/pkg/policy/place.go
+++ b/pkg/policy/place.go
@@ -41,10 +41,10 @@
 
 func (p *Policy) routingInput(d, previous *description.Description, version cluster.Version, in Inputs, now time.Time) routing.Input {
 	r := routing.Input{Description: d, Previous: previous, SinceAccepted: now.Sub(time.UnixMilli(version.AcceptedUnixMS)),
-		ReachableFor: in.Reachable, Home: p.config.Region}
+		ReachableFor: in.Reachable, Home: p.config.Region, Own: p.table.Demand()}
 	for _, peer := range in.Peers {
 		r.Peers = append(r.Peers, cluster.Member{ID: peer.ID, Region: peer.Region, Domain: peer.Domain, State: cluster.Serving,
-			EntryIncarnation: 1, Version: peer.Version, Shares: peer.Shares})
+			EntryIncarnation: 1, Version: peer.Version, Shares: peer.Shares, Demand: peer.Rates})
 		r.Behind = r.Behind || peer.Version > version.Number
 	}
 	r.PeerShares = cluster.MeanShares(r.Peers, p.config.Instance)
@@ -59,6 +59,15 @@
 	return p.table.Shares()
 }
 
+// Rates returns the requests per second of the own callers by service; it is
+// empty without a description.
+func (p *Policy) Rates() cluster.Demand {
+	if p.Current().Number == 0 {
+		return nil
+	}
+	return p.table.Demand()
+}
+
 // Governs tells whether the description names the service.
 func (p *Policy) Governs(service string) bool {
 	_, ok := p.Description().Services[service]
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -42,6 +42,8 @@
 	Domain  string
 	Version uint64
 	Shares  cluster.Shares
+	// Rates holds the requests per second by service.
+	Rates cluster.Demand
 }
 
 // Config holds the inputs of a Policy.
--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,7 +79,7 @@
 		in := Inputs{Reachable: map[string]map[string]bool{service: f.reachable}, Instances: 1}
 		for _, other := range f.all {
 			if other != p {
-				in.Peers = append(in.Peers, Peer{ID: other.config.Instance, Region: other.config.Region, Version: other.Current().Number, Shares: other.Shares()})
+				in.Peers = append(in.Peers, Peer{ID: other.config.Instance, Region: other.config.Region, Version: other.Current().Number, Shares: other.Shares(), Rates: other.Rates()})
 			}
 		}
 		p.Step(in)
@@ -262,3 +263,33 @@
 	require.LessOrEqual(t, sent, int(41*step.Seconds()*1_000_000*linkPart)+10_000)
 	require.Positive(t, sent)
 }
+
+// Guards against requests that leave their region although the service prefers
+// the nearest one and the shares let them stay.
+func TestNearestKeepsRequestsInTheirRegion(t *testing.T) {
+	f := newFleet(t, 4)
+	v := f.accept(0, strings.Replace(text(0.5), `"max_request_ms"`, `"locality": "nearest", "max_request_ms"`, 1))
+	for _, p := range f.all {
+		p.Offer(v, "test")
+	}
+	stayed, all := 0, 0
+	for round := range 200 {
+		f.step()
+		for _, p := range f.all {
+			for range 5 {
+				place, err := p.Place(service, 0, anywhere)
+				require.NoError(t, err)
+				place.Release(0)
+				if round >= 100 {
+					all++
+					if place.Region == p.config.Region {
+						stayed++
+					}
+				}
+			}
+		}
+	}
+	// The demand of both regions equals their shares, so nothing has to leave;
+	// the reported demand rounds to a tenth.
+	require.Greater(t, float64(stayed), 0.9*float64(all))
+}
