--- a/spec/limits.pml
+++ b/spec/limits.pml
@@ -20,6 +20,7 @@
 bool cut[16];              /* no path between two instances */
 bool counts[16];           /* instance i counts instance j, i != j */
 byte faults;
+bool ready;                /* all have started and count each other */
 
 #define MAX_FAULTS 4
 
@@ -34,15 +35,18 @@
 active proctype world()
 {
 	byte i, j;
-	do
-	:: i < N -> up[i] = true; j = 0;
+	atomic {
 		do
-		:: j < N -> counts[i * N + j] = (i != j); j++
+		:: i < N -> up[i] = true; j = 0;
+			do
+			:: j < N -> counts[i * N + j] = (i != j); j++
+			:: else -> break
+			od;
+			i++
 		:: else -> break
 		od;
-		i++
-	:: else -> break
-	od;
+		ready = true
+	}
 	do
 	:: faults < MAX_FAULTS -> atomic { faults++; pick(i); pick(j);
 		if
@@ -65,11 +69,20 @@
 			:: j < N && cut[i * N + j] -> j++
 			:: else -> break
 			od
+		:: else -> skip
 		fi }
 	/* An instance hears another one, or finds it silent. */
-	:: atomic { pick(i); pick(j); i != j && up[i] && up[j] && !cut[i * N + j] && !counts[i * N + j] -> counts[i * N + j] = true }
+	:: atomic { pick(i); pick(j);
+		if
+		:: i != j && up[i] && up[j] && !cut[i * N + j] -> counts[i * N + j] = true
+		:: else -> skip
+		fi }
 #ifdef LIVE_ONLY
-	:: atomic { pick(i); pick(j); i != j && up[i] && cut[i * N + j] && counts[i * N + j] -> counts[i * N + j] = false }
+	:: atomic { pick(i); pick(j);
+		if
+		:: i != j && up[i] && cut[i * N + j] -> counts[i * N + j] = false
+		:: else -> skip
+		fi }
 #endif
 	:: faults == MAX_FAULTS -> break
 	od
@@ -77,6 +90,7 @@
 
 active proctype judge()
 {
+	ready;
 	do
 	:: assert(PART(0) + PART(1) + PART(2) <= LIMIT)
 	:: faults == MAX_FAULTS -> break
