List the instances in the store unless one of the own region has been heard

The logs: i2 and i3, the instances of one region, did not know each other after i2 had started again; both heard those of the other region, whose digests reach one of them only. An instance that has heard nobody of its own region lists them now. Ruled out: the transfer of versions (i0, i1 and i2 had it within 0.7 s). Test: TestInstancesFindTheirRegionThroughTheStore. It passed without the change too: both instances must be gateway in turn for the fault to show, which it does not force.

--- a/pkg/instance/fake_test.go
+++ b/pkg/instance/fake_test.go
@@ -352,7 +352,12 @@
 
 // start runs an instance; seeds are the mesh addresses of others.
 func (w *world) start(id string, seeds ...string) *testInstance {
-	s := &Settings{ID: id, Region: "n", Domain: "n-a", Regions: map[string]string{"n-a": "n", "n-b": "n"}, CallerAddress: freeAddress(), ReadyAddress: freeAddress(),
+	return w.startIn("n", id, seeds...)
+}
+
+// startIn runs an instance of a region.
+func (w *world) startIn(region, id string, seeds ...string) *testInstance {
+	s := &Settings{ID: id, Region: region, Domain: region + "-a", Regions: map[string]string{"n-a": "n", "n-b": "n", "s-a": "s"}, CallerAddress: freeAddress(), ReadyAddress: freeAddress(),
 		LookupAddress: freeAddress(), AdminAddress: freeAddress(), Operators: map[string]string{"ana": token}, MeshAddress: freeAddress(), StoreAddress: "127.0.0.1:1", MemoryMB: 256, Descriptors: 1000, Seeds: seeds,
 		Bounds: steering.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, MaxShift: 0.15, MaxLookupTTL: 5 * time.Second, Grace: 3 * time.Second}}
 	log := &lockedBuffer{}
--- a/pkg/instance/register.go
+++ b/pkg/instance/register.go
@@ -65,7 +65,8 @@
 		return err
 	}
 	if !r.listed {
-		// Members that are known pass on the addresses of the others.
+		// Members of the own region pass on the addresses of the others in it;
+		// those of other regions do not.
 		r.listed = r.acquainted(ctx)
 	}
 	sweeps := r.renewals > 0 && i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving }) == 0
@@ -95,13 +96,18 @@
 }
 
 // acquainted waits a moment for the instances that the settings name and tells
-// whether one of them has been heard.
+// whether one of the own region has been heard.
 func (r *registrar) acquainted(ctx context.Context) bool {
 	select {
 	case <-time.After(seedTime):
 	case <-ctx.Done():
 	}
-	return len(r.instance.mesh.Live()) > 0
+	for _, m := range r.instance.mesh.Live() {
+		if m.Region == r.instance.settings.Region {
+			return true
+		}
+	}
+	return false
 }
 
 // others returns the mesh addresses of the other instances.
--- a/pkg/instance/register_test.go
+++ b/pkg/instance/register_test.go
@@ -35,6 +35,19 @@
 	require.True(t, w.store.has(catalog.Instances, "i1"))
 }
 
+// Guards against instances of a region that never find each other because the
+// settings name only one of another region, which they hear.
+func TestInstancesFindTheirRegionThroughTheStore(t *testing.T) {
+	w := newWorld(t)
+	far := w.startIn("s", "i1")
+	a := w.start("i2", far.settings.MeshAddress)
+	b := w.start("i3", far.settings.MeshAddress)
+	for _, x := range []*testInstance{far, a, b} {
+		w.awaitReady(x, 0)
+		require.Eventually(t, func() bool { return len(x.mesh.Live()) == 2 }, patience, 10*time.Millisecond, x.settings.ID)
+	}
+}
+
 const reloadedSettings = `[instance]
 id = i1
 region = n
