Let the test of the region's discovery fail without the mend

Cause: TestInstancesFindTheirRegionThroughTheStore passed without the change that it guards, because the fault needs both instances to be gateway in turn. Its successor is as strict: an instance that hears only one of another region must list the store and learn the address there. With the condition taken out it fails, with it it passes (5.3 s).

--- a/pkg/instance/register_test.go
+++ b/pkg/instance/register_test.go
@@ -35,17 +35,18 @@
 	require.True(t, w.store.has(catalog.Instances, "i1"))
 }
 
-// Guards against instances of a region that never find each other because the
-// settings name only one of another region, which they hear.
-func TestInstancesFindTheirRegionThroughTheStore(t *testing.T) {
+// Guards against instances of a region that never find each other because each
+// hears only those of another region, which pass on no addresses of its own.
+func TestInstanceThatHearsNoneOfItsRegionListsTheStore(t *testing.T) {
 	w := newWorld(t)
 	far := w.startIn("s", "i1")
-	a := w.start("i2", far.settings.MeshAddress)
-	b := w.start("i3", far.settings.MeshAddress)
-	for _, x := range []*testInstance{far, a, b} {
-		w.awaitReady(x, 0)
-		require.Eventually(t, func() bool { return len(x.mesh.Live()) == 2 }, patience, 10*time.Millisecond, x.settings.ID)
-	}
+	x := w.start("i2", far.settings.MeshAddress)
+	w.awaitReady(x, 0)
+	require.Eventually(t, func() bool { return len(x.mesh.Live()) == 1 && x.mesh.Unheard() == 0 }, patience, 5*time.Millisecond)
+	w.store.write(catalog.Instances, "i3", freeAddress(), false)
+	r := &registrar{instance: x.Instance, now: time.Now}
+	require.NoError(t, r.renew(context.Background()))
+	require.Equal(t, 1, x.mesh.Unheard(), "the address of the other instance of the region")
 }
 
 const reloadedSettings = `[instance]
