--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,6 +24,7 @@
 var (
 	firstSeed = flag.Uint64("soak.seed", 1, "first seed")
 	seeds     = flag.Uint64("soak.seeds", 1, "number of seeds")
+	failed    = flag.Bool("soak.failed", false, "play the seeds that failed before")
 	duration  = flag.Duration("soak.duration", 12*time.Second, "time with faults per seed")
 )
 
@@ -41,10 +42,26 @@
 	recovery = 8 * time.Second
 )
 
+// failedSeeds maps the seeds that failed before to the cause, once it was found.
+var failedSeeds = map[uint64]string{
+	2:  "the stand-in upstream had no queue",
+	4:  "the stand-in upstream had no queue",
+	17: "two refusals were answered as unknown; later, two instances of a region did not find each other",
+	22: "a silent watch was given up after 7.5 s; later, the stand-in upstream had no queue",
+	24: "the stand-in upstream had no queue",
+	42: "the stand-in upstream had no queue",
+}
+
 // Guards the promises under random faults: whole own answers, at most once,
 // true refusals, configurations in force that never go back, no work for
 // upstreams that left, and full service after the last fault.
 func TestSoak(t *testing.T) {
+	if *failed {
+		for seed, cause := range failedSeeds {
+			t.Run(fmt.Sprint("failed seed ", seed), func(t *testing.T) { t.Log(cause); soak(t, seed) })
+		}
+		return
+	}
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soak(t, seed) })
 	}
