--- a/pkg/balance/instances.go
+++ b/pkg/balance/instances.go
@@ -1,8 +1,6 @@
 package balance
 
-import (
-	"time"
-)
+import "time"
 
 // instanceMemory is how long an instance that is heard no more still counts for
 // the limits over all instances: it may be cut off and use its part.
--- /dev/null
+++ b/pkg/balance/limits_test.go
@@ -0,0 +1,161 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+// Guards against a cold upstream that gets more requests per second from all
+// instances together than it bears.
+func TestColdUpstreamIsSparedByAllInstancesTogether(t *testing.T) {
+	for _, n := range []int{1, 4, 12, 75} {
+		f := newFixture(n, 0)
+		u := steering.Upstream{ID: "cold", Service: service, Address: "c:1", Domain: "n-a", Slots: 400, State: steering.Ready, ColdRemaining: time.Minute, Born: 1}
+		f.view.Upstreams["cold"] = u
+		f.publish()
+		limit := coldOver*16.0 + coldSlack
+		var sent []time.Time
+		for range 300 {
+			for _, b := range f.all {
+				if acquire(b, testRoute(0), "") != nil {
+					sent = append(sent, f.Now())
+				}
+			}
+			f.advance(10 * time.Millisecond)
+		}
+		require.NotEmpty(t, sent)
+		for i := range sent {
+			inWindow := 0
+			for _, s := range sent[i:] {
+				if s.Sub(sent[i]) < time.Second {
+					inWindow++
+				}
+			}
+			require.LessOrEqual(t, float64(inWindow), limit, "%d instances", n)
+		}
+	}
+}
+
+// Guards against repeats that exceed the bound on all instances together.
+func TestRetryBudgetHoldsOverAllInstances(t *testing.T) {
+	f := newFixture(12, 20)
+	requests, repeats := 0, 0
+	for range 1000 {
+		for _, b := range f.all {
+			if l := acquire(b, testRoute(0), ""); l != nil {
+				l.Done(answered(time.Millisecond))
+			}
+			requests++
+			if b.AllowRepeat(service) {
+				repeats++
+			}
+		}
+		f.advance(9 * time.Millisecond)
+	}
+	require.LessOrEqual(t, float64(repeats), bounds.RetryRatio*float64(requests)+bounds.RetrySlack)
+	require.Positive(t, repeats)
+}
+
+// cutOff lets every balancer see itself alone.
+func (f *fixture) cutOff() {
+	for _, b := range f.all {
+		b.SetInstances(nil, 0)
+	}
+}
+
+// repeats counts the repeats that all balancers allow within a window, in
+// which each gets the given number of requests.
+func (f *fixture) repeats(requests int) int {
+	n := 0
+	for range requests {
+		for _, b := range f.all {
+			if l := acquire(b, testRoute(0), ""); l != nil {
+				l.Done(answered(time.Millisecond))
+			}
+			for b.AllowRepeat(service) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against instances that are cut off from each other and each take the
+// whole bound on repeats.
+func TestRetryBudgetHoldsWhileInstancesAreCutOff(t *testing.T) {
+	f := newFixture(12, 4)
+	f.cutOff()
+	f.advance(instanceMemory - time.Second)
+	limit := bounds.RetryRatio*float64(12*5) + bounds.RetrySlack
+	require.LessOrEqual(t, float64(f.repeats(5)), limit)
+}
+
+// Guards against an instance that starts cut off from the others, which it
+// knows by their addresses only, and takes the whole bound on repeats.
+func TestNewInstanceSharesTheRetryBudget(t *testing.T) {
+	f := newFixture(1, 4)
+	f.all[0].SetInstances(nil, 11)
+	require.LessOrEqual(t, float64(f.repeats(1)), bounds.RetryRatio+bounds.RetrySlack/12)
+}
+
+// Guards against an instance that stopped on purpose and keeps its part of the
+// bounds.
+func TestStoppedInstanceGivesItsPartBack(t *testing.T) {
+	f := newFixture(2, 4)
+	b := f.all[0]
+	b.SetInstances([]Instance{{ID: "i1", Region: "s", Leaving: true}}, 0)
+	b.SetInstances(nil, 0)
+	require.Equal(t, 1, b.population())
+	b.SetInstances([]Instance{{ID: "i1", Region: "s"}}, 0)
+	b.SetInstances(nil, 0)
+	require.Equal(t, 2, b.population())
+	f.advance(instanceMemory + time.Second)
+	b.ExpirePeers()
+	require.Equal(t, 1, b.population())
+}
+
+// Guards against a cold upstream that gets a full rate from each of the
+// instances that are cut off from each other.
+func TestColdUpstreamIsSparedWhileInstancesAreCutOff(t *testing.T) {
+	f := newFixture(12, 0)
+	f.view.Upstreams["cold"] = steering.Upstream{ID: "cold", Service: service, Address: "c:1", Domain: "n-a", Slots: 400, State: steering.Ready, ColdRemaining: time.Minute, Born: 1}
+	f.publish()
+	f.cutOff()
+	sent := 0
+	for range 100 {
+		for _, b := range f.all {
+			if acquire(b, testRoute(0), "") != nil {
+				sent++
+			}
+		}
+		f.advance(10 * time.Millisecond)
+	}
+	require.Positive(t, sent)
+	require.LessOrEqual(t, float64(sent), coldOver*16+coldSlack)
+}
+
+// Guards against more connections to an upstream from all instances together
+// than its service allows.
+func TestConnectionsHoldOverAllInstances(t *testing.T) {
+	const limit = 20
+	f := newFixture(12, 0)
+	f.view.Config.Services[service].MaxConnections = limit
+	f.view.Upstreams["u"] = steering.Upstream{ID: "u", Service: service, Address: "u:1", Domain: "n-a", Slots: 400, State: steering.Ready, Born: 1}
+	f.publish()
+	for range 50 {
+		for _, b := range f.all {
+			acquire(b, testRoute(0), "")
+		}
+	}
+	open := 0
+	for _, b := range f.all {
+		l := b.upstreams["u"]
+		require.Positive(t, l.inFlight, "every instance may have one")
+		open += l.inFlight
+	}
+	require.LessOrEqual(t, open, limit)
+}
--- a/pkg/balance/rate.go
+++ b/pkg/balance/rate.go
@@ -1,8 +1,6 @@
 package balance
 
-import (
-	"time"
-)
+import "time"
 
 // rateMemory is the time over which rates are averaged.
 const rateMemory = 2 * time.Second
--- a/pkg/balance/repeats.go
+++ b/pkg/balance/repeats.go
@@ -1,8 +1,6 @@
 package balance
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// retryPart is the part of the retry bounds that is used, because the
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -218,18 +218,16 @@
 }
 
 // retire closes the idle connections that were opened before a time.
-func (p *pool) retire(before time.Time) int {
+func (p *pool) retire(before time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	kept, closed := p.idle[:0], 0
+	kept := p.idle[:0]
 	for _, c := range p.idle {
 		if c.opened.Before(before) {
 			p.close(c)
-			closed++
 			continue
 		}
 		kept = append(kept, c)
 	}
 	p.idle = kept
-	return closed
 }
