Charge a link only for requests that are sent

Cause: a request was charged to the link before the limit of its region was asked, so refused ones used the link up. The limit is asked first now. TestRefusedRequestUsesNoLink failed before.

--- a/pkg/policy/place.go
+++ b/pkg/policy/place.go
@@ -152,19 +152,18 @@
 	return "", result.New(result.NoDestination, "no domain of an allowed region has a share of %s", service)
 }
 
-// enter counts the request against the limits.
+// enter counts the request against the limits. The link comes last, because
+// only what is sent may be charged to it.
 func (p *Policy) enter(d *description.Description, place *Place, bytes int) error {
-	now := p.config.Now()
-	if place.Region != p.config.Region {
-		if !p.answers.Take(place.Region, 0, now) || !p.requests.Take(place.Region, bytes, now) {
-			return result.New(result.LinkBudgetExhausted, "the link to %s is used up", place.Region)
-		}
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if limit := d.Services[place.key.service].Regions[place.Region].MaxConcurrent; limit > 0 && p.running[place.key] >= p.part(limit) {
 		return result.New(result.RegionLimit, "%s is at the instance's part of %d requests", place.Region, limit)
 	}
+	now := p.config.Now()
+	if place.Region != p.config.Region && !(p.answers.Take(place.Region, 0, now) && p.requests.Take(place.Region, bytes, now)) {
+		return result.New(result.LinkBudgetExhausted, "the link to %s is used up", place.Region)
+	}
 	p.running[place.key]++
 	return nil
 }
--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -293,3 +293,16 @@
 	// the reported demand rounds to a tenth.
 	require.Greater(t, float64(stayed), 0.9*float64(all))
 }
+
+// Guards against a link that is charged for requests that the limit of their
+// region refuses and that are never sent.
+func TestRefusedRequestUsesNoLink(t *testing.T) {
+	f := newFleet(t, 2)
+	v := f.accept(0, limited(1, 1))
+	far := f.all[1]
+	far.Offer(v, "test")
+	f.step()
+	_, err := far.Place(service, 1000, anywhere)
+	require.Equal(t, result.RegionLimit, result.CodeOf(err), "the other instance has the whole limit")
+	require.Zero(t, far.requests.State(f.now)[0].SentBytes)
+}
