--- a/cmd/sequoia-load/main.go
+++ b/cmd/sequoia-load/main.go
@@ -1,4 +1,4 @@
-// Command sequoia-load calls a service through the system at a fixed rate and
+// Command sequoia-load sends requests through the system at a fixed rate and
 // reports latency and outcomes.
 package main
 
@@ -18,9 +18,9 @@
 func main() {
 	app := kingpin.New("sequoia-load", "Open-loop load generator for sequoiacove.")
 	var cfg load.Config
-	app.Flag("entry", "Caller address of an entry instance for the first look-up; repeatable.").Required().StringsVar(&cfg.Entries)
-	app.Flag("service", "Service to call.").Required().StringVar(&cfg.Service)
-	app.Flag("block", "IP address of a simulated caller's block; repeatable.").StringsVar(&cfg.Blocks)
+	app.Flag("directory", "Look-up address of an instance; repeatable.").Required().StringsVar(&cfg.Directories)
+	app.Flag("host", "Name under which the routes are listed.").Required().StringVar(&cfg.Host)
+	app.Flag("region", "Region of a simulated caller; repeatable.").StringsVar(&cfg.Regions)
 	app.Flag("rate", "Requests per second.").Default("100").Float64Var(&cfg.Rate)
 	app.Flag("duration", "How long to send.").Default("10s").DurationVar(&cfg.Duration)
 	app.Flag("seed", "Seed of the plan.").Default("1").Uint64Var(&cfg.Seed)
@@ -31,7 +31,6 @@
 	app.Flag("long-work-ms", "Execution time of long requests.").Default("250").Float64Var(&cfg.LongWorkMS)
 	app.Flag("deadline", "Time a caller waits for an answer.").Default(load.DefaultDeadline.String()).DurationVar(&cfg.Deadline)
 	app.Flag("attempt-timeout", "Bound of one submission of an idempotent request; 0 for none.").Default("0s").DurationVar(&cfg.AttemptTimeout)
-	app.Flag("settle-for", "Bound of the repeats after an unknown outcome.").Default(load.DefaultSettleFor.String()).DurationVar(&cfg.SettleFor)
 	app.Flag("max-in-flight", "Bound of open requests.").Default(fmt.Sprint(load.DefaultMaxInFlight)).IntVar(&cfg.MaxInFlight)
 	app.Flag("body-bytes", "Body size of requests that are not idempotent.").Default("200").IntVar(&cfg.BodyBytes)
 	app.Flag("run-id", "Prefix of the request tokens.").Default("run").StringVar(&cfg.RunID)
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -239,25 +239,50 @@
 	b.config.Bounds = bounds
 }
 
-// Reachable returns, per service, the failure domains with an upstream that may
-// get requests.
+// Reachable returns, per service, the failure domains with an upstream that
+// takes requests. A domain whose upstreams were all ejected is reachable again
+// when one of them has answered.
 func (b *Balancer) Reachable() map[string]map[string]bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.config.Now()
 	reachable := make(map[string]map[string]bool, len(b.pools))
 	for name, p := range b.pools {
-		domains := make(map[string]bool)
-		for _, u := range p.upstreams {
-			if u.usable(now) && !b.evacuated[u.Domain] {
-				domains[u.Domain] = true
-			}
-		}
-		reachable[name] = domains
+		reachable[name] = b.reachable(p)
 	}
 	return reachable
 }
 
+func (b *Balancer) reachable(p *pool) map[string]bool {
+	domains := make(map[string]bool)
+	for _, u := range p.upstreams {
+		if u.serves() && u.ejections == 0 && !b.evacuated[u.Domain] {
+			domains[u.Domain] = true
+		}
+	}
+	return domains
+}
+
+// ProbeDue returns a failure domain that is not reachable and has an upstream
+// that may be tried again.
+func (b *Balancer) ProbeDue(service string) (domain string, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, now := b.pool(service), b.config.Now()
+	var reachable map[string]bool
+	for _, u := range p.upstreams {
+		if u.ejections == 0 || !u.usable(now) || b.evacuated[u.Domain] {
+			continue
+		}
+		if reachable == nil {
+			reachable = b.reachable(p)
+		}
+		if !reachable[u.Domain] {
+			return u.Domain, true
+		}
+	}
+	return "", false
+}
+
 // InFlightAt returns the requests of all instances at an upstream; ok is false
 // if the upstream is not known.
 func (b *Balancer) InFlightAt(id string) (n int, ok bool) {
--- a/pkg/balance/upstream.go
+++ b/pkg/balance/upstream.go
@@ -126,9 +126,12 @@
 	return u.failureRate * math.Exp(-float64(now.Sub(u.failureAt))/float64(failureMemory))
 }
 
-// usable tells whether the upstream may get a request at all.
+// serves tells whether the upstream is one that takes new requests.
+func (u *upstream) serves() bool { return u.State == steering.Ready && !u.misdirected }
+
+// usable tells whether the upstream may get a request at the moment.
 func (u *upstream) usable(now time.Time) bool {
-	if u.State != steering.Ready || u.misdirected {
+	if !u.serves() {
 		return false
 	}
 	if u.ejections > 0 {
--- a/pkg/cluster/shares.go
+++ b/pkg/cluster/shares.go
@@ -18,15 +18,12 @@
 	return true
 }
 
-// MeanShares returns the mean effective shares of the live members other than
-// the one with id self. A peer counts only for the services that it has.
-func MeanShares(members []Member, self string) Shares {
+// MeanShares returns the mean effective shares of members. A member counts only
+// for the services that it has.
+func MeanShares(members []Member) Shares {
 	sums := make(Shares)
 	counts := make(map[string]float64)
 	for i := range members {
-		if !IsLivePeer(&members[i], self) {
-			continue
-		}
 		for service, shares := range members[i].Shares {
 			if !Proper(shares) {
 				continue
@@ -48,11 +45,6 @@
 	return sums
 }
 
-// IsLivePeer reports whether a member other than self has an entry that answers.
-func IsLivePeer(m *Member, self string) bool {
-	return m.ID != self && m.State != Dead && m.EntryIncarnation != 0
-}
-
 // shareSumTolerance is far above the rounding of a moving vector and far below
 // a share that matters.
 const shareSumTolerance = 1e-3
--- a/pkg/configstore/commit.go
+++ b/pkg/configstore/commit.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
-	"github.com/sequoiacove/sequoiacove/pkg/platform"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/table"
 )
 
 const (
@@ -19,21 +19,21 @@
 )
 
 // transaction writes the three rows of a version or none of them.
-func (d draft) transaction() (platform.Transaction, error) {
+func (d draft) transaction() (table.Transaction, error) {
 	record, err := json.Marshal(d.record)
 	if err != nil {
-		return platform.Transaction{}, err
+		return table.Transaction{}, err
 	}
 	patch, err := json.Marshal(d.patchRecord())
 	if err != nil {
-		return platform.Transaction{}, err
+		return table.Transaction{}, err
 	}
-	return platform.Transaction{
-		Conditions: []platform.Condition{
+	return table.Transaction{
+		Conditions: []table.Condition{
 			{Key: headKey, Revision: d.base.revision},
 			{Key: patchKey(d.proposal.PatchID), Revision: 0},
 		},
-		Writes: []platform.Write{
+		Writes: []table.Write{
 			{Key: headKey, Value: record},
 			{Key: versionKey(d.record.Number), Value: record},
 			{Key: patchKey(d.proposal.PatchID), Value: patch},
--- a/pkg/configstore/store.go
+++ b/pkg/configstore/store.go
@@ -16,8 +16,9 @@
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
-	"github.com/sequoiacove/sequoiacove/pkg/platform"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/table"
+	"github.com/sequoiacove/sequoiacove/pkg/wait"
 )
 
 const (
@@ -33,15 +34,15 @@
 
 // Store accepts patches and reads versions.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   table.Table
+	objects table.Objects
 	now     func() time.Time
 	sleep   func(ctx context.Context, d time.Duration) error
 }
 
 // New returns a store; now gives the acceptance time of versions.
-func New(table platform.Table, objects platform.Objects, now func() time.Time) *Store {
-	return &Store{table: table, objects: objects, now: now, sleep: platform.Sleep}
+func New(table table.Table, objects table.Objects, now func() time.Time) *Store {
+	return &Store{table: table, objects: objects, now: now, sleep: wait.For}
 }
 
 // versionRecord is the value of the head row and of each version row.
@@ -159,7 +160,7 @@
 
 // decodeHistory reverses the rows of the versions below before, which must have
 // no gap.
-func decodeHistory(rows []platform.Row, before uint64) ([]cluster.Version, error) {
+func decodeHistory(rows []table.Row, before uint64) ([]cluster.Version, error) {
 	versions := make([]cluster.Version, 0, len(rows))
 	for i := len(rows) - 1; i >= 0; i-- {
 		record, err := decodeVersion(rows[i])
@@ -200,7 +201,7 @@
 	return s.objects.Get(ctx, record.Hash)
 }
 
-func decodeVersion(row platform.Row) (versionRecord, error) {
+func decodeVersion(row table.Row) (versionRecord, error) {
 	var record versionRecord
 	if err := json.Unmarshal(row.Value, &record); err != nil {
 		return versionRecord{}, result.New(result.StoreProtocol, "row %q: %v", row.Key, err)
@@ -214,18 +215,18 @@
 // valid tells whether the record has its hashes; only version 1 has no previous
 // one.
 func (r versionRecord) valid() bool {
-	if r.Number == 0 || !platform.ValidHash(r.Hash) {
+	if r.Number == 0 || !table.ValidHash(r.Hash) {
 		return false
 	}
 	if r.Number == 1 {
 		return r.PreviousHash == ""
 	}
-	return platform.ValidHash(r.PreviousHash)
+	return table.ValidHash(r.PreviousHash)
 }
 
-func decodePatch(row platform.Row) (patchRecord, error) {
+func decodePatch(row table.Row) (patchRecord, error) {
 	var record patchRecord
-	if err := json.Unmarshal(row.Value, &record); err != nil || record.Number == 0 || !platform.ValidHash(record.Digest) {
+	if err := json.Unmarshal(row.Value, &record); err != nil || record.Number == 0 || !table.ValidHash(record.Digest) {
 		return patchRecord{}, result.New(result.StoreProtocol, "row %q is not a patch record", row.Key)
 	}
 	return record, nil
--- a/pkg/ctl/cluster.go
+++ b/pkg/ctl/cluster.go
@@ -11,12 +11,11 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/operator"
 )
 
 func (c *command) registerCluster(app *kingpin.Application) {
-	members := app.Command("members", "List the instances as one agent sees them.")
+	members := app.Command("members", "List the instances as one of them sees it.")
 	members.Action(c.action(c.members))
 
 	move := app.Command("move", "Show how far the shares of a service are from their target.\n\nExample: sequoiactl move --watch reservas")
@@ -30,14 +29,12 @@
 	drainWatch := watchFlags(drain)
 	drain.Action(c.action(func(client *operator.Client) error { return c.drain(client, *id, drainWatch) }))
 
-	state := app.Command("state", "Print the state dump of an agent and its entry as JSON.")
+	state := app.Command("state", "Print the state dump of an instance as JSON.")
 	state.Action(c.action(c.state))
 
-	explain := app.Command("explain", "Show where a request would go from an instance and why.\n\nExample: sequoiactl explain reservas GET /search")
+	explain := app.Command("explain", "Show where a request would go from an instance and why.\n\nExample: sequoiactl explain reservas")
 	name := explain.Arg("service", "Service.").Required().String()
-	method := explain.Arg("method", "Method.").Default("GET").String()
-	path := explain.Arg("path", "Path.").Default("/").String()
-	explain.Action(c.action(func(client *operator.Client) error { return c.explain(client, *name, *method, *path) }))
+	explain.Action(c.action(func(client *operator.Client) error { return c.explain(client, *name) }))
 
 	request := app.Command("request", "Show how a request ended that was refused, failed, abandoned or late, and why.\n\nExample: sequoiactl request 9c41d07be2a35f68")
 	requestID := request.Arg("id", "Identifier of the request.").Required().String()
@@ -58,7 +55,7 @@
 }
 
 // until repeats look until it reports the end. While watching, a failure to
-// reach any agent is shown and does not end the wait.
+// reach any instance is shown and does not end the wait.
 func (c *command) until(w *watch, look func() (finished bool, err error)) error {
 	for {
 		finished, err := look()
@@ -85,26 +82,14 @@
 		return err
 	}
 	return c.print(reply, func(w io.Writer) {
-		table(w, "INSTANCE\tREGION\tDOMAIN\tSTATE\tVERSION\tENTRY\tIN USE\tQUEUED", func(t *tabwriter.Writer) {
+		table(w, "INSTANCE\tREGION\tDOMAIN\tSTATE\tVERSION\tIN FLIGHT", func(t *tabwriter.Writer) {
 			for _, m := range reply.Members {
-				printMember(t, m)
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\n", m.ID, m.Region, m.Domain, m.State, m.Version, m.Active)
 			}
 		})
 	})
 }
 
-// printMember writes one row with the sums over the pools of the member.
-func printMember(w io.Writer, m cluster.Member) {
-	entry, inUse, queued := "up", 0, 0
-	if m.EntryIncarnation == 0 {
-		entry = "down"
-	}
-	for _, p := range m.Pools {
-		inUse, queued = inUse+p.InUse, queued+p.Queued
-	}
-	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%d\n", m.ID, m.Region, m.Domain, m.State, m.Version, entry, inUse, queued)
-}
-
 func (c *command) move(client *operator.Client, service string, w *watch) error {
 	return c.until(w, func() (bool, error) {
 		move, err := client.Move(c.ctx, service)
@@ -167,8 +152,8 @@
 	return c.print(reply, nil)
 }
 
-func (c *command) explain(client *operator.Client, service, method, path string) error {
-	reply, err := client.Explain(c.ctx, service, method, path)
+func (c *command) explain(client *operator.Client, service string) error {
+	reply, err := client.Explain(c.ctx, service)
 	if err != nil {
 		return err
 	}
--- a/pkg/ctl/config.go
+++ b/pkg/ctl/config.go
@@ -59,9 +59,9 @@
 func (c *command) registerValidate(app *kingpin.Application) {
 	var args patchArgs
 	cmd := app.Command("validate", "Check a patch and print what it would change.\n\n"+
-		"Example without an agent: sequoiactl validate --base-file current.json move.json")
+		"Example without an instance: sequoiactl validate --base-file current.json move.json")
 	args.flags(cmd)
-	cmd.Flag("base-file", "Description to apply the patch to, instead of asking an agent.").StringVar(&args.baseFile)
+	cmd.Flag("base-file", "Description to apply the patch to, instead of asking an instance.").StringVar(&args.baseFile)
 	cmd.Action(func(ctx *kingpin.ParseContext) error {
 		if args.baseFile != "" {
 			return c.validateOffline(args)
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -1,6 +1,6 @@
 // Package demo runs the main job of the system once, with the real binaries
 // and stand-ins: look-ups, idempotent and non-idempotent load, a move of
-// shares under a cap, and drains of an upstream and of an entry instance while
+// shares under a cap, and drains of an upstream and of an instance while
 // load runs. It checks the invariants of the design from the callers' and the
 // upstreams' own logs.
 package demo
@@ -15,13 +15,13 @@
 )
 
 const (
-	bookings = "reservas"
-	deposits = "cobros"
-	home     = "cantabria"
-	away     = "asturias"
+	home = "cantabria"
+	away = "asturias"
 
-	ttl        = time.Second
-	maxRequest = 3 * time.Second
+	ttl           = time.Second
+	maxRequest    = 3 * time.Second
+	targetLatency = 200 * time.Millisecond
+	stopTime      = 5 * time.Second
 	// leavingBound is the time after which a leaving upstream gets no new work.
 	leavingBound = 3 * time.Second
 	regionCap    = 0.02
@@ -34,21 +34,27 @@
 	loadTime = 40 * time.Second
 )
 
+// Services of the demo.
+var (
+	bookings = harness.Service{Name: "reservas", Upstreams: 3, Slots: 4}
+	deposits = harness.Service{Name: "cobros", Upstreams: 2, Slots: 3}
+)
+
 var description = fmt.Sprintf(`{
  "regions": {"cantabria": {"domains": ["cantabria-a", "cantabria-b"]}, "asturias": {"domains": ["asturias-a", "asturias-b"]}},
  "links": [{"between": ["asturias", "cantabria"], "mbit_per_second": 280}],
- "lookup": {"ttl_ms": %d, "blocks": {"10.64.0.0/12": "cantabria", "10.80.0.0/12": "asturias"}},
+ "lookup": {"ttl_ms": %d},
  "services": {
   "reservas": {"regions": {
     "cantabria": {"share": %g, "max_concurrent": 24, "domains": {"cantabria-a": 0.5, "cantabria-b": 0.5}},
     "asturias": {"share": %g, "max_concurrent": 24, "domains": {"asturias-a": 0.5, "asturias-b": 0.5}}},
    "caps": {"region_share_per_second": %g, "domain_share_per_second": 0, "failover_share_per_second": 0.1},
-   "max_request_ms": %d, "idempotent_methods": ["GET", "HEAD"]},
+   "max_request_ms": %d},
   "cobros": {"regions": {
     "cantabria": {"share": 0.5, "domains": {"cantabria-a": 0.5, "cantabria-b": 0.5}},
     "asturias": {"share": 0.5, "domains": {"asturias-a": 0.5, "asturias-b": 0.5}}},
    "caps": {"region_share_per_second": 0.01, "domain_share_per_second": 0, "failover_share_per_second": 0.1},
-   "max_request_ms": %d, "idempotent_methods": ["GET", "HEAD"]}}}`,
+   "max_request_ms": %d}}}`,
 	ttl.Milliseconds(), homeShare, 1-homeShare, regionCap, maxRequest.Milliseconds(), maxRequest.Milliseconds())
 
 func spec(binaries string) harness.Spec {
@@ -56,16 +62,17 @@
 		return harness.Domain{Region: region, Name: region + "-" + name, Instances: 2}
 	}
 	return harness.Spec{
-		Binaries:    binaries,
-		Domains:     []harness.Domain{domain(home, "a"), domain(home, "b"), domain(away, "a"), domain(away, "b")},
-		Services:    []harness.Service{{Name: bookings, Upstreams: 3, Slots: 4}, {Name: deposits, Upstreams: 2, Slots: 3}},
+		Binaries:      binaries,
+		Domains:       []harness.Domain{domain(home, "a"), domain(home, "b"), domain(away, "a"), domain(away, "b")},
+		Services:      []harness.Service{bookings, deposits},
+		TargetLatency: targetLatency, Timeout: maxRequest, StopTime: stopTime,
 		Description: []byte(description),
 	}
 }
 
-func traffic(service string, rate, writes float64, seed uint64) load.Config {
+func traffic(service harness.Service, rate, writes float64, seed uint64) load.Config {
 	return load.Config{
-		Service: service, Blocks: []string{"10.64.0.1", "10.80.0.1"}, RunID: service, Seed: seed,
+		Host: service.Host(), Regions: []string{home, away}, RunID: service.Name, Seed: seed,
 		Rate: rate, NonIdempotent: writes, WorkMS: 10, LongPart: 0.01, LongWorkMS: 300, BodyBytes: 400,
 		Duration: loadTime, Deadline: maxRequest,
 	}
--- a/pkg/description/description.go
+++ b/pkg/description/description.go
@@ -24,6 +24,9 @@
 // MaxBytes bounds a description and a patch.
 const MaxBytes = 1 << 20
 
+// MaxDeadline is the longest time that a request may take.
+const MaxDeadline = 5 * time.Minute
+
 // Description is one version of the operators' document.
 type Description struct {
 	Regions  map[string]Region  `json:"regions"`
@@ -50,8 +53,6 @@
 type Lookup struct {
 	// TTLMS is how long callers may cache an answer, in milliseconds.
 	TTLMS int `json:"ttl_ms"`
-	// Blocks maps client blocks in CIDR notation to their nearest region.
-	Blocks map[string]string `json:"blocks,omitempty"`
 }
 
 // TTL returns how long callers may cache an answer.
@@ -65,9 +66,6 @@
 	MaxRequestMS int `json:"max_request_ms"`
 	// Locality is LocalityNone or LocalityNearest; empty means LocalityNone.
 	Locality string `json:"locality,omitempty"`
-	// IdempotentMethods are the HTTP methods that are idempotent unless a
-	// request says otherwise.
-	IdempotentMethods []string `json:"idempotent_methods,omitempty"`
 }
 
 // Ways to split a service's shares over the instances that receive its traffic.
@@ -123,23 +121,6 @@
 	return shares
 }
 
-// DomainLimit returns how many requests of the service may run in a failure
-// domain: the region's limit split by domain share, rounded down but at least
-// 1 where the domain has a share. 0 means no limit.
-func (s Service) DomainLimit(region, domain string) int {
-	placement := s.Regions[region]
-	if placement.MaxConcurrent == 0 {
-		return 0
-	}
-	limit := int(float64(placement.MaxConcurrent) * placement.Domains[domain])
-	return max(limit, 1)
-}
-
-// Idempotent tells whether a method is idempotent by the service's default.
-func (s Service) Idempotent(method string) bool {
-	return slices.Contains(s.IdempotentMethods, method)
-}
-
 // RegionOf returns the region of a failure domain, or "".
 func (d *Description) RegionOf(domain string) string {
 	for name, region := range d.Regions {
--- a/pkg/description/validate.go
+++ b/pkg/description/validate.go
@@ -3,11 +3,9 @@
 import (
 	"fmt"
 	"math"
-	"net/netip"
 	"regexp"
 	"strings"
 
-	"github.com/sequoiacove/sequoiacove/pkg/request"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
@@ -114,15 +112,6 @@
 	if d.Lookup.TTLMS < minTTLMS || d.Lookup.TTLMS > maxTTLMS {
 		p.add("lookup.ttl_ms", "must be %d to %d", minTTLMS, maxTTLMS)
 	}
-	for _, block := range sortedKeys(d.Lookup.Blocks) {
-		path := "lookup.blocks." + block
-		if _, err := netip.ParsePrefix(block); err != nil {
-			p.add(path, "not a block in CIDR notation")
-		}
-		if region := d.Lookup.Blocks[block]; !d.hasRegion(region) {
-			p.add(path, "unknown region %q", region)
-		}
-	}
 }
 
 func (d *Description) hasRegion(name string) bool {
@@ -154,8 +143,8 @@
 	if s.Locality != "" && s.Locality != LocalityNone && s.Locality != LocalityNearest {
 		p.add(path+".locality", "must be %s or %s", LocalityNone, LocalityNearest)
 	}
-	if s.MaxRequestMS <= 0 || s.MaxRequest() > request.MaxDeadline {
-		p.add(path+".max_request_ms", "must be 1 to %d", request.MaxDeadline.Milliseconds())
+	if s.MaxRequestMS <= 0 || s.MaxRequest() > MaxDeadline {
+		p.add(path+".max_request_ms", "must be 1 to %d", MaxDeadline.Milliseconds())
 	}
 }
 
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -14,11 +14,9 @@
 	LogLinesDropped  ID = 106
 
 	VersionInForce     ID = 200
-	VersionPushFailed  ID = 201
 	PatchAccepted      ID = 202
 	PatchRefused       ID = 203
 	PatchUnknown       ID = 204
-	VersionMismatch    ID = 205
 	StoreBehind        ID = 206
 	VersionRefused     ID = 207
 	EvacuationStarted  ID = 208
@@ -27,34 +25,19 @@
 	DescriptionUnread  ID = 211
 	DescriptionUnknown ID = 212
 
-	MemberJoined   ID = 300
-	MemberSuspect  ID = 301
-	MemberDead     ID = 302
-	MemberLeaving  ID = 303
-	EntrySilent    ID = 304
-	EntryAnswered  ID = 305
-	IDConflict     ID = 306
-	SnapshotFailed ID = 307
-
-	EntryDetached     ID = 400
-	EntryAttached     ID = 401
-	EntryResumed      ID = 402
-	PeerReplaced      ID = 403
-	DomainUnreachable ID = 404
-	RequestAnswered   ID = 405
-	RequestRefused    ID = 406
-	RequestFailed     ID = 407
-	RequestAbandoned  ID = 408
-	AttemptFailed     ID = 409
-	CallersTurnedAway ID = 410
-	SharesMoved       ID = 411
-
-	PoolAcquired       ID = 500
-	PoolReleased       ID = 501
+	MemberJoined       ID = 300
+	MemberDead         ID = 302
+	SnapshotFailed     ID = 307
+	RequestAnswered    ID = 405
+	RequestRefused     ID = 406
+	RequestFailed      ID = 407
+	RequestAbandoned   ID = 408
+	AttemptFailed      ID = 409
+	CallersTurnedAway  ID = 410
+	SharesMoved        ID = 411
 	UpstreamEjected    ID = 502
 	UpstreamReturned   ID = 503
 	UpstreamLeaving    ID = 504
-	ConnectionsRetired ID = 505
 	UpstreamJoined     ID = 506
 	UpstreamGone       ID = 507
 	UpstreamLapsed     ID = 508
@@ -62,8 +45,6 @@
 
 	StoreDown           ID = 600
 	StoreUp             ID = 601
-	LeaseHeld           ID = 602
-	LeaseLost           ID = 603
 	StoreHistoryGone    ID = 604
 	RegistrationFailed  ID = 605
 	RegistrationRemoved ID = 606
@@ -81,11 +62,9 @@
 	{LogLinesDropped, slog.LevelWarn, "log lines dropped", "Check the reader of the log; requests are not delayed by it."},
 
 	{VersionInForce, slog.LevelInfo, "configuration version in force", "None."},
-	{VersionPushFailed, slog.LevelWarn, "configuration push failed", "None if rare: heartbeats and polls repair it. Check the peer if it repeats."},
 	{PatchAccepted, slog.LevelInfo, "patch accepted", "None."},
 	{PatchRefused, slog.LevelInfo, "patch refused", "The operator corrects or rebases the patch."},
 	{PatchUnknown, slog.LevelWarn, "patch outcome unknown", "Repeat the patch with the same patch id once the store answers."},
-	{VersionMismatch, slog.LevelError, "peer has another configuration under the same version number", "Compare the store with its backups: its table was reset or restored. Accept a patch to replace the version everywhere."},
 	{StoreBehind, slog.LevelError, "store holds an older configuration than this instance", "The store's table was reset or restored from a backup: restore it to the version in force, because patches on the older version take no effect."},
 	{VersionRefused, slog.LevelError, "configuration version refused as invalid", "Check that this instance runs the same release as the instance that accepted the version."},
 	{EvacuationStarted, slog.LevelInfo, "evacuation of a failure domain started", "None."},
@@ -95,19 +74,8 @@
 	{DescriptionUnknown, slog.LevelWarn, "serving without knowledge of the description", "Check the store: the shares and limits of the description are not applied until it is read."},
 
 	{MemberJoined, slog.LevelInfo, "member joined", "None."},
-	{MemberSuspect, slog.LevelInfo, "member suspect", "None."},
 	{MemberDead, slog.LevelWarn, "member dead", "Check the instance if it was not replaced on purpose."},
-	{MemberLeaving, slog.LevelInfo, "member leaving", "None."},
-	{EntrySilent, slog.LevelWarn, "own entry does not answer", "Check the entry of this instance; peers send it nothing."},
-	{EntryAnswered, slog.LevelInfo, "own entry answers", "None."},
-	{IDConflict, slog.LevelWarn, "another process uses the id of this instance", "Give each instance an id of its own and restart it."},
 	{SnapshotFailed, slog.LevelWarn, "snapshot of a peer not received", "None if rare: another peer or the store brings the state."},
-
-	{EntryDetached, slog.LevelWarn, "entry detached from its agent", "Restart the agent of this instance."},
-	{EntryAttached, slog.LevelInfo, "entry attached to its agent", "None."},
-	{EntryResumed, slog.LevelWarn, "entry resumed after a pause", "Check why the instance was paused."},
-	{PeerReplaced, slog.LevelWarn, "silent peer connection replaced", "Check the path between the instances if it repeats."},
-	{DomainUnreachable, slog.LevelWarn, "failure domain unreachable", "Check the failure domain and its links."},
 	{RequestAnswered, slog.LevelInfo, "request answered", "None."},
 	{RequestRefused, slog.LevelInfo, "request refused as not run", "See docs/OPERATIONS.md if it repeats: the fields tell which limit refused it."},
 	{RequestFailed, slog.LevelWarn, "request failed", "See docs/OPERATIONS.md: the fields tell which upstream failed and how."},
@@ -115,13 +83,9 @@
 	{AttemptFailed, slog.LevelInfo, "attempt at an upstream failed", "Check the upstream if it repeats."},
 	{CallersTurnedAway, slog.LevelWarn, "connections of callers closed unread", "Add instances, or raise the descriptors of an instance."},
 	{SharesMoved, slog.LevelInfo, "region shares of a service moved", "None."},
-
-	{PoolAcquired, slog.LevelInfo, "pool acquired", "None."},
-	{PoolReleased, slog.LevelInfo, "pool released", "None."},
 	{UpstreamEjected, slog.LevelWarn, "upstream ejected", "Check the upstream."},
 	{UpstreamReturned, slog.LevelInfo, "upstream returned", "None."},
 	{UpstreamLeaving, slog.LevelInfo, "upstream leaving", "None."},
-	{ConnectionsRetired, slog.LevelWarn, "connections to an upstream retired as silent", "Check the path to the upstream if it repeats."},
 	{UpstreamJoined, slog.LevelInfo, "upstream registered", "None."},
 	{UpstreamGone, slog.LevelInfo, "upstream gone", "None."},
 	{UpstreamLapsed, slog.LevelWarn, "registration of an upstream lapsed and is held", "None if it registers again; check the store."},
@@ -129,8 +93,6 @@
 
 	{StoreDown, slog.LevelWarn, "platform store unavailable", "Check the platform; requests are still served."},
 	{StoreUp, slog.LevelInfo, "platform store available", "None."},
-	{LeaseHeld, slog.LevelInfo, "lease held", "None."},
-	{LeaseLost, slog.LevelInfo, "lease lost", "None."},
 	{StoreHistoryGone, slog.LevelWarn, "platform store no longer has the changes asked for", "None; the table is listed again."},
 	{RegistrationFailed, slog.LevelWarn, "instance not registered in the platform store", "None if the store is away: the instance tries again."},
 	{RegistrationRemoved, slog.LevelInfo, "registration of a replaced instance removed", "None."},
--- a/pkg/faultproxy/tcp.go
+++ b/pkg/faultproxy/tcp.go
@@ -27,15 +27,17 @@
 	// loseOnly limits lost answers to requests that begin with it.
 	loseOnly atomic.Value
 
-	mu     sync.Mutex
-	links  map[*link]struct{}
-	opened int
-	wait   sync.WaitGroup
+	mu    sync.Mutex
+	links map[*link]struct{}
+	wait  sync.WaitGroup
 }
 
 // NewTCP starts a relay to target on a port of 127.0.0.1.
-func NewTCP(target string) (*TCP, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func NewTCP(target string) (*TCP, error) { return NewTCPAt("127.0.0.1:0", target) }
+
+// NewTCPAt starts a relay to target at an address.
+func NewTCPAt(address, target string) (*TCP, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -95,13 +97,6 @@
 	return bytes.HasPrefix(data, []byte(prefix))
 }
 
-// Opened returns how many connections were accepted so far.
-func (t *TCP) Opened() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.opened
-}
-
 // Close ends the relay and all its connections.
 func (t *TCP) Close() {
 	t.listener.Close()
@@ -147,7 +142,6 @@
 	l := &link{relay: t, client: client, server: server}
 	t.mu.Lock()
 	t.links[l] = struct{}{}
-	t.opened++
 	t.mu.Unlock()
 	l.run()
 	t.mu.Lock()
--- a/pkg/faultproxy/udp.go
+++ b/pkg/faultproxy/udp.go
@@ -42,11 +42,20 @@
 // NewUDP starts a relay to target on a port of 127.0.0.1; seed fixes which
 // datagrams are lost or reordered.
 func NewUDP(target string, seed uint64) (*UDP, error) {
+	return NewUDPAt("127.0.0.1:0", target, seed)
+}
+
+// NewUDPAt is NewUDP at an address.
+func NewUDPAt(address, target string, seed uint64) (*UDP, error) {
 	to, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
 		return nil, err
 	}
-	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	at, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	front, err := net.ListenUDP("udp", at)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -81,6 +81,7 @@
 	live   atomic.Pointer[[]mesh.Member]
 	// leave is nil while the instance serves.
 	leave   atomic.Pointer[departure]
+	agreed  atomic.Pointer[agreement]
 	started time.Time
 	behind  map[string]time.Time
 	// unruled is set when the instance began to serve without knowing the
@@ -103,6 +104,7 @@
 	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), recent: newRecentRequests(), started: opt.Now(), behind: make(map[string]time.Time), ahead: make(chan mesh.Member, 1)}
 	i.live.Store(&[]mesh.Member{})
 	i.bounds.Store(&s.Bounds)
+	i.agreed.Store(&agreement{})
 	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now})
 	i.balancer = balance.New(balance.Config{Instance: s.ID, Region: s.Region, Domain: s.Domain, Regions: s.Regions, Bounds: s.Bounds,
 		Now: opt.Now, Random: opt.Random, Logger: opt.Logger, Forget: i.client.Forget})
@@ -180,6 +182,7 @@
 		i.balancer.Rebalance(min(now.Sub(last), 2*step))
 		i.stepShares()
 		i.catchUp(ctx, now)
+		i.noteAgreement(now)
 		last = now
 	}
 }
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -13,6 +13,7 @@
 	s := i.settings
 	i.mesh = mesh.New(mesh.Config{
 		Self:        mesh.Member{ID: s.ID, Region: s.Region, Domain: s.Domain, Caller: s.CallerAddress, Address: s.MeshAddress},
+		Advertised:  s.MeshAdvertised,
 		Incarnation: uint64(i.opt.Random() * (1 << 62)),
 		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
 		Local: i.local, InFlight: i.balancer.InFlight, Demands: i.balancer.Demands,
--- a/pkg/instance/operator.go
+++ b/pkg/instance/operator.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"context"
 	"encoding/json"
 	"time"
 
@@ -16,11 +15,39 @@
 const (
 	// operatorRequestsPerSecond bounds the requests of each operator.
 	operatorRequestsPerSecond = 20
-	// drainSpread is the time until no instance gives new work to what operators
-	// drain, and the reports of requests in flight are newer than that.
-	drainSpread = 5 * time.Second
+	// reportTime is the time in which all instances report their requests in
+	// flight.
+	reportTime = 1200 * time.Millisecond
 )
 
+// agreement is a version of the description that all live instances have.
+type agreement struct {
+	version uint64
+	since   time.Time
+}
+
+// noteAgreement notes since when all live instances have the version in force
+// here.
+func (i *Instance) noteAgreement(now time.Time) {
+	version := i.policy.Current().Number
+	for _, m := range i.mesh.Live() {
+		if m.Version < version {
+			i.agreed.Store(&agreement{})
+			return
+		}
+	}
+	if i.agreed.Load().version != version {
+		i.agreed.Store(&agreement{version, now})
+	}
+}
+
+// settled tells whether no live instance gives new work to what operators
+// drain, and the reports of requests in flight are newer than that.
+func (i *Instance) settled() bool {
+	a := i.agreed.Load()
+	return a.version == i.policy.Current().Number && i.opt.Now().Sub(a.since) >= reportTime
+}
+
 // backend answers the operator API for an instance.
 type backend struct{ *Instance }
 
@@ -33,8 +60,8 @@
 // Members implements operatorapi.Backend.
 func (b backend) Members() []cluster.Member {
 	s, local := b.settings, b.local()
-	list := []cluster.Member{{ID: s.ID, EntryIncarnation: 1, Region: s.Region, Domain: s.Domain, State: memberState(local.State),
-		CallerAddress: s.CallerAddress, Version: local.Version, Shares: local.Shares}}
+	list := []cluster.Member{{ID: s.ID, Region: s.Region, Domain: s.Domain, State: memberState(local.State),
+		CallerAddress: s.CallerAddress, Version: local.Version, Active: local.Active, Shares: local.Shares}}
 	for _, m := range *b.live.Load() {
 		shares := m.Shares
 		if m.Region != s.Region {
@@ -42,16 +69,15 @@
 				shares = t.shares
 			}
 		}
-		list = append(list, cluster.Member{ID: m.ID, EntryIncarnation: 1, Region: m.Region, Domain: m.Domain, State: memberState(m.State),
-			CallerAddress: m.Caller, Version: m.Version, Shares: shares})
+		list = append(list, cluster.Member{ID: m.ID, Region: m.Region, Domain: m.Domain, State: memberState(m.State),
+			CallerAddress: m.Caller, Version: m.Version, Active: m.Active, Shares: shares})
 	}
 	return list
 }
 
 // Drain implements operatorapi.Backend.
-func (b backend) Drain(_ context.Context, id string) (operator.Drain, error) {
-	version := b.policy.Current()
-	settled := b.opt.Now().Sub(time.UnixMilli(version.AcceptedUnixMS)) >= drainSpread
+func (b backend) Drain(id string) (operator.Drain, error) {
+	settled := b.settled()
 	if active, known := b.activeAt(id); known {
 		return drainOf(id, active, b.policy.Description().InstanceDrained(id), settled), nil
 	}
@@ -103,9 +129,8 @@
 	Upstreams    []balance.UpstreamState `json:"upstreams"`
 }
 
-// Explain implements operatorapi.Backend. The method and the path of a request
-// do not matter here.
-func (b backend) Explain(_ context.Context, service, _, _ string) (any, error) {
+// Explain implements operatorapi.Backend.
+func (b backend) Explain(service string) (any, error) {
 	v := b.catalog.View()
 	if v.Config == nil {
 		return nil, result.New(result.NoConfiguration, "no configuration has arrived")
@@ -132,10 +157,10 @@
 }
 
 // State implements operatorapi.Backend.
-func (b backend) State(context.Context) (operator.State, error) {
+func (b backend) State() (json.RawMessage, error) {
 	body, err := json.Marshal(b.state())
 	if err != nil {
-		return operator.State{}, result.New(result.Internal, "encoding the state: %v", err)
+		return nil, result.New(result.Internal, "encoding the state: %v", err)
 	}
-	return operator.State{Instance: body}, nil
+	return body, nil
 }
--- a/pkg/instance/register.go
+++ b/pkg/instance/register.go
@@ -92,7 +92,11 @@
 	call, cancel := context.WithTimeout(ctx, registerCall)
 	defer cancel()
 	s := r.instance.settings
-	return r.instance.store.Put(call, catalog.Instances, s.ID, []byte(s.MeshAddress))
+	address := s.MeshAddress
+	if s.MeshAdvertised != "" {
+		address = s.MeshAdvertised
+	}
+	return r.instance.store.Put(call, catalog.Instances, s.ID, []byte(address))
 }
 
 // acquainted waits a moment for the instances that the settings name and tells
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -98,7 +98,10 @@
 	if !i.mayStart(c) {
 		return c.refuse("leaving")
 	}
-	if reason := c.choosePlace(); reason != "" {
+	if reason := c.choosePlace(ctx); reason != "" {
+		if ctx.Err() != nil {
+			return c.abandoned()
+		}
 		return c.refuse(reason)
 	}
 	answer := c.run(ctx)
@@ -114,8 +117,15 @@
 
 // choosePlace takes the failure domain of the request from the description, if
 // that names the service, and returns why there is none.
-func (c *call) choosePlace() (reason string) {
-	place, err := c.instance.policy.Place(c.service, len(c.request.Head)+len(c.request.Body), c.route.AllowsRegion)
+func (c *call) choosePlace(ctx context.Context) (reason string) {
+	start := c.instance.opt.Now()
+	if domain, due := c.instance.balancer.ProbeDue(c.service); due && c.route.Idempotent {
+		if c.place = c.instance.policy.PlaceIn(ctx, c.placeRequest(start), domain); c.place != nil {
+			return ""
+		}
+	}
+	place, err := c.instance.policy.Place(ctx, c.placeRequest(start))
+	c.waited += c.instance.opt.Now().Sub(start)
 	if err != nil {
 		return result.Lookup(result.CodeOf(err)).Name
 	}
@@ -123,6 +133,31 @@
 	return ""
 }
 
+// placeRequest leaves half of the time that the request may wait for the
+// choice of the upstream.
+func (c *call) placeRequest(now time.Time) policy.Request {
+	return policy.Request{Service: c.service, Bytes: len(c.request.Head) + len(c.request.Body), Allowed: c.route.AllowsRegion, Hold: c.hold(now) / 2}
+}
+
+// hold returns how long the request may still wait before it is refused.
+func (c *call) hold(now time.Time) time.Duration {
+	return min(time.Duration(holdPart*float64(c.target()))-now.Sub(c.request.Arrived), c.end.Sub(now))
+}
+
+// movePlace takes another failure domain if no upstream of the present one can
+// take the request, and tells whether there is one.
+func (c *call) movePlace(ctx context.Context) bool {
+	if c.place == nil || !c.place.Probe && c.instance.balancer.Explain(c.ask).Full > 0 {
+		return false
+	}
+	place, err := c.instance.policy.Move(ctx, c.place, c.placeRequest(c.instance.opt.Now()))
+	c.place = place
+	if err != nil {
+		c.failures = append(c.failures, []any{"request", c.request.ID, "reason", "no_other_domain", "error", err.Error()})
+	}
+	return err == nil
+}
+
 // deadline returns the time at which the request is given up.
 func (c *call) deadline() time.Time {
 	wait := defaultWait
@@ -155,6 +190,9 @@
 		if ctx.Err() != nil && lease == nil {
 			return c.abandoned()
 		}
+		if lease == nil && c.movePlace(ctx) {
+			continue
+		}
 		if lease == nil {
 			return c.giveUp(noUpstream)
 		}
@@ -191,13 +229,11 @@
 // acquire asks for an upstream; a request that was sent before does not wait.
 func (c *call) acquire(ctx context.Context, again bool) *balance.Lease {
 	start := c.instance.opt.Now()
-	hold := time.Duration(holdPart*float64(c.target())) - start.Sub(c.request.Arrived)
-	hold = min(hold, c.end.Sub(start))
 	c.ask = balance.Ask{Service: c.service, Route: c.route, Key: c.request.AffinityKey, Exclude: c.tried, Again: again}
 	if c.place != nil {
 		c.ask.Domain = c.place.Domain
 	}
-	l := c.instance.balancer.Acquire(ctx, c.ask, hold)
+	l := c.instance.balancer.Acquire(ctx, c.ask, c.hold(start))
 	c.waited += c.instance.opt.Now().Sub(start)
 	return l
 }
--- a/pkg/instance/settings.go
+++ b/pkg/instance/settings.go
@@ -21,8 +21,11 @@
 	ReadyAddress  string
 	LookupAddress string
 	// MeshAddress serves the other instances over TCP and UDP.
-	MeshAddress  string
-	AdminAddress string
+	MeshAddress string
+	// MeshAdvertised is where the others reach MeshAddress, if it differs as
+	// behind an address translation.
+	MeshAdvertised string
+	AdminAddress   string
 	// MetricsAddress serves the metrics and the state dump to collectors.
 	MetricsAddress string
 	// Seeds are mesh addresses of instances to try first.
@@ -58,6 +61,7 @@
 		ReadyAddress:   r.Address("listen", "readiness"),
 		LookupAddress:  r.AddressOr("listen", "lookup", ""),
 		MeshAddress:    r.Address("listen", "mesh"),
+		MeshAdvertised: r.AddressOr("mesh", "advertised", ""),
 		AdminAddress:   r.AddressOr("listen", "admin", ""),
 		MetricsAddress: r.AddressOr("listen", "metrics", ""),
 		StoreAddress:   r.Address("store", "address"),
--- a/pkg/linkbudget/linkbudget.go
+++ b/pkg/linkbudget/linkbudget.go
@@ -3,7 +3,7 @@
 //
 // Every instance charges only what it sends: request bytes by the instance that
 // forwards a request, response bytes by the instance that answers. The part of
-// an instance is the link rate divided by the live entry instances of its
+// an instance is the link rate divided by the live instances of its
 // region, so the sum over the region stays within the link rate.
 package linkbudget
 
--- a/pkg/load/clients.go
+++ b/pkg/load/clients.go
@@ -9,15 +9,13 @@
 )
 
 const (
-	dialTimeout  = time.Second
-	idleTimeout  = 30 * time.Second
-	idlePerEntry = 512
+	dialTimeout     = time.Second
+	idleTimeout     = 10 * time.Second
+	idlePerInstance = 512
 )
 
-var errNoIdentifiers = errors.New("the instance issues no request identifiers at present")
-
-// clients holds one HTTP client per entry instance, so that all idle
-// connections to an instance can be dropped at once.
+// clients holds one HTTP client per instance, so that all idle connections to
+// an instance can be dropped at once.
 type clients struct {
 	mu        sync.Mutex
 	byAddress map[string]*http.Client
@@ -51,7 +49,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idlePerEntry,
+		MaxIdleConnsPerHost: idlePerInstance,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}}
--- a/pkg/load/load.go
+++ b/pkg/load/load.go
@@ -7,30 +7,29 @@
 // caller saw to the executions that the upstreams recorded, which Audit
 // compares.
 //
-// The caller behaves as docs/protocols.md asks: it caches look-up answers for
-// their lifetime, follows the order of preference, asks for request
-// identifiers and repeats a request with the same identifier after "outcome
-// unknown".
+// The caller behaves as callers of the platform do: it caches look-up answers
+// for their lifetime, goes to another instance after a refusal as "not run",
+// repeats idempotent requests after any failure, and gives each submission an
+// identifier of its own.
 package load
 
 import (
 	"context"
 	"sync"
 	"time"
-
-	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
 // Config describes one run.
 type Config struct {
-	// Entries are caller addresses that answer the first look-up.
-	Entries []string
-	Service string
-	// Blocks are the client blocks of the simulated callers; each has its own
-	// cached look-up answer. Empty means one caller without a block.
-	Blocks []string
-	// Direct lists entry instances that callers use without look-ups, one
-	// caller for each; Entries and Blocks are then not used.
+	// Directories are the look-up addresses of instances.
+	Directories []string
+	// Host is the name under which the routes of the requests are listed.
+	Host string
+	// Regions are those of the simulated callers; each has its own cached
+	// look-up answer. Empty means one caller of no region.
+	Regions []string
+	// Direct lists caller addresses that are used without look-ups, one caller
+	// for each; Directories and Regions are then not used.
 	Direct []string
 	// Single sends each request once, without other instances or repeats.
 	Single bool
@@ -52,8 +51,6 @@
 	// AttemptTimeout bounds one submission of an idempotent request; the caller
 	// then tries the next instance. 0 waits until the deadline.
 	AttemptTimeout time.Duration
-	// SettleFor bounds the repeats of a request after "outcome unknown".
-	SettleFor time.Duration
 	// MaxInFlight bounds open requests; a request beyond it is counted as dropped.
 	MaxInFlight int
 	// BodyBytes is the size of the body of requests that are not idempotent.
@@ -65,7 +62,6 @@
 // Defaults for fields of Config that are left at 0.
 const (
 	DefaultDeadline    = 10 * time.Second
-	DefaultSettleFor   = 5 * time.Second
 	DefaultMaxInFlight = 4096
 )
 
@@ -73,17 +69,14 @@
 	if c.Deadline == 0 {
 		c.Deadline = DefaultDeadline
 	}
-	if c.SettleFor == 0 {
-		c.SettleFor = DefaultSettleFor
-	}
 	if c.MaxInFlight == 0 {
 		c.MaxInFlight = DefaultMaxInFlight
 	}
 	if len(c.Direct) > 0 {
-		c.Blocks = make([]string, len(c.Direct))
+		c.Regions = make([]string, len(c.Direct))
 	}
-	if len(c.Blocks) == 0 {
-		c.Blocks = []string{""}
+	if len(c.Regions) == 0 {
+		c.Regions = []string{""}
 	}
 	if c.RunID == "" {
 		c.RunID = "run"
@@ -97,18 +90,16 @@
 	Class      string `json:"class"`
 	Idempotent bool   `json:"idempotent"`
 	// IntendedUnixUS is the planned send time; latency counts from it.
-	IntendedUnixUS int64       `json:"intended_unix_us"`
-	LatencyUS      int64       `json:"latency_us"`
-	Outcome        string      `json:"outcome"`
-	Code           result.Code `json:"code"`
-	// Entry, Upstream and Domain tell who answered last.
-	Entry    string `json:"entry,omitempty"`
+	IntendedUnixUS int64  `json:"intended_unix_us"`
+	LatencyUS      int64  `json:"latency_us"`
+	Outcome        string `json:"outcome"`
+	// Status is that of the last answer, or 0 if there was none.
+	Status int `json:"status"`
+	// Instance is the caller address that was used last; Upstream answered.
+	Instance string `json:"instance,omitempty"`
 	Upstream string `json:"upstream,omitempty"`
-	Domain   string `json:"domain,omitempty"`
 	// Sends counts the submissions, including repeats.
 	Sends int `json:"sends"`
-	// Settled is set when a repeat turned "outcome unknown" into an answer.
-	Settled bool `json:"settled,omitempty"`
 	// Fault names a broken answer: one of another request or an incomplete one.
 	Fault string `json:"fault,omitempty"`
 	// Detail explains the last refusal or failure.
--- a/pkg/load/plan.go
+++ b/pkg/load/plan.go
@@ -8,8 +8,7 @@
 	"time"
 )
 
-// Classes of requests; the class is the first path segment, so that the system
-// learns the cost of each class separately.
+// Classes of requests; the class is the first path segment and names a route.
 const (
 	ClassRead  = "read"
 	ClassWrite = "write"
@@ -23,7 +22,7 @@
 	Serial int
 	Token  string
 	Class  string
-	// Caller is the index of the block that sends the request.
+	// Caller is the index of the simulated caller.
 	Caller     int
 	Idempotent bool
 	WorkMS     float64
@@ -75,7 +74,7 @@
 	item := Item{
 		At: at, Serial: serial, Class: ClassRead, Idempotent: true, WorkMS: cfg.WorkMS,
 		Token:  fmt.Sprintf("%s-%d-%06d", cfg.RunID, cfg.Seed, serial),
-		Caller: random.IntN(len(cfg.Blocks)),
+		Caller: random.IntN(len(cfg.Regions)),
 	}
 	kind, length := random.Float64(), random.Float64()
 	if kind < cfg.NonIdempotent {
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -70,17 +70,15 @@
 
 // Summary is the short form of a report.
 type Summary struct {
-	Service    string         `json:"service"`
+	Host       string         `json:"host"`
 	Rate       float64        `json:"rate"`
 	Seed       uint64         `json:"seed"`
 	ElapsedMS  int64          `json:"elapsed_ms"`
 	Sent       int            `json:"sent"`
 	Dropped    int            `json:"dropped"`
 	Outcomes   map[string]int `json:"outcomes"`
-	Codes      map[string]int `json:"codes"`
+	Statuses   map[int]int    `json:"statuses"`
 	Faults     map[string]int `json:"faults,omitempty"`
-	Domains    map[string]int `json:"domains"`
-	Settled    int            `json:"settled"`
 	Submitted  int            `json:"submitted"`
 	Identifier string         `json:"run_id"`
 	// Latency is by class for complete answers and by outcome otherwise.
@@ -92,10 +90,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := Summary{
-		Service: r.Config.Service, Rate: r.Config.Rate, Seed: r.Config.Seed, Identifier: r.Config.RunID,
+		Host: r.Config.Host, Rate: r.Config.Rate, Seed: r.Config.Seed, Identifier: r.Config.RunID,
 		ElapsedMS: r.Elapsed.Milliseconds(), Sent: len(r.Records), Dropped: r.Dropped,
-		Outcomes: make(map[string]int), Codes: make(map[string]int), Faults: make(map[string]int),
-		Domains: make(map[string]int), Latency: make(map[string]Quantiles),
+		Outcomes: make(map[string]int), Statuses: make(map[int]int), Faults: make(map[string]int),
+		Latency: make(map[string]Quantiles),
 	}
 	for _, record := range r.Records {
 		s.count(record)
@@ -108,17 +106,11 @@
 
 func (s *Summary) count(record Record) {
 	s.Outcomes[record.Outcome]++
-	s.Codes[result.Lookup(record.Code).Name]++
+	s.Statuses[record.Status]++
 	s.Submitted += record.Sends
 	if record.Fault != "" {
 		s.Faults[record.Fault]++
 	}
-	if record.Domain != "" {
-		s.Domains[record.Domain]++
-	}
-	if record.Settled {
-		s.Settled++
-	}
 }
 
 func quantiles(h *hdrhistogram.Histogram) Quantiles {
--- a/pkg/load/send.go
+++ b/pkg/load/send.go
@@ -9,24 +9,24 @@
 	"strings"
 	"time"
 
-	"github.com/sequoiacove/sequoiacove/pkg/request"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/platform"
 )
 
 const (
 	// answerSlack lets the system's own refusal arrive after the deadline.
 	answerSlack = 500 * time.Millisecond
-	settlePause = 200 * time.Millisecond
-	roundPause  = 20 * time.Millisecond
-	// maxRounds bounds the passes over the preference list after "not run".
-	maxRounds = 2
+	// maxRounds bounds the passes over the addresses of a look-up answer.
+	maxRounds = 3
+	// waitPart is the part of the time left that a caller waits at most before
+	// it comes back after a refusal.
+	waitPart = 1.0 / 3
 )
 
 // callers holds the simulated callers of a run.
 type callers struct {
-	clients     *clients
-	identifiers *identifiers
-	list        []*caller
+	clients *clients
+	list    []*caller
 }
 
 type caller struct {
@@ -37,11 +37,10 @@
 
 func newCallers(cfg Config) *callers {
 	shared := &callers{clients: newClients()}
-	shared.identifiers = newIdentifiers(shared.clients, cfg.Service)
-	for i, block := range cfg.Blocks {
-		lookups := &cache{clients: shared.clients, service: cfg.Service, block: block, entries: cfg.Entries, next: i}
+	for i, region := range cfg.Regions {
+		lookups := &cache{clients: shared.clients, host: cfg.Host, region: region, directories: cfg.Directories, next: i}
 		if len(cfg.Direct) > 0 {
-			lookups.fixed = []Target{{ID: cfg.Direct[i], Address: cfg.Direct[i]}}
+			lookups.fixed = []string{cfg.Direct[i]}
 		}
 		shared.list = append(shared.list, &caller{cfg: cfg, shared: shared, lookups: lookups})
 	}
@@ -54,111 +53,59 @@
 
 // attempt is the result of one submission.
 type attempt struct {
-	outcome  result.Outcome
-	code     result.Code
+	outcome result.Outcome
+	// status is that of the answer, or 0 if there was none.
+	status int
+	// denied tells that a repeat would get the same answer.
+	denied   bool
 	upstream string
-	domain   string
 	fault    string
 	detail   string
-	repeats  int
+	// after is the time that the answer asks the caller to wait.
+	after time.Duration
 }
 
-func notSent(detail string) attempt {
-	return attempt{outcome: result.NotRun, code: result.PeerUnreachable, detail: detail}
-}
+func notSent(detail string) attempt { return attempt{outcome: result.NotRun, detail: detail} }
 
 // send carries one request to its final outcome.
 func (c *caller) send(item Item, intended time.Time) Record {
 	record := Record{Token: item.Token, Class: item.Class, Idempotent: item.Idempotent, IntendedUnixUS: intended.UnixMicro()}
 	deadline := intended.Add(c.cfg.Deadline)
-	last := notSent("no entry instance is known")
-	for round := 0; round < maxRounds && last.outcome == result.NotRun; round++ {
+	last, unknown := notSent("no instance is known"), false
+	for round := 0; round < maxRounds && !c.ended(item, last); round++ {
 		if round > 0 {
-			time.Sleep(roundPause)
-		}
-		last = c.tryTargets(item, deadline, &record, last)
-		if c.cfg.Single || last.code == result.BadRequest || last.code == result.UnknownService {
-			break
-		}
-	}
-	record.LatencyUS = time.Since(intended).Microseconds()
-	record.Outcome, record.Code, record.Detail = last.outcome.String(), last.code, last.detail
-	record.Upstream, record.Domain, record.Fault = last.upstream, last.domain, last.fault
-	return record
-}
-
-// tryTargets follows the order of preference until an answer is not "not run".
-func (c *caller) tryTargets(item Item, deadline time.Time, record *Record, last attempt) attempt {
-	for _, target := range c.lookups.targets() {
-		if time.Until(deadline) <= 0 {
-			return last
-		}
-		id := ""
-		if !item.Idempotent {
-			issued, err := c.shared.identifiers.take(target.Address)
-			if err != nil {
-				last = notSent(err.Error())
-				continue
-			}
-			id = issued
-		}
-		last = c.submit(target, item, id, deadline, record)
-		if last.outcome == result.Unknown && !c.cfg.Single {
-			last = c.repeat(target, item, id, deadline, record, last)
-		}
-		if last.outcome != result.NotRun || c.cfg.Single {
-			return last
-		}
-	}
-	return last
-}
-
-// repeat sends a request again after "outcome unknown": an idempotent one to
-// the other instances within its deadline, any other with its identifier until
-// the outcome is known or SettleFor has passed. Only a complete answer settles
-// the outcome, because "not run" describes the repeat alone.
-func (c *caller) repeat(first Target, item Item, id string, deadline time.Time, record *Record, last attempt) attempt {
-	limit := deadline
-	if !item.Idempotent {
-		limit = time.Now().Add(c.cfg.SettleFor)
-	}
-	for time.Now().Before(limit) && canSettle(last.code) {
-		if !item.Idempotent || last.repeats > 0 {
-			time.Sleep(settlePause)
+			time.Sleep(min(last.after, time.Duration(waitPart*float64(time.Until(deadline)))))
 		}
-		targets := c.lookups.targets()
-		for _, target := range targets {
-			if item.Idempotent && target.ID == first.ID && len(targets) > 1 {
-				continue
-			}
-			again := c.submit(target, item, id, limit, record)
-			if again.outcome == result.Complete {
-				record.Settled = true
-				return again
+		for _, address := range c.lookups.targets() {
+			if time.Until(deadline) <= 0 {
+				break
 			}
-			if again.outcome == result.Unknown {
-				again.repeats = last.repeats
-				last = again
+			last = c.submit(address, item, deadline, &record)
+			unknown = unknown || last.outcome == result.Unknown
+			if c.ended(item, last) {
 				break
 			}
 		}
-		last.repeats++
 	}
-	return last
+	if unknown && last.outcome == result.NotRun {
+		// "Not run" describes the last submission alone.
+		last.outcome = result.Unknown
+	}
+	record.LatencyUS = time.Since(intended).Microseconds()
+	record.Outcome, record.Status, record.Detail = last.outcome.String(), last.status, last.detail
+	record.Upstream, record.Fault = last.upstream, last.fault
+	return record
 }
 
-// canSettle tells whether a repeat can still change the outcome.
-func canSettle(code result.Code) bool {
-	switch code {
-	case result.RequestIDOwnerGone, result.RequestIDExpired, result.RequestIDConsumed:
-		return false
-	}
-	return true
+// ended tells whether no other submission follows.
+func (c *caller) ended(item Item, last attempt) bool {
+	return last.status != 0 && c.cfg.Single || last.outcome == result.Complete || last.denied || last.outcome == result.Unknown && (c.cfg.Single || !item.Idempotent)
 }
 
-func (c *caller) submit(target Target, item Item, id string, deadline time.Time, record *Record) attempt {
+// submit sends the request once, under an identifier of its own.
+func (c *caller) submit(address string, item Item, deadline time.Time, record *Record) attempt {
 	record.Sends++
-	record.Entry = target.ID
+	record.Instance = address
 	remaining := time.Until(deadline)
 	wait := remaining + answerSlack
 	if item.Idempotent && c.cfg.AttemptTimeout > 0 {
@@ -166,13 +113,17 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	req, err := c.newRequest(ctx, target, item, id, remaining)
+	id, sent := fmt.Sprintf("%s.%d", item.Token, record.Sends), ""
+	if !item.Idempotent {
+		sent = bodyOf(item, c.cfg.BodyBytes)
+	}
+	req, err := c.newRequest(ctx, address, item, id, sent, remaining)
 	if err != nil {
 		return notSent(err.Error())
 	}
-	resp, err := c.shared.clients.of(target.Address).Do(req)
+	resp, err := c.shared.clients.of(address).Do(req)
 	if err != nil {
-		c.shared.clients.retire(target.Address)
+		c.shared.clients.retire(address)
 		return failed(err)
 	}
 	defer resp.Body.Close()
@@ -180,30 +131,28 @@
 	if err != nil {
 		return failed(fmt.Errorf("reading the answer: %w", err))
 	}
-	return judge(item, resp, body, int(req.ContentLength))
+	a := judge(id, item.Path(), sent, resp, string(body))
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		a.after = time.Duration(seconds * float64(time.Second))
+	}
+	return a
 }
 
 func failed(err error) attempt {
 	if neverSent(err) {
 		return notSent(err.Error())
 	}
-	return attempt{outcome: result.Unknown, code: result.PeerNoAnswer, detail: err.Error()}
+	return attempt{outcome: result.Unknown, detail: err.Error()}
 }
 
-func (c *caller) newRequest(ctx context.Context, target Target, item Item, id string, remaining time.Duration) (*http.Request, error) {
-	url := "http://" + target.Address + "/v1/services/" + c.cfg.Service + item.Path()
-	body := ""
-	if !item.Idempotent {
-		body = bodyOf(item, c.cfg.BodyBytes)
-	}
-	req, err := http.NewRequestWithContext(ctx, item.Method(), url, strings.NewReader(body))
+func (c *caller) newRequest(ctx context.Context, address string, item Item, id, body string, remaining time.Duration) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, item.Method(), "http://"+address+item.Path(), strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(request.HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
-	req.Header.Set(request.HeaderIdempotent, strconv.FormatBool(item.Idempotent))
-	if id != "" {
-		req.Header.Set(request.HeaderRequestID, id)
-	}
+	h := platform.Headers()
+	req.Host = c.cfg.Host
+	req.Header.Set(h.RequestID, id)
+	req.Header.Set(h.Deadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
 	return req, nil
 }
--- a/pkg/load/shares.go
+++ b/pkg/load/shares.go
@@ -98,23 +98,23 @@
 	return highest
 }
 
-// RoundingWithTransfers is the rounding of one entry instance, in requests,
+// RoundingWithTransfers is the rounding of one instance, in requests,
 // while it transfers requests between domains: a place's credit is at least -2
 // after a transfer and at most 1. Without transfers it is 1.
 const RoundingWithTransfers = 3
 
 // CheckCap compares every pair of windows: the share of a place may differ by
 // at most the cap times the time between the windows, and by the rounding of
-// the choosers in each window, which is one request for each entry instance.
-func CheckCap(windows []Window, places []string, capPerSecond, windowSeconds float64, entries int) []string {
-	return check(windows, places, capPerSecond*windowSeconds, entries, math.Abs)
+// the choosers in each window, which is one request for each instance.
+func CheckCap(windows []Window, places []string, capPerSecond, windowSeconds float64, instances int) []string {
+	return check(windows, places, capPerSecond*windowSeconds, instances, math.Abs)
 }
 
 // CheckGrowth is CheckCap for rising shares alone. While a place is
 // unreachable its requests are refused, so its executed share falls at once.
 // Some of them are transferred to other places.
-func CheckGrowth(windows []Window, places []string, capPerSecond, windowSeconds float64, entries int) []string {
-	return check(windows, places, capPerSecond*windowSeconds, entries*RoundingWithTransfers, func(moved float64) float64 { return moved })
+func CheckGrowth(windows []Window, places []string, capPerSecond, windowSeconds float64, instances int) []string {
+	return check(windows, places, capPerSecond*windowSeconds, instances*RoundingWithTransfers, func(moved float64) float64 { return moved })
 }
 
 func check(windows []Window, places []string, capPerWindow float64, requests int, size func(float64) float64) []string {
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -140,9 +140,9 @@
 		for service, rate := range x.Rates {
 			d.Rates[service] += rate
 		}
-		shares = append(shares, cluster.Member{ID: x.ID, EntryIncarnation: 1, Shares: x.Shares})
+		shares = append(shares, cluster.Member{ID: x.ID, Shares: x.Shares})
 	}
-	d.Shares = cluster.MeanShares(shares, "")
+	d.Shares = cluster.MeanShares(shares)
 }
 
 // takeDigest applies the digest of another region and passes it on if it came
@@ -210,6 +210,7 @@
 		x.Member = Member{ID: r.ID, Region: d.Region, Domain: r.Domain, Caller: r.Caller, State: r.State, Directives: r.Directives, Upstreams: r.Upstreams, Version: r.Version, Active: r.Active, Address: r.Address}
 		x.heard, x.alive = now, true
 		delete(m.unknown, r.Address)
+		delete(m.lost, r.Address)
 	}
 	return changed
 }
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -39,6 +39,12 @@
 	// helloInterval is the time between heartbeats to addresses at which no
 	// instance is known yet.
 	helloInterval = time.Second
+	// lostEvery is the number of such rounds of which one also goes to the
+	// addresses of dead members: those that were cut off are found again.
+	lostEvery = 3
+	// lostMemory is how long they are tried. The platform's store names the
+	// instances that still exist after that.
+	lostMemory = 15 * time.Minute
 	// loadInterval is the time between reports of the requests in flight.
 	loadInterval = 100 * time.Millisecond
 	// intervalPerMember stretches the intervals for many members of a region,
@@ -113,6 +119,9 @@
 // Config holds the inputs of a Mesh.
 type Config struct {
 	Self Member
+	// Advertised is where the others reach this instance, if that is not where
+	// its datagrams come from.
+	Advertised string
 	// Incarnation tells two starts under one id apart.
 	Incarnation uint64
 	// Seeds are addresses to try before any member is known.
@@ -143,9 +152,12 @@
 	config Config
 	conn   net.PacketConn
 
-	mu       sync.Mutex
-	members  map[string]*member
-	unknown  map[string]time.Time
+	mu      sync.Mutex
+	members map[string]*member
+	unknown map[string]time.Time
+	// lost holds the dead members by address.
+	lost     map[string]lostMember
+	hellos   int
 	sequence uint64
 	beats    int
 	ticked   time.Time
@@ -158,6 +170,12 @@
 	received int64
 }
 
+// lostMember is a member that is not heard any more.
+type lostMember struct {
+	region string
+	since  time.Time
+}
+
 type member struct {
 	Member
 	incarnation uint64
@@ -170,7 +188,10 @@
 
 // New returns a Mesh on an open socket.
 func New(config Config, conn net.PacketConn) *Mesh {
-	m := &Mesh{config: config, conn: conn, members: make(map[string]*member), unknown: make(map[string]time.Time)}
+	if config.Advertised != "" {
+		config.Self.Address = config.Advertised
+	}
+	m := &Mesh{config: config, conn: conn, members: make(map[string]*member), unknown: make(map[string]time.Time), lost: make(map[string]lostMember)}
 	for _, a := range config.Seeds {
 		m.addAddress(a)
 	}
@@ -333,6 +354,9 @@
 		}
 		if x.alive && silent > limit {
 			x.alive, changed = false, true
+			if x.State != Leaving && len(m.lost) < maxMembers {
+				m.lost[x.Address] = lostMember{x.Region, now}
+			}
 			event.Log(m.config.Logger, event.MemberDead, "member", id, "silent_ms", silent.Milliseconds())
 		}
 		if silent > forgetAfter {
@@ -344,6 +368,11 @@
 			delete(m.unknown, a)
 		}
 	}
+	for a, l := range m.lost {
+		if now.Sub(l.since) > lostMemory {
+			delete(m.lost, a)
+		}
+	}
 	if !changed {
 		return nil
 	}
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -24,7 +24,8 @@
 
 // beat is the content of a heartbeat. Its fields are numbered, so that releases
 // with other fields read each other. A short one leaves out where the sender is
-// and what changes slowly: Region, Domain, Caller, Demand, Rates and Addresses.
+// and what changes slowly: Region, Domain, Caller, Demand, Rates, Addresses and
+// Advertised.
 type beat struct {
 	Region     string           `cbor:"1,keyasint,omitempty"`
 	Domain     string           `cbor:"2,keyasint,omitempty"`
@@ -39,6 +40,9 @@
 	Active     int              `cbor:"11,keyasint,omitempty"`
 	Shares     cluster.Shares   `cbor:"12,keyasint,omitempty"`
 	Rates      cluster.Demand   `cbor:"13,keyasint,omitempty"`
+	// Advertised is the address of the sender if it is not the source of the
+	// datagram.
+	Advertised string `cbor:"14,keyasint,omitempty"`
 }
 
 // send sends the messages that are due inside the region, and heartbeats to
@@ -50,7 +54,7 @@
 		Version: local.Version, Active: local.Active, Shares: local.Shares}
 	whole := *short
 	whole.Region, whole.Domain, whole.Caller = m.config.Self.Region, m.config.Self.Domain, m.config.Self.Caller
-	whole.Rates = local.Rates
+	whole.Rates, whole.Advertised = local.Rates, m.config.Advertised
 	if due.full {
 		whole.Demand = m.config.Demands()
 	}
@@ -86,12 +90,26 @@
 	}
 }
 
+// sendHellos sends heartbeats to addresses at which an instance may be found.
+// Only the gateway looks for the lost members of other regions.
 func (m *Mesh) sendHellos(full []byte) {
-	for a := range m.unknown {
+	hello := func(a string) {
 		if target, err := net.ResolveUDPAddr("udp4", a); err == nil {
 			m.write(full, target)
 		}
 	}
+	for a := range m.unknown {
+		hello(a)
+	}
+	if m.hellos++; m.hellos%lostEvery != 0 {
+		return
+	}
+	gateway := m.isGateway()
+	for a, l := range m.lost {
+		if gateway || l.region == m.config.Self.Region {
+			hello(a)
+		}
+	}
 }
 
 // pack lists the hash and the count of each upstream.
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net/url"
@@ -12,8 +11,8 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/sequoiacove/sequoiacove/pkg/platform"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/wait"
 )
 
 const (
@@ -30,18 +29,16 @@
 
 // ClientConfig configures a Client.
 type ClientConfig struct {
-	// Addresses are the operator addresses of agents, tried in order.
+	// Addresses are the admin addresses of instances, tried in order.
 	Addresses []string
 	Token     string
-	// TLS selects HTTPS; nil selects HTTP.
-	TLS *tls.Config
 	// Timeout bounds each attempt.
 	Timeout time.Duration
 	// Sleep waits between rounds of a patch; tests replace it.
 	Sleep func(ctx context.Context, d time.Duration) error
 }
 
-// Client calls the operator API of any of several agents.
+// Client calls the operator API of any of several instances.
 type Client struct {
 	cfg  ClientConfig
 	http *fasthttp.Client
@@ -53,11 +50,10 @@
 		cfg.Timeout = defaultTimeout
 	}
 	if cfg.Sleep == nil {
-		cfg.Sleep = platform.Sleep
+		cfg.Sleep = wait.For
 	}
 	return &Client{cfg: cfg, http: &fasthttp.Client{
 		Name:                      "sequoiactl",
-		TLSConfig:                 cfg.TLS,
 		Dial:                      dial,
 		MaxResponseBodySize:       maxReplyBytes,
 		MaxIdemponentCallAttempts: 1,
@@ -65,7 +61,7 @@
 	}}
 }
 
-// attempt sends one request to one agent. PeerUnreachable means that nothing
+// attempt sends one request to one instance. PeerUnreachable means that nothing
 // was sent.
 func (c *Client) attempt(ctx context.Context, addr, method, path string, body []byte) ([]byte, error) {
 	if len(body) > MaxBodyBytes {
@@ -74,11 +70,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	scheme := "http"
-	if c.cfg.TLS != nil {
-		scheme = "https"
-	}
-	req.SetRequestURI(scheme + "://" + addr + path)
+	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
 	req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
 	if body != nil {
@@ -110,7 +102,7 @@
 		return result.New(result.PeerUnreachable, "%s: %v", addr, dialing.error)
 	}
 	if errors.Is(err, fasthttp.ErrConnectionClosed) {
-		return result.New(result.PeerNoAnswer, "%s: connection closed without an answer; check whether the agent expects HTTPS (--authority)", addr)
+		return result.New(result.PeerNoAnswer, "%s: connection closed without an answer", addr)
 	}
 	return result.New(result.PeerNoAnswer, "%s: %v", addr, err)
 }
@@ -124,17 +116,17 @@
 	return &RemoteError{Body: e, Address: addr}
 }
 
-// Retryable reports whether another agent, or the same one later, may succeed
+// Retryable reports whether another instance, or the same one later, may succeed
 // where a call failed.
 func Retryable(err error) bool {
 	return result.Lookup(result.CodeOf(err)).HTTPStatus >= 500
 }
 
 func errNoAddress() error {
-	return result.New(result.PeerUnreachable, "no agent address is given")
+	return result.New(result.PeerUnreachable, "no address of an instance is given")
 }
 
-// read tries the agents in order until one answers or refuses for good.
+// read tries the instances in order until one answers or refuses for good.
 func (c *Client) read(ctx context.Context, method, path string, body []byte, reply any) error {
 	last := errNoAddress()
 	for _, addr := range c.cfg.Addresses {
@@ -198,7 +190,7 @@
 	return reply, err
 }
 
-// Members returns the member table of an agent.
+// Members returns the live instances as one of them sees it.
 func (c *Client) Members(ctx context.Context) (reply MembersReply, err error) {
 	err = c.get(ctx, PathMembers, &reply)
 	return reply, err
@@ -216,10 +208,9 @@
 	return reply, err
 }
 
-// Explain returns where a request would go, as JSON.
-func (c *Client) Explain(ctx context.Context, service, method, path string) (reply json.RawMessage, err error) {
-	args := url.Values{"service": {service}, "method": {method}, "path": {path}}
-	err = c.get(ctx, PathExplain+"?"+args.Encode(), &reply)
+// Explain returns where a request to a service would go, as JSON.
+func (c *Client) Explain(ctx context.Context, service string) (reply json.RawMessage, err error) {
+	err = c.get(ctx, PathExplain+"?"+url.Values{"service": {service}}.Encode(), &reply)
 	return reply, err
 }
 
@@ -240,8 +231,8 @@
 	return nil, last
 }
 
-// State returns the state dump of an instance.
-func (c *Client) State(ctx context.Context) (reply State, err error) {
+// State returns the state dump of an instance, as JSON.
+func (c *Client) State(ctx context.Context) (reply json.RawMessage, err error) {
 	err = c.get(ctx, PathState, &reply)
 	return reply, err
 }
--- a/pkg/operator/client_test.go
+++ b/pkg/operator/client_test.go
@@ -81,7 +81,7 @@
 
 var patch = PatchRequest{BaseVersion: 8, PatchID: "p1", Kind: "merge", Patch: json.RawMessage(`{"a":1}`)}
 
-// Guards against a dead agent keeping operators out.
+// Guards against a dead instance keeping operators out.
 func TestNextAgentIsTried(t *testing.T) {
 	closed := closedAddress(t)
 	down := newFakeAgent(t, result.StoreUnavailable)
@@ -127,7 +127,7 @@
 	require.Contains(t, err.Error(), "current version 9")
 }
 
-// Guards against an unreachable agent being reported as an unknown outcome.
+// Guards against an unreachable instance being reported as an unknown outcome.
 func TestUnreachableAgentsRefuseThePatch(t *testing.T) {
 	_, err := client(closedAddress(t)).Patch(context.Background(), patch)
 	require.Equal(t, result.PeerUnreachable, result.CodeOf(err))
--- a/pkg/operator/patch.go
+++ b/pkg/operator/patch.go
@@ -13,7 +13,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
-// dialTimeout is below the timeout of an attempt, so that an unreachable agent
+// dialTimeout is below the timeout of an attempt, so that an unreachable instance
 // delays the next one less.
 const dialTimeout = 3 * time.Second
 
@@ -60,13 +60,13 @@
 type submission struct {
 	client *Client
 	body   []byte
-	// maySent tells that an agent may have received the patch.
+	// maySent tells that an instance may have received the patch.
 	maySent bool
 	// last is the error of the last attempt.
 	last error
 }
 
-// round tries all agents once; settled tells that the outcome is known.
+// round tries all instances once; settled tells that the outcome is known.
 func (s *submission) round(ctx context.Context) (reply PatchReply, settled bool, err error) {
 	for _, addr := range s.client.cfg.Addresses {
 		reply, err := s.attempt(ctx, addr)
@@ -93,7 +93,7 @@
 
 // final reports whether err settles the outcome of a patch. After an attempt
 // that may have arrived, only a refusal that depends on the patch and the head
-// alone does: the agent has then looked the patch id up, and the head has moved
+// alone does: the instance has then looked the patch id up, and the head has moved
 // or the patch can never be accepted.
 func final(err error, maySent bool) bool {
 	code := result.CodeOf(err)
--- a/pkg/operator/types.go
+++ b/pkg/operator/types.go
@@ -1,6 +1,6 @@
 // Package operator defines the messages of the operator API and its client.
 //
-// docs/protocols.md describes the calls. The client knows several agents and
+// docs/protocols.md describes the calls. The client knows several instances and
 // goes on to the next one when one cannot be reached or cannot serve. A patch
 // whose outcome is unknown is repeated with the same patch id, which makes the
 // repeat safe; a refusal of a repeat settles the outcome only when it proves
@@ -84,7 +84,7 @@
 	Versions []Version `json:"versions"`
 }
 
-// MembersReply is the member table as one agent sees it.
+// MembersReply lists the live instances as one of them sees it.
 type MembersReply struct {
 	// Instance is the instance whose view this is.
 	Instance string           `json:"instance"`
@@ -98,7 +98,7 @@
 	// Target is rescaled to the reachable failure domains.
 	Target map[string]float64 `json:"target"`
 	// Unreachable holds the failure domains with a configured share but
-	// without a live entry instance.
+	// without a live instance.
 	Unreachable []string       `json:"unreachable"`
 	Instances   []MoveInstance `json:"instances"`
 	Finished    bool           `json:"finished"`
@@ -130,17 +130,6 @@
 	InFlight int        `json:"in_flight"`
 }
 
-// State is the state dump of an instance.
-type State struct {
-	// Instance is the state of an instance that is one process; Agent and Entry
-	// are those of the two processes of other ones.
-	Instance json.RawMessage `json:"instance,omitempty"`
-	Agent    json.RawMessage `json:"agent,omitempty"`
-	Entry    json.RawMessage `json:"entry,omitempty"`
-	// EntryError tells why the entry's state is missing.
-	EntryError string `json:"entry_error,omitempty"`
-}
-
 // ErrorBody is the body of every refusal.
 type ErrorBody struct {
 	Code           result.Code `json:"code"`
@@ -162,7 +151,7 @@
 	}
 }
 
-// RemoteError is an agent's refusal.
+// RemoteError is the refusal of an instance.
 type RemoteError struct {
 	Body    ErrorBody
 	Address string
--- a/pkg/operatorapi/api.go
+++ b/pkg/operatorapi/api.go
@@ -9,10 +9,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
-	"log"
 	"log/slog"
-	"net"
 	"strings"
 	"time"
 
@@ -26,19 +23,9 @@
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
-const (
-	apiConcurrency = 256
-	apiIOTimeout   = 10 * time.Second
-	apiIdleTimeout = time.Minute
-	// apiCallTimeout bounds the work on one operator request; it is above the
-	// time that an accepted patch takes on a slow store.
-	apiCallTimeout = 15 * time.Second
-	// apiConnectionsPerIP is a quarter of apiConcurrency, so that one address
-	// cannot take all connections.
-	apiConnectionsPerIP = 64
-	// closeTimeout bounds the end of open connections.
-	closeTimeout = 2 * time.Second
-)
+// apiCallTimeout bounds the work on one operator request; it is above the time
+// that an accepted patch takes on a slow store.
+const apiCallTimeout = 15 * time.Second
 
 // Backend is the process that an API runs in.
 type Backend interface {
@@ -48,10 +35,10 @@
 	// wait for the distribution.
 	Adopt(v cluster.Version)
 	Members() []cluster.Member
-	Drain(ctx context.Context, id string) (operator.Drain, error)
-	// Explain tells where a request would go and why.
-	Explain(ctx context.Context, service, method, path string) (any, error)
-	State(ctx context.Context) (operator.State, error)
+	Drain(id string) (operator.Drain, error)
+	// Explain tells where a request to a service would go and why.
+	Explain(service string) (any, error)
+	State() (json.RawMessage, error)
 	// Request tells how a request ended that was not answered in time.
 	Request(id string) (any, error)
 }
@@ -91,40 +78,6 @@
 	}
 }
 
-// Serve answers operators until ctx ends.
-func (p *API) Serve(ctx context.Context, listener net.Listener) error {
-	server := &fasthttp.Server{
-		Name:               "sequoiacove",
-		Handler:            p.Handle,
-		Concurrency:        apiConcurrency,
-		MaxConnsPerIP:      apiConnectionsPerIP,
-		ReadTimeout:        apiIOTimeout,
-		WriteTimeout:       apiIOTimeout,
-		IdleTimeout:        apiIdleTimeout,
-		MaxRequestBodySize: operator.MaxBodyBytes,
-		CloseOnShutdown:    true,
-		ErrorHandler:       refuseUnread,
-		// The server would log every malformed request.
-		Logger: log.New(io.Discard, "", 0),
-	}
-	stop := context.AfterFunc(ctx, func() {
-		bounded, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		defer cancel()
-		_ = server.ShutdownWithContext(bounded)
-	})
-	defer stop()
-	return server.Serve(listener)
-}
-
-// refuseUnread answers a request that could not be read.
-func refuseUnread(ctx *fasthttp.RequestCtx, err error) {
-	if err == fasthttp.ErrBodyTooLarge {
-		refuse(ctx, result.New(result.BodyTooLarge, "a request has at most %d bytes", operator.MaxBodyBytes), 0)
-		return
-	}
-	refuse(ctx, result.New(result.BadRequest, "the request could not be read: %v", err), 0)
-}
-
 // refuse answers with the result code of err.
 func refuse(ctx *fasthttp.RequestCtx, err error, current uint64) {
 	body, _ := json.Marshal(operator.NewErrorBody(err, current))
--- a/pkg/operatorapi/move.go
+++ b/pkg/operatorapi/move.go
@@ -33,27 +33,23 @@
 	return newMove(c.argument, version.Number, service.DomainShares(), p.backend.Members()), nil
 }
 
-func (p *API) drain(c *call) (any, error) { return p.backend.Drain(c.ctx, c.argument) }
+func (p *API) drain(c *call) (any, error) { return p.backend.Drain(c.argument) }
 
 func (p *API) explain(c *call) (any, error) {
-	service, method := clip(c.query("service")), clip(c.query("method"))
+	service := clip(c.query("service"))
 	if service == "" {
 		return nil, result.New(result.BadRequest, "service is required")
 	}
-	if method == "" {
-		method = "GET"
-	}
-	return p.backend.Explain(c.ctx, service, method, c.query("path"))
+	return p.backend.Explain(service)
 }
 
 func (p *API) request(c *call) (any, error) { return p.backend.Request(c.argument) }
 
-func (p *API) state(c *call) (any, error) { return p.backend.State(c.ctx) }
+func (p *API) state(c *call) (any, error) { return p.backend.State() }
 
 // newMove compares the target with the shares of all live instances.
 func newMove(service string, version uint64, configured map[string]float64, members []cluster.Member) operator.Move {
-	live := cluster.Live(members)
-	target, unreachable := reachableTarget(configured, live)
+	target, unreachable := reachableTarget(configured, members)
 	move := operator.Move{
 		Service:     service,
 		Version:     version,
@@ -62,7 +58,7 @@
 		Instances:   []operator.MoveInstance{},
 		Finished:    true,
 	}
-	for _, m := range live {
+	for _, m := range members {
 		shares := m.Shares[service]
 		finished := m.Version >= version && cluster.SameShares(shares, target, shareTolerance)
 		move.Finished = move.Finished && finished
@@ -73,7 +69,7 @@
 	return move
 }
 
-// reachableTarget rescales shares to the failure domains with a live entry; if
+// reachableTarget rescales shares to the failure domains with a live instance; if
 // there is none, it returns them as they are.
 func reachableTarget(configured map[string]float64, live []cluster.Member) (target map[string]float64, unreachable []string) {
 	reachable := make(map[string]bool)
--- a/pkg/policy/place.go
+++ b/pkg/policy/place.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
@@ -28,8 +30,14 @@
 		return
 	}
 	now := p.config.Now()
-	p.table.Update(p.routingInput(d, previous, version, in, now), now)
+	r := p.routingInput(d, previous, version, in, now)
+	p.table.Update(r, now)
+	if !p.stepped.IsZero() && now.Sub(p.stepped) > pauseThreshold {
+		// The process stood still while its peers moved on.
+		p.table.Rejoin(r.PeerShares, p.stepped, now)
+	}
 	p.table.Step(now)
+	p.stepped = now
 	links := make([]description.Link, 0, len(d.Links))
 	for _, l := range d.Links {
 		l.MbitPerSecond *= linkPart
@@ -41,13 +49,13 @@
 
 func (p *Policy) routingInput(d, previous *description.Description, version cluster.Version, in Inputs, now time.Time) routing.Input {
 	r := routing.Input{Description: d, Previous: previous, SinceAccepted: now.Sub(time.UnixMilli(version.AcceptedUnixMS)),
-		ReachableFor: in.Reachable, Home: p.config.Region, Own: p.table.Demand()}
+		Reachable: in.Reachable, Home: p.config.Region, Own: p.table.Demand()}
 	for _, peer := range in.Peers {
 		r.Peers = append(r.Peers, cluster.Member{ID: peer.ID, Region: peer.Region, Domain: peer.Domain, State: cluster.Serving,
-			EntryIncarnation: 1, Version: peer.Version, Shares: peer.Shares, Demand: peer.Rates})
+			Version: peer.Version, Shares: peer.Shares, Demand: peer.Rates})
 		r.Behind = r.Behind || peer.Version > version.Number
 	}
-	r.PeerShares = cluster.MeanShares(r.Peers, p.config.Instance)
+	r.PeerShares = cluster.MeanShares(r.Peers)
 	return r
 }
 
@@ -78,19 +86,33 @@
 type Place struct {
 	Domain string
 	Region string
+	// Probe tells that the place is beside the shares.
+	Probe  bool
 	policy *Policy
 	key    regionKey
+	// left holds the domains that the request was moved away from.
+	left []string
+}
+
+// Request is what a place is chosen for.
+type Request struct {
+	Service string
+	// Bytes is its size.
+	Bytes int
+	// Allowed tells which regions its route may use.
+	Allowed func(region string) bool
+	// Hold is how long it may wait while its region is at the limit.
+	Hold time.Duration
 }
 
-// Place chooses the failure domain of a request of the given size, among the
-// regions that allowed accepts. It returns nil for a service that the
-// description does not name.
-func (p *Policy) Place(service string, bytes int, allowed func(region string) bool) (*Place, error) {
+// Place chooses the failure domain of a request. It returns nil for a service
+// that the description does not name.
+func (p *Policy) Place(ctx context.Context, r Request) (*Place, error) {
 	d := p.Description()
-	if _, ok := d.Services[service]; !ok {
+	if _, ok := d.Services[r.Service]; !ok {
 		return nil, nil
 	}
-	domain, err := p.table.Choose(service)
+	domain, err := p.table.Choose(r.Service)
 	if result.CodeOf(err) == result.UnknownService {
 		// The shares of a version that came into force at this moment follow.
 		return nil, nil
@@ -98,14 +120,65 @@
 	if err != nil {
 		return nil, err
 	}
-	if !allowed(d.RegionOf(domain)) {
-		if domain, err = p.moveToAllowed(d, service, domain, allowed); err != nil {
+	if !r.Allowed(d.RegionOf(domain)) {
+		if domain, err = p.moveToAllowed(d, r.Service, domain, r.Allowed); err != nil {
 			return nil, err
 		}
 	}
-	place := &Place{Domain: domain, Region: d.RegionOf(domain), policy: p}
-	place.key = regionKey{service, place.Region}
-	return place, p.enter(d, place, bytes)
+	return p.take(ctx, d, r, &Place{Domain: domain})
+}
+
+// PlaceIn takes a place in a domain beside the shares, for a request that finds
+// out whether the domain is reachable again. It returns nil if there is none.
+func (p *Policy) PlaceIn(ctx context.Context, r Request, domain string) *Place {
+	d := p.Description()
+	if region := d.RegionOf(domain); region == "" || !r.Allowed(region) || !p.Governs(r.Service) {
+		return nil
+	}
+	place, err := p.take(ctx, d, r, &Place{Domain: domain, Probe: true})
+	if err != nil {
+		return nil
+	}
+	return place
+}
+
+// Move gives a request that was not sent another failure domain, because its
+// own has no upstream that takes it, and releases the old place. It returns an
+// error if the shares leave no other domain open.
+func (p *Policy) Move(ctx context.Context, old *Place, r Request) (*Place, error) {
+	old.Release(0)
+	if old.Probe {
+		return p.Place(ctx, r)
+	}
+	d := p.Description()
+	left := append(old.left, old.Domain)
+	excluded := make(map[string]bool)
+	for name, region := range d.Regions {
+		for _, domain := range region.Domains {
+			excluded[domain] = !r.Allowed(name) || slices.Contains(left, domain)
+		}
+	}
+	domain, ok := p.table.Transfer(r.Service, old.Domain, "", excluded)
+	if !ok {
+		return nil, result.New(result.NoDestination, "no other domain than %v is open to %s", left, r.Service)
+	}
+	return p.take(ctx, d, r, &Place{Domain: domain, left: left})
+}
+
+// take counts a place against the limits.
+func (p *Policy) take(ctx context.Context, d *description.Description, r Request, place *Place) (*Place, error) {
+	place.Region, place.policy = d.RegionOf(place.Domain), p
+	place.key = regionKey{r.Service, place.Region}
+	if !p.enter(ctx, place.key, r.Hold) {
+		return nil, result.New(result.RegionLimit, "%s is at the instance's part of its limit", place.Region)
+	}
+	// The link comes last, because only what is sent may be charged to it.
+	now := p.config.Now()
+	if place.Region != p.config.Region && !(p.answers.Take(place.Region, 0, now) && p.requests.Take(place.Region, r.Bytes, now)) {
+		p.leave(place.key)
+		return nil, result.New(result.LinkBudgetExhausted, "the link to %s is used up", place.Region)
+	}
+	return place, nil
 }
 
 // moveToAllowed returns another failure domain for a request whose route is
@@ -152,41 +225,13 @@
 	return "", result.New(result.NoDestination, "no domain of an allowed region has a share of %s", service)
 }
 
-// enter counts the request against the limits. The link comes last, because
-// only what is sent may be charged to it.
-func (p *Policy) enter(d *description.Description, place *Place, bytes int) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if limit := d.Services[place.key.service].Regions[place.Region].MaxConcurrent; limit > 0 && p.running[place.key] >= p.part(limit) {
-		return result.New(result.RegionLimit, "%s is at the instance's part of %d requests", place.Region, limit)
-	}
-	now := p.config.Now()
-	if place.Region != p.config.Region && !(p.answers.Take(place.Region, 0, now) && p.requests.Take(place.Region, bytes, now)) {
-		return result.New(result.LinkBudgetExhausted, "the link to %s is used up", place.Region)
-	}
-	p.running[place.key]++
-	return nil
-}
-
-// part returns the own part of a limit on all instances together.
-func (p *Policy) part(limit int) int {
-	rank, n := p.config.Part()
-	part := limit / max(1, n)
-	if rank < limit%max(1, n) {
-		part++
-	}
-	return part
-}
-
 // Release gives the place back after an answer of the given size.
 func (l *Place) Release(bytes int) {
 	p := l.policy
 	if l.Region != p.config.Region {
 		p.answers.Charge(l.Region, bytes, p.config.Now())
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.running[l.key]--
+	p.leave(l.key)
 }
 
 // Destinations describes the failure domains of a service.
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -30,6 +30,9 @@
 	// firstPollInterval applies until it is known whether there is a version.
 	firstPollInterval = time.Second
 	pollTimeout       = 8 * time.Second
+	// pauseThreshold is the gap between steps that shows that the process stood
+	// still.
+	pauseThreshold = 2 * time.Second
 	// linkPart is the part of a link that requests to other regions and answers
 	// from them each may use: the other region's instances use the rest.
 	linkPart = 0.5
@@ -64,9 +67,6 @@
 	Logger *slog.Logger
 }
 
-// regionKey names the requests of a service in a region.
-type regionKey struct{ service, region string }
-
 // Policy holds the description in force and what follows from it.
 type Policy struct {
 	config Config
@@ -75,19 +75,21 @@
 	// from them.
 	requests *linkbudget.Budgets
 	answers  *linkbudget.Budgets
+	// stepped is the time of the last step.
+	stepped time.Time
 
 	mu          sync.Mutex
 	version     cluster.Version
 	known       bool
 	description *description.Description
 	previous    *description.Description
-	running     map[regionKey]int
+	used        map[regionKey]*usage
 }
 
 // New returns a Policy without a version.
 func New(c Config) *Policy {
 	return &Policy{config: c, table: routing.NewTable(uint64(c.Random() * (1 << 62))), requests: linkbudget.New(c.Region),
-		answers: linkbudget.New(c.Region), description: &description.Description{}, running: make(map[regionKey]int)}
+		answers: linkbudget.New(c.Region), description: &description.Description{}, used: make(map[regionKey]*usage)}
 }
 
 // Current returns the version in force; its number is 0 if there is none.
