--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -11,21 +11,18 @@
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
-// Input is what a snapshot says about routing.
+// Input is what the shares depend on.
 type Input struct {
 	Description *description.Description
 	// Previous is the version before, or nil.
 	Previous *description.Description
 	// SinceAccepted is the time since the version was accepted.
 	SinceAccepted time.Duration
-	// Reachable holds the domains that have a reachable entry instance.
-	Reachable map[string]bool
-	// ReachableFor holds the same per service and replaces Reachable if set.
-	ReachableFor map[string]map[string]bool
+	// Reachable holds, per service, the domains with an upstream that takes
+	// requests.
+	Reachable map[string]map[string]bool
 	// PeerShares is the mean of the effective shares of the live peers.
 	PeerShares cluster.Shares
-	// CheckpointShares are the shares of the last checkpoint.
-	CheckpointShares cluster.Shares
 	// Peers are the live peers; their shares limit the lead of this instance.
 	Peers []cluster.Member
 	// Home is the region of this instance.
@@ -108,12 +105,9 @@
 		target:    target,
 		caps:      svc.Caps,
 		regionOf:  regionOf,
-		reachable: in.Reachable,
+		reachable: in.Reachable[name],
 		peers:     &peerShares{service: name, members: in.Peers, mean: in.PeerShares, regionOf: regionOf},
 	}
-	if in.ReachableFor != nil {
-		si.reachable = in.ReachableFor[name]
-	}
 	if svc.Locality == description.LocalityNearest {
 		si.home = in.Home
 		si.ownDemand = in.Own[name]
@@ -126,14 +120,11 @@
 }
 
 // start returns the first vector of a service: the peers' mean, else the
-// checkpoint, else the previous version's target moved at the caps since the
-// acceptance of this version, else the target.
+// previous version's target moved at the caps since the acceptance of this
+// version, else the target.
 func start(in Input, name string, si serviceInput) vector {
-	for _, source := range []cluster.Shares{in.PeerShares, in.CheckpointShares} {
-		shares := vector(source[name]).clone()
-		if shares.normalize() {
-			return shares
-		}
+	if shares := vector(in.PeerShares[name]).clone(); shares.normalize() {
+		return shares
 	}
 	if in.Previous == nil {
 		return si.target.clone()
--- /dev/null
+++ b/pkg/table/tabletest/tabletest.go
@@ -0,0 +1,169 @@
+// Package tabletest holds a table and an object store in memory that fail on
+// request.
+package tabletest
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/table"
+)
+
+// Faults are the faults of a Store.
+type Faults struct {
+	// Down does nothing and gives no answer.
+	Down bool
+	// LoseAnswers applies writes without an answer.
+	LoseAnswers bool
+	// DownAfterWrites makes the store go down once that many further writes
+	// have taken effect; 0 is off.
+	DownAfterWrites int
+}
+
+// Store is a table and an object store. It implements table.Table; Objects
+// returns the object store.
+type Store struct {
+	mu       sync.Mutex
+	faults   Faults
+	rows     map[string]table.Row
+	revision uint64
+	objects  map[string][]byte
+	writes   int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{rows: make(map[string]table.Row), objects: make(map[string][]byte)}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Objects returns the object store.
+func (s *Store) Objects() table.Objects { return objects{s} }
+
+// readable returns an error while the store is down; the caller holds the lock.
+func (s *Store) readable() error {
+	if s.faults.Down {
+		return result.New(result.StoreUnavailable, "down")
+	}
+	return nil
+}
+
+// wrote counts a write and returns an error if its answer is lost; the caller
+// holds the lock.
+func (s *Store) wrote() error {
+	lost := s.faults.LoseAnswers
+	if s.faults.DownAfterWrites > 0 {
+		s.faults.DownAfterWrites--
+		s.faults.Down = s.faults.DownAfterWrites == 0
+	}
+	s.writes++
+	if lost {
+		return result.New(result.StoreNoAnswer, "answer lost")
+	}
+	return nil
+}
+
+// Writes returns the number of writes that took effect.
+func (s *Store) Writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+func (s *Store) get(key string) table.Row {
+	if row, ok := s.rows[key]; ok {
+		return row
+	}
+	return table.Row{Key: key}
+}
+
+// Get implements table.Table.
+func (s *Store) Get(_ context.Context, key string) (table.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.readable(); err != nil {
+		return table.Row{}, err
+	}
+	return s.get(key), nil
+}
+
+// List implements table.Table.
+func (s *Store) List(_ context.Context, prefix, after string, limit int) ([]table.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.readable(); err != nil {
+		return nil, err
+	}
+	var rows []table.Row
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows[:min(limit, len(rows))], nil
+}
+
+// Transact implements table.Table.
+func (s *Store) Transact(_ context.Context, tx table.Transaction) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return 0, result.New(result.StoreNoAnswer, "down")
+	}
+	for _, c := range tx.Conditions {
+		if row := s.get(c.Key); row.Revision != c.Revision {
+			if s.faults.LoseAnswers {
+				return 0, result.New(result.StoreNoAnswer, "answer lost")
+			}
+			return 0, result.New(result.StoreConflict, "row %q has revision %d", row.Key, row.Revision)
+		}
+	}
+	s.revision++
+	for _, w := range tx.Writes {
+		s.rows[w.Key] = table.Row{Key: w.Key, Value: w.Value, Revision: s.revision}
+	}
+	return s.revision, s.wrote()
+}
+
+type objects struct{ store *Store }
+
+// Put implements table.Objects.
+func (o objects) Put(_ context.Context, hash string, body []byte) error {
+	s := o.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return result.New(result.StoreNoAnswer, "down")
+	}
+	if description.Hash(body) != hash {
+		return result.New(result.BadRequest, "hash mismatch")
+	}
+	s.objects[hash] = append([]byte{}, body...)
+	return s.wrote()
+}
+
+// Get implements table.Objects.
+func (o objects) Get(_ context.Context, hash string) ([]byte, error) {
+	s := o.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.readable(); err != nil {
+		return nil, err
+	}
+	body, ok := s.objects[hash]
+	if !ok {
+		return nil, result.New(result.ObjectNotFound, "object %s", hash)
+	}
+	return append([]byte{}, body...), nil
+}
