Retire unproven connections after a silence, bound requests by the description, and bring the pages up to one form

Cause: TestSilentConnections, ported to the instance, lost requests one after the other on kept connections behind a relay that confirms what it swallows; keep-alive and the bound on unconfirmed bytes see nothing there.

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -91,9 +91,12 @@
 		return r
 	}
 	p.discard(k)
-	if k.silent {
+	switch {
+	case k.silent:
 		// What cut this connection off has usually cut the older ones too.
 		p.retire(start)
+	case !opened && !k.heard && r.gaveUp() && c.config.Now().Sub(start) >= suspectSilence:
+		p.retireUnproven(start)
 	}
 	c.noteLoss(t, r, idle, start)
 	return r
@@ -204,7 +207,7 @@
 		return writeFailure(ctx, n, err), false
 	}
 	used := k.used
-	k.used = true
+	k.used, k.heard = true, false
 	r, reusable := c.read(ctx, k, req, used)
 	if !stop() {
 		reusable = false
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -28,6 +28,10 @@
 	// confirmation of TCP. Two resends of a lost packet fit in.
 	nearSilence = time.Second
 	farSilence  = 1500 * time.Millisecond
+	// suspectSilence is the time without a byte of the answer after which a kept
+	// connection that is given up may have gone silent behind something that
+	// still confirms what is sent.
+	suspectSilence = 900 * time.Millisecond
 	// tcpUserTimeout is the socket option of that bound, which package syscall
 	// does not name.
 	tcpUserTimeout = 18
@@ -70,6 +74,8 @@
 	used bool
 	// silent tells that what was sent was not confirmed in time.
 	silent bool
+	// heard tells that bytes arrived since the last request was sent.
+	heard bool
 }
 
 // idle returns how long the connection has carried no request.
@@ -89,6 +95,7 @@
 // there must not be given up.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.heard = c.heard || n > 0
 	if n > 0 || !timeout(err) || len(p) == 0 {
 		return n, err
 	}
@@ -97,6 +104,7 @@
 		return n, err
 	}
 	if arrived := c.receive(p, 0); arrived > 0 {
+		c.heard = true
 		return arrived, nil
 	}
 	return n, err
@@ -219,11 +227,21 @@
 
 // retire closes the idle connections that were opened before a time.
 func (p *pool) retire(before time.Time) {
+	p.closeIdle(func(c *conn) bool { return c.opened.Before(before) })
+}
+
+// retireUnproven closes the idle connections that have carried no answer since
+// a time.
+func (p *pool) retireUnproven(since time.Time) {
+	p.closeIdle(func(c *conn) bool { return c.answered.Before(since) })
+}
+
+func (p *pool) closeIdle(matches func(*conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if c.opened.Before(before) {
+		if matches(c) {
 			p.close(c)
 			continue
 		}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -130,3 +130,6 @@
 	Elapsed       time.Duration
 	Err           error
 }
+
+// gaveUp tells that the sender stopped waiting for the answer.
+func (r *Result) gaveUp() bool { return r.Reason == TimedOut || r.Reason == Cancelled }
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -316,3 +316,28 @@
 	defer p.mu.Unlock()
 	require.Len(t, p.open, 2)
 }
+
+// Guards against requests that are lost one after the other on kept connections
+// that went silent behind something that still confirms what is sent.
+func TestUnprovenConnectionsAreRetiredAfterSilence(t *testing.T) {
+	var silent atomic.Bool
+	var old sync.Map
+	u := newUpstream(t, func(id string, c net.Conn) string {
+		if _, known := old.LoadOrStore(c, true); known && silent.Load() {
+			time.Sleep(time.Hour)
+		}
+		time.Sleep(50 * time.Millisecond)
+		return whole(id, "x")
+	})
+	c := testClient()
+	const kept = 3
+	var open sync.WaitGroup
+	for i := range kept {
+		open.Go(func() { do(c, u, fmt.Sprint("first", i), time.Second) })
+	}
+	open.Wait()
+	silent.Store(true)
+	require.Equal(t, TimedOut, do(c, u, "lost", suspectSilence+50*time.Millisecond).Reason)
+	require.Equal(t, Answered, do(c, u, "next", time.Second).Outcome)
+	require.EqualValues(t, kept+1, c.Dials())
+}
--- a/pkg/instance/operator_test.go
+++ b/pkg/instance/operator_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -196,3 +197,17 @@
 	require.True(t, ok)
 	require.Equal(t, []map[string]any{{"reason": 3*keptRequests - 1}}, last.Lines)
 }
+
+// Guards against a request that is kept for longer than the description allows.
+func TestDescriptionBoundsRequests(t *testing.T) {
+	w := newWorld(t)
+	x := w.start("a")
+	u := w.upstream("ua")
+	w.awaitReady(x, 1)
+	u.set(func(*http.Request, net.Conn) string { time.Sleep(time.Second); return "" })
+	w.patch(x, 0, strings.Replace(described(1, ""), `"max_request_ms": 5000`, `"max_request_ms": 300`, 1))
+	start := time.Now()
+	r, _ := w.caller(x).do("GET", "/safe/1", "r1", "")
+	require.Equal(t, http.StatusGatewayTimeout, r.StatusCode)
+	require.Less(t, time.Since(start), 900*time.Millisecond)
+}
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -167,6 +167,9 @@
 	if c.route.Timeout > 0 {
 		wait = min(wait, c.route.Timeout)
 	}
+	if longest := c.instance.policy.Description().Services[c.service].MaxRequest(); longest > 0 {
+		wait = min(wait, longest)
+	}
 	return c.request.Arrived.Add(wait)
 }
 
--- a/spec/config.pml
+++ b/spec/config.pml
@@ -1,15 +1,15 @@
 /*
  * Configuration versions: two operators race on one table, answers are lost
  * after the write took effect, the store fails, pushes are lost or late, and
- * agents restart and bootstrap from peers.
+ * instances restart and bootstrap from peers.
  *
  * Mutations (each must be refuted):
  *   NAIVE_RETRY   a retry after a lost answer ignores the patch id row
  *   BLIND_WRITE   the transaction does not check the revision of head
- *   ANY_VERSION   an agent takes whatever version arrives
- *   PUSH_ONLY     agents neither poll nor compare versions in heartbeats
+ *   ANY_VERSION   an instance takes whatever version arrives
+ *   PUSH_ONLY     instances neither poll nor compare versions in heartbeats
  */
-#define AGENTS 3
+#define INSTANCES 3
 #define OPERATORS 2
 #define VERSIONS 4
 #define ATTEMPTS 3
@@ -24,8 +24,8 @@
 byte lost_pushes = 2;
 byte restarts = 1;
 
-byte current[AGENTS];            /* version in force in each agent */
-chan push[AGENTS] = [2] of { byte };
+byte current[INSTANCES];            /* version in force in each instance */
+chan push[INSTANCES] = [2] of { byte };
 
 inline offer(a, v)
 {
@@ -44,7 +44,7 @@
 {
 	peer = 0;
 	do
-	:: peer < AGENTS && peer != a ->
+	:: peer < INSTANCES && peer != a ->
 		if
 		:: lost_pushes > 0 -> lost_pushes--
 		:: nfull(push[peer]) -> push[peer]!v
@@ -52,11 +52,11 @@
 		fi;
 		peer++
 	:: peer == a -> peer++
-	:: peer >= AGENTS -> break
+	:: peer >= INSTANCES -> break
 	od
 }
 
-/* configstore.Store.Accept on agent id, with the operator's repeats. */
+/* configstore.Store.Accept on instance id, with the operator's repeats. */
 proctype operator(byte id)
 {
 	byte base, made, peer, attempt;
@@ -118,7 +118,7 @@
 }
 
 /* configsync.Syncer: push, poll, heartbeat comparison and bootstrap. */
-proctype agent(byte id)
+proctype instance(byte id)
 {
 	byte v, other;
 end:	do
@@ -129,7 +129,7 @@
 		current[id] = 0;
 		other = 0;
 		do
-		:: other < AGENTS ->
+		:: other < INSTANCES ->
 			if
 			:: current[other] > current[id] -> current[id] = current[other]
 			:: else -> skip
@@ -143,8 +143,8 @@
 		fi }
 #ifndef PUSH_ONLY
 	:: atomic { store_up && head > current[id] -> offer(id, head) }
-	:: atomic { current[(id + 1) % AGENTS] > current[id] -> offer(id, current[(id + 1) % AGENTS]) }
-	:: atomic { current[(id + 2) % AGENTS] > current[id] -> offer(id, current[(id + 2) % AGENTS]) }
+	:: atomic { current[(id + 1) % INSTANCES] > current[id] -> offer(id, current[(id + 1) % INSTANCES]) }
+	:: atomic { current[(id + 2) % INSTANCES] > current[id] -> offer(id, current[(id + 2) % INSTANCES]) }
 #endif
 	od
 }
@@ -160,11 +160,11 @@
 init
 {
 	atomic {
-		run agent(0); run agent(1); run agent(2);
+		run instance(0); run instance(1); run instance(2);
 		run operator(0); run operator(1);
 		run store_faults()
 	}
-	/* Once nothing more can happen, all agents hold the same version, and it is
+	/* Once nothing more can happen, all instances hold the same version, and it is
 	 * head's if the store answers. */
 	timeout;
 	assert(current[0] == current[1] && current[1] == current[2]);
