Use and show members as they are, not as they joined

The instance kept the list of members from their last change of state, so versions, shares and requests in flight of the others were those of the moment they joined. Shares therefore did not follow peers, the lead over them was not limited, and drains of instances showed old counts.

Change: the list comes from the mesh whenever it is used; the callback only tells that it changed. TestMembersAreShownAsTheyAre fails on the commit before.

--- a/pkg/instance/description.go
+++ b/pkg/instance/description.go
@@ -93,7 +93,7 @@
 	}
 	in := policy.Inputs{Reachable: i.balancer.Reachable(), Instances: 1}
 	regions := make(map[string]uint64)
-	for _, m := range *i.live.Load() {
+	for _, m := range i.mesh.Live() {
 		if m.Region == i.settings.Region {
 			in.Instances++
 			in.Peers = append(in.Peers, policy.Peer{ID: m.ID, Region: m.Region, Domain: m.Domain, Version: m.Version, Shares: m.Shares, Rates: m.Rates})
--- a/pkg/instance/http.go
+++ b/pkg/instance/http.go
@@ -128,7 +128,7 @@
 			near = append(near, i.settings.CallerAddress)
 		}
 	}
-	for _, m := range *i.live.Load() {
+	for _, m := range i.mesh.Live() {
 		if m.State != mesh.Serving {
 			continue
 		}
@@ -165,7 +165,7 @@
 	d, u := i.catalog.Revisions()
 	s := stateDump{Instance: i.settings.ID, Region: i.settings.Region, Domain: i.settings.Domain, Directives: d, Upstreams: u,
 		StoreDown: i.catalog.StoreDown(), StoreCalls: i.catalog.Calls(), Connections: i.ingress.Connections(), InFlight: i.ingress.Active(),
-		Members: *i.live.Load(), KnownUpstreams: len(v.Upstreams), Dials: i.client.Dials(), Description: i.policy.Current().Number, Shares: i.policy.Shares()}
+		Members: i.mesh.Live(), KnownUpstreams: len(v.Upstreams), Dials: i.client.Dials(), Description: i.policy.Current().Number, Shares: i.policy.Shares()}
 	if v.Config != nil {
 		s.Version = int64(v.Config.Version)
 	}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -78,7 +78,6 @@
 
 	// bounds holds the bounds in force; the settings hold those of the start.
 	bounds atomic.Pointer[steering.Bounds]
-	live   atomic.Pointer[[]mesh.Member]
 	// leave is nil while the instance serves.
 	leave   atomic.Pointer[departure]
 	agreed  atomic.Pointer[agreement]
@@ -102,7 +101,6 @@
 func New(opt Options) *Instance {
 	s := opt.Settings
 	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), recent: newRecentRequests(), started: opt.Now(), behind: make(map[string]time.Time), ahead: make(chan mesh.Member, 1)}
-	i.live.Store(&[]mesh.Member{})
 	i.bounds.Store(&s.Bounds)
 	i.agreed.Store(&agreement{})
 	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now})
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -17,7 +17,7 @@
 		Incarnation: uint64(i.opt.Random() * (1 << 62)),
 		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
 		Local: i.local, InFlight: i.balancer.InFlight, Demands: i.balancer.Demands,
-		Region: i.balancer.RegionReport, Load: i.balancer.SetPeerInFlight, Demand: i.balancer.SetPeerDemand, Members: i.setMembers, Beat: i.heard,
+		Region: i.balancer.RegionReport, Load: i.balancer.SetPeerInFlight, Demand: i.balancer.SetPeerDemand, Changed: i.countInstances, Beat: i.heard,
 		RegionShares: i.setRegionShares,
 	}, l.datagrams)
 	go i.mesh.Run(ctx)
@@ -85,14 +85,9 @@
 	}
 }
 
-func (i *Instance) setMembers(list []mesh.Member) {
-	i.live.Store(&list)
-	i.countInstances()
-}
-
 // countInstances tells the balancer how many instances share its limits.
 func (i *Instance) countInstances() {
-	list := *i.live.Load()
+	list := i.mesh.Live()
 	instances := make([]balance.Instance, 0, len(list))
 	for _, m := range list {
 		instances = append(instances, balance.Instance{ID: m.ID, Region: m.Region, Leaving: m.State == mesh.Leaving})
--- a/pkg/instance/metrics.go
+++ b/pkg/instance/metrics.go
@@ -150,7 +150,7 @@
 	add("callers_turned_away", i.ingress.TurnedAway())
 	add("store_calls", i.catalog.Calls())
 	add("store_down", btoi(i.catalog.StoreDown()))
-	add("members", len(*i.live.Load()))
+	add("members", len(i.mesh.Live()))
 	add("connections", i.ingress.Connections())
 	add("requests_in_flight", i.ingress.Active())
 	add("upstream_connections_opened", i.client.Dials())
--- a/pkg/instance/operator.go
+++ b/pkg/instance/operator.go
@@ -62,7 +62,7 @@
 	s, local := b.settings, b.local()
 	list := []cluster.Member{{ID: s.ID, Region: s.Region, Domain: s.Domain, State: memberState(local.State),
 		CallerAddress: s.CallerAddress, Version: local.Version, Active: local.Active, Shares: local.Shares}}
-	for _, m := range *b.live.Load() {
+	for _, m := range b.mesh.Live() {
 		shares := m.Shares
 		if m.Region != s.Region {
 			if t, ok := b.traffic(m.Region); ok {
@@ -110,7 +110,7 @@
 	if id == b.settings.ID {
 		return b.ingress.Active(), true
 	}
-	for _, m := range *b.live.Load() {
+	for _, m := range b.mesh.Live() {
 		if m.ID == id {
 			return m.Active, true
 		}
--- a/pkg/instance/operator_test.go
+++ b/pkg/instance/operator_test.go
@@ -211,3 +211,24 @@
 	require.Equal(t, http.StatusGatewayTimeout, r.StatusCode)
 	require.Less(t, time.Since(start), 900*time.Millisecond)
 }
+
+// Guards against members that are shown and used with the version and the
+// shares that they had when they joined.
+func TestMembersAreShownAsTheyAre(t *testing.T) {
+	w := newWorld(t)
+	a := w.start("a")
+	near, far := w.start("b", a.settings.MeshAddress), w.startIn("s", "c", a.settings.MeshAddress)
+	w.upstream("ua")
+	for _, x := range []*testInstance{a, near, far} {
+		w.awaitReady(x, 1)
+	}
+	w.patch(a, 0, described(1, ""))
+	w.patch(a, 1, `{"lookup": {"ttl_ms": 700}}`)
+	for _, x := range []*testInstance{a, near, far} {
+		shown := func() bool {
+			move, err := x.operator().Move(context.Background(), "shop")
+			return err == nil && len(move.Instances) == 3 && move.Finished
+		}
+		require.Eventually(t, shown, patience, 100*time.Millisecond, x.settings.ID)
+	}
+}
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -155,16 +155,12 @@
 	m.mu.Lock()
 	m.received++
 	changed := m.takeMembers(d)
-	var live []Member
-	if changed {
-		live = m.live()
-	}
 	if !d.Passed {
 		m.passOn(msg)
 	}
 	m.mu.Unlock()
 	if changed {
-		m.config.Members(live)
+		m.config.Changed()
 	}
 	m.config.Load(regionPrefix+d.Region, d.Region, unpack(d.InFlight))
 	if d.Demand != nil {
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -135,12 +135,12 @@
 	Demands  func() []balance.Demand
 	// Region returns the sums over the own region.
 	Region func() ([]balance.InFlight, []balance.Demand)
-	// Load and Demand take the reports of a member or a region, Members the
-	// live members whenever they change, and Beat each heartbeat of a member
-	// of the own region.
+	// Load and Demand take the reports of a member or a region, and Beat each
+	// heartbeat of a member of the own region. Changed is called when a member
+	// joined, died, or changed its state or address.
 	Load    func(id, region string, list []balance.InFlight)
 	Demand  func(id, region string, list []balance.Demand)
-	Members func([]Member)
+	Changed func()
 	Beat    func(Member)
 	// RegionShares takes the mean of the shares in effect in another region and
 	// the sum of its requests per second.
@@ -249,10 +249,6 @@
 func (m *Mesh) Live() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.live()
-}
-
-func (m *Mesh) live() []Member {
 	list := make([]Member, 0, len(m.members))
 	for _, x := range m.members {
 		if x.alive {
@@ -297,8 +293,8 @@
 		m.beats++
 	}
 	m.mu.Unlock()
-	if changed != nil {
-		m.config.Members(changed)
+	if changed {
+		m.config.Changed()
 	}
 	if due.beat || due.load || due.hello {
 		m.send(due)
@@ -343,8 +339,8 @@
 	m.ticked = now
 }
 
-// expire marks silent members as dead and returns the live ones if they changed.
-func (m *Mesh) expire(now time.Time) []Member {
+// expire marks silent members as dead and tells whether there were any.
+func (m *Mesh) expire(now time.Time) bool {
 	changed := false
 	for id, x := range m.members {
 		silent := now.Sub(x.heard)
@@ -373,8 +369,5 @@
 			delete(m.lost, a)
 		}
 	}
-	if !changed {
-		return nil
-	}
-	return m.live()
+	return changed
 }
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -97,7 +97,7 @@
 				p.demand[from] = d.Slots
 			}
 		},
-		Members: func([]Member) {}, Beat: func(Member) {},
+		Changed: func() {}, Beat: func(Member) {},
 		RegionShares: func(region string, shares cluster.Shares, rates cluster.Demand) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -214,7 +214,7 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	return New(Config{Self: Member{ID: "self", Region: "n"}, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.Discard(),
 		Local: func() Local { return Local{} }, Load: func(string, string, []balance.InFlight) {}, Demand: func(string, string, []balance.Demand) {},
-		Members: func([]Member) {}, Beat: func(Member) {}, RegionShares: func(string, cluster.Shares, cluster.Demand) {}}, &discardConn{conn}), conn.LocalAddr()
+		Changed: func() {}, Beat: func(Member) {}, RegionShares: func(string, cluster.Shares, cluster.Demand) {}}, &discardConn{conn}), conn.LocalAddr()
 }
 
 // FuzzDatagram guards against datagrams that stop the process or grow its
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -60,14 +60,10 @@
 	}
 	x.incarnation, x.sequence, x.heard = msg.Incarnation, msg.Sequence, now
 	changed := m.takeBeat(x, msg, from, restarted)
-	var live []Member
-	if changed {
-		live = m.live()
-	}
 	current := x.Member
 	m.mu.Unlock()
 	if changed {
-		m.config.Members(live)
+		m.config.Changed()
 	}
 	if current.Region != m.config.Self.Region {
 		return
