--- a/pkg/instance/operator_test.go
+++ b/pkg/instance/operator_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 	"github.com/sequoiacove/sequoiacove/pkg/operator"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
@@ -222,6 +223,13 @@
 	for _, x := range []*testInstance{a, near, far} {
 		w.awaitReady(x, 1)
 	}
+	for _, x := range []*testInstance{a, near, far} {
+		acquainted := func() bool {
+			list := x.mesh.Live()
+			return len(list) == 2 && list[0].State == mesh.Serving && list[1].State == mesh.Serving
+		}
+		require.Eventually(t, acquainted, patience, 10*time.Millisecond, x.settings.ID)
+	}
 	w.patch(a, 0, described(1, ""))
 	w.patch(a, 1, `{"lookup": {"ttl_ms": 700}}`)
 	for _, x := range []*testInstance{a, near, far} {
