--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -329,7 +329,7 @@
 		}
 		return idle != nil
 	}, patience, 10*time.Millisecond)
-	idle.fetch(context.Background(), mesh.Member{ID: "dead", Address: freeAddress(), Directives: 1 << 40, Upstreams: 1 << 40})
+	idle.fetch(context.Background(), mesh.Member{ID: "dead", Address: freeAddress(), Local: mesh.Local{Directives: 1 << 40, Upstreams: 1 << 40}})
 	yes := idle.watches()
 	require.True(t, yes)
 }
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -112,8 +112,7 @@
 	if m.digests++; m.digests%membersEvery == 1 {
 		d.Demand = demand
 		self := m.config.Self
-		self.State, self.Directives, self.Upstreams, self.Version = local.State, local.Directives, local.Upstreams, local.Version
-		self.Active, self.Shares, self.Rates = local.Active, local.Shares, local.Rates
+		self.Local = local
 		m.describe(d, self)
 	}
 	m.sequence++
@@ -203,7 +202,8 @@
 			event.Log(m.config.Logger, event.MemberJoined, "member", r.ID, "region", d.Region, "domain", r.Domain, "state", r.State)
 		}
 		changed = changed || !x.alive || x.State != r.State || x.Caller != r.Caller
-		x.Member = Member{ID: r.ID, Region: d.Region, Domain: r.Domain, Caller: r.Caller, State: r.State, Directives: r.Directives, Upstreams: r.Upstreams, Version: r.Version, Active: r.Active, Address: r.Address}
+		x.Member = Member{ID: r.ID, Region: d.Region, Domain: r.Domain, Caller: r.Caller, Address: r.Address,
+			Local: Local{State: r.State, Directives: r.Directives, Upstreams: r.Upstreams, Version: r.Version, Active: r.Active}}
 		x.heard, x.alive = now, true
 		delete(m.unknown, r.Address)
 		delete(m.lost, r.Address)
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -83,13 +83,20 @@
 	Domain string
 	// Caller is the address that serves callers.
 	Caller string
-	State  State
-	// Directives and Upstreams are the revisions that the member knows.
+	// Address is the address of its mesh.
+	Address string
+	Local
+}
+
+// Local is what an instance tells the others of itself.
+type Local struct {
+	State State
+	// Directives and Upstreams are the revisions that it knows.
 	Directives int64
 	Upstreams  int64
-	// Watching tells that the member watches the store and reaches it.
+	// Watching tells that it watches the store and reaches it.
 	Watching bool
-	// Version is the version of the description in force there.
+	// Version is the version of the description in force.
 	Version uint64
 	// Active is the number of callers' requests in flight.
 	Active int
@@ -100,20 +107,6 @@
 	// services that the description names; those of other regions are known as
 	// sums.
 	Rates cluster.Demand
-	// Address is the address of its mesh.
-	Address string
-}
-
-// Local is what an instance tells the others.
-type Local struct {
-	State      State
-	Directives int64
-	Upstreams  int64
-	Watching   bool
-	Version    uint64
-	Active     int
-	Shares     cluster.Shares
-	Rates      cluster.Demand
 }
 
 // Config holds the inputs of a Mesh.
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -202,7 +202,7 @@
 	m.take(short(1, 3, 7), from)
 	live := m.Live()
 	require.Len(t, live, 1)
-	require.Equal(t, Member{ID: "a", Region: "n", Domain: "n-a", Caller: "10.0.0.1:1", State: Serving, Directives: 7, Address: from.String()}, live[0])
+	require.Equal(t, Member{ID: "a", Region: "n", Domain: "n-a", Caller: "10.0.0.1:1", Address: from.String(), Local: Local{State: Serving, Directives: 7}}, live[0])
 	m.take(short(2, 1, 8), from)
 	require.EqualValues(t, 7, m.Live()[0].Directives, "a new start introduces itself first")
 }
