--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -50,7 +50,7 @@
 	Versions *configstore.Store
 }
 
-// Options holds the inputs of a Instance.
+// Options holds the inputs of an Instance.
 type Options struct {
 	Settings *Settings
 	Platform Platform
@@ -97,7 +97,7 @@
 	ahead chan mesh.Member
 }
 
-// New returns a Instance; Run opens its listeners.
+// New returns an Instance; Run opens its listeners.
 func New(opt Options) *Instance {
 	s := opt.Settings
 	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), recent: newRecentRequests(), started: opt.Now(), behind: make(map[string]time.Time), ahead: make(chan mesh.Member, 1)}
