Try upstreams again that only get requests which must not be repeated

Cause: an ejected upstream was probed by idempotent requests alone, so one refused connection left it out for good if its service has no idempotent route.

Change: two seconds after the exclusion any request may probe. TestUpstreamWithoutIdempotentRequestsIsTriedAgain failed first; TestUnreachableDomainIsProbed covers the probes of a domain.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -263,14 +263,14 @@
 }
 
 // ProbeDue returns a failure domain that is not reachable and has an upstream
-// that may be tried again.
-func (b *Balancer) ProbeDue(service string) (domain string, ok bool) {
+// that a request may try again.
+func (b *Balancer) ProbeDue(service string, idempotent bool) (domain string, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p, now := b.pool(service), b.config.Now()
 	var reachable map[string]bool
 	for _, u := range p.upstreams {
-		if u.ejections == 0 || !u.usable(now) || b.evacuated[u.Domain] {
+		if u.ejections == 0 || !u.usable(now) || !u.probeBy(idempotent, now) || b.evacuated[u.Domain] {
 			continue
 		}
 		if reachable == nil {
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -267,6 +267,48 @@
 	require.Nil(t, acquire(b, r, ""))
 }
 
+// Guards against an upstream that is left out for good because its service has
+// no idempotent requests.
+func TestUpstreamWithoutIdempotentRequestsIsTriedAgain(t *testing.T) {
+	f := newFixture(1, 0)
+	f.add("one", "n-a")
+	f.publish()
+	b := f.all[0]
+	r := testRoute(0)
+	r.Idempotent = false
+	acquire(b, r, "").Done(&exchange.Result{Outcome: exchange.NotRun, Reason: exchange.ConnectFailed})
+	f.advance(minEjection + probeWait + time.Millisecond)
+	probe := acquire(b, r, "")
+	require.NotNil(t, probe)
+	require.Nil(t, acquire(b, r, ""), "a second request during the probe")
+	probe.Done(answered(time.Millisecond))
+	require.NotNil(t, acquire(b, r, ""))
+}
+
+// Guards against a failure domain that counts as reachable again before one of
+// its upstreams has answered, and against one that is never tried again.
+func TestUnreachableDomainIsProbed(t *testing.T) {
+	f := newFixture(1, 0)
+	f.add("near", "n-a")
+	f.add("far", "s-a")
+	f.publish()
+	b := f.all[0]
+	ask := Ask{Service: service, Route: testRoute(0), Domain: "s-a"}
+	_, due := b.ProbeDue(service, true)
+	require.False(t, due)
+	b.Acquire(context.Background(), ask, 0).Done(&exchange.Result{Outcome: exchange.NotRun, Reason: exchange.ConnectFailed})
+	f.advance(minEjection + time.Millisecond)
+	require.Equal(t, map[string]bool{"n-a": true}, b.Reachable()[service])
+	domain, due := b.ProbeDue(service, true)
+	require.True(t, due)
+	require.Equal(t, "s-a", domain)
+	probe := b.Acquire(context.Background(), ask, 0)
+	_, due = b.ProbeDue(service, true)
+	require.False(t, due, "the probe is under way")
+	probe.Done(answered(time.Millisecond))
+	require.Equal(t, map[string]bool{"n-a": true, "s-a": true}, b.Reachable()[service])
+}
+
 // Guards against an upstream that started again under its id and keeps the
 // state of the start before.
 func TestNewStartForgetsTheOld(t *testing.T) {
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -152,8 +152,7 @@
 		return false
 	}
 	if u.ejections > 0 {
-		// One probe; a request that must not be repeated is none.
-		return ask.Route.Idempotent && u.inFlight == 0
+		return u.inFlight == 0 && u.probeBy(ask.Route.Idempotent, now)
 	}
 	if now.Before(u.coldUntil) {
 		return load < u.Slots && b.coldAllowed(u, now)
--- a/pkg/balance/upstream.go
+++ b/pkg/balance/upstream.go
@@ -26,6 +26,9 @@
 	// minEjection and maxEjection bound how long an upstream is left out.
 	minEjection = 300 * time.Millisecond
 	maxEjection = 3 * time.Second
+	// probeWait is how long after an exclusion an idempotent request is waited
+	// for to probe the upstream; some services have none.
+	probeWait = 2 * time.Second
 	// maxFailures is the number of failures in a row that eject an upstream.
 	maxFailures = 3
 	// shedPause is how long an upstream that refused a request is left out
@@ -140,6 +143,11 @@
 	return true
 }
 
+// probeBy tells whether a request may find out if the upstream works again.
+func (u *upstream) probeBy(idempotent bool, now time.Time) bool {
+	return idempotent || now.Sub(u.ejectedUntil) > probeWait
+}
+
 // learn takes the end of an attempt.
 func (u *upstream) learn(l *Lease, r *exchange.Result, now time.Time, coldStart time.Duration) {
 	if r.Load.Known {
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -119,7 +119,7 @@
 // that names the service, and returns why there is none.
 func (c *call) choosePlace(ctx context.Context) (reason string) {
 	start := c.instance.opt.Now()
-	if domain, due := c.instance.balancer.ProbeDue(c.service); due && c.route.Idempotent {
+	if domain, due := c.instance.balancer.ProbeDue(c.service, c.route.Idempotent); due {
 		if c.place = c.instance.policy.PlaceIn(ctx, c.placeRequest(start), domain); c.place != nil {
 			return ""
 		}
