Tell the other regions of an accepted patch without their gateways

Logs: the paused instance was the gateway of its region; the region that accepted the patch sent its digests there until it found it dead after 5 s, and the three others had the version in force at 13:46:04.46, 5.43 s after its acceptance.

Change: the accepting instance sends one heartbeat to the live members of the other regions; they fetch the version from it. TestNewsReachARegionWhoseGatewayStandsStill failed first.

Ruled out: the paused instance itself, which served nothing old after it resumed.

--- a/pkg/instance/operator.go
+++ b/pkg/instance/operator.go
@@ -55,7 +55,10 @@
 func (b backend) Current() cluster.Version { return b.policy.Current() }
 
 // Adopt implements operatorapi.Backend.
-func (b backend) Adopt(v cluster.Version) { b.policy.Offer(v, "operator") }
+func (b backend) Adopt(v cluster.Version) {
+	b.policy.Offer(v, "operator")
+	go b.mesh.AnnounceFar()
+}
 
 // Members implements operatorapi.Backend.
 func (b backend) Members() []cluster.Member {
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -238,6 +238,12 @@
 	m.tick()
 }
 
+// AnnounceFar sends a heartbeat to the live members of the other regions, for
+// news that must not wait for their gateways, which may stand still.
+func (m *Mesh) AnnounceFar() {
+	m.send(schedule{far: true})
+}
+
 // Live returns the live members by id, without the own instance.
 func (m *Mesh) Live() []Member {
 	m.mu.Lock()
@@ -298,8 +304,8 @@
 }
 
 // schedule tells which messages are due; full is set with beat for a heartbeat
-// that says everything.
-type schedule struct{ beat, full, load, hello, digest bool }
+// that says everything, far for one to the other regions.
+type schedule struct{ beat, full, load, hello, digest, far bool }
 
 // elapsed tells whether an interval has passed since *at, and starts the next.
 func elapsed(at *time.Time, now time.Time, interval time.Duration) bool {
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -32,6 +32,8 @@
 	shares map[string]cluster.Shares
 	rates  map[string]float64
 	state  State
+	// version is that of the description.
+	version uint64
 }
 
 func (p *peer) sharesOf(region string) cluster.Shares {
@@ -68,14 +70,14 @@
 
 // startOn starts a peer on a socket with a clock.
 func startOn(t *testing.T, conn net.PacketConn, now func() time.Time, id, region string, seeds ...string) *peer {
-	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, shares: map[string]cluster.Shares{}, rates: map[string]float64{}, state: Serving}
+	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, shares: map[string]cluster.Shares{}, rates: map[string]float64{}, state: Serving, version: 6}
 	p.Mesh = New(Config{
 		Self:        Member{ID: id, Region: region, Domain: region + "-a", Caller: "10.0.0.1:1", Address: p.address},
 		Incarnation: uint64(time.Now().UnixNano()), Seeds: seeds, Now: now, Random: func() float64 { return 0.5 }, Logger: event.Discard(),
 		Local: func() Local {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			return Local{State: p.state, Directives: 3, Upstreams: 4, Watching: true, Version: 6, Active: 8, Shares: testShares, Rates: cluster.Demand{"shop": 5}}
+			return Local{State: p.state, Directives: 3, Upstreams: 4, Watching: true, Version: p.version, Active: 8, Shares: testShares, Rates: cluster.Demand{"shop": 5}}
 		},
 		InFlight: func() []balance.InFlight { return []balance.InFlight{{Upstream: 7, Count: 2}} },
 		Demands:  func() []balance.Demand { return []balance.Demand{{Route: 9, Slots: 1.5}} },
@@ -304,3 +306,33 @@
 		require.Eventually(t, meet, 5*time.Second, 5*time.Millisecond, "%v", regions)
 	}
 }
+
+// Guards against news that reach another region only when its gateway, which
+// stands still, is found dead.
+func TestNewsReachARegionWhoseGatewayStandsStill(t *testing.T) {
+	far := start(t, "far", "s")
+	ids := []string{"n0", "n1"}
+	if rank(ids[0]) > rank(ids[1]) {
+		ids[0], ids[1] = ids[1], ids[0]
+	}
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	still := &cutConn{PacketConn: conn}
+	startOn(t, still, time.Now, ids[0], "n", far.address)
+	other := start(t, ids[1], "n", far.address, conn.LocalAddr().String())
+	require.Eventually(t, func() bool { return len(far.Live()) == 2 && len(other.Live()) == 2 }, 5*time.Second, 5*time.Millisecond)
+	still.cut.Store(true)
+	far.mu.Lock()
+	far.version = 7
+	far.mu.Unlock()
+	far.AnnounceFar()
+	known := func() bool {
+		for _, m := range other.Live() {
+			if m.ID == "far" && m.Version == 7 {
+				return true
+			}
+		}
+		return false
+	}
+	require.Eventually(t, known, time.Second, 5*time.Millisecond)
+}
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -74,6 +74,10 @@
 	if due.hello {
 		m.sendHellos(m.encode(inFlight, &whole, nil))
 	}
+	if due.far {
+		m.sendFar(m.encode(inFlight, &whole, nil))
+		return
+	}
 	idle := len(inFlight) == 0
 	for _, x := range m.members {
 		switch {
@@ -112,6 +116,15 @@
 	}
 }
 
+// sendFar sends a heartbeat to the live members of the other regions.
+func (m *Mesh) sendFar(full []byte) {
+	for _, x := range m.members {
+		if x.alive && x.Region != m.config.Self.Region {
+			m.write(full, x.target)
+		}
+	}
+}
+
 // pack lists the hash and the count of each upstream.
 func pack(list []balance.InFlight) []uint32 {
 	packed := make([]uint32, 0, 2*len(list))
