Notice suspended machines by the time of day

Cause: the monotonic clock stands still while a machine is suspended, so the gap between ticks did not show and requests were served with the old view.

Change: the gap is the longer of those by the monotonic clock and by the time of day. A clock that is set forward costs one question to the peers.

Ruled out: the boot-time clock, which costs a system call for each request.

Measured: the new unit test fails without the time of day and passes with it.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -61,7 +61,7 @@
 	{ListenerFailed, slog.LevelError, "listener failed", "Check the address and whether another process uses it."},
 	{SettingsReloaded, slog.LevelInfo, "settings read again", "None."},
 	{LogLinesDropped, slog.LevelWarn, "log lines dropped", "Check the reader of the log; requests are not delayed by it."},
-	{ProcessResumed, slog.LevelWarn, "process stood still and resumed", "Find out what paused the process; requests waited until a peer had told what changed."},
+	{ProcessResumed, slog.LevelWarn, "process stood still, or its clock was set", "Find out what paused it; requests waited until a peer had told what changed."},
 
 	{VersionInForce, slog.LevelInfo, "configuration version in force", "None."},
 	{PatchAccepted, slog.LevelInfo, "patch accepted", "None."},
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -103,7 +103,7 @@
 func New(opt Options) *Instance {
 	s := opt.Settings
 	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), recent: newRecentRequests(), started: opt.Now(), behind: make(map[string]time.Time), ahead: make(chan mesh.Member, 1)}
-	i.stillness = newStillness(opt.Now, i.askPeers)
+	i.stillness = newStillness(opt.Now, func() time.Time { return opt.Now().Round(0) }, i.askPeers)
 	i.bounds.Store(&s.Bounds)
 	i.agreed.Store(&agreement{})
 	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now})
--- a/pkg/instance/resume.go
+++ b/pkg/instance/resume.go
@@ -12,7 +12,7 @@
 
 const (
 	// stillThreshold is the gap between ticks that shows that the process stood
-	// still. News reaches an instance within this time anyway.
+	// still. News may take this long to reach an instance that runs.
 	stillThreshold = time.Second
 	stillTick      = 100 * time.Millisecond
 	// resumeWait is the longest time that requests wait for a peer after that;
@@ -27,19 +27,24 @@
 // until the instance has asked what changed meanwhile.
 type stillness struct {
 	now func() time.Time
+	// wall returns the time of day. Unlike the monotonic clock it counts the
+	// time in which the machine was suspended. Setting it costs one question to
+	// the peers.
+	wall func() time.Time
 	// catchUp returns when the instance knows what changed, or when its context
 	// ends.
 	catchUp func(context.Context)
 
 	mu sync.Mutex
-	// ticked is the time of the last tick, zero before the first.
-	ticked time.Time
+	// ticked and tickedWall are the times of the last tick, zero before the
+	// first.
+	ticked, tickedWall time.Time
 	// done is closed at the end of the resume that is under way, or nil.
 	done chan struct{}
 }
 
-func newStillness(now func() time.Time, catchUp func(context.Context)) *stillness {
-	return &stillness{now: now, catchUp: catchUp}
+func newStillness(now, wall func() time.Time, catchUp func(context.Context)) *stillness {
+	return &stillness{now: now, wall: wall, catchUp: catchUp}
 }
 
 // run ticks until ctx ends.
@@ -61,15 +66,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.check()
-	s.ticked = s.now()
+	s.ticked, s.tickedWall = s.now(), s.wall()
 }
 
 // check starts a resume after a gap, and returns the channel of the one that is
 // under way, or nil. The caller holds the lock. Requests check too, because
 // they may run before the first tick after a gap.
 func (s *stillness) check() <-chan struct{} {
-	if now := s.now(); !s.ticked.IsZero() && now.Sub(s.ticked) > stillThreshold {
-		s.ticked = now
+	now, wall := s.now(), s.wall()
+	if !s.ticked.IsZero() && max(now.Sub(s.ticked), wall.Sub(s.tickedWall)) > stillThreshold {
+		s.ticked, s.tickedWall = now, wall
 		if s.done == nil {
 			s.done = make(chan struct{})
 			go s.resume()
--- a/pkg/instance/resume_test.go
+++ b/pkg/instance/resume_test.go
@@ -53,7 +53,7 @@
 // peer answers, and against one that asks again for each request.
 func TestResumedInstanceServesWhenNoPeerAnswers(t *testing.T) {
 	clock, asked := time.Unix(100, 0), make(chan struct{}, 10)
-	s := newStillness(func() time.Time { return clock }, func(ctx context.Context) {
+	s := newStillness(func() time.Time { return clock }, func() time.Time { return clock }, func(ctx context.Context) {
 		asked <- struct{}{}
 		<-ctx.Done()
 	})
@@ -71,10 +71,25 @@
 	require.False(t, s.resuming())
 }
 
+// Guards against a suspended machine, whose monotonic clock stood still too,
+// and against a clock that was set back.
+func TestResumeAfterTheMachineWasSuspended(t *testing.T) {
+	steady, day, asked := time.Unix(100, 0), time.Unix(500, 0), make(chan struct{}, 10)
+	s := newStillness(func() time.Time { return steady }, func() time.Time { return day }, func(context.Context) { asked <- struct{}{} })
+	s.tick()
+	day = day.Add(-time.Hour)
+	s.wait(context.Background())
+	s.tick()
+	require.Empty(t, asked, "asked after the clock was set back")
+	steady, day = steady.Add(time.Millisecond), day.Add(10*time.Second)
+	s.wait(context.Background())
+	require.Len(t, asked, 1)
+}
+
 // Guards against a request that is held although its caller has left.
 func TestCallerLeavesDuringTheResume(t *testing.T) {
 	clock, answered := time.Unix(100, 0), make(chan struct{})
-	s := newStillness(func() time.Time { return clock }, func(context.Context) { <-answered })
+	s := newStillness(func() time.Time { return clock }, func() time.Time { return clock }, func(context.Context) { <-answered })
 	s.tick()
 	clock = clock.Add(2 * stillThreshold)
 	ctx, cancel := context.WithCancel(context.Background())
