Call one function where the same steps stood twice

- bench: the latency and the head-of-line scenarios measure against the ideal queue in one function; the latter now also tells the median beyond the work.
- load.Routes makes the routes of a service for the harness and the bench.
- policy: one function lists the domains that a request must not use.
- routing: Transfer loses the preferred domain, which no caller named.
- settings.Load and harness.Cluster.Instance had no callers.

No behaviour of an instance changes.

--- a/pkg/bench/fleet.go
+++ b/pkg/bench/fleet.go
@@ -82,7 +82,8 @@
 	if f.store, err = platformtest.NewStore(); err != nil {
 		return f, err
 	}
-	f.store.Configure(platformtest.Config(1, routes(a)))
+	routes := load.Routes(platformtest.Route{Host: host, Service: service, Timeout: a.deadline, TargetLatency: targetLatency, MaxAttempts: maxAttempts})
+	f.store.Configure(platformtest.Config(1, routes))
 	for n := range size.Upstreams {
 		u := &platformtest.Upstream{ID: fmt.Sprintf("u%d", n), Service: service, Domain: domain, Slots: size.Slots}
 		if err := u.Start(); err != nil {
@@ -102,15 +103,6 @@
 	return f, f.awaitInstances()
 }
 
-func routes(a arrivals) []platformtest.Route {
-	var list []platformtest.Route
-	for _, class := range []string{load.ClassRead, load.ClassLong, load.ClassWrite} {
-		list = append(list, platformtest.Route{Name: class, Host: host, Prefix: "/" + class + "/", Idempotent: class != load.ClassWrite, Service: service,
-			Timeout: a.deadline, TargetLatency: targetLatency, MaxAttempts: maxAttempts})
-	}
-	return list
-}
-
 // startInstance runs an instance in this process and returns its address.
 func (f *fleet) startInstance(ctx context.Context, network string, n int) string {
 	at := func(port int) string { return fmt.Sprintf("%s.%d:%d", network, n+1, port) }
--- a/pkg/bench/scenarios.go
+++ b/pkg/bench/scenarios.go
@@ -16,25 +16,18 @@
 
 // latencyScenario measures the latency at 60% load.
 func latencyScenario(x *experiment) error {
-	a := arrivals{utilisation: 0.6, deadline: longDeadline}
-	requests := plan(x.size, a, x.Duration, x.Seed)
-	best := ideal(requests, x.size.totalSlots())
-	return x.each(func(v variant, c cell) error {
-		r, err := x.measure(v, c, requests, a, nil)
-		if err != nil {
-			return err
-		}
-		c.ratios(r, requests, best, everyPlanned, targetFor(v, atMost(1.2)))
-		c.add("median beyond the work, ms", milliseconds(added(r.outcomes)), noTarget)
-		c.common(r, v)
-		return nil
-	})
+	return x.againstIdeal(arrivals{utilisation: 0.6, deadline: longDeadline}, everyPlanned)
 }
 
 // holScenario measures the head-of-line blocking of short requests behind long
 // ones; known tells whether the long ones have a route of their own.
 func holScenario(x *experiment, known bool) error {
-	a := arrivals{utilisation: 0.6, deadline: longDeadline, long: true, known: known}
+	return x.againstIdeal(arrivals{utilisation: 0.6, deadline: longDeadline, long: true, known: known}, shortPlanned)
+}
+
+// againstIdeal measures the latency of the chosen requests and compares it with
+// that of the ideal queue.
+func (x *experiment) againstIdeal(a arrivals, chosen func(*planned) bool) error {
 	requests := plan(x.size, a, x.Duration, x.Seed)
 	best := ideal(requests, x.size.totalSlots())
 	return x.each(func(v variant, c cell) error {
@@ -42,7 +35,8 @@
 		if err != nil {
 			return err
 		}
-		c.ratios(r, requests, best, shortPlanned, targetFor(v, atMost(1.2)))
+		c.ratios(r, requests, best, chosen, targetFor(v, atMost(1.2)))
+		c.add("median beyond the work, ms", milliseconds(added(r.outcomes)), noTarget)
 		c.common(r, v)
 		return nil
 	})
--- a/pkg/harness/instance.go
+++ b/pkg/harness/instance.go
@@ -135,19 +135,10 @@
 	return b.String()
 }
 
-// Instance returns the instance with an id, or nil.
-func (c *Cluster) Instance(id string) *Instance {
-	return c.find(func(i *Instance) bool { return i.ID == id })
-}
-
 // Serving returns the instance that serves callers at an address, or nil.
 func (c *Cluster) Serving(address string) *Instance {
-	return c.find(func(i *Instance) bool { return i.CallerAddress == address })
-}
-
-func (c *Cluster) find(matches func(*Instance) bool) *Instance {
 	for _, i := range c.Instances {
-		if matches(i) {
+		if i.CallerAddress == address {
 			return i
 		}
 	}
--- a/pkg/harness/standins.go
+++ b/pkg/harness/standins.go
@@ -69,10 +69,8 @@
 func (c *Cluster) routes() []platformtest.Route {
 	var list []platformtest.Route
 	for _, s := range c.Spec.Services {
-		for _, class := range []string{load.ClassRead, load.ClassLong, load.ClassWrite} {
-			list = append(list, platformtest.Route{Name: s.Name + "-" + class, Host: s.Host(), Prefix: "/" + class + "/", Idempotent: class != load.ClassWrite,
-				Service: s.Name, Timeout: c.Spec.Timeout, TargetLatency: c.Spec.TargetLatency, MaxAttempts: maxAttempts})
-		}
+		list = append(list, load.Routes(platformtest.Route{Name: s.Name + "-", Host: s.Host(), Service: s.Name, Timeout: c.Spec.Timeout,
+			TargetLatency: c.Spec.TargetLatency, MaxAttempts: maxAttempts})...)
 	}
 	return list
 }
--- a/pkg/policy/place.go
+++ b/pkg/policy/place.go
@@ -152,13 +152,7 @@
 	}
 	d := p.Description()
 	left := append(old.left, old.Domain)
-	excluded := make(map[string]bool)
-	for name, region := range d.Regions {
-		for _, domain := range region.Domains {
-			excluded[domain] = !r.Allowed(name) || slices.Contains(left, domain)
-		}
-	}
-	domain, ok := p.table.Transfer(r.Service, old.Domain, "", excluded)
+	domain, ok := p.table.Transfer(r.Service, old.Domain, excluded(d, r.Allowed, left))
 	if !ok {
 		return nil, result.New(result.NoDestination, "no other domain than %v is open to %s", left, r.Service)
 	}
@@ -185,26 +179,33 @@
 // bound to some regions. The shares hold as far as such routes let them: beyond
 // what the other domains' shares leave open, a domain is drawn by its share.
 func (p *Policy) moveToAllowed(d *description.Description, service, from string, allowed func(region string) bool) (string, error) {
-	excluded := make(map[string]bool)
-	for name, r := range d.Regions {
-		for _, domain := range r.Domains {
-			excluded[domain] = !allowed(name)
-		}
-	}
-	if to, ok := p.table.Transfer(service, from, "", excluded); ok {
+	closed := excluded(d, allowed, nil)
+	if to, ok := p.table.Transfer(service, from, closed); ok {
 		return to, nil
 	}
 	destinations, err := p.table.Explain(service)
 	if err != nil {
 		return "", err
 	}
-	return p.draw(service, destinations, excluded)
+	return p.draw(service, destinations, closed)
+}
+
+// excluded returns the domains that a request must not use: those of regions
+// that its route may not use and those that it left.
+func excluded(d *description.Description, allowed func(region string) bool, left []string) map[string]bool {
+	closed := make(map[string]bool)
+	for name, region := range d.Regions {
+		for _, domain := range region.Domains {
+			closed[domain] = !allowed(name) || slices.Contains(left, domain)
+		}
+	}
+	return closed
 }
 
-func (p *Policy) draw(service string, destinations []routing.Destination, excluded map[string]bool) (string, error) {
+func (p *Policy) draw(service string, destinations []routing.Destination, closed map[string]bool) (string, error) {
 	total := 0.0
 	for i, to := range destinations {
-		if excluded[to.Domain] || !to.Reachable {
+		if closed[to.Domain] || !to.Reachable {
 			destinations[i].Share = 0
 		}
 		total += destinations[i].Share
--- a/pkg/routing/property_test.go
+++ b/pkg/routing/property_test.go
@@ -159,7 +159,7 @@
 			from, err := table.Choose("s")
 			require.NoError(t, err)
 			if r.IntN(3) == 0 {
-				if to, ok := table.Transfer("s", from, "", map[string]bool{from: true}); ok {
+				if to, ok := table.Transfer("s", from, map[string]bool{from: true}); ok {
 					from = to
 					moved++
 				}
--- a/pkg/routing/service.go
+++ b/pkg/routing/service.go
@@ -171,16 +171,13 @@
 }
 
 // transfer moves the charge of a request to the reachable domain with the
-// largest credit that is not excluded; prefer goes first if it has credit.
-func (s *service) transfer(from, prefer string, excluded map[string]bool) (string, bool) {
+// largest credit that is not excluded.
+func (s *service) transfer(from string, excluded map[string]bool) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.usable(prefer, excluded) && s.chooser.transfer(s.plan, from, prefer) {
-		return prefer, true
-	}
 	best, found := "", false
 	for d := range s.plan.index {
-		if !s.usable(d, excluded) {
+		if !s.in.reachable[d] || excluded[d] {
 			continue
 		}
 		if !found || s.before(d, best) {
@@ -193,10 +190,6 @@
 	return best, true
 }
 
-func (s *service) usable(domain string, excluded map[string]bool) bool {
-	return domain != "" && s.in.reachable[domain] && !excluded[domain]
-}
-
 // before tells whether a is tried before b as a retry destination. The largest
 // credit of the region goes first, then that of the domain, then the name.
 func (s *service) before(a, b string) bool {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -57,7 +57,7 @@
 	return int((t.seed * (h.Sum64() | 1)) >> 32 % maxSkip)
 }
 
-// Update puts a snapshot into force. Services that are new here start at the
+// Update puts new inputs into force. Services that are new here start at the
 // vector that start returns; others keep theirs.
 func (t *Table) Update(in Input, now time.Time) {
 	t.mu.Lock()
@@ -186,10 +186,10 @@
 
 // Transfer moves the charge of a request from one domain to another one with
 // credit that is not in excluded; ok is false when there is none.
-func (t *Table) Transfer(name, from, prefer string, excluded map[string]bool) (to string, ok bool) {
+func (t *Table) Transfer(name, from string, excluded map[string]bool) (to string, ok bool) {
 	s, err := t.service(name)
 	if err != nil {
 		return "", false
 	}
-	return s.transfer(from, prefer, excluded)
+	return s.transfer(from, excluded)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -27,16 +27,10 @@
 
 type settingKey struct{ section, key string }
 
-// Load opens an INI file.
-func Load(path string) (*Reader, error) { return load(path) }
-
-// Parse reads INI text.
-func Parse(text []byte) (*Reader, error) { return load(text) }
-
-// load reads a file path or INI text. Comments take whole lines, because a
-// token may hold a character that begins a comment.
-func load(source any) (*Reader, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, source)
+// Parse reads INI text. Comments take whole lines, because a token may hold a
+// character that begins a comment.
+func Parse(text []byte) (*Reader, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, text)
 	if err != nil {
 		return nil, result.New(result.SettingsInvalid, "%v", err)
 	}
