Send far heartbeats through the same steps as the others

The send function returned early for them. What a heartbeat says is now built in a function of its own. Measured: the tests of pkg/mesh and pkg/instance pass with the race detector.

--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -45,19 +45,12 @@
 	Advertised string `cbor:"14,keyasint,omitempty"`
 }
 
-// send sends the messages that are due inside the region, and heartbeats to
-// the addresses of instances that are not known yet.
+// send sends the messages that are due inside the region, heartbeats to the
+// addresses of instances that are not known yet and, if that is due, to the
+// members of other regions.
 func (m *Mesh) send(due schedule) {
 	inFlight := pack(m.config.InFlight())
-	local := m.config.Local()
-	short := &beat{State: local.State, Directives: local.Directives, Upstreams: local.Upstreams, Watching: local.Watching,
-		Version: local.Version, Active: local.Active, Shares: local.Shares}
-	whole := *short
-	whole.Region, whole.Domain, whole.Caller = m.config.Self.Region, m.config.Self.Domain, m.config.Self.Caller
-	whole.Rates, whole.Advertised = local.Rates, m.config.Advertised
-	if due.full {
-		whole.Demand = m.config.Demands()
-	}
+	short, whole := m.heartbeats(due.full)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sequence++
@@ -65,18 +58,17 @@
 	var load, heartbeat []byte
 	switch {
 	case due.beat && due.full:
-		heartbeat = m.encode(inFlight, &whole, nil)
+		heartbeat = m.encode(inFlight, whole, nil)
 	case due.beat:
 		heartbeat = m.encode(inFlight, short, nil)
 	case due.load:
 		load = m.encode(inFlight, nil, nil)
 	}
 	if due.hello {
-		m.sendHellos(m.encode(inFlight, &whole, nil))
+		m.sendHellos(m.encode(inFlight, whole, nil))
 	}
 	if due.far {
-		m.sendFar(m.encode(inFlight, &whole, nil))
-		return
+		m.sendFar(m.encode(inFlight, whole, nil))
 	}
 	idle := len(inFlight) == 0
 	for _, x := range m.members {
@@ -94,6 +86,21 @@
 	}
 }
 
+// heartbeats returns a short heartbeat and one that says everything but the
+// addresses of others; demand tells whether that includes the demand.
+func (m *Mesh) heartbeats(demand bool) (short, whole *beat) {
+	local := m.config.Local()
+	short = &beat{State: local.State, Directives: local.Directives, Upstreams: local.Upstreams, Watching: local.Watching,
+		Version: local.Version, Active: local.Active, Shares: local.Shares}
+	all := *short
+	all.Region, all.Domain, all.Caller = m.config.Self.Region, m.config.Self.Domain, m.config.Self.Caller
+	all.Rates, all.Advertised = local.Rates, m.config.Advertised
+	if demand {
+		all.Demand = m.config.Demands()
+	}
+	return short, &all
+}
+
 // sendHellos sends heartbeats to addresses at which an instance may be found.
 // Only the gateway looks for the lost members of other regions.
 func (m *Mesh) sendHellos(full []byte) {
