--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -24,7 +24,6 @@
 // Service is what the configuration says of a service.
 type Service struct {
 	Name           string
-	HealthPath     string
 	MaxConnections int
 	// ColdStart is how long an upstream stays cold after a start.
 	ColdStart time.Duration
