Send datagrams from a port that changes

Cause: an instance sent all datagrams from the one socket that receives. A path that drops what passes between two ports for good kept members apart for good; after a minute each would count itself alone under the shared limits.

Change: datagrams leave from a socket that is replaced every 1.5 s, less than the time after which a member counts as dead. Introductions name the address that receives, which register and the mesh now take from one function. A mesh address without a host needs `advertised`; the settings check says so. The UDP relay of the tests forgets idle flows.

Ruled out: new sockets only when a member is not heard. When one direction goes silent, the side that has to change its port hears the other one well.

Tests: harness.Silence now silences flows of datagrams too.

--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -29,6 +29,7 @@
 	MemberJoined       ID = 300
 	MemberDead         ID = 302
 	SnapshotFailed     ID = 307
+	SocketFailed       ID = 308
 	RequestAnswered    ID = 405
 	RequestRefused     ID = 406
 	RequestFailed      ID = 407
@@ -78,6 +79,7 @@
 	{MemberJoined, slog.LevelInfo, "member joined", "None."},
 	{MemberDead, slog.LevelWarn, "member dead", "Check the instance if it was not replaced on purpose."},
 	{SnapshotFailed, slog.LevelWarn, "snapshot of a peer not received", "None if rare: another peer or the store brings the state."},
+	{SocketFailed, slog.LevelWarn, "no new socket for datagrams", "Check the descriptors of the process; datagrams leave from the socket before."},
 	{RequestAnswered, slog.LevelInfo, "request answered", "None."},
 	{RequestRefused, slog.LevelInfo, "request refused as not run", "See docs/OPERATIONS.md if it repeats: the fields tell which limit refused it."},
 	{RequestFailed, slog.LevelWarn, "request failed", "See docs/OPERATIONS.md: the fields tell which upstream failed and how."},
--- a/pkg/faultproxy/udp.go
+++ b/pkg/faultproxy/udp.go
@@ -12,6 +12,8 @@
 	maxDatagram = 64 << 10
 	// reorderHold is how long a reordered datagram waits for later ones.
 	reorderHold = 5 * time.Millisecond
+	// flowIdle is how long a flow without datagrams of its client is kept.
+	flowIdle = 5 * time.Second
 )
 
 // UDP is a relay for datagrams. A flow is identified by the source address and
@@ -35,6 +37,8 @@
 	client netip.AddrPort
 	back   *net.UDPConn
 	silent bool
+	// used is the time of the client's last datagram.
+	used time.Time
 	// free is when the link can take the next datagram, one per direction.
 	free [2]time.Time
 }
@@ -135,7 +139,7 @@
 	if err != nil {
 		return nil
 	}
-	f := &flow{client: client, back: back}
+	f := &flow{client: client, back: back, used: time.Now()}
 	u.flows[client] = f
 	u.wait.Add(1)
 	go u.answer(f)
@@ -146,9 +150,11 @@
 	defer u.wait.Done()
 	buffer := make([]byte, maxDatagram)
 	for {
+		// A failure to set the deadline shows in the read.
+		_ = f.back.SetReadDeadline(time.Now().Add(flowIdle))
 		n, err := f.back.Read(buffer)
 		if err != nil {
-			if u.isClosed() {
+			if u.ended(f) {
 				return
 			}
 			// A connected UDP socket reports a closed target port as an error
@@ -160,10 +166,16 @@
 	}
 }
 
-func (u *UDP) isClosed() bool {
+// ended tells whether the relay is closed or the flow is idle, which ends it.
+func (u *UDP) ended(f *flow) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.closed
+	if !u.closed && time.Since(f.used) < flowIdle {
+		return false
+	}
+	delete(u.flows, f.client)
+	f.back.Close()
+	return true
 }
 
 // pass sends a copy of data after the delay of the moment, unless a fault
@@ -185,6 +197,9 @@
 func (u *UDP) plan(f *flow, direction, size int, faults Faults) (wait time.Duration, dropped bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if direction == 0 {
+		f.used = time.Now()
+	}
 	source := f.client.Addr()
 	if f.silent || faults.cuts(source) || faults.blackholes(source) || u.random.Float64() < u.loss {
 		return 0, true
--- a/pkg/faultproxy/udp_test.go
+++ b/pkg/faultproxy/udp_test.go
@@ -128,3 +128,25 @@
 	require.NoError(t, err)
 	require.GreaterOrEqual(t, time.Since(start), 60*time.Millisecond)
 }
+
+// Guards against a relay that keeps the sockets of all flows that ever were.
+func TestIdleFlowsEnd(t *testing.T) {
+	target, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = target.Close() })
+	relay, err := NewUDP(target.LocalAddr().String(), 1)
+	require.NoError(t, err)
+	t.Cleanup(relay.Close)
+	client, err := net.Dial("udp", relay.Addr())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = client.Close() })
+	_, err = client.Write([]byte("x"))
+	require.NoError(t, err)
+	flows := func() int {
+		relay.mu.Lock()
+		defer relay.mu.Unlock()
+		return len(relay.flows)
+	}
+	require.Eventually(t, func() bool { return flows() == 1 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return flows() == 0 }, 3*flowIdle, 10*time.Millisecond)
+}
--- a/pkg/harness/relays.go
+++ b/pkg/harness/relays.go
@@ -144,7 +144,7 @@
 }
 
 // Silence makes all established connections to the upstreams, to the store and
-// between instances silent; new ones work. It returns how many were silenced.
+// between instances silent, and all flows of datagrams; new ones work. It returns how many were silenced.
 func (c *Cluster) Silence() int {
 	silenced := 0
 	for _, group := range []map[string]*faultproxy.TCP{c.relays.store, c.relays.upstreams} {
@@ -157,6 +157,11 @@
 			silenced += relay.Silence()
 		}
 	}
+	for _, list := range c.relays.datagrams {
+		for _, relay := range list {
+			silenced += relay.Silence()
+		}
+	}
 	return silenced
 }
 
--- a/pkg/harness/start.go
+++ b/pkg/harness/start.go
@@ -35,9 +35,9 @@
 	return err
 }
 
-// membersComplete tells whether every running instance sees all others serving
+// MembersComplete returns nil if every running instance sees all others serving
 // and all upstreams.
-func (c *Cluster) membersComplete() error {
+func (c *Cluster) MembersComplete() error {
 	for _, i := range c.Instances {
 		if !i.Running() {
 			continue
@@ -65,7 +65,7 @@
 // AwaitMembers waits until every running instance sees all others serving and
 // serves every service.
 func (c *Cluster) AwaitMembers(limit time.Duration) error {
-	if _, err := Await(limit, "members", c.membersComplete); err != nil {
+	if _, err := Await(limit, "members", c.MembersComplete); err != nil {
 		return err
 	}
 	_, err := Await(limit, "service on all instances", c.serving)
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
@@ -12,8 +13,8 @@
 func (i *Instance) startMesh(ctx context.Context, l *listeners) {
 	s := i.settings
 	i.mesh = mesh.New(mesh.Config{
-		Self:        mesh.Member{ID: s.ID, Region: s.Region, Domain: s.Domain, Caller: s.CallerAddress, Address: s.MeshAddress},
-		Advertised:  s.MeshAdvertised,
+		Self:        mesh.Member{ID: s.ID, Region: s.Region, Domain: s.Domain, Caller: s.CallerAddress, Address: s.reachedAt()},
+		Open:        func() (net.PacketConn, error) { return net.ListenPacket("udp4", s.sendAddress()) },
 		Incarnation: uint64(i.opt.Random() * (1 << 62)),
 		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
 		Local: i.local, InFlight: i.balancer.InFlight, Demands: i.balancer.Demands,
--- a/pkg/instance/register.go
+++ b/pkg/instance/register.go
@@ -92,11 +92,7 @@
 	call, cancel := context.WithTimeout(ctx, registerCall)
 	defer cancel()
 	s := r.instance.settings
-	address := s.MeshAddress
-	if s.MeshAdvertised != "" {
-		address = s.MeshAdvertised
-	}
-	return r.instance.store.Put(call, catalog.Instances, s.ID, []byte(address))
+	return r.instance.store.Put(call, catalog.Instances, s.ID, []byte(s.reachedAt()))
 }
 
 // acquainted waits a moment for the instances that the settings name and tells
--- a/pkg/instance/settings.go
+++ b/pkg/instance/settings.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/settings"
@@ -77,9 +78,37 @@
 	if _, ok := s.Regions[s.Domain]; !ok && s.Domain != "" {
 		r.Fail("regions", s.Domain, "the own failure domain has no region")
 	}
+	if s.MeshAdvertised == "" && wildcard(s.MeshAddress) || wildcard(s.MeshAdvertised) {
+		r.Fail("mesh", "advertised", "must name the host at which the others reach the mesh")
+	}
 	return s, r.Err()
 }
 
+// reachedAt returns where the other instances reach the mesh.
+func (s *Settings) reachedAt() string {
+	if s.MeshAdvertised != "" {
+		return s.MeshAdvertised
+	}
+	return s.MeshAddress
+}
+
+// sendAddress returns the address of sockets that send to the mesh; the system
+// chooses the port.
+func (s *Settings) sendAddress() string {
+	host, _, err := net.SplitHostPort(s.MeshAddress)
+	if err != nil {
+		// Settings were checked; a wildcard serves as well.
+		host = ""
+	}
+	return net.JoinHostPort(host, "0")
+}
+
+// wildcard tells whether an address names no host.
+func wildcard(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Addr().IsUnspecified()
+}
+
 // minTokenBytes is the shortest token of an operator.
 const minTokenBytes = 16
 
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -53,6 +53,10 @@
 	beatPerMember     = 40 * time.Millisecond
 	maxBeatInterval   = time.Second
 	tick              = 50 * time.Millisecond
+	// flowLife is how long datagrams leave from one port. A path that drops what
+	// passes between two ports for good must not keep members apart; the time
+	// and the next report are less than DeadAfter.
+	flowLife = 1500 * time.Millisecond
 	// fullEvery is the number of heartbeats of which one says everything.
 	fullEvery = 2
 	// passedAddresses is the number of addresses that a heartbeat passes on.
@@ -111,12 +115,13 @@
 
 // Config holds the inputs of a Mesh.
 type Config struct {
+	// Self is this instance; its address is where the others reach it.
 	Self Member
-	// Advertised is where the others reach this instance, if that is not where
-	// its datagrams come from.
-	Advertised string
 	// Incarnation tells two starts under one id apart.
 	Incarnation uint64
+	// Open opens a socket to send from. Without it, datagrams leave from the
+	// socket that receives.
+	Open func() (net.PacketConn, error)
 	// Seeds are addresses to try before any member is known.
 	Seeds  []string
 	Now    func() time.Time
@@ -145,9 +150,12 @@
 	config Config
 	conn   net.PacketConn
 
-	mu      sync.Mutex
-	members map[string]*member
-	unknown map[string]time.Time
+	mu sync.Mutex
+	// out is the socket that datagrams leave from, opened at outSince.
+	out      net.PacketConn
+	outSince time.Time
+	members  map[string]*member
+	unknown  map[string]time.Time
 	// lost holds the dead members by address.
 	lost     map[string]lostMember
 	hellos   int
@@ -181,10 +189,7 @@
 
 // New returns a Mesh on an open socket.
 func New(config Config, conn net.PacketConn) *Mesh {
-	if config.Advertised != "" {
-		config.Self.Address = config.Advertised
-	}
-	m := &Mesh{config: config, conn: conn, members: make(map[string]*member), unknown: make(map[string]time.Time), lost: make(map[string]lostMember)}
+	m := &Mesh{config: config, conn: conn, out: conn, members: make(map[string]*member), unknown: make(map[string]time.Time), lost: make(map[string]lostMember)}
 	for _, a := range config.Seeds {
 		m.addAddress(a)
 	}
@@ -214,9 +219,9 @@
 	}
 }
 
-// Run exchanges datagrams until ctx ends; it closes the socket.
+// Run exchanges datagrams until ctx ends; it closes the sockets.
 func (m *Mesh) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
+	stop := context.AfterFunc(ctx, m.close)
 	defer stop()
 	go m.receive(ctx)
 	t := time.NewTicker(tick)
@@ -230,6 +235,15 @@
 	}
 }
 
+// close closes the sockets. A failure leaves them to the end of the process.
+func (m *Mesh) close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = m.conn.Close()
+	_ = m.out.Close()
+	m.config.Open = nil
+}
+
 // Announce sends a heartbeat at once, as a change of state needs.
 func (m *Mesh) Announce() {
 	m.mu.Lock()
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -71,7 +71,12 @@
 // startOn starts a peer on a socket with a clock.
 func startOn(t *testing.T, conn net.PacketConn, now func() time.Time, id, region string, seeds ...string) *peer {
 	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, shares: map[string]cluster.Shares{}, rates: map[string]float64{}, state: Serving, version: 6}
+	var open func() (net.PacketConn, error)
+	if o, ok := conn.(*flowConn); ok {
+		open = o.open
+	}
 	p.Mesh = New(Config{
+		Open:        open,
 		Self:        Member{ID: id, Region: region, Domain: region + "-a", Caller: "10.0.0.1:1", Address: p.address},
 		Incarnation: uint64(time.Now().UnixNano()), Seeds: seeds, Now: now, Random: func() float64 { return 0.5 }, Logger: event.Discard(),
 		Local: func() Local {
@@ -307,6 +312,63 @@
 	}
 }
 
+// path drops all datagrams from the sockets that were open when it was
+// silenced.
+type path struct {
+	mu    sync.Mutex
+	conns []*cutConn
+}
+
+func (p *path) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.cut.Store(true)
+	}
+}
+
+// flowConn is a socket of a path that can open others.
+type flowConn struct {
+	*cutConn
+	path *path
+}
+
+func (f *flowConn) open() (net.PacketConn, error) {
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c := &flowConn{&cutConn{PacketConn: conn}, f.path}
+	f.path.mu.Lock()
+	defer f.path.mu.Unlock()
+	f.path.conns = append(f.path.conns, c.cutConn)
+	return c, nil
+}
+
+// Guards against members that lose each other for good because everything
+// between the ports that they used goes silent while new flows work.
+func TestMembersStayWhenTheirFlowsGoSilent(t *testing.T) {
+	p := &path{}
+	var peers [2]*peer
+	for i := range peers {
+		conn, err := (&flowConn{path: p}).open()
+		require.NoError(t, err)
+		var seeds []string
+		if i == 1 {
+			seeds = []string{peers[0].address}
+		}
+		peers[i] = startOn(t, conn, time.Now, fmt.Sprint("i", i), "n", seeds...)
+	}
+	meet := func() bool { return len(peers[0].Live()) == 1 && len(peers[1].Live()) == 1 }
+	require.Eventually(t, meet, 5*time.Second, 5*time.Millisecond)
+	p.silence()
+	require.Never(t, func() bool { return !meet() }, 2*DeadAfter, 20*time.Millisecond)
+	addresses := []string{peers[1].address, peers[0].address}
+	for i, x := range peers {
+		require.Equal(t, addresses[i], x.Live()[0].Address, "the address is that of the socket that receives")
+	}
+}
+
 // Guards against news that reach another region only when its gateway, which
 // stands still, is found dead.
 func TestNewsReachARegionWhoseGatewayStandsStill(t *testing.T) {
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -90,8 +90,8 @@
 			changed = changed || x.Caller != b.Caller
 			x.ID, x.Region, x.Domain, x.Caller = msg.ID, b.Region, b.Domain, b.Caller
 			x.target, x.Address, x.Rates = from, from.String(), b.Rates
-			if to, err := net.ResolveUDPAddr("udp4", b.Advertised); err == nil && b.Advertised != "" {
-				x.target, x.Address = to, b.Advertised
+			if to, err := net.ResolveUDPAddr("udp4", b.Address); err == nil && b.Address != "" {
+				x.target, x.Address = to, b.Address
 			}
 			delete(m.unknown, x.Address)
 			delete(m.lost, x.Address)
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -7,6 +7,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
 
 // message is the content of a datagram. A load report carries the fields up to
@@ -25,7 +26,7 @@
 // beat is the content of a heartbeat. Its fields are numbered, so that releases
 // with other fields read each other. A short one leaves out where the sender is
 // and what changes slowly: Region, Domain, Caller, Demand, Rates, Addresses and
-// Advertised.
+// Address.
 type beat struct {
 	Region     string           `cbor:"1,keyasint,omitempty"`
 	Domain     string           `cbor:"2,keyasint,omitempty"`
@@ -40,9 +41,9 @@
 	Active     int              `cbor:"11,keyasint,omitempty"`
 	Shares     cluster.Shares   `cbor:"12,keyasint,omitempty"`
 	Rates      cluster.Demand   `cbor:"13,keyasint,omitempty"`
-	// Advertised is the address of the sender if it is not the source of the
-	// datagram.
-	Advertised string `cbor:"14,keyasint,omitempty"`
+	// Address is where the sender receives. Releases that left it out sent from
+	// there.
+	Address string `cbor:"14,keyasint,omitempty"`
 }
 
 // send sends the messages that are due inside the region, heartbeats to the
@@ -94,7 +95,7 @@
 		Version: local.Version, Active: local.Active, Shares: local.Shares}
 	all := *short
 	all.Region, all.Domain, all.Caller = m.config.Self.Region, m.config.Self.Domain, m.config.Self.Caller
-	all.Rates, all.Advertised = local.Rates, m.config.Advertised
+	all.Rates, all.Address = local.Rates, m.config.Self.Address
 	if demand {
 		all.Demand = m.config.Demands()
 	}
@@ -152,11 +153,31 @@
 
 // write sends a datagram. An error is like a loss, which the next one repairs.
 func (m *Mesh) write(data []byte, to net.Addr) {
-	if _, err := m.conn.WriteTo(data, to); err == nil {
+	if _, err := m.sender().WriteTo(data, to); err == nil {
 		m.sent++
 	}
 }
 
+// sender returns the socket to send from; the caller holds the lock. Without
+// another one, the present socket stays in use.
+func (m *Mesh) sender() net.PacketConn {
+	now := m.config.Now()
+	if m.config.Open == nil || now.Sub(m.outSince) < flowLife {
+		return m.out
+	}
+	m.outSince = now
+	opened, err := m.config.Open()
+	if err != nil {
+		event.Log(m.config.Logger, event.SocketFailed, "error", err.Error())
+		return m.out
+	}
+	if m.out != m.conn {
+		_ = m.out.Close()
+	}
+	m.out = opened
+	return m.out
+}
+
 func (m *Mesh) someAddresses() []string {
 	all := make([]string, 0, len(m.members))
 	for _, x := range m.members {
--- a/test/process/network_test.go
+++ b/test/process/network_test.go
@@ -30,6 +30,18 @@
 	requireComplete(t, single, "after connections went silent", after(at.Add(fullService)))
 }
 
+// Guards against instances that lose each other, and then exceed the limits
+// that they share, when their connections and flows go silent for good.
+func TestInstancesStayTogetherWhenFlowsGoSilent(t *testing.T) {
+	c := newCluster(t, withRelays)
+	for range 2 {
+		require.Positive(t, c.Silence())
+		for end := time.Now().Add(2 * detection); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			require.NoError(t, c.MembersComplete())
+		}
+	}
+}
+
 // Guards against lost, doubled or halved answers on connections that break in
 // the middle of an exchange.
 func TestLostAndHalvedAnswersOnTheWire(t *testing.T) {
