--- a/pkg/routing/demand.go
+++ b/pkg/routing/demand.go
@@ -11,7 +11,7 @@
 	// demandWindow smooths the measured demand over several heartbeats, so that
 	// random arrivals hardly move the rows of other regions.
 	demandWindow = 5 * time.Second
-	// demandBurst is the time for which unused tokens of the gossiped demand
+	// demandBurst is the time for which unused tokens of the reported demand
 	// accumulate, so that requests may arrive unevenly.
 	demandBurst = time.Second
 )
@@ -47,7 +47,7 @@
 	return demand
 }
 
-// demandByRegion sums the gossiped demand of a service over the instances of each
+// demandByRegion sums the reported demand of a service over the instances of each
 // region.
 func demandByRegion(in Input, service string) vector {
 	demand := vector{in.Home: in.Own[service]}
--- a/pkg/routing/limiter.go
+++ b/pkg/routing/limiter.go
@@ -12,8 +12,8 @@
 	// was paused does not catch up in one jump.
 	maxStep = 250 * time.Millisecond
 	// leadTime times the cap is how far a region's share may run ahead of the
-	// slowest live peer. It exceeds the age of gossiped shares (two heartbeat
-	// intervals, one snapshot interval and one step), so that instances that
+	// slowest live peer. It exceeds the age of reported shares (a heartbeat
+	// and, between regions, a digest and its passing on), so that instances that
 	// move together seldom wait for each other.
 	leadTime = 3 * time.Second
 	// leadPatience ends the wait for a live peer that makes no progress, for
--- a/pkg/routing/service.go
+++ b/pkg/routing/service.go
@@ -47,7 +47,7 @@
 	// meter measures the own demand.
 	meter meter
 	// localTokens is a token bucket of requests for localPlan. It fills at the
-	// gossiped demand of this instance.
+	// reported demand of this instance.
 	localTokens float64
 }
 
@@ -158,7 +158,7 @@
 	return "", result.New(result.ShareExhausted, "the share of %s on %s is still moving", s.name, domain)
 }
 
-// nextPlan returns the plan for the next request. Requests beyond the gossiped
+// nextPlan returns the plan for the next request. Requests beyond the reported
 // demand use the effective shares, so that a surge in one region does not change
 // the sum over all regions before the others know of it.
 func (s *service) nextPlan() *plan {
