Notice silent connections to the store within two seconds

If the connections on which the instances watch the store go silent (DEPLOY.md: new ones work, only a timeout shows it), an upstream that reports that it leaves goes on getting requests.

Cause: a watch waits up to 2.9 s and 1 s more for its answer, so silence shows after 3.9 s, later than the 3 or 4 s after which a deployment counts an instance as in touch again. The next call then took another connection of the pool, also silent, and lost as much time again. The second watcher of the region trusts its own watch for up to 9.7 s and took the change from the first one only after 0.6 s.

Ruled out: the keep-alive of TCP; it sees silence only if nobody confirms the bytes on the way.

--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -14,17 +14,18 @@
 	listTimeout = 1500 * time.Millisecond
 	// watchWait is the long-poll time of a watch, and watchResponseTimeout the
 	// extra time for its response. A connection that has gone silent is
-	// detected only after both have passed. Their sum must be less than four
-	// seconds: after losing contact with the store, an instance has to restore
-	// it within that time.
-	watchWait            = 2900 * time.Millisecond
-	watchResponseTimeout = time.Second
+	// detected only after both have passed. Their sum, a backoff and the time
+	// until the other instances of the region have the changes must stay below
+	// three seconds, the shortest time within which a deployment expects an
+	// instance that lost contact with the store to be up to date again.
+	watchWait            = 1300 * time.Millisecond
+	watchResponseTimeout = 700 * time.Millisecond
 	// secondaryWatchWait is the long-poll time while another instance of the
 	// region is the primary watcher. It may be longer than watchWait, because
 	// the primary watcher passes on the changes that this instance misses.
-	secondaryWatchWait = 3 * watchWait
+	secondaryWatchWait = 6 * watchWait
 	// minBackoff and maxBackoff bound the backoff after a failed call.
-	minBackoff = 200 * time.Millisecond
+	minBackoff = 100 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
 	// backoffPerRank is added to maxBackoff for each rank after the first, so
 	// that not all instances keep calling a store that is down.
--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -73,7 +73,7 @@
 
 // catchUpDelay is how long a peer may be ahead before its changes are fetched.
 // Usually the changes reach this instance through its own watch within that time.
-const catchUpDelay = 600 * time.Millisecond
+const catchUpDelay = 200 * time.Millisecond
 
 // catchUp fetches the changes from a peer that has been ahead for catchUpDelay. It
 // does not wait if this instance lacks a table or has an older description.
