Watch the store as soon as the watchers of the region are silent

If both instances that watch the store for a region are paused or killed at once, the others send to an upstream that reports that it leaves for up to 2.8 s; 2.5 s are allowed.

Cause: the others start to watch once the two count as dead, 2.5 s after their last heartbeat, and then need a role check (0.25 s) and a listing. The other regions do not help: their digests go to the gateway, which by the same order is one of the two. Class: waiting for a time-out that is as long as the bound itself.

An instance now watches the store itself once nobody has confirmed its tables for 1.5 s.

Ruled out: a shorter time until members count as dead; it also decides about look-ups and shared limits, for which a pause of 2 s is no death.

TestInstanceWatchesStoreOnceItsWatchersAreSilent (bound 2 s, the rest is for the listing): 2.45 and 2.50 s before, passes after.

--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -50,14 +50,22 @@
 // it failed to fetch changes from a member.
 const fetchFailureWatchTime = 5 * time.Second
 
+// maxUnconfirmedTime is how long an instance relies on the watchers of its region without
+// hearing from them. It is the time between two heartbeats in a large region and half of
+// that, and shorter than mesh.DeadAfter: waiting until silent watchers count as dead would
+// take longer than a leaving upstream may be used.
+const maxUnconfirmedTime = 1500 * time.Millisecond
+
 // watchRole returns the role of this instance in watching the store. It watches
 // unless storeWatchersPerRegion instances of a lower rank already watch and reach
-// the store. It also watches for fetchFailureWatchTime after a member failed to
-// serve its changes.
+// the store, and have said so within maxUnconfirmedTime. It also watches for
+// fetchFailureWatchTime after a member failed to serve its changes.
 func (i *Instance) watchRole() catalog.WatchRole {
 	lowerRankedWatchers := i.mesh.Rank(func(m mesh.Member) bool { return m.Watching })
 	until := i.watchStoreUntil.Load()
-	return catalog.WatchRole{Primary: lowerRankedWatchers == 0, Watches: lowerRankedWatchers < storeWatchersPerRegion || until != nil && i.opt.Now().Before(*until),
+	_, unconfirmed := i.catalog.TableAges()
+	return catalog.WatchRole{Primary: lowerRankedWatchers == 0,
+		Watches: lowerRankedWatchers < storeWatchersPerRegion || unconfirmed > maxUnconfirmedTime || until != nil && i.opt.Now().Before(*until),
 		Rank: i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })}
 }
 
--- /dev/null
+++ b/pkg/instance/members_test.go
@@ -0,0 +1,58 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/mesh"
+)
+
+// startWatcher starts a member of the instance's region that reports that it watches the
+// store and knows what the instance knows.
+func (env *testEnv) startWatcher(ctx context.Context, id string, inst *testInstance) {
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(env.t, err)
+	m := mesh.New(mesh.Config{
+		Self:  mesh.Member{ID: id, Region: inst.settings.Region, Domain: inst.settings.Domain, Address: conn.LocalAddr().String()},
+		Seeds: []string{inst.settings.MeshAddress}, Now: time.Now, Random: func() float64 { return 0 }, Logger: inst.logger, Incarnation: 1,
+		LocalStatus: func() mesh.Status {
+			directives, upstreams := inst.catalog.Revisions()
+			return mesh.Status{State: mesh.Serving, Watching: true, DirectivesRevision: directives, UpstreamsRevision: upstreams}
+		},
+		InFlight: func() []balance.InFlight { return nil }, Demands: func() []balance.Demand { return nil }, RouteStats: func() []balance.RouteStats { return nil },
+		RegionTotals: func() ([]balance.InFlight, []balance.Demand) { return nil, nil },
+		OnLoad:       func(string, string, []balance.InFlight) {}, OnDemand: func(string, string, []balance.Demand) {}, OnRouteStats: func(string, string, []balance.RouteStats) {},
+		OnMembershipChange: func() {}, OnHeartbeat: func(mesh.Member) {}, OnRegionShares: func(string, cluster.Shares, cluster.RequestRates) {},
+	}, conn)
+	go m.Run(ctx)
+}
+
+// Guards against instances that learn too late that an upstream leaves, because the members
+// that watch the store for them have stopped and count as live for a while.
+func TestInstanceWatchesStoreOnceItsWatchersAreSilent(t *testing.T) {
+	const maxTime = 2 * time.Second // 2.5 s for a leaving upstream, less the time to list the table
+	env := newTestEnv(t)
+	inst := env.start("i1")
+	env.awaitReady(inst, 0)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	for n := 0; inst.watchesStore(); n++ {
+		// The rank of an id follows from its hash; some of the first ids come before "i1".
+		env.startWatcher(ctx, fmt.Sprint("w", n), inst)
+		time.Sleep(50 * time.Millisecond)
+		require.Less(t, n, 20)
+	}
+	time.Sleep(time.Second)
+	require.False(t, inst.watchesStore())
+	stop()
+	stoppedAt := time.Now()
+	require.Eventually(t, inst.watchesStore, testTimeout, 5*time.Millisecond)
+	require.Less(t, time.Since(stoppedAt), maxTime)
+}
