Take shares of limits only once the other instances are known

Cause: an instance waits 1.5 s for the seeds, three for all, and lists the registered instances only if it has met none of its region by then. Those that it knows by address are tried once a second, and each answers with its next full heartbeat, up to 2 s later. Instances that know few others all count themselves among the four that may send to a cold upstream. Class: taking part in a shared limit on knowledge that was assumed to be complete by a time.

An instance now lists the registered instances 0.3 s after its start and takes its shares once it has (after 5 s if the store is away); a member that joins gets a full heartbeat at once; instances that are known by address count beside the four, and while there are some, the first request to a limited upstream is sent at a random moment of its interval. The limits that instances share (cold rate, retries, connections) are divided in one place, share.go, instead of three.

Ruled out: heartbeats more often; 26 members of a region send a hundred datagrams a second each already.

TestColdRateHoldsWhileInstancesKnowOnlySomeOthers (26 instances of a region, 29 requests in a second allowed): before 104 if each knows the others only by address, now within the limit in all eight cases.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -17,7 +17,7 @@
 // region plan with what they have measured together (route_stats.go). Under overload the priority of a route limits
 // how much of an upstream's queue its requests may use, so that requests of low
 // priority are refused first (admit.go, choose.go). Limits that apply to all instances
-// together are divided among the known instances (instances.go, limits.go,
+// together are divided among the known instances (instances.go, share.go, limits.go,
 // retry_budget.go).
 //
 // Capacity and demand are measured in slots. A slot is room for one request that
@@ -72,6 +72,8 @@
 	// addressOnlyCount is the number of instances that are known only by address
 	// because no heartbeat of theirs has arrived yet.
 	addressOnlyCount int
+	// instancesListed is set once the registered instances have been listed.
+	instancesListed bool
 	// peers holds the load reports of other instances and regions by the id of the
 	// sender.
 	peers map[string]*peerLoad
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -128,7 +128,7 @@
 }
 
 // admits reports whether the upstream can take the request now: it checks the
-// connection limit, the queue limit, load shedding, ejection and the cold rate.
+// connection limit, the queue limit, load shedding, ejection and the limited rates.
 func (b *Balancer) admits(u *upstream, req AcquireRequest, load int, now time.Time) bool {
 	if limit := b.maxConnections(u); limit > 0 && u.inFlight >= limit {
 		return false
@@ -139,10 +139,11 @@
 	if u.consecutiveEjections > 0 {
 		return u.inFlight == 0 && u.allowsProbe(req.Route.Idempotent, now)
 	}
+	maxLoad := u.Slots + queueLimit(req.Route.Priority)
 	if now.Before(u.coldUntil) {
-		return load < u.Slots && b.coldAllowed(u, now)
+		maxLoad = u.Slots
 	}
-	return load < u.Slots+queueLimit(req.Route.Priority)
+	return load < maxLoad && b.rateAllows(u, now)
 }
 
 // estimate fills in the expected latency and the score of a candidate.
--- a/pkg/balance/fixture_test.go
+++ b/pkg/balance/fixture_test.go
@@ -63,6 +63,7 @@
 		r := rand.New(rand.NewPCG(1, uint64(i)))
 		b := New(Config{Instance: x.ID, Region: x.Region, Domain: x.Region + "-a", RegionByDomain: regions, GlobalLimits: globalLimits, Now: f.Now, Random: r.Float64, Logger: event.DiscardLogger()})
 		b.SetInstances(list, 0)
+		b.SetInstancesListed()
 		f.balancers = append(f.balancers, b)
 	}
 	f.advance(membershipSettleTime)
--- a/pkg/balance/instances.go
+++ b/pkg/balance/instances.go
@@ -23,9 +23,21 @@
 	return rank, b.instanceCount()
 }
 
-// MembershipSettled reports whether this instance has run for long enough to have heard
-// of all others.
-func (b *Balancer) MembershipSettled() bool { return b.membershipSettled(b.config.Now()) }
+// MembershipSettled reports whether this instance has listed the registered instances or
+// has run for long enough to have heard of others.
+func (b *Balancer) MembershipSettled() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.instancesListed || b.config.Now().Sub(b.startedAt) >= membershipSettleTime
+}
+
+// SetInstancesListed states that the registered instances have been listed, so that all
+// others are known at least by address.
+func (b *Balancer) SetInstancesListed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instancesListed = true
+}
 
 // knownInstance is an instance that counts towards global limits.
 type knownInstance struct {
--- a/pkg/balance/lease.go
+++ b/pkg/balance/lease.go
@@ -69,10 +69,8 @@
 	if u.consecutiveEjections > 0 {
 		l.probe, u.probing = true, true
 	}
-	if now.Before(u.coldUntil) {
-		l.Cold = true
-		b.scheduleNextColdSend(u, now)
-	}
+	l.Cold = now.Before(u.coldUntil)
+	b.scheduleNextSend(u, now)
 	u.inFlight++
 	u.activeLeases = append(u.activeLeases, l)
 	return l
--- a/pkg/balance/limits.go
+++ b/pkg/balance/limits.go
@@ -1,14 +1,8 @@
 package balance
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 const (
-	// membershipSettleTime is how long after its start an instance may not know the
-	// others: until heartbeats of all of them have arrived.
-	membershipSettleTime = 2 * time.Second
 	// maxColdSenders is the maximum number of instances that send to a cold
 	// upstream.
 	maxColdSenders = 4
@@ -20,55 +14,10 @@
 	connectionFraction = 0.9
 )
 
-// membershipSettled reports whether the instances are known that share the limits over
-// all instances. If all instances are started together, each of them would otherwise
-// take itself for the only one and use the limits alone.
-func (b *Balancer) membershipSettled(now time.Time) bool {
-	return now.Sub(b.startedAt) >= membershipSettleTime
-}
-
-// coldAllowed reports whether this instance may send to a cold upstream now.
-func (b *Balancer) coldAllowed(u *upstream, now time.Time) bool {
-	return b.membershipSettled(now) && b.instanceColdRate(u) > 0 && !now.Before(u.nextColdSend)
-}
-
-// scheduleNextColdSend sets the earliest time at which this instance may send the next
-// request to a cold upstream.
-func (b *Balancer) scheduleNextColdSend(u *upstream, now time.Time) {
-	if r := b.instanceColdRate(u); r > 0 {
-		u.nextColdSend = now.Add(time.Duration(float64(time.Second) / r))
-	}
-}
-
-// instanceColdRate returns the maximum number of requests per second that this
-// instance sends to a cold upstream. The service's MaxColdRequestRate, less a margin, is
-// divided among up to maxColdSenders instances of its region, or of all regions if no
-// instance of its region is known. Instances with the same list of known instances
-// compute the same senders.
-func (b *Balancer) instanceColdRate(u *upstream) float64 {
-	senderHashes := make([]uint32, 0, len(b.instances))
-	own := hash(b.config.Instance, u.ID)
-	for _, local := range []bool{true, false} {
-		for _, i := range b.instances {
-			if !local || i.Region == u.region {
-				senderHashes = append(senderHashes, hash(i.ID, u.ID))
-			}
-		}
-		if len(senderHashes) > 0 {
-			break
-		}
-	}
-	sort.Slice(senderHashes, func(i, j int) bool { return senderHashes[i] < senderHashes[j] })
-	// Instances known only by address may send to the upstream too, so they get a
-	// share.
-	senderCount := float64(min(maxColdSenders, len(senderHashes)+b.addressOnlyCount))
-	senderHashes = senderHashes[:min(maxColdSenders, len(senderHashes))]
-	for _, h := range senderHashes {
-		if h == own {
-			return coldRateFraction * b.pool(u.Service).config.MaxColdRequestRate / senderCount
-		}
-	}
-	return 0
+// coldRate returns the maximum number of requests per second that this instance sends to
+// a cold upstream.
+func (b *Balancer) coldRate(u *upstream, now time.Time) float64 {
+	return b.share(sharedLimit{total: coldRateFraction * b.pool(u.Service).config.MaxColdRequestRate, upstream: u, maxHolders: maxColdSenders}, now)
 }
 
 // maxConnections returns the maximum number of connections that this instance may
@@ -79,9 +28,43 @@
 	if limit <= 0 {
 		return 0
 	}
-	share := int(connectionFraction * float64(limit) / float64(b.instanceCount()))
-	if !b.membershipSettled(b.config.Now()) {
-		share = min(share, u.Slots)
+	share := b.share(sharedLimit{total: connectionFraction * float64(limit), whileUnknown: float64(u.Slots)}, b.config.Now())
+	return max(1, int(share))
+}
+
+// rateAllows reports whether the rate at which this instance may send to an upstream
+// allows a request now.
+func (b *Balancer) rateAllows(u *upstream, now time.Time) bool {
+	rate, limited := b.sendRate(u, now)
+	if !limited {
+		return true
+	}
+	if rate <= 0 {
+		return false
+	}
+	if interval := sendInterval(rate); b.addressOnlyCount > 0 && now.Sub(u.nextSend) > interval {
+		// Instances that do not know each other may all have a share, and must not all
+		// send their first request at once.
+		u.nextSend = now.Add(time.Duration(b.config.Random() * float64(interval)))
+	}
+	return !now.Before(u.nextSend)
+}
+
+// scheduleNextSend sets the earliest time at which this instance may send the next
+// request to an upstream with a limited rate.
+func (b *Balancer) scheduleNextSend(u *upstream, now time.Time) {
+	if rate, limited := b.sendRate(u, now); limited && rate > 0 {
+		u.nextSend = now.Add(sendInterval(rate))
 	}
-	return max(1, share)
 }
+
+// sendRate returns the maximum number of requests per second that this instance sends to
+// an upstream, if there is a limit.
+func (b *Balancer) sendRate(u *upstream, now time.Time) (rate float64, limited bool) {
+	if now.Before(u.coldUntil) {
+		return b.coldRate(u, now), true
+	}
+	return 0, false
+}
+
+func sendInterval(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
--- a/pkg/balance/limits_test.go
+++ b/pkg/balance/limits_test.go
@@ -199,6 +199,7 @@
 			}
 			if step == 15 {
 				b.SetInstances(liveInstances(f.balancers), 0)
+				b.SetInstancesListed()
 			}
 			if l := acquire(b, testRoute(0), fmt.Sprint(i)); l != nil {
 				sent++
@@ -212,6 +213,46 @@
 	require.Positive(t, sent)
 }
 
+// Guards against a cold upstream that gets too many requests because each of the restarted
+// instances still knows only some of the others, most of them by address at best.
+func TestColdRateHoldsWhileInstancesKnowOnlySomeOthers(t *testing.T) {
+	for _, known := range []int{0, 1, 6, 13} {
+		for _, listed := range []bool{true, false} {
+			f := newFixture(52, 0)
+			f.view.Upstreams["cold"] = steering.Upstream{ID: "cold", Service: service, Address: "c:1", Domain: "n-a", Slots: 400, State: steering.Ready, ColdRemaining: time.Minute, StartUnixMS: 1}
+			var restarted []*Balancer
+			for i, all := 0, liveInstances(f.balancers); i < len(all); i += 2 {
+				b := New(f.balancers[i].config)
+				var others []Instance
+				for n := range known {
+					others = append(others, all[(i+2+4*n)%len(all)])
+				}
+				if listed {
+					b.SetInstances(others, 25-known)
+					b.SetInstancesListed()
+				} else {
+					b.SetInstances(others, 0)
+				}
+				restarted = append(restarted, b)
+			}
+			f.advance(membershipSettleTime)
+			sent := 0
+			for step := range 100 {
+				for _, b := range restarted {
+					if step == 0 {
+						b.Update(f.view)
+					}
+					if acquire(b, testRoute(0), "") != nil {
+						sent++
+					}
+				}
+				f.advance(10 * time.Millisecond)
+			}
+			require.LessOrEqual(t, float64(sent), coldRateFactor*16+coldRateAllowance, "each knows %d others, listed: %t", known, listed)
+		}
+	}
+}
+
 // Guards against a retry budget that each of the restarted instances uses alone, because
 // they do not know each other yet.
 func TestRetryBudgetHoldsAfterRestartOfAllInstances(t *testing.T) {
@@ -223,6 +264,7 @@
 			if known {
 				restarted.startedAt = f.Now().Add(-membershipSettleTime)
 				restarted.SetInstances(liveInstances(f.balancers), 0)
+				restarted.SetInstancesListed()
 			}
 			restarted.pool(service)
 			limit := restarted.RetryBudgets()[service].Limit
--- a/pkg/balance/retry_budget.go
+++ b/pkg/balance/retry_budget.go
@@ -88,9 +88,6 @@
 		retries += s.retries
 	}
 	ratioLimit := retryLimitFraction * limits.MaxRetryRatio * float64(requests)
-	limit := ratioLimit + retryLimitFraction*limits.ExtraRetries/float64(b.instanceCount())
-	if !b.membershipSettled(now) {
-		limit = min(limit, max(ratioLimit, startRetries))
-	}
-	return RetryBudget{Used: retries, Limit: limit, Denied: w.denied}
+	extra := b.share(sharedLimit{total: retryLimitFraction * limits.ExtraRetries, whileUnknown: max(0, startRetries-ratioLimit)}, now)
+	return RetryBudget{Used: retries, Limit: ratioLimit + extra, Denied: w.denied}
 }
--- a/pkg/balance/upstream.go
+++ b/pkg/balance/upstream.go
@@ -98,10 +98,11 @@
 	// addressReused is set if another upstream answered at the address.
 	addressReused bool
 
-	// coldUntil is the end of the warm-up. Until then, nextColdSend is the earliest
-	// time at which this instance may send the next request.
-	coldUntil    time.Time
-	nextColdSend time.Time
+	// coldUntil is the end of the warm-up.
+	coldUntil time.Time
+	// nextSend is the earliest time at which this instance may send the next request
+	// while the rate of requests to the upstream is limited.
+	nextSend time.Time
 }
 
 // updateRegistration applies a new registration of the same upstream process.
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -106,8 +106,6 @@
 	// servesWithoutDescription is set once the wait for the description has timed
 	// out.
 	servesWithoutDescription atomic.Bool
-	// instancesListed is set once the registered instances have been listed.
-	instancesListed atomic.Bool
 	// trafficByRegion maps the names of the other regions to their regionTraffic.
 	trafficByRegion sync.Map
 	// balancerMu serializes updates of the balancer, so that an older view never
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -66,7 +66,7 @@
 	_, unconfirmed := i.catalog.TableAges()
 	return catalog.WatchRole{Primary: lowerRankedWatchers == 0,
 		Watches: lowerRankedWatchers < storeWatchersPerRegion || unconfirmed > maxUnconfirmedTime || until != nil && i.opt.Now().Before(*until),
-		Rank: i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })}
+		Rank:    i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })}
 }
 
 // watchesStore reports whether this instance watches the store.
@@ -103,13 +103,13 @@
 // limitsKnown reports whether this instance knows its portion of the concurrency limits:
 // there are none, or the other instances are known from the store or by their heartbeats.
 func (i *Instance) limitsKnown() bool {
-	return i.instancesListed.Load() || i.balancer.MembershipSettled() || !i.policy.HasConcurrencyLimits()
+	return i.balancer.MembershipSettled() || !i.policy.HasConcurrencyLimits()
 }
 
 // limitRank returns the rank of this instance among those that share the concurrency limits,
 // and their number. While they are not known, it returns a rank without a portion.
 func (i *Instance) limitRank() (rank, instances int) {
-	if i.instancesListed.Load() || i.balancer.MembershipSettled() {
+	if i.balancer.MembershipSettled() {
 		return i.balancer.InstanceRank()
 	}
 	return math.MaxInt, math.MaxInt
--- a/pkg/instance/register.go
+++ b/pkg/instance/register.go
@@ -15,12 +15,8 @@
 	// registerRetryDelay is the delay before a failed registration is retried.
 	registerRetryDelay = 2 * time.Second
 	registerTimeout    = 1500 * time.Millisecond
-	// seedTimeout is how long to wait for heartbeats of the seeds in the settings.
-	seedTimeout = 1500 * time.Millisecond
 	// startSpread is the time within which instances that are started together start.
 	startSpread = 300 * time.Millisecond
-	// memberPollInterval is how often it is checked whether the other instances are needed.
-	memberPollInterval = 20 * time.Millisecond
 	// renewInterval is the time between renewals of a registration.
 	renewInterval = 10 * time.Minute
 	// staleAfter is the time without a renewal after which a registration is
@@ -41,10 +37,9 @@
 	instance      *Instance
 	now           func() time.Time
 	registrations map[string]registration
-	// otherAddressesKnown is set once the addresses of the other instances are
-	// known, from the store or from a member of the same region.
-	otherAddressesKnown bool
-	renewals            int
+	// listed is set once the addresses of the other instances are known.
+	listed   bool
+	renewals int
 }
 
 // run renews the registration periodically until ctx ends.
@@ -55,15 +50,12 @@
 			event.Log(r.instance.logger, event.RegistrationFailed, "error", err.Error())
 			delay = registerRetryDelay
 		}
-		select {
-		case <-time.After(delay):
-		case <-ctx.Done():
-		}
+		sleep(ctx, delay)
 	}
 }
 
-// renew writes the row of this instance. It also lists all rows until the
-// addresses of the other instances are known. From its second renewal on, the
+// renew writes the row of this instance. The first time, it also lists all rows, once the
+// instances that are started together have written theirs. From its second renewal on, the
 // live instance with the lowest rank in the region lists all rows at each renewal,
 // to remove stale ones.
 func (r *registrar) renew(ctx context.Context) error {
@@ -71,14 +63,12 @@
 	if err := r.writeOwnRow(ctx); err != nil {
 		return err
 	}
-	if !r.otherAddressesKnown {
-		// Instances gossip addresses only within their region, so a member of
-		// another region would not supply the addresses of this one.
-		r.otherAddressesKnown = r.waitForRegionMember(ctx)
+	if !r.listed {
+		sleep(ctx, startSpread)
 	}
 	removesStale := r.renewals > 0 && i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving }) == 0
 	r.renewals++
-	if r.otherAddressesKnown && !removesStale {
+	if r.listed && !removesStale {
 		return nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -87,16 +77,23 @@
 	if err != nil {
 		return err
 	}
-	r.otherAddressesKnown = true
+	r.listed = true
 	i.mesh.AddAddresses(r.otherAddresses(l))
 	i.updateInstances()
-	i.instancesListed.Store(true)
+	i.balancer.SetInstancesListed()
 	if !removesStale {
 		return nil
 	}
 	return r.removeStale(callCtx, l)
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // writeOwnRow writes the row of this instance, which holds its mesh address.
 func (r *registrar) writeOwnRow(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -105,30 +102,6 @@
 	return r.instance.store.Put(callCtx, catalog.Instances, s.ID, []byte(s.advertisedMeshAddress()))
 }
 
-// waitForRegionMember waits seedTimeout for heartbeats of the seeds and reports
-// whether a live member of the same region has been found. If concurrency limits are in
-// force, it returns false as soon as instances that were started together have written
-// their rows: the rows tell how many instances share the limits.
-func (r *registrar) waitForRegionMember(ctx context.Context) bool {
-	poll := time.NewTicker(memberPollInterval)
-	defer poll.Stop()
-	for start := r.now(); ctx.Err() == nil && r.now().Sub(start) < seedTimeout; {
-		if r.now().Sub(start) >= startSpread && r.instance.policy.HasConcurrencyLimits() {
-			return false
-		}
-		select {
-		case <-poll.C:
-		case <-ctx.Done():
-		}
-	}
-	for _, m := range r.instance.mesh.Live() {
-		if m.Region == r.instance.settings.Region {
-			return true
-		}
-	}
-	return false
-}
-
 // otherAddresses returns the mesh addresses of the other instances.
 func (r *registrar) otherAddresses(l catalog.Listing) []string {
 	var list []string
--- a/pkg/instance/register_test.go
+++ b/pkg/instance/register_test.go
@@ -21,7 +21,7 @@
 	inst := env.start("i1")
 	require.Eventually(t, func() bool { return env.store.has(catalog.Instances, "i1") }, testTimeout, 5*time.Millisecond)
 	now := time.Now()
-	r := &registrar{instance: inst.Instance, now: func() time.Time { return now }, otherAddressesKnown: true, renewals: 1}
+	r := &registrar{instance: inst.Instance, now: func() time.Time { return now }, listed: true, renewals: 1}
 	env.store.write(catalog.Instances, "replaced", "127.0.0.1:1", false)
 	env.store.write(catalog.Instances, "renewed", "127.0.0.1:2", false)
 	require.NoError(t, r.renew(context.Background()))
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -185,7 +185,11 @@
 	// to the time when they were added.
 	candidateAddresses map[string]time.Time
 	// deadMembers holds the dead members that are still probed, by address.
-	deadMembers     map[string]deadMember
+	deadMembers map[string]deadMember
+	// joined holds the addresses of the members of the local region that have joined since
+	// the last tick. They may have just started and have to know this instance before they
+	// take their shares of the limits.
+	joined          []net.Addr
 	probeRoundCount int
 	sequence        uint64
 	heartbeatCount  int
@@ -229,10 +233,11 @@
 	return m
 }
 
-// AddAddresses adds addresses to probe for instances.
+// AddAddresses adds addresses to probe for instances, from the next tick on.
 func (m *Mesh) AddAddresses(list []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.lastProbeAt = time.Time{}
 	for _, a := range list {
 		m.addAddress(a)
 	}
@@ -333,6 +338,7 @@
 		heartbeat: restartIfElapsed(&m.lastHeartbeatAt, now, min(maxHeartbeatInterval, max(heartbeatInterval, peerCount*heartbeatIntervalPerMember))),
 		load:      restartIfElapsed(&m.lastLoadAt, now, max(loadInterval, peerCount*loadIntervalPerMember)),
 		probe:     restartIfElapsed(&m.lastProbeAt, now, probeInterval),
+		joined:    len(m.joined) > 0,
 		digest:    m.isGateway() && restartIfElapsed(&m.lastDigestAt, now, max(digestInterval, peerCount*digestIntervalPerMember)),
 	}
 	if due.heartbeat {
@@ -345,7 +351,7 @@
 	if changed {
 		m.config.OnMembershipChange()
 	}
-	if due.heartbeat || due.load || due.probe {
+	if due.heartbeat || due.load || due.probe || due.joined {
 		m.sendDue(due)
 	}
 	if due.digest {
@@ -354,9 +360,9 @@
 }
 
 // dueMessages specifies which messages to send. full makes the heartbeat to the
-// local region a full one; otherRegions requests a heartbeat to the members of
-// the other regions.
-type dueMessages struct{ heartbeat, full, load, probe, digest, otherRegions bool }
+// local region a full one; joined requests a heartbeat to the members that have just
+// joined, and otherRegions one to the members of the other regions.
+type dueMessages struct{ heartbeat, full, load, probe, joined, digest, otherRegions bool }
 
 // restartIfElapsed sets *at to now if interval has passed since *at, and reports
 // whether it did.
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -63,8 +63,12 @@
 		return
 	}
 	x.incarnation, x.sequence, x.lastHeardAt = msg.Incarnation, msg.Sequence, now
+	joined := !x.alive || restarted
 	changed := m.updateMember(x, msg, from, restarted)
 	current := x.Member
+	if joined && x.Region == m.config.Self.Region {
+		m.joined = append(m.joined, x.sendAddress)
+	}
 	m.mu.Unlock()
 	if changed {
 		m.config.OnMembershipChange()
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -53,7 +53,7 @@
 // members of other regions.
 func (m *Mesh) sendDue(due dueMessages) {
 	inFlight := packInFlight(m.config.InFlight())
-	short, fullHeartbeat := m.heartbeats(due.full)
+	short, fullHeartbeat := m.heartbeats(due.full || due.joined)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sequence++
@@ -70,6 +70,9 @@
 	if due.probe {
 		m.sendProbes(m.encode(inFlight, fullHeartbeat, nil))
 	}
+	if due.joined {
+		m.sendToJoined(m.encode(inFlight, fullHeartbeat, nil))
+	}
 	if due.otherRegions {
 		m.sendToOtherRegions(m.encode(inFlight, fullHeartbeat, nil))
 	}
@@ -104,6 +107,14 @@
 	return short, &full
 }
 
+// sendToJoined sends a full heartbeat to the members that have joined since the last tick.
+func (m *Mesh) sendToJoined(full []byte) {
+	for _, address := range m.joined {
+		m.sendDatagram(full, address)
+	}
+	m.joined = nil
+}
+
 // sendProbes sends a full heartbeat to the candidate addresses and, every
 // deadProbeEvery rounds, to the addresses of dead members. Only the gateway
 // probes the dead members of other regions.
