Treat upstreams as cold after an evacuation that an instance missed

Cause: instances were cut off from the store and from each other from 8 to 14 s, asturias-b was evacuated from 9 to 14 s. The log of the cut instances of asturias has no event 208 for it and shows requests to the upstream with cold=false after 14 s: they learned of the end of an evacuation that they had never seen in force. The end was compared with the evacuated domains known before, so upstreams that the others treat as cold got the full rate. The same happens if start and end arrive together. Class: a state that is derived from two observations, of which an instance can miss the first.

A view now names the store revision at which each evacuation ended; a newer one marks the upstreams of the domain as cold.

Ruled out: late news of the end; the instances of the region that were in touch had it at 14.0 s. The other instances' hold on the cold rate held.

TestUpstreamsAreColdAfterEvacuationThatTheInstanceMissed fails before.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -66,6 +66,8 @@
 	// evacuatedDomains holds the failure domains that receive no requests because the
 	// operator evacuated them.
 	evacuatedDomains map[string]bool
+	// evacuationEnds is View.EvacuationEnds of the last view.
+	evacuationEnds map[string]int64
 	// instances holds the instances among which global limits are divided, by id,
 	// including this one (instances.go).
 	instances map[string]*knownInstance
@@ -171,12 +173,7 @@
 	for _, registration := range v.Upstreams {
 		b.register(registration, now)
 	}
-	for domain := range b.evacuatedDomains {
-		if !v.EvacuatedDomains[domain] {
-			b.endEvacuation(domain, now)
-		}
-	}
-	b.evacuatedDomains = v.EvacuatedDomains
+	b.setEvacuations(v, now)
 	for _, p := range b.pools {
 		p.rankings = nil
 	}
@@ -250,6 +247,22 @@
 	p.upstreams = append(p.upstreams, u)
 }
 
+// setEvacuations installs the evacuated domains of a view.
+func (b *Balancer) setEvacuations(v *steering.View, now time.Time) {
+	for domain := range b.evacuatedDomains {
+		if !v.EvacuatedDomains[domain] {
+			b.endEvacuation(domain, now)
+		}
+	}
+	for domain, revision := range v.EvacuationEnds {
+		if revision > b.evacuationEnds[domain] && !b.evacuatedDomains[domain] {
+			// The evacuation ended before this instance knew of it.
+			b.endEvacuation(domain, now)
+		}
+	}
+	b.evacuatedDomains, b.evacuationEnds = v.EvacuatedDomains, v.EvacuationEnds
+}
+
 // endEvacuation marks the upstreams of a domain as cold, since they may have lost
 // their cached objects while they received no requests.
 func (b *Balancer) endEvacuation(domain string, now time.Time) {
--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -103,6 +103,7 @@
 		// its key.
 		if d.EvacuatedDomain != "" {
 			delete(c.evacuatedDomains, d.EvacuatedDomain)
+			c.evacuationEnds[d.EvacuatedDomain] = r.Revision
 			event.Log(c.opt.Logger, event.EvacuationEnded, "domain", d.EvacuatedDomain, "revision", r.Revision, "source", source)
 		}
 		return
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +77,7 @@
 	tables           [2]tableState
 	config           *steering.Config
 	evacuatedDomains map[string]bool
+	evacuationEnds   map[string]int64
 	upstreams        map[string]steering.Upstream
 	// graceDeadlines maps each upstream whose registration lapsed to the end
 	// of its grace period.
@@ -108,7 +110,7 @@
 
 // New returns an empty Catalog.
 func New(opt Options) *Catalog {
-	c := &Catalog{opt: opt, evacuatedDomains: make(map[string]bool), upstreams: make(map[string]steering.Upstream), graceDeadlines: make(map[string]time.Time)}
+	c := &Catalog{opt: opt, evacuatedDomains: make(map[string]bool), evacuationEnds: make(map[string]int64), upstreams: make(map[string]steering.Upstream), graceDeadlines: make(map[string]time.Time)}
 	for i := range c.tables {
 		c.tables[i].rows = make(map[string]Row)
 		c.tables[i].deletions = make(map[string]deletion)
@@ -163,7 +165,7 @@
 // publish builds a view of the current state and publishes it. The lock must be
 // held.
 func (c *Catalog) publish() {
-	v := &steering.View{Config: c.config, Upstreams: make(map[string]steering.Upstream, len(c.upstreams)), EvacuatedDomains: make(map[string]bool, len(c.evacuatedDomains))}
+	v := &steering.View{Config: c.config, Upstreams: make(map[string]steering.Upstream, len(c.upstreams)), EvacuatedDomains: make(map[string]bool, len(c.evacuatedDomains)), EvacuationEnds: maps.Clone(c.evacuationEnds)}
 	for id, u := range c.upstreams {
 		v.Upstreams[id] = u
 	}
--- a/pkg/instance/changes_test.go
+++ b/pkg/instance/changes_test.go
@@ -96,3 +96,18 @@
 	watches := nonWatcher.watchesStore()
 	require.True(t, watches)
 }
+
+// Guards against cold upstreams that get requests at the full rate from an instance that
+// was cut off from the store during the evacuation of their domain, and so never saw it.
+func TestUpstreamsAreColdAfterEvacuationThatTheInstanceMissed(t *testing.T) {
+	env := newTestEnv(t)
+	env.startUpstream("u1")
+	inst := env.start("i1")
+	env.awaitReady(inst, 1)
+	env.store.setDown(true)
+	env.store.write(catalog.Directives, "evacuate/n-a", "{}", false)
+	env.store.write(catalog.Directives, "evacuate/n-a", "", true)
+	env.store.setDown(false)
+	isCold := func() bool { return inst.balancer.UpstreamSnapshots("shop")[0].Cold }
+	require.Eventually(t, isCold, testTimeout, time.Millisecond)
+}
--- a/pkg/instance/description.go
+++ b/pkg/instance/description.go
@@ -52,7 +52,7 @@
 		i.balancer.Update(v)
 		return
 	}
-	view := &steering.View{Config: v.Config, Upstreams: maps.Clone(v.Upstreams), EvacuatedDomains: v.EvacuatedDomains}
+	view := &steering.View{Config: v.Config, Upstreams: maps.Clone(v.Upstreams), EvacuatedDomains: v.EvacuatedDomains, EvacuationEnds: v.EvacuationEnds}
 	for _, id := range drained {
 		if u, ok := view.Upstreams[id]; ok {
 			u.State = steering.Draining
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -159,6 +159,10 @@
 	Upstreams map[string]Upstream
 	// EvacuatedDomains holds the evacuated failure domains, which receive no requests.
 	EvacuatedDomains map[string]bool
+	// EvacuationEnds holds, by failure domain, the store revision at which its last
+	// evacuation ended. An instance may learn of the end of an evacuation without having
+	// seen it in force.
+	EvacuationEnds map[string]int64
 }
 
 // Directive is a row written by the operator: either a configuration or the
