Limit probes of ejected upstreams by the cold rate

If all instances have ejected an upstream, for example because it failed before its domain was evacuated, and it comes back cold, each of them sends it a probe at once.

Cause: the check of an ejected upstream came before that of the cold rate. Class: a limit with a way around it.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	if u.consecutiveEjections > 0 {
-		return u.inFlight == 0 && u.allowsProbe(req.Route.Idempotent, now)
+		return u.inFlight == 0 && u.allowsProbe(req.Route.Idempotent, now) && b.rateAllows(u, now)
 	}
 	maxLoad := u.Slots + queueLimit(req.Route.Priority)
 	if now.Before(u.coldUntil) {
--- a/pkg/balance/limits_test.go
+++ b/pkg/balance/limits_test.go
@@ -253,6 +253,33 @@
 	}
 }
 
+// Guards against a cold upstream that gets a probe from every instance at once, because all
+// of them had ejected it before its domain was evacuated.
+func TestColdRateHoldsForProbes(t *testing.T) {
+	f := newFixture(52, 0)
+	f.addUpstream("cold", "n-a")
+	f.publish()
+	for _, b := range f.balancers {
+		b.upstreams["cold"].eject(f.Now())
+	}
+	f.view.EvacuatedDomains = map[string]bool{"n-a": true}
+	f.publish()
+	f.advance(maxEjectionTime)
+	f.view.EvacuatedDomains = map[string]bool{}
+	f.publish()
+	sent := 0
+	for range 100 {
+		for _, b := range f.balancers {
+			if acquire(b, testRoute(0), "") != nil {
+				sent++
+			}
+		}
+		f.advance(10 * time.Millisecond)
+	}
+	require.Positive(t, sent)
+	require.LessOrEqual(t, float64(sent), coldRateFactor*16+coldRateAllowance)
+}
+
 // Guards against a retry budget that each of the restarted instances uses alone, because
 // they do not know each other yet.
 func TestRetryBudgetHoldsAfterRestartOfAllInstances(t *testing.T) {
