Keep to the request rate that an upstream states

Cause: no code read the header. Class: a statement of an upstream that is passed on and not acted upon.

The rate is one more limit that instances share, so it uses the mechanism of the cold rate: up to limit + 2 instances of the upstream's region have a share and pace their requests; the lower of both rates holds for a cold upstream that states one. What is stated is passed on in heartbeats and digests, so that instances without a share learn that a limit is lifted. The room of a region counts with the limited rate, so the shares move to where there is room. New: event 511, the field rate_limited of refusals, rate_limit in the dump.

Ruled out: a limit of requests in flight (the rate would depend on the service time of what is asked for); equal shares of all instances (few of 75 would ever send, and each object would go to another upstream).

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -71,6 +71,8 @@
 	// instances holds the instances among which global limits are divided, by id,
 	// including this one (instances.go).
 	instances map[string]*knownInstance
+	// instancesVersion changes with the ids and regions of instances.
+	instancesVersion uint64
 	// addressOnlyCount is the number of instances that are known only by address
 	// because no heartbeat of theirs has arrived yet.
 	addressOnlyCount int
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -16,12 +16,22 @@
 	slots := make(map[string]float64)
 	for _, u := range p.upstreams {
 		if u.usable(now) && !b.evacuatedDomains[u.Domain] {
-			slots[u.region] += float64(u.Slots)
+			slots[u.region] += p.effectiveSlots(u, now)
 		}
 	}
 	return slots
 }
 
+// effectiveSlots returns the number of slots of an upstream that requests can use, which is
+// smaller than its slots if it states a low request rate.
+func (p *pool) effectiveSlots(u *upstream, now time.Time) float64 {
+	slots := float64(u.Slots)
+	if u.stated.inForce(now) && p.serviceTime > 0 {
+		slots = min(slots, u.stated.limit*p.serviceTime.Seconds())
+	}
+	return slots
+}
+
 // pick grants a lease on an upstream in region, or in any region if region is empty. If
 // the region has no eligible upstream, any region may serve the request. pick returns nil
 // if no upstream is found.
--- a/pkg/balance/explain.go
+++ b/pkg/balance/explain.go
@@ -24,6 +24,9 @@
 	Tried int `json:"tried"`
 	// Cold counts cold upstreams whose rate is exhausted or whose slots are full.
 	Cold int `json:"cold"`
+	// RateLimited counts upstreams that state a request rate of which this instance has
+	// used its part.
+	RateLimited int `json:"rate_limited"`
 	// Full counts upstreams that have reached the queue limit of the route's
 	// priority or their connection limit.
 	Full int `json:"full"`
@@ -37,7 +40,7 @@
 // LogValue implements slog.LogValuer.
 func (r Refusal) LogValue() slog.Value {
 	return slog.GroupValue(slog.String("region", r.Region), slog.Int("upstreams", r.Upstreams), slog.Int("full", r.Full), slog.Int("elsewhere", r.OtherRegion), slog.Int("displacing", r.AffinityOnly),
-		slog.Int("cold", r.Cold), slog.Int("left_out", r.Unavailable), slog.Int("evacuated", r.Evacuated), slog.Int("tried", r.Tried))
+		slog.Int("cold", r.Cold), slog.Int("rate_limited", r.RateLimited), slog.Int("left_out", r.Unavailable), slog.Int("evacuated", r.Evacuated), slog.Int("tried", r.Tried))
 }
 
 // Explain returns why no upstream currently admits the request.
@@ -79,6 +82,8 @@
 		r.AffinityOnly++
 	case now.Before(u.coldUntil):
 		r.Cold++
+	case !b.rateAllows(u, now):
+		r.RateLimited++
 	default:
 		r.Full++
 	}
@@ -94,6 +99,9 @@
 	Usable    bool `json:"usable"`
 	Evacuated bool `json:"evacuated"`
 	Cold      bool `json:"cold"`
+	// RateLimit is the request rate per second that the upstream states to take from all
+	// instances together, 0 if it states none.
+	RateLimit float64 `json:"rate_limit"`
 	// Load is the estimated number of requests at the upstream.
 	Load  int `json:"load"`
 	Slots int `json:"slots"`
@@ -114,7 +122,7 @@
 	now := b.config.Now()
 	for _, u := range p.upstreams {
 		list = append(list, UpstreamSnapshot{ID: u.ID, Region: u.region, Domain: u.Domain, Usable: u.usable(now), Evacuated: b.evacuatedDomains[u.Domain],
-			Cold: now.Before(u.coldUntil), Load: u.load(now), Slots: u.Slots, Slowness: u.slowness(now), FailureRate: u.currentFailureRate(now)})
+			Cold: now.Before(u.coldUntil), RateLimit: u.stated.limit, Load: u.load(now), Slots: u.Slots, Slowness: u.slowness(now), FailureRate: u.currentFailureRate(now)})
 	}
 	sort.Slice(list, func(x, y int) bool { return list[x].ID < list[y].ID })
 	return list
--- a/pkg/balance/instances.go
+++ b/pkg/balance/instances.go
@@ -57,6 +57,9 @@
 	live := map[string]bool{b.config.Instance: true}
 	for _, i := range list {
 		live[i.ID] = true
+		if known := b.instances[i.ID]; known == nil || known.Region != i.Region {
+			b.instancesVersion++
+		}
 		b.instances[i.ID] = &knownInstance{Instance: i, live: true}
 	}
 	for id, i := range b.instances {
@@ -73,6 +76,7 @@
 	for id, i := range b.instances {
 		if !i.live && (i.Leaving || now.Sub(i.deadSince) > deadInstanceRetention) {
 			delete(b.instances, id)
+			b.instancesVersion++
 		}
 	}
 }
--- a/pkg/balance/lease.go
+++ b/pkg/balance/lease.go
@@ -92,6 +92,7 @@
 		b.roundTrips.record(u.Domain, r.ConnectTime)
 	}
 	ejectionsBefore := u.consecutiveEjections
+	b.recordStatement(u, r, now)
 	u.recordResult(l, r, now, l.pool.config.WarmUpTime)
 	b.logEjection(u, ejectionsBefore, r)
 	if r.Outcome == exchange.Answered && r.Status < 300 {
--- a/pkg/balance/limits.go
+++ b/pkg/balance/limits.go
@@ -35,36 +35,55 @@
 // rateAllows reports whether the rate at which this instance may send to an upstream
 // allows a request now.
 func (b *Balancer) rateAllows(u *upstream, now time.Time) bool {
-	rate, limited := b.sendRate(u, now)
-	if !limited {
+	l := b.sendLimit(u, now)
+	if !l.limited {
 		return true
 	}
-	if rate <= 0 {
+	if l.rate <= 0 {
 		return false
 	}
-	if interval := sendInterval(rate); b.addressOnlyCount > 0 && now.Sub(u.nextSend) > interval {
+	if b.addressOnlyCount > 0 && now.Sub(u.nextSend) > l.interval() {
 		// Instances that do not know each other may all have a share, and must not all
 		// send their first request at once.
-		u.nextSend = now.Add(time.Duration(b.config.Random() * float64(interval)))
+		u.nextSend = now.Add(time.Duration(b.config.Random() * float64(l.interval())))
 	}
-	return !now.Before(u.nextSend)
+	return !now.Before(u.nextSend.Add(-time.Duration(l.burst-1) * l.interval()))
 }
 
 // scheduleNextSend sets the earliest time at which this instance may send the next
 // request to an upstream with a limited rate.
 func (b *Balancer) scheduleNextSend(u *upstream, now time.Time) {
-	if rate, limited := b.sendRate(u, now); limited && rate > 0 {
-		u.nextSend = now.Add(sendInterval(rate))
+	if l := b.sendLimit(u, now); l.limited && l.rate > 0 {
+		if u.nextSend.Before(now) {
+			u.nextSend = now
+		}
+		u.nextSend = u.nextSend.Add(l.interval())
 	}
 }
 
-// sendRate returns the maximum number of requests per second that this instance sends to
-// an upstream, if there is a limit.
-func (b *Balancer) sendRate(u *upstream, now time.Time) (rate float64, limited bool) {
+// sendLimit limits the requests that this instance sends to an upstream: rate per second,
+// of which burst may be sent at once after a quiet time.
+type sendLimit struct {
+	limited bool
+	rate    float64
+	burst   int
+}
+
+// interval returns the mean time between two requests; the rate must be positive.
+func (l sendLimit) interval() time.Duration {
+	return time.Duration(float64(time.Second) / l.rate)
+}
+
+// sendLimit returns the limit for an upstream: the lower one of the cold rate and of the
+// rate that the upstream states.
+func (b *Balancer) sendLimit(u *upstream, now time.Time) sendLimit {
+	stated, limited := b.statedRate(u, now)
+	l := sendLimit{limited: limited, rate: stated, burst: statedLimitBurst}
 	if now.Before(u.coldUntil) {
-		return b.coldRate(u, now), true
+		l = sendLimit{limited: true, rate: b.coldRate(u, now), burst: 1}
+		if limited {
+			l.rate = min(l.rate, stated)
+		}
 	}
-	return 0, false
+	return l
 }
-
-func sendInterval(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
--- a/pkg/balance/region_load.go
+++ b/pkg/balance/region_load.go
@@ -61,7 +61,7 @@
 			regions[u.region] = l
 		}
 		if u.State == steering.Ready && !u.addressReused && u.consecutiveEjections == 0 && !b.evacuatedDomains[u.Domain] {
-			l.capacity += float64(u.Slots)
+			l.capacity += p.effectiveSlots(u, now)
 			l.upstreams++
 		}
 	}
--- a/pkg/balance/share.go
+++ b/pkg/balance/share.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// membershipSettleTime is how long after its start an instance may not know the
@@ -51,11 +54,31 @@
 }
 
 // holderCount returns the number of instances that have a share of a limit that protects
-// an upstream, or 0 if this instance has none. They are those of the upstream's region, or
-// of all regions if none of its region is known, with the lowest hashes; instances with the
-// same list of known instances compute the same ones. Instances known only by address may
-// have a share too.
+// an upstream, or 0 if this instance has none. Instances known only by address may have a
+// share too.
 func (b *Balancer) holderCount(u *upstream, maxHolders int) int {
+	if u.rank == nil || u.rank.version != b.instancesVersion {
+		u.rank = b.holderRank(u)
+	}
+	if u.rank.lower >= maxHolders {
+		return 0
+	}
+	return min(maxHolders, u.rank.candidates) + b.addressOnlyCount
+}
+
+// holderRank is the rank of this instance among those that may have a share of a limit that
+// protects an upstream.
+type holderRank struct {
+	// candidates is the number of instances, and lower that of those before this one.
+	candidates, lower int
+	// version is that of the known instances from which the rank was computed.
+	version uint64
+}
+
+// holderRank ranks this instance by its hash among those of the upstream's region, or of all
+// regions if none of its region is known. Instances with the same list of known instances
+// compute the same order. An instance that is not among them comes last.
+func (b *Balancer) holderRank(u *upstream) *holderRank {
 	own := hash(b.config.Instance, u.ID)
 	for _, local := range []bool{true, false} {
 		candidates, lower, member := 0, 0, false
@@ -69,13 +92,12 @@
 				lower++
 			}
 		}
-		switch {
-		case candidates == 0:
-			continue
-		case !member || lower >= maxHolders:
-			return 0
+		if !member {
+			lower = math.MaxInt
+		}
+		if candidates > 0 {
+			return &holderRank{candidates: candidates, lower: lower, version: b.instancesVersion}
 		}
-		return min(maxHolders, candidates) + b.addressOnlyCount
 	}
-	return 0
+	return &holderRank{lower: math.MaxInt, version: b.instancesVersion}
 }
--- a/pkg/balance/upstream.go
+++ b/pkg/balance/upstream.go
@@ -100,8 +100,13 @@
 
 	// coldUntil is the end of the warm-up.
 	coldUntil time.Time
+	// rank is the rank of this instance among those that share limits that protect the
+	// upstream, nil if it has not been computed.
+	rank *holderRank
+	// stated is the request rate that the upstream last stated (stated_limit.go).
+	stated statement
 	// nextSend is the earliest time at which this instance may send the next request
-	// while the rate of requests to the upstream is limited.
+	// while the rate of requests to the upstream is limited and no burst is allowed.
 	nextSend time.Time
 }
 
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -45,6 +45,7 @@
 	UpstreamRegistrationExpired ID = 508
 	UpstreamRegistrationInvalid ID = 509
 	UpstreamConnectionsSilent   ID = 510
+	UpstreamRateLimited         ID = 511
 
 	StoreDown           ID = 600
 	StoreUp             ID = 601
@@ -96,6 +97,7 @@
 	{UpstreamRegistrationExpired, slog.LevelWarn, "upstream registration expired and is retained temporarily", "None if the upstream registers again; otherwise check the store."},
 	{UpstreamRegistrationInvalid, slog.LevelWarn, "upstream registration invalid", "Check which process wrote the row."},
 	{UpstreamConnectionsSilent, slog.LevelWarn, "kept connections to upstreams are silent and were closed", "Check what is between the instance and its upstreams (firewall, address translation); requests use new connections."},
+	{UpstreamRateLimited, slog.LevelInfo, "upstream limits its request rate, or no longer does", "Check the upstream if it limits its rate for long: it has less room than its slots tell."},
 
 	{StoreDown, slog.LevelWarn, "platform store unavailable", "Check the platform; requests are still served."},
 	{StoreUp, slog.LevelInfo, "platform store available", "None."},
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -31,6 +31,9 @@
 	// closeDelimitedLength is the content length that fasthttp reports for a response
 	// that ends when its connection is closed.
 	closeDelimitedLength = -2
+	// smallestRateLimit stands for a stated rate limit of 0, in requests per second. It
+	// differs from 0, which means that no limit is stated.
+	smallestRateLimit = 1e-3
 	// maxSlots and maxSlowness cap the values accepted from a load report.
 	maxSlots    = 10000
 	maxSlowness = 100
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -40,6 +40,9 @@
 	Upstream string
 	// ColdRemaining holds the remaining warm-up time of the upstream.
 	ColdRemaining string
+	// RateLimit holds the number of requests per second that the upstream takes from all
+	// instances together.
+	RateLimit string
 }
 
 // Request is a caller's request in the form that is forwarded to upstreams.
@@ -137,6 +140,9 @@
 // Field is a header field.
 type Field struct{ Name, Value string }
 
+// unreadableRateLimit is the rate limit of a response that states one that is not a number.
+const unreadableRateLimit = -1
+
 // Result holds the outcome of an attempt and the response, if one was received.
 type Result struct {
 	Outcome Outcome
@@ -150,6 +156,9 @@
 	Header          []Field
 	Body            []byte
 	Load            Load
+	// RateLimit is the number of requests per second that the upstream states to take
+	// from all instances together, 0 if it states none, or unreadableRateLimit.
+	RateLimit float64
 	// NewConnection reports whether the attempt opened a new connection.
 	NewConnection bool
 	// ConnectTime is how long the attempt took to open its connection, 0 if it reused
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -14,10 +14,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 )
 
 var testHeaders = Headers{RequestID: "X-Id", Deadline: "X-Deadline", AffinityKey: "X-Key", Signature: "X-Signature", Target: "X-Target",
-	Load: "X-Load", NotRun: "X-Not-Run", Upstream: "X-Upstream", ColdRemaining: "X-Cold"}
+	Load: "X-Load", NotRun: "X-Not-Run", Upstream: "X-Upstream", ColdRemaining: "X-Cold", RateLimit: "X-Limit"}
 
 // upstream is an HTTP stand-in for an upstream. It responds to each request with
 // the text that the reply function returns for the identifier of the request. An
@@ -349,3 +350,24 @@
 	require.Equal(t, Answered, do(c, u, "next", time.Second).Outcome)
 	require.EqualValues(t, connections+1, c.Dials())
 }
+
+// Guards against stated rate limits that are misread, above all one of 0 for none.
+func TestParseRateLimit(t *testing.T) {
+	for value, want := range map[string]float64{"8.6": 8.6, " 12 ": 12, "0": smallestRateLimit} {
+		require.Equal(t, want, parseRateLimit([]byte(value)), value)
+	}
+	for _, bad := range []string{"", "x", "-1", "NaN", "Inf", "1,2", "1e999"} {
+		require.EqualValues(t, unreadableRateLimit, parseRateLimit([]byte(bad)), bad)
+	}
+}
+
+// Guards against a stated rate limit that is not read from the response.
+func TestRateLimitIsReadFromResponse(t *testing.T) {
+	for head, want := range map[string]float64{"X-Limit: 8.6\r\n": 8.6, "x-limit: y\r\n": unreadableRateLimit, "": 0} {
+		message := fasthttp.AcquireResponse()
+		require.NoError(t, message.Header.Read(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n"+head+"Content-Length: 0\r\n\r\n"))))
+		r := NewClient(Config{Headers: testHeaders, Now: time.Now}).toResult(message)
+		require.EqualValues(t, want, r.RateLimit, head)
+		fasthttp.ReleaseResponse(message)
+	}
+}
--- a/pkg/exchange/fields.go
+++ b/pkg/exchange/fields.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,16 @@
 	return Load{Known: true, Running: min(n[0], maxSlots), Waiting: min(n[1], maxSlots), Slots: min(n[2], maxSlots), Slowness: min(maxSlowness, max(0.1, float64(n[3])/100))}
 }
 
+// parseRateLimit parses a decimal number of requests per second, which is at least
+// smallestRateLimit. It returns unreadableRateLimit for an invalid value.
+func parseRateLimit(value []byte) float64 {
+	limit, err := strconv.ParseFloat(string(bytes.TrimSpace(value)), 64)
+	if err != nil || !(limit >= 0) || math.IsInf(limit, 0) {
+		return unreadableRateLimit
+	}
+	return max(limit, smallestRateLimit)
+}
+
 // parseKeepAlive returns the idle timeout announced by a Keep-Alive field, or 0
 // if there is none.
 func parseKeepAlive(value []byte) time.Duration {
--- a/pkg/exchange/read.go
+++ b/pkg/exchange/read.go
@@ -62,7 +62,7 @@
 	case notRun:
 		r.Outcome, r.Reason = NotRun, Shed
 	case r.Status < http.StatusMultipleChoices && !r.Signed:
-		return &Result{Outcome: Unknown, Reason: Malformed, Load: r.Load, Err: errors.New("successful response without signature")}, false, true
+		return &Result{Outcome: Unknown, Reason: Malformed, Load: r.Load, RateLimit: r.RateLimit, Err: errors.New("successful response without signature")}, false, true
 	default:
 		r.Outcome, r.Reason = Answered, Complete
 	}
@@ -205,6 +205,9 @@
 		switch {
 		case strings.EqualFold(name, h.Load):
 			r.Load = parseLoad(value)
+		case strings.EqualFold(name, h.RateLimit):
+			r.RateLimit = parseRateLimit(value)
+			r.Header = append(r.Header, Field{name, string(value)})
 		case strings.EqualFold(name, h.Signature):
 			r.Signed = len(value) > 0
 			r.Header = append(r.Header, Field{h.Signature, string(value)})
--- a/pkg/instance/members_test.go
+++ b/pkg/instance/members_test.go
@@ -27,6 +27,7 @@
 			return mesh.Status{State: mesh.Serving, Watching: true, DirectivesRevision: directives, UpstreamsRevision: upstreams}
 		},
 		InFlight: func() []balance.InFlight { return nil }, Demands: func() []balance.Demand { return nil }, RouteStats: func() []balance.RouteStats { return nil },
+		Statements: func() []balance.Statement { return nil }, RegionStatements: func() []balance.Statement { return nil }, OnStatements: func(string, []balance.Statement) {},
 		RegionTotals: func() ([]balance.InFlight, []balance.Demand) { return nil, nil },
 		OnLoad:       func(string, string, []balance.InFlight) {}, OnDemand: func(string, string, []balance.Demand) {}, OnRouteStats: func(string, string, []balance.RouteStats) {},
 		OnMembershipChange: func() {}, OnHeartbeat: func(mesh.Member) {}, OnRegionShares: func(string, cluster.Shares, cluster.RequestRates) {},
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -39,6 +39,8 @@
 	// RequestRates is the sum of the members' request rates per second, sent with
 	// Members.
 	RequestRates cluster.RequestRates `cbor:"7,keyasint,omitempty"`
+	// Statements holds what upstreams have stated to the members, sent with Members.
+	Statements []balance.Statement `cbor:"8,keyasint,omitempty"`
 }
 
 // digestMember describes a live instance in a digest.
@@ -109,6 +111,7 @@
 // regions.
 func (m *Mesh) sendDigests() {
 	inFlight, demand := m.config.RegionTotals()
+	statements := m.config.RegionStatements()
 	status := m.config.LocalStatus()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -118,7 +121,7 @@
 	}
 	d := &digest{Region: m.config.Self.Region, InFlight: packInFlight(inFlight)}
 	if m.digestCount++; m.digestCount%memberListEvery == 1 {
-		d.Demand = demand
+		d.Demand, d.Statements = demand, statements
 		self := m.config.Self
 		self.Status = status
 		m.addRegionMembers(d, self)
@@ -173,6 +176,9 @@
 	if d.Demand != nil {
 		m.config.OnDemand(regionPrefix+d.Region, d.Region, d.Demand)
 	}
+	if len(d.Statements) > 0 {
+		m.config.OnStatements(d.Region, d.Statements)
+	}
 	if len(d.Members) > 0 {
 		m.config.OnRegionShares(d.Region, d.Shares, d.RequestRates)
 	}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -152,6 +152,10 @@
 	InFlight    func() []balance.InFlight
 	Demands     func() []balance.Demand
 	RouteStats  func() []balance.RouteStats
+	// Statements returns what upstreams have stated to this instance, and RegionStatements
+	// what they have stated to the instances of the local region.
+	Statements       func() []balance.Statement
+	RegionStatements func() []balance.Statement
 	// RegionTotals returns the totals over the local region.
 	RegionTotals func() ([]balance.InFlight, []balance.Demand)
 	// OnLoad and OnDemand receive the reports of the members of the local
@@ -160,9 +164,12 @@
 	// OnHeartbeat receives each heartbeat of a member of the local region.
 	// OnMembershipChange is called when a member joins, restarts, dies, or changes its
 	// state or caller address.
-	OnLoad             func(id, region string, list []balance.InFlight)
-	OnDemand           func(id, region string, list []balance.Demand)
-	OnRouteStats       func(id, region string, list []balance.RouteStats)
+	OnLoad       func(id, region string, list []balance.InFlight)
+	OnDemand     func(id, region string, list []balance.Demand)
+	OnRouteStats func(id, region string, list []balance.RouteStats)
+	// OnStatements receives what upstreams have stated to a member of the local region, or
+	// to the instances of another region.
+	OnStatements       func(region string, list []balance.Statement)
 	OnMembershipChange func()
 	OnHeartbeat        func(Member)
 	// OnRegionShares receives the mean of the shares in effect in another
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -36,6 +36,14 @@
 	state        State
 	// version is the reported version of the description.
 	version uint64
+	// statements holds the limits that the members of each region have reported.
+	statements map[string]float64
+}
+
+func (p *peer) statementOf(region string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.statements[region]
 }
 
 func (p *peer) sharesOf(region string) cluster.Shares {
@@ -78,7 +86,7 @@
 
 // startPeerOn starts a peer on the given socket and clock.
 func startPeerOn(t *testing.T, conn net.PacketConn, now func() time.Time, id, region string, seeds ...string) *peer {
-	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, serviceTimes: map[string]time.Duration{}, shares: map[string]cluster.Shares{}, rates: map[string]float64{}, state: Serving, version: 6}
+	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, serviceTimes: map[string]time.Duration{}, shares: map[string]cluster.Shares{}, rates: map[string]float64{}, statements: map[string]float64{}, state: Serving, version: 6}
 	var open func() (net.PacketConn, error)
 	if o, ok := conn.(*flowConn); ok {
 		open = o.open
@@ -97,6 +105,15 @@
 		RouteStats: func() []balance.RouteStats {
 			return []balance.RouteStats{{RouteHash: 9, ServiceTime: 30 * time.Millisecond, SampleCount: 4}}
 		},
+		Statements: func() []balance.Statement {
+			return []balance.Statement{{UpstreamHash: 7, Limit: 2.5, Age: time.Second}}
+		},
+		RegionStatements: func() []balance.Statement { return []balance.Statement{{UpstreamHash: 7, Limit: 3.5}} },
+		OnStatements: func(region string, list []balance.Statement) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.statements[region] = list[0].Limit
+		},
 		RegionTotals: func() ([]balance.InFlight, []balance.Demand) {
 			return []balance.InFlight{{UpstreamHash: 7, Count: 5}}, []balance.Demand{{RouteHash: 9, Slots: 3}}
 		},
@@ -157,6 +174,7 @@
 		other := regionPrefix + map[string]string{"n": "s", "s": "n"}[p.config.Self.Region]
 		require.Eventually(t, func() bool { return p.loadOf(other) == 5 }, waitTimeout, 10*time.Millisecond, "%s did not receive the load of %s", p.config.Self.ID, other)
 		region := strings.TrimPrefix(other, regionPrefix)
+		require.Eventually(t, func() bool { return p.statementOf(p.config.Self.Region) == 2.5 && p.statementOf(region) == 3.5 }, waitTimeout, 10*time.Millisecond)
 		require.Eventually(t, func() bool { return reflect.DeepEqual(p.sharesOf(region), testShares) && p.rateOf(region) == 15 }, waitTimeout, 10*time.Millisecond)
 		for _, m := range p.Live() {
 			require.EqualValues(t, 6, m.DescriptionVersion)
@@ -241,7 +259,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	return New(Config{Self: Member{ID: "self", Region: "n"}, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.DiscardLogger(),
-		LocalStatus: func() Status { return Status{} }, OnLoad: func(string, string, []balance.InFlight) {}, OnDemand: func(string, string, []balance.Demand) {}, OnRouteStats: func(string, string, []balance.RouteStats) {},
+		LocalStatus: func() Status { return Status{} }, OnLoad: func(string, string, []balance.InFlight) {}, OnDemand: func(string, string, []balance.Demand) {}, OnRouteStats: func(string, string, []balance.RouteStats) {}, OnStatements: func(string, []balance.Statement) {},
 		OnMembershipChange: func() {}, OnHeartbeat: func(Member) {}, OnRegionShares: func(string, cluster.Shares, cluster.RequestRates) {}}, &discardConn{conn}), conn.LocalAddr()
 }
 
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -66,7 +66,7 @@
 	joined := !x.alive || restarted
 	changed := m.updateMember(x, msg, from, restarted)
 	current := x.Member
-	if joined && x.Region == m.config.Self.Region {
+	if joined && x.Region == m.config.Self.Region && len(m.joined) < maxMembers {
 		m.joined = append(m.joined, x.sendAddress)
 	}
 	m.mu.Unlock()
@@ -84,6 +84,9 @@
 			m.config.OnDemand(msg.ID, current.Region, msg.Heartbeat.Demand)
 			m.config.OnRouteStats(msg.ID, current.Region, msg.Heartbeat.RouteStats)
 		}
+		if len(msg.Heartbeat.Statements) > 0 {
+			m.config.OnStatements(current.Region, msg.Heartbeat.Statements)
+		}
 		m.config.OnHeartbeat(current)
 	}
 }
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -46,6 +46,7 @@
 	Address string `cbor:"14,keyasint,omitempty"`
 	// RouteStats is sent with Demand.
 	RouteStats []balance.RouteStats `cbor:"15,keyasint,omitempty"`
+	Statements []balance.Statement  `cbor:"16,keyasint,omitempty"`
 }
 
 // sendDue sends the messages that are due, except digests: a heartbeat or a
@@ -97,7 +98,7 @@
 func (m *Mesh) heartbeats(withDemand bool) (short, fullHeartbeat *heartbeat) {
 	status := m.config.LocalStatus()
 	short = &heartbeat{State: status.State, DirectivesRevision: status.DirectivesRevision, UpstreamsRevision: status.UpstreamsRevision, Watching: status.Watching,
-		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares}
+		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares, Statements: m.config.Statements()}
 	full := *short
 	full.Region, full.Domain, full.CallerAddress = m.config.Self.Region, m.config.Self.Domain, m.config.Self.CallerAddress
 	full.RequestRates, full.Address = status.RequestRates, m.config.Self.Address
--- a/test/process/upstream_test.go
+++ b/test/process/upstream_test.go
@@ -88,6 +88,45 @@
 	requireNoExecutionsAfter(t, c, u, acceptedAt.Add(propagationTimeout))
 }
 
+// Guards against an upstream that gets far more requests from all instances together than
+// the limit that it states, and against a limit that stays in force after it is lifted.
+func TestUpstreamThatStatesARateLimit(t *testing.T) {
+	const (
+		limit      = 4.0
+		settleTime = 4 * time.Second
+		window     = 4 * time.Second
+		maxArrival = 1.5*4*limit + 5
+	)
+	c := newCluster(t, nil)
+	u := c.Upstream("shop-north-a-1")
+	traffic := c.StartLoad(mixedLoad(56, 16*time.Second))
+	time.Sleep(time.Second)
+	require.NoError(t, u.SetFaults(platformtest.UpstreamFaults{RateLimit: limit}))
+	statedAt := time.Now()
+	time.Sleep(settleTime + window + time.Second)
+	liftedAt := time.Now()
+	require.NoError(t, u.SetFaults(platformtest.UpstreamFaults{}))
+	report := traffic.Wait()
+	requireInvariants(t, c, report)
+	requireComplete(t, report, "while an upstream stated a limit", anyRecord)
+	require.LessOrEqual(t, arrivals(t, u, statedAt.Add(settleTime), statedAt.Add(settleTime+window)), int(maxArrival))
+	require.Greater(t, arrivals(t, u, liftedAt.Add(settleTime), liftedAt.Add(settleTime+time.Second)), int(2*limit))
+}
+
+// arrivals returns the number of executions that started on an upstream in a span.
+func arrivals(t *testing.T, u *harness.Upstream, from, to time.Time) int {
+	t.Helper()
+	report, err := u.Report()
+	require.NoError(t, err)
+	n := 0
+	for _, e := range report.Executions {
+		if e.StartUnixUS >= from.UnixMicro() && e.StartUnixUS < to.UnixMicro() {
+			n++
+		}
+	}
+	return n
+}
+
 // checkDrained returns a condition that fails until all given instances report the
 // upstream as drained with no request in flight.
 func checkDrained(instances []*harness.Instance, id string) func() error {
