--- a/pkg/exchange/faults_test.go
+++ b/pkg/exchange/faults_test.go
@@ -265,3 +265,38 @@
 	require.Equal(t, TimedOut, r.Reason, "%v", r.Err)
 	require.LessOrEqual(t, reads, 6)
 }
+
+// Guards against an earlier refusal that an upstream writes once more and that is taken for
+// the response to a request that it runs.
+func TestEarlierRefusalIsNotTakenForTheNextResponse(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"503":                    "HTTP/1.1 503 Busy\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"429":                    "HTTP/1.1 429 Busy\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"421":                    "HTTP/1.1 421 Misdirected\r\nX-Id: %s\r\nX-Upstream: v\r\nContent-Length: 0\r\n\r\n",
+		"503 without identifier": "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Fill: %s\r\nContent-Length: 0\r\n\r\n",
+		"421 without identifier": "HTTP/1.1 421 Misdirected\r\nX-Upstream: v\r\nX-Fill: %s\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for _, delay := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " ", delay), func(t *testing.T) {
+				first := fmt.Sprintf(refusal, "r0")
+				u := newUpstream(t, func(id string, c net.Conn) string {
+					if id == "r0" {
+						time.AfterFunc(delay, func() { _, _ = c.Write([]byte(first)) })
+						return first
+					}
+					time.Sleep(2 * delay)
+					return signedResponse(id, "body of "+id)
+				})
+				c := testClient()
+				require.Equal(t, NotRun, do(c, u, "r0", time.Second).Outcome)
+				for i := 1; i < 4; i++ {
+					r := do(c, u, fmt.Sprint("r", i), time.Second)
+					require.NotEqual(t, NotRun, r.Outcome, "a request that ran was reported as not run")
+					if r.Outcome == Answered {
+						require.Equal(t, fmt.Sprint("body of r", i), string(r.Body))
+					}
+				}
+			})
+		}
+	}
+}
