Ignore registrations that an upstream made before the known one

The store may perform a write seconds late if its answer was lost (PROTOCOL.md). If that is an earlier report of an upstream that has reported since that it leaves, the upstream became ready again and got requests.

Cause: the newest row counted, whatever its place among the reports of the upstream. Class: taking the order of arrival for the order of events.

A report with the same start time and a lower sequence than the known one is now ignored (event 512), also after the registration was removed. Reports without a start time are taken as before, since nothing tells their order, and one with another start time is another process.

TestLateWriteDoesNotMakeALeavingUpstreamReady fails without the check.

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -156,7 +156,18 @@
 		}
 		return
 	}
+	last := old
+	if !known {
+		last = c.removed[r.Key]
+	}
+	if isOutdated(u, last) {
+		// The store may perform an earlier write of the upstream late. It must not make an
+		// upstream that leaves ready again.
+		event.Log(c.opt.Logger, event.UpstreamReportOutdated, "upstream", r.Key, "service", u.Service, "sequence", u.Sequence, "known_sequence", last.Sequence, "revision", r.Revision, "source", source)
+		return
+	}
 	delete(c.graceDeadlines, r.Key)
+	delete(c.removed, r.Key)
 	c.upstreams[r.Key] = u
 	if known && old.State == steering.Ready && u.State == steering.Draining {
 		event.Log(c.opt.Logger, event.UpstreamDraining, "upstream", u.ID, "service", u.Service, "revision", r.Revision, "source", source)
@@ -165,7 +176,21 @@
 	}
 }
 
+// isOutdated reports whether the same upstream process has made report u before last.
+func isOutdated(u, last steering.Upstream) bool {
+	return u.StartUnixMS != 0 && u.StartUnixMS == last.StartUnixMS && u.Sequence < last.Sequence
+}
+
+// maxRemoved is the maximum number of removed upstreams that are remembered.
+const maxRemoved = 4096
+
 func (c *Catalog) removeUpstream(id, reason, source string) {
+	if u := c.upstreams[id]; u.StartUnixMS != 0 {
+		if len(c.removed) >= maxRemoved {
+			clear(c.removed)
+		}
+		c.removed[id] = u
+	}
 	delete(c.upstreams, id)
 	delete(c.graceDeadlines, id)
 	event.Log(c.opt.Logger, event.UpstreamRemoved, "upstream", id, "reason", reason, "source", source)
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -17,7 +17,7 @@
 )
 
 // decoder decodes the key "evacuate/DOMAIN" as an evacuation, a plain number as
-// a configuration version and "service,state" as an upstream.
+// a configuration version and "service,state[,start,sequence]" as an upstream.
 var decoder = Decoder{
 	Directive: func(key string, value []byte) (steering.Directive, error) {
 		if domain, ok := strings.CutPrefix(key, "evacuate/"); ok {
@@ -32,6 +32,8 @@
 			return steering.Upstream{}, errors.New("value is not service,state")
 		}
 		u := steering.Upstream{ID: key, Service: service, State: steering.Ready}
+		state, report, _ := strings.Cut(state, ",")
+		_, _ = fmt.Sscanf(report, "%d,%d", &u.StartUnixMS, &u.Sequence)
 		if state == "draining" {
 			u.State = steering.Draining
 		}
@@ -350,3 +352,30 @@
 		require.NotContains(t, c.View().Upstreams, "a1")
 	}
 }
+
+// Guards against an upstream that leaves and is used again, because the store performed one
+// of its earlier writes late, before or after its registration was removed.
+func TestLateWriteDoesNotMakeALeavingUpstreamReady(t *testing.T) {
+	c, _ := newCatalog()
+	revision := int64(1)
+	put := func(value string) {
+		revision++
+		c.update(Upstreams, Listing{Revision: revision, Rows: []Row{{Key: "u", Value: []byte(value), Revision: revision, Deleted: value == ""}}}, "test")
+	}
+	c.replace(Upstreams, Listing{Revision: 1}, "test")
+	put("a,ready,100,7")
+	put("a,draining,100,8")
+	put("a,ready,100,6")
+	require.Equal(t, steering.Draining, c.View().Upstreams["u"].State)
+	put("")
+	put("a,ready,100,7")
+	require.NotContains(t, c.View().Upstreams, "u")
+	put("a,ready,100,9")
+	require.Equal(t, steering.Ready, c.View().Upstreams["u"].State, "the same process has registered again")
+	put("a,ready,99,1")
+	require.EqualValues(t, 1, c.View().Upstreams["u"].Sequence, "another process counts anew")
+	put("a,ready")
+	put("a,draining")
+	put("a,ready")
+	require.Equal(t, steering.Ready, c.View().Upstreams["u"].State, "nothing tells the order")
+}
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -79,6 +79,9 @@
 	evacuatedDomains map[string]bool
 	evacuationEnds   map[string]int64
 	upstreams        map[string]steering.Upstream
+	// removed holds the last report of each upstream that has been removed and stated its
+	// start time.
+	removed map[string]steering.Upstream
 	// graceDeadlines maps each upstream whose registration lapsed to the end
 	// of its grace period.
 	graceDeadlines map[string]time.Time
@@ -110,7 +113,7 @@
 
 // New returns an empty Catalog.
 func New(opt Options) *Catalog {
-	c := &Catalog{opt: opt, evacuatedDomains: make(map[string]bool), evacuationEnds: make(map[string]int64), upstreams: make(map[string]steering.Upstream), graceDeadlines: make(map[string]time.Time)}
+	c := &Catalog{opt: opt, evacuatedDomains: make(map[string]bool), evacuationEnds: make(map[string]int64), upstreams: make(map[string]steering.Upstream), removed: make(map[string]steering.Upstream), graceDeadlines: make(map[string]time.Time)}
 	for i := range c.tables {
 		c.tables[i].rows = make(map[string]Row)
 		c.tables[i].deletions = make(map[string]deletion)
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -46,6 +46,7 @@
 	UpstreamRegistrationInvalid ID = 509
 	UpstreamConnectionsSilent   ID = 510
 	UpstreamRateLimited         ID = 511
+	UpstreamReportOutdated      ID = 512
 
 	StoreDown           ID = 600
 	StoreUp             ID = 601
@@ -98,6 +99,7 @@
 	{UpstreamRegistrationInvalid, slog.LevelWarn, "upstream registration invalid", "Check which process wrote the row."},
 	{UpstreamConnectionsSilent, slog.LevelWarn, "kept connections to upstreams are silent and were closed", "Check what is between the instance and its upstreams (firewall, address translation); requests use new connections."},
 	{UpstreamRateLimited, slog.LevelInfo, "upstream limits its request rate, or no longer does", "Check the upstream if it limits its rate for long: it has less room than its slots tell."},
+	{UpstreamReportOutdated, slog.LevelWarn, "outdated registration of an upstream ignored", "None if the store was slow or lost responses; otherwise check which process wrote the row."},
 
 	{StoreDown, slog.LevelWarn, "platform store unavailable", "Check the platform; requests are still served."},
 	{StoreUp, slog.LevelInfo, "platform store available", "None."},
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -147,6 +147,8 @@
 	// StartUnixMS is the start time in Unix milliseconds by the upstream's own
 	// clock. It distinguishes successive processes with the same id.
 	StartUnixMS int64
+	// Sequence counts the reports of the upstream since its start.
+	Sequence int64
 	// Release is the software version.
 	Release string
 }
