Give the objects of an upstream that states a limit to the next one whole

Cause: what an owner does not admit goes to the next upstream in the object's ranking, but only into half of its slots; the rest is kept for the objects that it owns.

An owner without any of its stated rate left is now skipped, and the next upstream takes the request as an owner does.

--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -102,6 +102,11 @@
 				continue
 			}
 			hasEligible = true
+			if u.stated.inForce(now) && !b.rateAllows(u, now) {
+				// What an owner does not take because of its stated rate goes to the next
+				// upstream as to an owner, with all of its slots and its queue.
+				continue
+			}
 			// All instances of a region send the object's requests to its owner there, so
 			// it is assumed to hold the object even if this instance has not sent it there.
 			c := candidate{upstream: u, load: u.load(now), holdsObject: isOwner && name == b.config.Region || u.held.has(object, now)}
--- a/pkg/balance/stated_limit_test.go
+++ b/pkg/balance/stated_limit_test.go
@@ -120,3 +120,25 @@
 	f.advance(statementTTL)
 	require.False(t, u.stated.inForce(f.Now()))
 }
+
+// Guards against objects of an upstream that states a low limit that are refused, because the
+// other upstreams keep half of their slots for the objects that they own themselves.
+func TestObjectsOfALimitedOwnerGetAllSlotsOfTheNext(t *testing.T) {
+	f := newFixture(1, 2)
+	b := f.balancers[0]
+	owner := acquire(b, testRoute(0), "k").Target.ID
+	b.recordStatement(b.upstreams[owner], &exchange.Result{Outcome: exchange.Answered, Status: 200, RateLimit: minStatedLimit}, f.Now())
+	sent := make(map[string]int)
+	for range 40 {
+		if l := acquire(b, testRoute(0), "k"); l != nil {
+			sent[l.Target.ID]++
+		}
+	}
+	require.LessOrEqual(t, sent[owner], statedLimitBurst)
+	delete(sent, owner)
+	most := 0
+	for _, n := range sent {
+		most = max(most, n)
+	}
+	require.Equal(t, 4+queueLimit(0), most, "requests at the other upstreams: %v", sent)
+}
