--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the script cases into review/bin. The project's own process is built
+# by the command of the deploy file, into target/.
+set -e
+cd "$(dirname "$0")/drive"
+GOFLAGS=-buildvcs=false GOWORK=off go build -o ../bin/drive .
--- /dev/null
+++ b/review/drive/endpoint.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// endpoint is a stand-in for an endpoint of a service. It registers itself in the store and
+// writes its entry each heartbeat.
+type endpoint struct {
+	id, service, zone string
+	slots             int
+	work              time.Duration
+	address           string
+	born              int64
+	store             *store
+	rec               *recorder
+
+	mu       sync.Mutex
+	state    string
+	sequence int
+	server   *http.Server
+	slotsCh  chan struct{}
+	gone     chan struct{}
+	left     chan struct{}
+	// onRun is called when the endpoint begins to work on a request.
+	onRun func(id string, at time.Time)
+}
+
+func startEndpoint(s *store, rec *recorder, id, service, zone string) (*endpoint, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{id: id, service: service, zone: zone, slots: 4, work: 20 * time.Millisecond, address: l.Addr().String(), born: time.Now().UnixMilli(),
+		store: s, rec: rec, state: "ready", slotsCh: make(chan struct{}, 4), gone: make(chan struct{}), left: make(chan struct{}, 1), onRun: func(string, time.Time) {}}
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
+	go func() { _ = e.server.Serve(l) }()
+	e.beat()
+	go e.beats()
+	return e, nil
+}
+
+// entry returns the endpoint's entry in the store.
+func (e *endpoint) entry() []byte {
+	b, _ := json.Marshal(map[string]any{"address": e.address, "born": e.born,
+		"info":   map[string]any{"service": e.service, "version": "v1", "zone": e.zone, "slots": e.slots},
+		"status": map[string]any{"state": e.state, "sequence": e.sequence, "coldRemaining": "0ms"}})
+	return b
+}
+
+// beat writes the entry and returns the time of the acknowledgement.
+func (e *endpoint) beat() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	if e.store.heartbeat(e.id, e.entry()) {
+		e.rec.printf("store acknowledges the entry of %s by itself: %s", e.id, e.entry())
+	}
+	return time.Now()
+}
+
+func (e *endpoint) beats() {
+	t := time.NewTicker(1500 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			e.beat()
+		case <-e.left:
+			t.Reset(1500 * time.Millisecond)
+		case <-e.gone:
+			return
+		}
+	}
+}
+
+// leave reports `draining` and returns the time of the acknowledgement.
+func (e *endpoint) leave() time.Time {
+	e.mu.Lock()
+	e.state = "draining"
+	e.mu.Unlock()
+	e.left <- struct{}{}
+	return e.beat()
+}
+
+// exit ends the endpoint and removes its entry.
+func (e *endpoint) exit() {
+	close(e.gone)
+	e.store.remove("servers", e.id)
+	_ = e.server.Close()
+}
+
+func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	id := r.Header.Get("Sequoiacove-Attempt-Id")
+	w.Header().Set("Sequoiacove-Attempt-Id", id)
+	if target := r.Header.Get("Sequoiacove-Target-Instance"); target != "" && target != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	select {
+	case e.slotsCh <- struct{}{}:
+	case <-time.After(100 * time.Millisecond):
+		w.Header().Set("Sequoiacove-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-e.slotsCh }()
+	e.onRun(id, time.Now())
+	time.Sleep(e.work)
+	w.Header().Set("Sequoiacove-Response-Signature", id+"."+e.id)
+	e.mu.Lock()
+	if e.state != "ready" {
+		w.Header().Set("Connection", "close")
+	}
+	e.mu.Unlock()
+	_, _ = fmt.Fprintf(w, "%s|%s|%s", id, r.URL.RequestURI(), body)
+}
