--- a/review/drive/endpoint.go
+++ b/review/drive/endpoint.go
@@ -21,6 +21,9 @@
 	store             *store
 	rec               *recorder
 
+	// cold is how long the endpoint is cold after its start.
+	cold time.Duration
+
 	mu       sync.Mutex
 	state    string
 	sequence int
@@ -48,9 +51,10 @@
 
 // entry returns the endpoint's entry in the store.
 func (e *endpoint) entry() []byte {
+	remaining := max(0, e.cold-time.Duration(time.Now().UnixMilli()-e.born)*time.Millisecond).Milliseconds()
 	b, _ := json.Marshal(map[string]any{"address": e.address, "born": e.born,
 		"info":   map[string]any{"service": e.service, "version": "v1", "zone": e.zone, "slots": e.slots},
-		"status": map[string]any{"state": e.state, "sequence": e.sequence, "coldRemaining": "0ms"}})
+		"status": map[string]any{"state": e.state, "sequence": e.sequence, "coldRemaining": fmt.Sprintf("%dms", remaining)}})
 	return b
 }
 
@@ -89,6 +93,24 @@
 	return e.beat()
 }
 
+// restart ends the process as a crash does, which says nothing, and starts another one under the
+// same id and at the same address.
+func (e *endpoint) restart() (*endpoint, error) {
+	close(e.gone)
+	_ = e.server.Close()
+	l, err := net.Listen("tcp4", e.address)
+	if err != nil {
+		return nil, err
+	}
+	n := &endpoint{id: e.id, service: e.service, zone: e.zone, slots: e.slots, work: e.work, address: e.address, born: time.Now().UnixMilli(),
+		store: e.store, rec: e.rec, state: "ready", cold: 3 * time.Second, slotsCh: make(chan struct{}, e.slots), gone: make(chan struct{}), left: make(chan struct{}, 1), onRun: e.onRun}
+	n.server = &http.Server{Handler: http.HandlerFunc(n.serve)}
+	go func() { _ = n.server.Serve(l) }()
+	n.beat()
+	go n.beats()
+	return n, nil
+}
+
 // exit ends the endpoint and removes its entry.
 func (e *endpoint) exit() {
 	close(e.gone)
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -15,6 +15,7 @@
 // cases maps the names of the cases to their functions, which report whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"foreign-entry": foreignEntry,
+	"late-write":    lateWrite,
 }
 
 func main() {
