--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # by the command of the deploy file, into target/.
 set -e
 cd "$(dirname "$0")/drive"
-GOFLAGS=-buildvcs=false GOWORK=off go build -o ../bin/drive .
+GOFLAGS=-buildvcs=false GOWORK=off GOTOOLCHAIN=local go build -o ../bin/drive .
--- a/review/drive/deployment.go
+++ b/review/drive/deployment.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,7 @@
 	name, ip, region, zone string
 	callers, readiness     string
 	mesh, lookup, admin    string
+	metrics                string
 	cmd                    *exec.Cmd
 }
 
@@ -45,32 +47,64 @@
 	root     string
 	zones    map[string]string
 	machines []*machine
+
+	// mu guards the start of processes against stop.
+	mu      sync.Mutex
+	stopped bool
 }
 
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return "", err
+// freePort returns a port that is free at all of the addresses.
+func freePort(ips []string) (string, error) {
+	for range 50 {
+		l, err := net.Listen("tcp4", ips[0]+":0")
+		if err != nil {
+			return "", err
+		}
+		_, port, _ := net.SplitHostPort(l.Addr().String())
+		free := true
+		for _, ip := range ips[1:] {
+			other, err := net.Listen("tcp4", net.JoinHostPort(ip, port))
+			if free = free && err == nil; err == nil {
+				_ = other.Close()
+			}
+		}
+		_ = l.Close()
+		if free {
+			return port, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no port is free at all of %v", ips)
 }
 
-// addMachine reserves the addresses of a machine.
-func (d *deployment) addMachine(name, ip, zone string) error {
-	m := &machine{name: name, ip: ip, zone: zone, region: d.zones[zone]}
-	for _, a := range []*string{&m.callers, &m.readiness, &m.mesh, &m.lookup, &m.admin} {
-		address, err := freePort(ip)
+// addMachines adds a machine with a loopback address of its own for each name. The ports are the
+// same on all machines.
+func (d *deployment) addMachines(zone string, names ...string) error {
+	var ips []string
+	for i := range names {
+		ips = append(ips, fmt.Sprintf("127.0.0.%d", 11+i))
+	}
+	var ports []string
+	for len(ports) < 6 {
+		port, err := freePort(ips)
 		if err != nil {
 			return err
 		}
-		*a = address
+		if !slices.Contains(ports, port) {
+			ports = append(ports, port)
+		}
+	}
+	for i, name := range names {
+		m := &machine{name: name, ip: ips[i], zone: zone, region: d.zones[zone]}
+		for n, a := range []*string{&m.callers, &m.readiness, &m.mesh, &m.lookup, &m.admin, &m.metrics} {
+			*a = net.JoinHostPort(m.ip, ports[n])
+		}
+		d.machines = append(d.machines, m)
 	}
-	d.machines = append(d.machines, m)
 	return nil
 }
 
-// settings renders deploy/instance.ini with the fields of a small deployment.
+// settings returns what deploy/instance.ini becomes with the fields of a small deployment: the
+// bounds of cascadia-voice, and the control addresses of the machines as seeds.
 func (d *deployment) settings(m *machine) string {
 	var regions, seeds strings.Builder
 	for zone, region := range d.zones {
@@ -80,7 +114,7 @@
 		if i > 0 {
 			seeds.WriteString(",")
 		}
-		seeds.WriteString(x.mesh)
+		seeds.WriteString(x.admin)
 	}
 	return fmt.Sprintf(`[instance]
 id = %s
@@ -92,6 +126,7 @@
 readiness = %s
 lookup = %s
 admin = %s
+metrics = %s
 mesh = %s
 [mesh]
 seeds = %s
@@ -102,13 +137,13 @@
 descriptors = 4100
 [bounds]
 repeat_ratio = 0.2
-repeat_slack = 62
+repeat_slack = 64
 repeat_window = 10s
 region_shift = 0.15
 leave_time = 2500ms
 stop_time = 6s
 lookup_ttl = 5s
-`, m.name, m.region, m.zone, regions.String(), m.callers, m.readiness, m.lookup, m.admin, m.mesh, seeds.String(), d.store.address)
+`, m.name, m.region, m.zone, regions.String(), m.callers, m.readiness, m.lookup, m.admin, m.metrics, m.mesh, seeds.String(), d.store.address)
 }
 
 // start starts a machine's process and returns once it is ready.
@@ -125,12 +160,12 @@
 	m.cmd.Dir = d.root
 	m.cmd.Env = append(os.Environ(), "SEQUOIACOVE_SETTINGS="+file)
 	m.cmd.Stdout, m.cmd.Stderr = log, log
-	if err := m.cmd.Start(); err != nil {
+	if err := d.launch(m.cmd); err != nil {
 		return err
 	}
 	d.rec.printf("%s starts, process %d", m.name, m.cmd.Process.Pid)
 	for range 100 {
-		r, err := http.Get("http://" + m.readiness + "/sequoiacove/readyz")
+		r, err := probe.Get("http://" + m.readiness + "/sequoiacove/readyz")
 		if err == nil {
 			_ = r.Body.Close()
 			if r.StatusCode == http.StatusOK {
@@ -143,8 +178,20 @@
 	return fmt.Errorf("%s was not ready within 10 s", m.name)
 }
 
+func (d *deployment) launch(cmd *exec.Cmd) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return fmt.Errorf("stopped")
+	}
+	return cmd.Start()
+}
+
 // stop ends all processes.
 func (d *deployment) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped = true
 	for _, m := range d.machines {
 		if m.cmd != nil && m.cmd.Process != nil {
 			_ = m.cmd.Process.Kill()
@@ -164,6 +211,9 @@
 	served  atomic.Int64
 }
 
+// probe asks machines whether they are ready.
+var probe = &http.Client{Timeout: time.Second}
+
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
 // run sends rate requests a second until ctx ends.
--- a/review/drive/endpoint.go
+++ b/review/drive/endpoint.go
@@ -31,7 +31,8 @@
 	slotsCh  chan struct{}
 	gone     chan struct{}
 	left     chan struct{}
-	// onRun is called when the endpoint begins to work on a request.
+	// onRun is called when the endpoint begins to work on a request, with the time at which the
+	// request arrived.
 	onRun func(id string, at time.Time)
 }
 
@@ -118,14 +119,37 @@
 	_ = e.server.Close()
 }
 
+// healthPath is the health path of the service in smallConfig.
+const healthPath = "/health"
+
+// health answers 200 while the endpoint isn't leaving.
+func (e *endpoint) health(w http.ResponseWriter) {
+	w.Header().Set("Sequoiacove-Instance-Id", e.id)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state != "ready" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("Sequoiacove-Attempt-Id")
 	w.Header().Set("Sequoiacove-Attempt-Id", id)
+	if r.URL.Path == healthPath {
+		e.health(w)
+		return
+	}
 	if target := r.Header.Get("Sequoiacove-Target-Instance"); target != "" && target != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if id == "" {
+		w.Header().Set("Sequoiacove-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	select {
 	case e.slotsCh <- struct{}{}:
 	case <-time.After(100 * time.Millisecond):
@@ -134,7 +158,7 @@
 		return
 	}
 	defer func() { <-e.slotsCh }()
-	e.onRun(id, time.Now())
+	e.onRun(id, arrived)
 	time.Sleep(e.work)
 	w.Header().Set("Sequoiacove-Response-Signature", id+"."+e.id)
 	e.mu.Lock()
--- a/review/drive/foreign_entry.go
+++ b/review/drive/foreign_entry.go
@@ -22,10 +22,8 @@
 // request may reach the endpoint later than drain after its leaving was acknowledged.
 func foreignEntry(d *deployment, trouble bool) (broken bool, err error) {
 	d.zones = map[string]string{"north-a": "north"}
-	for _, name := range []string{"edge-north-a-1", "edge-north-a-2"} {
-		if err := d.addMachine(name, "127.0.0.1", "north-a"); err != nil {
-			return false, err
-		}
+	if err := d.addMachines("north-a", "edge-north-a-1", "edge-north-a-2"); err != nil {
+		return false, err
 	}
 	d.store.put("op", "config", []byte(smallConfig))
 	var endpoints []*endpoint
--- a/review/drive/late_write.go
+++ b/review/drive/late_write.go
@@ -13,10 +13,8 @@
 // has reported that it leaves. The entry of the ended process must not make it ready again.
 func lateWrite(d *deployment, trouble bool) (broken bool, err error) {
 	d.zones = map[string]string{"north-a": "north"}
-	for _, name := range []string{"edge-north-a-1", "edge-north-a-2"} {
-		if err := d.addMachine(name, "127.0.0.1", "north-a"); err != nil {
-			return false, err
-		}
+	if err := d.addMachines("north-a", "edge-north-a-1", "edge-north-a-2"); err != nil {
+		return false, err
 	}
 	d.store.put("op", "config", []byte(smallConfig))
 	var endpoints []*endpoint
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -8,7 +8,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -18,6 +20,9 @@
 	"late-write":    lateWrite,
 }
 
+// maxDuration ends a case that hangs.
+const maxDuration = 100 * time.Second
+
 func main() {
 	name := flag.String("case", "", "name of the case")
 	trouble := flag.Bool("trouble", true, "make the disruption")
@@ -47,6 +52,16 @@
 	root, _ = filepath.Abs(root)
 	d := &deployment{rec: &recorder{out: out, start: time.Now()}, dir: dir, root: root}
 	defer d.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-interrupted:
+		case <-time.After(maxDuration):
+		}
+		d.stop()
+		os.Exit(2)
+	}()
 	if d.store, err = newStore(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/drive/store.go
+++ b/review/drive/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"reflect"
@@ -29,6 +30,7 @@
 	revision int64
 	changed  chan struct{}
 	address  string
+	started  time.Time
 }
 
 func newStore() (*store, error) {
@@ -36,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{rows: make(map[string]row), revision: 1, changed: make(chan struct{}), address: l.Addr().String()}
+	s := &store{rows: make(map[string]row), revision: 1, changed: make(chan struct{}), started: time.Now(), address: l.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /sequoiacove/rows-get", s.get)
 	mux.HandleFunc("GET /sequoiacove/rows-feed", s.feed)
@@ -45,6 +47,9 @@
 	return s, nil
 }
 
+// now returns the store's steady clock.
+func (s *store) now() string { return fmt.Sprintf("%dms", time.Since(s.started).Milliseconds()) }
+
 // apply makes one change; s.mu must be held.
 func (s *store) apply(r row) {
 	s.revision++
@@ -116,7 +121,7 @@
 	revision := s.revision
 	s.mu.Unlock()
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	reply(w, http.StatusOK, map[string]any{"rows": rows, "hasMore": false, "resourceVersion": revision, "now": "1s"})
+	reply(w, http.StatusOK, map[string]any{"rows": rows, "hasMore": false, "resourceVersion": revision, "now": s.now()})
 }
 
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
@@ -141,7 +146,7 @@
 				rows = append(rows, x)
 			}
 			sort.Slice(rows, func(i, j int) bool { return rows[i].Revision < rows[j].Revision })
-			reply(w, http.StatusOK, map[string]any{"rows": rows, "resourceVersion": revision, "now": "1s"})
+			reply(w, http.StatusOK, map[string]any{"rows": rows, "resourceVersion": revision, "now": s.now()})
 			return
 		}
 		select {
@@ -185,5 +190,5 @@
 		x.Deleted = true
 		s.apply(x)
 	}
-	reply(w, http.StatusOK, map[string]any{"resourceVersion": s.revision, "now": "1s"})
+	reply(w, http.StatusOK, map[string]any{"resourceVersion": s.revision, "now": s.now()})
 }
