Rely only on the store's own answers as proof that tables are current

Cause: an instance took the heartbeat of a member that says that it watches the store for a proof that its own tables are current. The member says so until one of its calls has failed, 2.0 s for the first watcher of a region and 8.5 s for the second, also when nothing reaches it. Heartbeats went on, so the timeout for silent watchers (1.5 s) never ended.

Change: pkg/catalog/proof.go decides for all paths what proves a table current and how old that may be. A proof is the time at which the store gave an answer, by its steady clock. An instance whose proof is older than 1.5 s, or whose watchers have had no answer for as long, asks the store itself. The first watcher gets an answer at least once a second (before: 1.3 s after a delay of up to 0.4 s) and sends a heartbeat with each.

The same cause on other paths, mended with it: transfers counted as new at their arrival; an answer of the store that was held up on its way counted as new; an own answer made an instance rely on its silent watchers again; after a pause any peer counted, also one that had been paused itself. Event 602 tells when the role in watching changes, with the ages.

Ruled out: shortening the watch of the second watcher only (its calls more than double, and a held-up answer still counts as new); a longer allowed age with regular heartbeats only (1.12 s and up to 1 s in a large region leave no time to fetch a change within 2.5 s).

TestAnswerThatComesLateProvesOnlyThePast, TestProofsAfterClockWasSet and TestProofOnlyGrowsOlderOnItsWay hold the other paths. Members in tests that stand for watchers now state their proofs, and transfers the time of their request; no bound was changed.

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -14,7 +14,7 @@
 	t := &c.tables[table]
 	if l.Revision <= t.revision {
 		if l.Revision == t.revision {
-			t.confirmedAt = c.opt.Now()
+			t.prove(l.ProvenAt)
 		}
 		c.mu.Unlock()
 		return
@@ -35,7 +35,7 @@
 			changes = append(changes, Row{Key: key, Revision: l.Revision, Deleted: true})
 		}
 	}
-	c.applyAndUnlock(table, changes, l.Revision, source)
+	c.applyAndUnlock(table, changes, l, source)
 }
 
 // update applies the changes in l to the table. It ignores a listing that is
@@ -54,22 +54,22 @@
 			changes = append(changes, r)
 		}
 	}
-	c.applyAndUnlock(table, changes, l.Revision, source)
+	c.applyAndUnlock(table, changes, l, source)
 }
 
-// applyAndUnlock applies changes and publishes the new view. It must be called
-// with c.mu locked, and unlocks it.
-func (c *Catalog) applyAndUnlock(table Table, changes []Row, revision int64, source string) {
+// applyAndUnlock applies the changes in l that the table lacks and publishes the new view.
+// It must be called with c.mu locked, and unlocks it.
+func (c *Catalog) applyAndUnlock(table Table, changes []Row, l Listing, source string) {
 	t := &c.tables[table]
-	advanced := revision > t.revision
+	advanced := l.Revision > t.revision
 	defer func() {
 		c.mu.Unlock()
 		if advanced && c.opt.OnRevisionAdvance != nil {
 			c.opt.OnRevisionAdvance()
 		}
 	}()
-	t.confirmedAt = c.opt.Now()
-	t.revision = revision
+	t.prove(l.ProvenAt)
+	t.revision = l.Revision
 	if len(changes) == 0 {
 		return
 	}
@@ -80,7 +80,7 @@
 	for _, r := range changes {
 		if r.Deleted {
 			delete(t.rows, r.Key)
-			t.recordDeletion(r.Key, deletion{revision: r.Revision, madeAt: t.confirmedAt.Add(-r.Age)})
+			t.recordDeletion(r.Key, deletion{revision: r.Revision, madeAt: c.opt.Now().Add(-r.Age)})
 		} else {
 			t.rows[r.Key] = r
 			delete(t.deletions, r.Key)
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -7,6 +7,9 @@
 // the store or cannot reach it. Changes from both sources are applied in the
 // same way and published as a new steering.View (apply.go).
 //
+// What proves that the copy is current, and how old that proof may be, is decided in
+// proof.go for all of these ways.
+//
 // Within a process the configuration version never decreases. A registration
 // lapses if its row is deleted while the upstream is still ready. If that
 // happens during or shortly after a store outage, or to many upstreams at once,
@@ -58,6 +61,12 @@
 	// changes after this revision, including deleted rows. If it is 0, Rows
 	// holds the whole table.
 	Since int64 `cbor:"3,keyasint,omitempty"`
+	// ProvenAt is the time until which the listing is proven current, zero if that is not
+	// known. ProofAge carries it in snapshots.
+	ProvenAt time.Time     `cbor:"-"`
+	ProofAge time.Duration `cbor:"4,keyasint,omitempty"`
+	// StoreTime is the store's steady clock at its answer, 0 if that is not known.
+	StoreTime time.Duration `cbor:"-"`
 }
 
 // ErrHistoryGone is returned by Watch if the store no longer holds the
--- a/pkg/catalog/lapse.go
+++ b/pkg/catalog/lapse.go
@@ -10,7 +10,7 @@
 // changes, or 0 if the deletions take effect immediately.
 func (c *Catalog) lapseGracePeriod(changes []Row) time.Duration {
 	if !c.lastStoreFailureAt.IsZero() && c.opt.Now().Sub(c.lastStoreFailureAt) < outageWindow {
-		return c.capGracePeriod(outageGracePeriod, outageGraceFraction)
+		return c.capByDrainTimeout(outageGracePeriod, outageGraceFraction)
 	}
 	lapsedCounts, upstreamCounts := make(map[string]int), make(map[string]int)
 	for _, u := range c.upstreams {
@@ -23,19 +23,19 @@
 	}
 	for service, n := range lapsedCounts {
 		if n >= massLapseMinCount && float64(n) > massLapseFraction*float64(upstreamCounts[service]) {
-			return c.capGracePeriod(massLapseGracePeriod, massLapseGraceFraction)
+			return c.capByDrainTimeout(massLapseGracePeriod, massLapseGraceFraction)
 		}
 	}
 	return 0
 }
 
-// capGracePeriod limits grace to the given fraction of Options.DrainTimeout.
-// There is no limit if DrainTimeout is 0.
-func (c *Catalog) capGracePeriod(grace time.Duration, fraction float64) time.Duration {
+// capByDrainTimeout limits d to the given fraction of Options.DrainTimeout. There is no
+// limit if DrainTimeout is 0. The lock must be held.
+func (c *Catalog) capByDrainTimeout(d time.Duration, fraction float64) time.Duration {
 	if c.opt.DrainTimeout <= 0 {
-		return grace
+		return d
 	}
-	return min(grace, time.Duration(fraction*float64(c.opt.DrainTimeout)))
+	return min(d, time.Duration(fraction*float64(c.opt.DrainTimeout)))
 }
 
 // SetDrainTimeout replaces Options.DrainTimeout, which caps the grace periods.
--- /dev/null
+++ b/pkg/catalog/proof_test.go
@@ -0,0 +1,81 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// answer applies a watch answer of the store that was sent at sentAt, when the store's clock
+// was at storeTime, and is received now.
+func (c *Catalog) answer(l Listing, earliest time.Time, storeTime time.Duration) {
+	l.StoreTime = storeTime
+	c.recordStoreAnswer(Upstreams, &l, earliest)
+	c.update(Upstreams, l, "store")
+}
+
+// Guards against an answer of the store that was held up on its way and counts as new.
+func TestAnswerThatComesLateProvesOnlyThePast(t *testing.T) {
+	c, k := newCatalog()
+	c.answer(Listing{Revision: 1}, k.Now(), time.Minute)
+	sentAt := k.Now()
+	k.advance(3 * time.Second)
+	c.answer(Listing{Revision: 2}, sentAt, time.Minute+time.Second)
+	_, age := c.ProofAges()
+	require.InDelta(t, 2*time.Second, age, float64(2*time.Millisecond))
+	// Without the store's clock, only the time of the call is known.
+	k.advance(time.Second)
+	sentAt = k.Now()
+	k.advance(time.Second)
+	c.answer(Listing{Revision: 3}, sentAt, 0)
+	_, age = c.ProofAges()
+	require.Equal(t, time.Second, age)
+}
+
+// Guards against tables that count as old for good, or as newer than they are, after the
+// store's clock was set anew or this process's clock stood still.
+func TestProofsAfterClockWasSet(t *testing.T) {
+	for _, jump := range []time.Duration{-time.Hour, time.Hour} {
+		c, k := newCatalog()
+		c.answer(Listing{Revision: 1}, k.Now(), 2*time.Hour)
+		for revision := range int64(3) {
+			k.advance(time.Second)
+			sentAt := k.Now()
+			k.advance(20 * time.Millisecond)
+			c.answer(Listing{Revision: revision + 2}, sentAt, 2*time.Hour+jump+k.Now().Sub(time.Unix(1001, 0)))
+			_, age := c.ProofAges()
+			require.LessOrEqual(t, age, 20*time.Millisecond)
+			require.GreaterOrEqual(t, age, time.Duration(0))
+		}
+	}
+}
+
+// Guards against a proof that becomes newer by being passed on between instances: in
+// snapshots that take long, in heartbeats, and from one instance to the next.
+func TestProofOnlyGrowsOlderOnItsWay(t *testing.T) {
+	watcher, k := newCatalog()
+	follower, _ := newCatalog()
+	follower.opt.Now = k.Now
+	l := readyRows("a", 3)
+	l.ProvenAt = k.Now()
+	watcher.replace(Upstreams, l, "store")
+	k.advance(time.Second)
+	s, requestedAt := watcher.Snapshot(0, 0), k.Now()
+	k.advance(500 * time.Millisecond)
+	follower.Merge(s, "watcher", requestedAt)
+	_, age := follower.ProofAges()
+	require.Equal(t, 1500*time.Millisecond, age)
+
+	k.advance(time.Second)
+	watcher.Confirm(0, 3, follower.Proofs())
+	_, age = watcher.ProofAges()
+	require.Equal(t, 2500*time.Millisecond, age)
+	require.False(t, watcher.Current())
+	follower.Confirm(0, 4, Proofs{Upstreams: k.Now()})
+	_, age = follower.ProofAges()
+	require.Equal(t, 2500*time.Millisecond, age, "a newer revision proves nothing about an older table")
+	follower.Invalidate()
+	_, age = follower.ProofAges()
+	require.Equal(t, Unproven, age)
+}
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -33,7 +33,7 @@
 // changesSince returns the changes after a revision, or the whole table if the
 // deletions since then are no longer recorded.
 func (t *tableState) changesSince(revision int64, now time.Time) Listing {
-	l := Listing{Revision: t.revision}
+	l := Listing{Revision: t.revision, ProofAge: proofAge(t.provenAt, now)}
 	if revision > 0 && revision >= t.deletionsRecordedAfter {
 		l.Since = revision
 	}
@@ -67,13 +67,18 @@
 }
 
 // Merge applies the tables of a peer's snapshot that are newer than the
-// catalog's own.
-func (c *Catalog) Merge(s Snapshot, peer string) {
+// catalog's own. The snapshot was requested at requestedAt; what it proves is not newer than
+// that, however long the transfer took.
+func (c *Catalog) Merge(s Snapshot, peer string, requestedAt time.Time) {
 	if s.SinceStoreFailure > 0 {
 		c.recordPeerStoreFailure(c.opt.Now().Add(-s.SinceStoreFailure))
 	}
-	c.mergeTable(Directives, s.Directives, peer)
-	c.mergeTable(Upstreams, s.Upstreams, peer)
+	for table, l := range [...]Listing{Directives: s.Directives, Upstreams: s.Upstreams} {
+		if l.ProofAge >= 0 && l.ProofAge != Unproven {
+			l.ProvenAt = requestedAt.Add(-l.ProofAge)
+		}
+		c.mergeTable(Table(table), l, peer)
+	}
 }
 
 // recordPeerStoreFailure records the time of a failed store call of a peer.
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -52,6 +52,9 @@
 	WatchRole func() WatchRole
 	// OnRevisionAdvance is called after the revision of a table has increased.
 	OnRevisionAdvance func()
+	// OnStoreAnswer is called after an answer of the store has proven that a table whose
+	// revision did not increase is current.
+	OnStoreAnswer func()
 }
 
 // WatchRole is the role of an instance in watching the store.
@@ -75,6 +78,7 @@
 
 	mu               sync.Mutex
 	tables           [2]tableState
+	storeClock       storeClock
 	config           *steering.Config
 	evacuatedDomains map[string]bool
 	evacuationEnds   map[string]int64
@@ -99,9 +103,10 @@
 	// their deletions. Earlier deletions are not recorded.
 	deletions              map[string]deletion
 	deletionsRecordedAfter int64
-	// confirmedAt is the time at which the store or a peer last confirmed that
-	// the table is current.
-	confirmedAt time.Time
+	// provenAt is the time until which the table is proven current, and storeAnsweredAt the
+	// time at which the store last answered a call of this instance for it.
+	provenAt        time.Time
+	storeAnsweredAt time.Time
 }
 
 // deletion is the deletion of a row: its revision and the earliest time at
@@ -133,28 +138,6 @@
 	return c.tables[Directives].revision, c.tables[Upstreams].revision
 }
 
-// TableAges returns the time since the store or a peer last confirmed each
-// table.
-func (c *Catalog) TableAges() (directives, upstreams time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.opt.Now()
-	return now.Sub(c.tables[Directives].confirmedAt), now.Sub(c.tables[Upstreams].confirmedAt)
-}
-
-// ConfirmRevisions marks each table as current if its revision is at least the
-// given one, which comes from a peer that watches the store. A given revision
-// of 0 is ignored.
-func (c *Catalog) ConfirmRevisions(directives, upstreams int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for table, revision := range [...]int64{Directives: directives, Upstreams: upstreams} {
-		if t := &c.tables[table]; t.revision >= revision && revision > 0 {
-			t.confirmedAt = c.opt.Now()
-		}
-	}
-}
-
 // StoreCallCount returns the number of store calls made.
 func (c *Catalog) StoreCallCount() int64 { return c.storeCallCount.Load() }
 
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -12,18 +12,20 @@
 const (
 	// listTimeout is the timeout of a List call.
 	listTimeout = 1500 * time.Millisecond
-	// watchWait is the long-poll time of a watch, and watchResponseTimeout the
-	// extra time for its response. A connection that has gone silent is
-	// detected only after both have passed. Their sum, a backoff and the time
+	// watchWait is the longest time between the answers of the store to two watches, less the
+	// round trip: the delay before a watch and its long-poll time. It is shorter than
+	// maxProofAge, so that the answers of one watcher keep a whole region current.
+	// watchResponseTimeout is the extra time for the response. A connection that has gone
+	// silent is detected only after both have passed. Their sum, a backoff and the time
 	// until the other instances of the region have the changes must stay below
 	// three seconds, the shortest time within which a deployment expects an
 	// instance that lost contact with the store to be up to date again.
-	watchWait            = 1300 * time.Millisecond
+	watchWait            = time.Second
 	watchResponseTimeout = 700 * time.Millisecond
 	// secondaryWatchWait is the long-poll time while another instance of the
 	// region is the primary watcher. It may be longer than watchWait, because
 	// the primary watcher passes on the changes that this instance misses.
-	secondaryWatchWait = 6 * watchWait
+	secondaryWatchWait = 8 * watchWait
 	// minBackoff and maxBackoff bound the backoff after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
@@ -60,8 +62,13 @@
 	// unobserved stays 0 after a failed call: registrations that lapsed while
 	// the store was away get the whole grace period.
 	var unobserved time.Duration
+	var lastRole WatchRole
 	for ctx.Err() == nil {
 		role := c.opt.WatchRole()
+		if table == Upstreams {
+			c.logRoleChange(lastRole, role)
+		}
+		lastRole = role
 		if !role.Watches {
 			listed, backoff = c.isLoaded(table), minBackoff
 			sleep(ctx, roleCheckInterval)
@@ -78,6 +85,9 @@
 			backoff = min(2*backoff, maxBackoff+time.Duration(role.Rank)*backoffPerRank)
 		default:
 			backoff = minBackoff
+			if !changed && c.opt.OnStoreAnswer != nil {
+				c.opt.OnStoreAnswer()
+			}
 			if changed {
 				unobserved = coalesceDelay[table]
 				sleep(ctx, unobserved)
@@ -86,6 +96,17 @@
 	}
 }
 
+// logRoleChange logs when the instance begins or ceases to watch the store, or to be the
+// primary watcher, with the ages of the proofs that the role depends on.
+func (c *Catalog) logRoleChange(last, role WatchRole) {
+	primary := role.Watches && role.Primary
+	if last.Watches == role.Watches && (last.Watches && last.Primary) == primary {
+		return
+	}
+	directives, upstreams := c.ProofAges()
+	event.Log(c.opt.Logger, event.WatchRoleChanged, "watches", role.Watches, "primary", primary, "rank", role.Rank, "directives_age_ms", directives.Milliseconds(), "upstreams_age_ms", upstreams.Milliseconds())
+}
+
 // isLoaded reports whether the table has been loaded, so that a watch can
 // continue from its revision.
 func (c *Catalog) isLoaded(table Table) bool {
@@ -102,15 +123,17 @@
 	if !*listed {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
+		sentAt := c.opt.Now()
 		l, err := c.opt.Store.List(callCtx, table)
 		if err != nil {
 			return false, err
 		}
 		*listed = true
+		c.recordStoreAnswer(table, &l, sentAt)
 		c.replace(table, l, "store")
 		return false, nil
 	}
-	wait := watchWait
+	wait := watchWait - unobserved
 	if !role.Primary {
 		wait = secondaryWatchWait
 	}
@@ -119,10 +142,17 @@
 	c.mu.Lock()
 	after := c.tables[table].revision
 	c.mu.Unlock()
+	sentAt := c.opt.Now()
 	l, err := c.opt.Store.Watch(callCtx, table, after, wait)
 	if err != nil {
 		return false, err
 	}
+	earliest := sentAt
+	if waited := sentAt.Add(wait); len(l.Rows) == 0 && !waited.After(c.opt.Now()) {
+		// The store answers without changes only once it has waited for them.
+		earliest = waited
+	}
+	c.recordStoreAnswer(table, &l, earliest)
 	for i := range l.Rows {
 		if l.Rows[i].Deleted {
 			l.Rows[i].Age = unobserved
@@ -132,6 +162,18 @@
 	return len(l.Rows) > 0, nil
 }
 
+// recordStoreAnswer records that the store answered a call for the table, not before
+// earliest, and sets what the answer proves.
+func (c *Catalog) recordStoreAnswer(table Table, l *Listing, earliest time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.ProvenAt = c.storeClock.answeredAt(earliest, c.opt.Now(), l.StoreTime)
+	t := &c.tables[table]
+	if l.ProvenAt.After(t.storeAnsweredAt) {
+		t.storeAnsweredAt = l.ProvenAt
+	}
+}
+
 // recordOutcome records the outcome of a store call and logs when the store
 // becomes unavailable or available again.
 func (c *Catalog) recordOutcome(table Table, err error) {
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -50,6 +50,7 @@
 
 	StoreDown           ID = 600
 	StoreUp             ID = 601
+	WatchRoleChanged    ID = 602
 	StoreHistoryExpired ID = 604
 	RegistrationFailed  ID = 605
 	RegistrationRemoved ID = 606
@@ -103,6 +104,7 @@
 
 	{StoreDown, slog.LevelWarn, "platform store unavailable", "Check the platform; requests are still served."},
 	{StoreUp, slog.LevelInfo, "platform store available", "None."},
+	{WatchRoleChanged, slog.LevelInfo, "role in watching the store changed", "None; an instance that is no watcher of its region watches while its tables are not proven current (`directives_age_ms`, `upstreams_age_ms` above 1,500) or the watchers of its region have no answer from the store."},
 	{StoreHistoryExpired, slog.LevelWarn, "platform store no longer has the requested changes", "None; the table is listed again."},
 	{RegistrationFailed, slog.LevelWarn, "instance registration failed", "None if the store is unavailable: the instance retries."},
 	{RegistrationRemoved, slog.LevelInfo, "registration of a replaced instance removed", "None."},
--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -55,13 +55,14 @@
 // fetchAndMerge fetches the changes that this instance lacks from a member and
 // applies them.
 func (i *Instance) fetchAndMerge(ctx context.Context, m mesh.Member) error {
+	requestedAt := i.opt.Now()
 	c, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, i.knownRevisions())
 	if err != nil {
 		event.Log(i.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
 		return err
 	}
 	i.metrics.changesFetched.Inc(1)
-	i.catalog.Merge(c.Tables, m.ID)
+	i.catalog.Merge(c.Tables, m.ID, requestedAt)
 	switch {
 	case c.Version != nil:
 		i.policy.ApplyIfNewer(*c.Version, m.ID)
--- a/pkg/instance/fake_test.go
+++ b/pkg/instance/fake_test.go
@@ -42,6 +42,7 @@
 	silenceSecondaryWatches bool
 	// silentWatchCount counts the open watches that miss every change.
 	silentWatchCount atomic.Int64
+	startedAt        time.Time
 }
 
 // awaitSilentWatches waits until n open watches miss every change.
@@ -54,7 +55,7 @@
 const secondaryWatchThreshold = 4 * time.Second
 
 func newFakeStore() *fakeStore {
-	s := &fakeStore{changed: make(chan struct{})}
+	s := &fakeStore{changed: make(chan struct{}), startedAt: time.Now()}
 	for i := range s.rows {
 		s.rows[i] = make(map[string]catalog.Row)
 	}
@@ -100,7 +101,7 @@
 	if s.down {
 		return catalog.Listing{}, errStoreDown
 	}
-	l := catalog.Listing{Revision: max(1, s.revision)}
+	l := catalog.Listing{Revision: max(1, s.revision), StoreTime: time.Since(s.startedAt)}
 	for _, r := range s.rows[table] {
 		l.Rows = append(l.Rows, r)
 	}
@@ -112,7 +113,7 @@
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
-		l := catalog.Listing{Revision: max(1, s.revision)}
+		l := catalog.Listing{Revision: max(1, s.revision), StoreTime: time.Since(s.startedAt)}
 		for _, r := range s.changes[table] {
 			if r.Revision > after {
 				l.Rows = append(l.Rows, r)
@@ -135,6 +136,7 @@
 		select {
 		case <-changed:
 		case <-end:
+			l.StoreTime = time.Since(s.startedAt)
 			return l, nil
 		case <-ctx.Done():
 			return l, ctx.Err()
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -39,7 +39,7 @@
 	case !i.ready():
 		state = mesh.Starting
 	}
-	return mesh.Status{State: state, DirectivesRevision: directives, UpstreamsRevision: upstreams, Watching: i.watchesStore() && !i.catalog.StoreDown(),
+	return mesh.Status{State: state, DirectivesRevision: directives, UpstreamsRevision: upstreams, Watching: i.watchesStore() && !i.catalog.StoreDown(), Proofs: i.catalog.Proofs(),
 		DescriptionVersion: i.policy.Current().Number, ActiveRequests: i.ingress.InFlight(), Shares: i.policy.Shares(), RequestRates: i.policy.Demand()}
 }
 
@@ -51,22 +51,17 @@
 // it failed to fetch changes from a member.
 const fetchFailureWatchTime = 5 * time.Second
 
-// maxUnconfirmedTime is how long an instance relies on the watchers of its region without
-// hearing from them. It is the time between two heartbeats in a large region and half of
-// that, and shorter than mesh.DeadAfter: waiting until silent watchers count as dead would
-// take longer than a leaving upstream may be used.
-const maxUnconfirmedTime = 1500 * time.Millisecond
-
 // watchRole returns the role of this instance in watching the store. It watches
-// unless storeWatchersPerRegion instances of a lower rank already watch and reach
-// the store, and have said so within maxUnconfirmedTime. It also watches for
-// fetchFailureWatchTime after a member failed to serve its changes.
+// unless storeWatchersPerRegion instances of a lower rank already watch, the store has
+// answered one of them lately, and the instance's own tables are proven current. It also
+// watches for fetchFailureWatchTime after a member failed to serve its changes.
 func (i *Instance) watchRole() catalog.WatchRole {
+	now, maxAge := i.opt.Now(), i.catalog.MaxProofAge()
 	lowerRankedWatchers := i.mesh.Rank(func(m mesh.Member) bool { return m.Watching })
+	lowerRankedAnswered := i.mesh.Rank(func(m mesh.Member) bool { return m.Watching && now.Sub(m.Proofs.StoreAnswered) <= maxAge })
 	until := i.watchStoreUntil.Load()
-	_, unconfirmed := i.catalog.TableAges()
-	return catalog.WatchRole{Primary: lowerRankedWatchers == 0,
-		Watches: lowerRankedWatchers < storeWatchersPerRegion || unconfirmed > maxUnconfirmedTime || until != nil && i.opt.Now().Before(*until),
+	return catalog.WatchRole{Primary: lowerRankedAnswered == 0,
+		Watches: lowerRankedAnswered == 0 || lowerRankedWatchers < storeWatchersPerRegion || !i.catalog.Current() || until != nil && now.Before(*until),
 		Rank:    i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving })}
 }
 
@@ -81,12 +76,20 @@
 	}
 }
 
+// announceProof sends a heartbeat at once if the other instances of the region rely on this
+// one for the proof that their tables are current.
+func (i *Instance) announceProof() {
+	if i.watchRole().Primary {
+		go i.mesh.SendHeartbeat()
+	}
+}
+
 // onHeartbeat handles a heartbeat of a member of the region and requests a fetch
 // if the member has newer revisions.
 func (i *Instance) onHeartbeat(m mesh.Member) {
 	newer := m.DescriptionVersion > i.policy.Current().Number
+	i.catalog.Confirm(m.DirectivesRevision, m.UpstreamsRevision, m.Proofs)
 	if m.Watching {
-		i.catalog.ConfirmRevisions(m.DirectivesRevision, m.UpstreamsRevision)
 		directives, upstreams := i.catalog.Revisions()
 		newer = newer || !i.watchesStore() && (m.DirectivesRevision > directives || m.UpstreamsRevision > upstreams)
 	}
--- a/pkg/instance/members_test.go
+++ b/pkg/instance/members_test.go
@@ -4,19 +4,21 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 )
 
 // startWatcher starts a member of the instance's region that reports that it watches the
-// store and knows what the instance knows.
-func (env *testEnv) startWatcher(ctx context.Context, id string, inst *testInstance) {
+// store, last heard from it at lastHeard, and knows what the instance knows.
+func (env *testEnv) startWatcher(ctx context.Context, id string, inst *testInstance, lastHeard func() time.Time) {
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	require.NoError(env.t, err)
 	m := mesh.New(mesh.Config{
@@ -24,7 +26,8 @@
 		Seeds: []string{inst.settings.MeshAddress}, Now: time.Now, Random: func() float64 { return 0 }, Logger: inst.logger, Incarnation: 1,
 		LocalStatus: func() mesh.Status {
 			directives, upstreams := inst.catalog.Revisions()
-			return mesh.Status{State: mesh.Serving, Watching: true, DirectivesRevision: directives, UpstreamsRevision: upstreams}
+			return mesh.Status{State: mesh.Serving, Watching: true, DirectivesRevision: directives, UpstreamsRevision: upstreams,
+				Proofs: catalog.Proofs{Directives: lastHeard(), Upstreams: lastHeard(), StoreAnswered: lastHeard()}}
 		},
 		InFlight: func() []balance.InFlight { return nil }, Demands: func() []balance.Demand { return nil }, RouteStats: func() []balance.RouteStats { return nil },
 		Statements: func() []balance.Statement { return nil }, RegionStatements: func() []balance.Statement { return nil }, OnStatements: func(string, []balance.Statement) {},
@@ -46,7 +49,7 @@
 	defer stop()
 	for n := 0; inst.watchesStore(); n++ {
 		// The rank of an id follows from its hash; some of the first ids come before "i1".
-		env.startWatcher(ctx, fmt.Sprint("w", n), inst)
+		env.startWatcher(ctx, fmt.Sprint("w", n), inst, time.Now)
 		time.Sleep(50 * time.Millisecond)
 		require.Less(t, n, 20)
 	}
@@ -57,3 +60,31 @@
 	require.Eventually(t, inst.watchesStore, testTimeout, 5*time.Millisecond)
 	require.Less(t, time.Since(stoppedAt), maxTime)
 }
+
+// Guards against instances that learn too late that an upstream leaves, because the members
+// that watch the store for them hear nothing and go on sending heartbeats.
+func TestInstanceWatchesStoreOnceItsWatchersHearNothing(t *testing.T) {
+	const maxTime = 2 * time.Second // 2.5 s for a leaving upstream, less the time to list the table
+	env := newTestEnv(t)
+	inst := env.start("i1")
+	env.awaitReady(inst, 0)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var lastHeard atomic.Pointer[time.Time]
+	for n := 0; inst.watchesStore(); n++ {
+		env.startWatcher(ctx, fmt.Sprint("w", n), inst, func() time.Time {
+			if at := lastHeard.Load(); at != nil {
+				return *at
+			}
+			return time.Now()
+		})
+		time.Sleep(50 * time.Millisecond)
+		require.Less(t, n, 20)
+	}
+	time.Sleep(time.Second)
+	require.False(t, inst.watchesStore())
+	now := time.Now()
+	lastHeard.Store(&now)
+	require.Eventually(t, inst.watchesStore, testTimeout, 5*time.Millisecond)
+	require.Less(t, time.Since(now), maxTime)
+}
--- a/pkg/instance/metrics.go
+++ b/pkg/instance/metrics.go
@@ -135,7 +135,7 @@
 			add(withSuffixAndLabel(name, "_sum", ""), s.Sum())
 		}
 	})
-	directives, upstreams := i.catalog.TableAges()
+	directives, upstreams := i.catalog.ProofAges()
 	view := i.catalog.View()
 	if view.Config != nil {
 		add("configuration_version", int64(view.Config.Version))
--- a/pkg/instance/outcome.go
+++ b/pkg/instance/outcome.go
@@ -104,7 +104,7 @@
 		args = append(args, "refusal", c.instance.balancer.Explain(c.acquireRequest))
 	}
 	if id != event.RequestAnswered {
-		directives, upstreams := c.instance.catalog.TableAges()
+		directives, upstreams := c.instance.catalog.ProofAges()
 		args = append(args, "directives_age_ms", directives.Milliseconds(), "upstreams_age_ms", upstreams.Milliseconds())
 	}
 	event.Log(c.instance.logger, id, args...)
--- a/pkg/instance/resume.go
+++ b/pkg/instance/resume.go
@@ -136,31 +136,38 @@
 	return d.pauseCount != pauseCount
 }
 
-// syncFromPeers fetches changes from several live peers in parallel and returns
-// as soon as the first fetch succeeds, or when ctx ends.
+// syncFromPeers fetches changes from several live peers in parallel. It returns as soon as
+// one of them has proven that the tables are current, when all have answered, or when ctx
+// ends. What was known before the pause proves nothing.
 func (i *Instance) syncFromPeers(ctx context.Context) {
 	start := i.opt.Now()
+	i.catalog.Invalidate()
 	peers := i.mesh.Live()
 	// Store watchers have the newest state; peers of the same region respond
 	// fastest.
 	slices.SortStableFunc(peers, func(a, b mesh.Member) int { return i.syncRank(a) - i.syncRank(b) })
 	peers = peers[:min(maxResumePeers, len(peers))]
-	syncedPeers := make(chan string, len(peers))
+	answers := make(chan string, len(peers))
 	for _, m := range peers {
 		go func() {
-			if i.fetchAndMerge(ctx, m) == nil {
-				syncedPeers <- m.ID
+			if i.fetchAndMerge(ctx, m) != nil {
+				answers <- ""
+				return
 			}
+			answers <- m.ID
 		}()
 	}
-	peer := ""
-	if len(peers) > 0 {
+	peer, current := "", false
+	for n := 0; n < len(peers) && !current && ctx.Err() == nil; n++ {
 		select {
-		case peer = <-syncedPeers:
+		case id := <-answers:
+			if id != "" {
+				peer, current = id, i.catalog.Current()
+			}
 		case <-ctx.Done():
 		}
 	}
-	event.Log(i.logger, event.ProcessResumed, "peer", peer, "asked", len(peers), "took_ms", i.opt.Now().Sub(start).Milliseconds(), "description", i.policy.Current().Number)
+	event.Log(i.logger, event.ProcessResumed, "peer", peer, "current", current, "asked", len(peers), "took_ms", i.opt.Now().Sub(start).Milliseconds(), "description", i.policy.Current().Number)
 }
 
 // syncRank returns the preference rank of a peer. The peers with the lowest ranks
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
@@ -117,6 +118,9 @@
 	// Watching reports whether the instance watches the store and can reach
 	// it.
 	Watching bool
+	// Proofs holds the times until which the tables are proven current. Digests do not carry
+	// them.
+	Proofs catalog.Proofs `json:"-"`
 	// DescriptionVersion is the version of the operator's description in force.
 	DescriptionVersion uint64 `json:"Version"`
 	// ActiveRequests is the number of callers' requests in flight.
@@ -299,6 +303,14 @@
 	m.tick()
 }
 
+// SendHeartbeat sends the next heartbeat to the local region immediately.
+func (m *Mesh) SendHeartbeat() {
+	m.mu.Lock()
+	m.lastHeartbeatAt = time.Time{}
+	m.mu.Unlock()
+	m.tick()
+}
+
 // AnnounceToOtherRegions sends a heartbeat directly to the live members of the
 // other regions. It is for urgent updates, which must not be delayed by a stalled
 // gateway.
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -98,6 +98,7 @@
 	if h := msg.Heartbeat; h != nil {
 		changed = changed || x.State != h.State
 		x.State, x.DirectivesRevision, x.UpstreamsRevision, x.Watching = h.State, h.DirectivesRevision, h.UpstreamsRevision, h.Watching
+		x.Proofs = h.proofs(m.config.Now())
 		x.DescriptionVersion, x.ActiveRequests, x.Shares = h.DescriptionVersion, h.ActiveRequests, h.Shares
 		if h.Region != "" {
 			changed = changed || x.CallerAddress != h.CallerAddress
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -1,11 +1,14 @@
 package mesh
 
 import (
+	"math"
 	"net"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
@@ -47,6 +50,42 @@
 	// RouteStats is sent with Demand.
 	RouteStats []balance.RouteStats `cbor:"15,keyasint,omitempty"`
 	Statements []balance.Statement  `cbor:"16,keyasint,omitempty"`
+	// Ages holds the ages of Status.Proofs. Older releases omit it, so that their
+	// heartbeats prove nothing.
+	Ages *proofAges `cbor:"17,keyasint,omitempty"`
+}
+
+// proofAges holds the ages of proofs in milliseconds; unprovenMS if there is no proof.
+type proofAges struct {
+	_                                    struct{} `cbor:",toarray"`
+	Directives, Upstreams, StoreAnswered uint32
+}
+
+const unprovenMS = math.MaxUint32
+
+// ages returns the ages of p, rounded up.
+func ages(p catalog.Proofs, now time.Time) *proofAges {
+	age := func(at time.Time) uint32 {
+		if at.IsZero() {
+			return unprovenMS
+		}
+		return uint32(min(max(now.Sub(at)+time.Millisecond-1, 0).Milliseconds(), unprovenMS))
+	}
+	return &proofAges{Directives: age(p.Directives), Upstreams: age(p.Upstreams), StoreAnswered: age(p.StoreAnswered)}
+}
+
+// proofs returns the proofs that a heartbeat received now carries.
+func (h *heartbeat) proofs(now time.Time) catalog.Proofs {
+	if h.Ages == nil {
+		return catalog.Proofs{}
+	}
+	at := func(age uint32) time.Time {
+		if age == unprovenMS {
+			return time.Time{}
+		}
+		return now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	return catalog.Proofs{Directives: at(h.Ages.Directives), Upstreams: at(h.Ages.Upstreams), StoreAnswered: at(h.Ages.StoreAnswered)}
 }
 
 // sendDue sends the messages that are due, except digests: a heartbeat or a
@@ -98,7 +137,7 @@
 func (m *Mesh) heartbeats(withDemand bool) (short, fullHeartbeat *heartbeat) {
 	status := m.config.LocalStatus()
 	short = &heartbeat{State: status.State, DirectivesRevision: status.DirectivesRevision, UpstreamsRevision: status.UpstreamsRevision, Watching: status.Watching,
-		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares, Statements: m.config.Statements()}
+		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares, Statements: m.config.Statements(), Ages: ages(status.Proofs, m.config.Now())}
 	full := *short
 	full.Region, full.Domain, full.CallerAddress = m.config.Self.Region, m.config.Self.Domain, m.config.Self.CallerAddress
 	full.RequestRates, full.Address = status.RequestRates, m.config.Self.Address
