Take a time without any proof for an outage of the store, not a failed call

Cause: nothing gets into one zone for 0.98 s, so one call of a watcher fails. For 3 s after that the watcher took each removed registration for one that lapsed in an outage of the store, and kept the upstream in use for up to 2.2 s from the removal. Its peers took over the failure with the changes, though the store answered them. With the time to learn of the removal that is more than 2.5 s.

Change: an outage of the store is a time of 2.5 s in which nothing has proven the table, neither an own answer nor one that a member passed on. The hold ends 2.2 s after the end of the outage. The time of the last failed call is neither kept nor passed on. A pause of the process drops the proofs, so that it shows no outage. A watch whose answer is already due does not wait: an instance that begins to watch is without a proof for 1.5 s, up to 0.25 s and a round trip, less than an outage.

The same cause on a related path: the hold of a mass lapse counted from when it was seen if a list, or the first watch after a time without watching, showed it. It now counts from the last proof before, and grows with the time that a transfer takes.

Ruled out: a shorter window after a failed call (any window holds upstreams that left, for instances that the store answers); asking peers whether their calls failed (a proof says more, and already travels).

Tests: TestNoGracePeriodAfterFailedCall and TestMassLapseLearnedLate fail on the commit before and pass now; TestNoGracePeriodAfterPause is new. The tests of the hold simulated an outage by one failed call, which is the fault; they simulate it by a time without proofs now, with the same bounds or tighter ones (the hold ends at a fixed time after the outage, and is over for what lapses later). TestNoGracePeriodAfterOldFailure, which allowed the hold for 3 s after a failure, is replaced by the first, which allows none.

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -30,9 +30,10 @@
 			changes = append(changes, r)
 		}
 	}
+	age := c.maxChangeAge(t)
 	for key := range t.rows {
 		if !present[key] {
-			changes = append(changes, Row{Key: key, Revision: l.Revision, Deleted: true})
+			changes = append(changes, Row{Key: key, Revision: l.Revision, Deleted: true, Age: age})
 		}
 	}
 	c.applyAndUnlock(table, changes, l, source)
@@ -73,14 +74,12 @@
 	if len(changes) == 0 {
 		return
 	}
-	var grace time.Duration
-	if table == Upstreams {
-		grace = c.lapseGracePeriod(changes)
-	}
+	now, mass := c.opt.Now(), table == Upstreams && c.isMassLapse(changes)
 	for _, r := range changes {
+		madeAt := now.Add(-r.Age)
 		if r.Deleted {
 			delete(t.rows, r.Key)
-			t.recordDeletion(r.Key, deletion{revision: r.Revision, madeAt: c.opt.Now().Add(-r.Age)})
+			t.recordDeletion(r.Key, deletion{revision: r.Revision, madeAt: madeAt})
 		} else {
 			t.rows[r.Key] = r
 			delete(t.deletions, r.Key)
@@ -88,7 +87,7 @@
 		if table == Directives {
 			c.applyDirective(r, source)
 		} else {
-			c.applyUpstream(r, grace, source)
+			c.applyUpstream(r, c.gracePeriodEnd(madeAt, mass), source)
 		}
 	}
 	c.publish()
@@ -128,18 +127,17 @@
 }
 
 // applyUpstream applies a row of the upstreams table. If the row of a ready
-// upstream is deleted and grace is not 0, the upstream stays in use for that
-// time, counted from the deletion.
-func (c *Catalog) applyUpstream(r Row, grace time.Duration, source string) {
+// upstream is deleted, the upstream stays in use until graceEnd.
+func (c *Catalog) applyUpstream(r Row, graceEnd time.Time, source string) {
 	old, known := c.upstreams[r.Key]
 	if r.Deleted {
 		if !known {
 			return
 		}
-		if grace -= r.Age; grace > 0 && old.State == steering.Ready {
+		if grace := graceEnd.Sub(c.opt.Now()); grace > 0 && old.State == steering.Ready {
 			if _, inGrace := c.graceDeadlines[r.Key]; !inGrace {
-				c.graceDeadlines[r.Key] = c.opt.Now().Add(grace)
-				event.Log(c.opt.Logger, event.UpstreamRegistrationExpired, "upstream", r.Key, "revision", r.Revision, "source", source, "hold_ms", grace.Milliseconds())
+				c.graceDeadlines[r.Key] = graceEnd
+				event.Log(c.opt.Logger, event.UpstreamRegistrationExpired, "upstream", r.Key, "revision", r.Revision, "source", source, "age_ms", r.Age.Milliseconds(), "hold_ms", grace.Milliseconds())
 			}
 			return
 		}
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -77,6 +77,12 @@
 	return l
 }
 
+// proven returns l as an answer that the store gives now.
+func (k *clock) proven(l Listing) Listing {
+	l.ProvenAt = k.Now()
+	return l
+}
+
 func deletedRow(key string, revision int64) Row {
 	return Row{Key: key, Revision: revision, Deleted: true}
 }
@@ -112,16 +118,21 @@
 // outage.
 func TestGracePeriodOnlyAfterOutage(t *testing.T) {
 	c, k := newCatalog()
-	c.replace(Upstreams, readyRows("a", 10), "store")
-	c.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}, "store")
+	c.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
 	require.NotContains(t, c.View().Upstreams, "a1", "a removal while the store is healthy takes effect immediately")
-	c.recordOutcome(Upstreams, errors.New("store unavailable"))
-	c.recordOutcome(Upstreams, nil)
-	c.update(Upstreams, Listing{Rows: []Row{deletedRow("a2", 12)}, Revision: 12}, "store")
-	require.Contains(t, c.View().Upstreams, "a2", "a lapse after an outage gets the grace period")
-	k.advance(outageGracePeriod + time.Millisecond)
+	k.advance(minOutage)
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a2", 12)}, Revision: 12}), "store")
+	require.Contains(t, c.View().Upstreams, "a2", "a lapse in an outage gets the grace period")
+	k.advance(time.Second)
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a3", 13)}, Revision: 13}), "store")
+	require.Contains(t, c.View().Upstreams, "a3", "a lapse after an outage gets the rest of it")
+	k.advance(outageGracePeriod - time.Second + time.Millisecond)
 	c.ExpireGracePeriods()
 	require.NotContains(t, c.View().Upstreams, "a2", "removed when the grace period ends without a new registration")
+	require.NotContains(t, c.View().Upstreams, "a3", "the grace period counts from the end of the outage")
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a4", 14)}, Revision: 14}), "store")
+	require.NotContains(t, c.View().Upstreams, "a4", "the outage is over")
 }
 
 // Guards against a service that loses most of its upstreams at once because
@@ -138,18 +149,59 @@
 	require.Len(t, c.View().Upstreams, 2, "a1 registered again and a4 never lapsed")
 }
 
-// Guards against an instance that keeps applying the grace period to every
-// upstream that leaves. This happens if its last store call failed long ago and
-// it has received its changes from peers since then.
-func TestNoGracePeriodAfterOldFailure(t *testing.T) {
+// Guards against upstreams that left and stay in use because a call to the store failed,
+// although the store answered others: at the instance whose call failed, and at those that
+// get their changes from it.
+func TestNoGracePeriodAfterFailedCall(t *testing.T) {
+	watcher, k := newCatalog()
+	follower, _ := newCatalog()
+	follower.opt.Now = k.Now
+	watcher.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
+	follower.Merge(watcher.Snapshot(0, 0), "watcher", k.Now())
+	watcher.recordOutcome(Upstreams, errors.New("store unavailable"))
+	k.advance(1800 * time.Millisecond)
+	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
+	follower.Merge(watcher.Snapshot(1, 10), "watcher", k.Now())
+	require.NotContains(t, watcher.View().Upstreams, "a1")
+	require.NotContains(t, follower.View().Upstreams, "a1")
+	// Others have proven the table while this instance's calls failed.
+	for range 4 {
+		watcher.recordOutcome(Upstreams, errors.New("store unavailable"))
+		k.advance(time.Second)
+		watcher.Confirm(0, 11, Proofs{Upstreams: k.Now()})
+	}
+	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a2", 12)}, Revision: 12}), "store")
+	require.NotContains(t, watcher.View().Upstreams, "a2")
+}
+
+// Guards against upstreams that left and stay in use because the process was paused.
+func TestNoGracePeriodAfterPause(t *testing.T) {
 	c, k := newCatalog()
-	c.replace(Upstreams, readyRows("a", 10), "store")
-	c.recordOutcome(Upstreams, errors.New("store unavailable"))
-	k.advance(outageWindow + time.Millisecond)
-	c.mergeTable(Upstreams, Listing{Rows: []Row{deletedRow("a1", 11)}, Since: 10, Revision: 11}, "peer")
+	c.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
+	k.advance(time.Minute)
+	c.Invalidate()
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
 	require.NotContains(t, c.View().Upstreams, "a1")
 }
 
+// Guards against a mass lapse that an instance learns late and that keeps upstreams in use
+// for longer than they may be: the grace period counts from the earliest time at which the
+// registrations may have been removed.
+func TestMassLapseLearnedLate(t *testing.T) {
+	c, k := newCatalog()
+	s := &scriptedStore{changes: make(chan Listing, 1), lists: []Listing{readyRows("a", 4)}}
+	c.opt.Store = s
+	listed := false
+	_, err := c.fetch(context.Background(), Upstreams, WatchRole{Watches: true, Primary: true}, &listed)
+	require.NoError(t, err)
+	k.advance(1900 * time.Millisecond)
+	s.changes <- Listing{Rows: []Row{deletedRow("a1", 5), deletedRow("a2", 5), deletedRow("a3", 5)}, Revision: 5}
+	changed, err := c.fetch(context.Background(), Upstreams, WatchRole{Watches: true, Primary: true}, &listed)
+	require.NoError(t, err)
+	require.True(t, changed)
+	require.Len(t, c.View().Upstreams, 1)
+}
+
 // Guards against a draining upstream that a mass lapse keeps in use.
 func TestNoGracePeriodForDrainingUpstream(t *testing.T) {
 	c, _ := newCatalog()
@@ -294,12 +346,13 @@
 // lapse during a store outage. A follower gets its changes from a watcher and does
 // not notice the outage itself.
 func TestFollowerAppliesOutageGracePeriod(t *testing.T) {
-	watcher, _ := newCatalog()
-	follower, k := newCatalog()
-	watcher.replace(Upstreams, readyRows("a", 10), "store")
+	watcher, k := newCatalog()
+	follower, _ := newCatalog()
+	follower.opt.Now = k.Now
+	watcher.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
 	follower.Merge(watcher.Snapshot(0, 0), "watcher", follower.opt.Now())
-	watcher.recordOutcome(Upstreams, errors.New("store unavailable"))
-	watcher.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}, "store")
+	k.advance(minOutage)
+	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
 	follower.Merge(watcher.Snapshot(1, 10), "watcher", follower.opt.Now())
 	require.Contains(t, follower.View().Upstreams, "a1")
 	k.advance(outageGracePeriod + time.Millisecond)
@@ -312,20 +365,20 @@
 func TestDrainTimeoutCapsGracePeriod(t *testing.T) {
 	c, k := newCatalog()
 	c.SetDrainTimeout(time.Second)
-	c.replace(Upstreams, readyRows("a", 10), "store")
-	c.recordOutcome(Upstreams, errors.New("store unavailable"))
-	c.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}, "store")
+	c.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
+	k.advance(minOutage)
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
 	k.advance(900 * time.Millisecond)
 	c.ExpireGracePeriods()
 	require.NotContains(t, c.View().Upstreams, "a1")
 }
 
-// Guards against a grace period that starts when a deletion is seen. Changes
-// made in the delay between two watches are seen late, so an upstream that left
-// shortly after a failed store call stayed in use for longer than it may.
+// Guards against a grace period that starts when a deletion is seen. Changes made in the
+// delay between two watches, or passed on, are seen late, so an upstream that left in a mass
+// lapse stayed in use for longer than it may.
 func TestGracePeriodCountsFromDeletion(t *testing.T) {
 	k := &clock{now: time.Unix(1000, 0)}
-	s := &scriptedStore{lists: []Listing{readyRows("a", 10)}, changes: make(chan Listing)}
+	s := &scriptedStore{lists: []Listing{readyRows("a", 4)}, changes: make(chan Listing)}
 	watcher := New(Options{Store: s, Decode: decoder, Now: k.Now, Random: func() float64 { return 0 }, Logger: event.DiscardLogger(),
 		WatchRole: func() WatchRole { return WatchRole{Watches: true, Primary: true} }})
 	follower, _ := newCatalog()
@@ -333,20 +386,20 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); watcher.Run(ctx) }()
-	s.changes <- Listing{Rows: []Row{{Key: "b", Value: []byte("a,ready"), Revision: 11}}, Revision: 11}
-	require.Eventually(t, func() bool { return len(watcher.View().Upstreams) == 11 }, 5*time.Second, time.Millisecond)
-	follower.Merge(watcher.Snapshot(0, 0), "watcher", follower.opt.Now())
-	watcher.recordPeerStoreFailure(k.Now())
+	s.changes <- Listing{Rows: []Row{{Key: "b", Value: []byte("b,ready"), Revision: 11}}, Revision: 11}
+	require.Eventually(t, func() bool { return len(watcher.View().Upstreams) == 5 }, 5*time.Second, time.Millisecond)
+	follower.Merge(watcher.Snapshot(0, 0), "watcher", k.Now())
 	k.advance(coalesceDelay[Upstreams])
-	s.changes <- Listing{Rows: []Row{deletedRow("a1", 12)}, Revision: 12}
+	s.changes <- Listing{Rows: []Row{deletedRow("a1", 12), deletedRow("a2", 12), deletedRow("a3", 12)}, Revision: 12}
 	require.Eventually(t, func() bool { _, r := watcher.Revisions(); return r == 12 }, 5*time.Second, time.Millisecond)
 	cancel()
 	<-done
+	snapshot, requestedAt := watcher.Snapshot(1, 11), k.Now()
 	k.advance(transferTime)
-	follower.Merge(watcher.Snapshot(1, 11), "watcher", follower.opt.Now())
+	follower.Merge(snapshot, "watcher", requestedAt)
 	require.Contains(t, watcher.View().Upstreams, "a1")
 	require.Contains(t, follower.View().Upstreams, "a1")
-	k.advance(outageGracePeriod - coalesceDelay[Upstreams] - transferTime + time.Millisecond)
+	k.advance(massLapseGracePeriod - coalesceDelay[Upstreams] - transferTime + time.Millisecond)
 	for _, c := range []*Catalog{watcher, follower} {
 		c.ExpireGracePeriods()
 		require.NotContains(t, c.View().Upstreams, "a1")
--- a/pkg/catalog/lapse.go
+++ b/pkg/catalog/lapse.go
@@ -6,12 +6,24 @@
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
-// lapseGracePeriod returns the grace period for the registrations deleted by
-// changes, or 0 if the deletions take effect immediately.
-func (c *Catalog) lapseGracePeriod(changes []Row) time.Duration {
-	if !c.lastStoreFailureAt.IsZero() && c.opt.Now().Sub(c.lastStoreFailureAt) < outageWindow {
-		return c.capByDrainTimeout(outageGracePeriod, outageGraceFraction)
+// gracePeriodEnd returns the time until which a ready upstream stays in use whose
+// registration was deleted at madeAt, the earliest time that is possible. mass reports
+// whether many registrations lapsed at once. The lock must be held.
+func (c *Catalog) gracePeriodEnd(madeAt time.Time, mass bool) time.Time {
+	var end time.Time
+	if mass {
+		end = madeAt.Add(c.capByDrainTimeout(massLapseGracePeriod, massLapseGraceFraction))
 	}
+	if at := c.tables[Upstreams].outageEndedAt; !at.IsZero() {
+		if returned := at.Add(c.capByDrainTimeout(outageGracePeriod, outageGraceFraction)); returned.After(end) {
+			end = returned
+		}
+	}
+	return end
+}
+
+// isMassLapse reports whether changes are a mass lapse. The lock must be held.
+func (c *Catalog) isMassLapse(changes []Row) bool {
 	lapsedCounts, upstreamCounts := make(map[string]int), make(map[string]int)
 	for _, u := range c.upstreams {
 		upstreamCounts[u.Service]++
@@ -23,10 +35,10 @@
 	}
 	for service, n := range lapsedCounts {
 		if n >= massLapseMinCount && float64(n) > massLapseFraction*float64(upstreamCounts[service]) {
-			return c.capByDrainTimeout(massLapseGracePeriod, massLapseGraceFraction)
+			return true
 		}
 	}
-	return 0
+	return false
 }
 
 // capByDrainTimeout limits d to the given fraction of Options.DrainTimeout. There is no
--- a/pkg/catalog/proof.go
+++ b/pkg/catalog/proof.go
@@ -21,6 +21,12 @@
 	maxProofAgeFraction = 0.6
 	// Unproven is the age of the proof of a table that nothing has proven current.
 	Unproven time.Duration = math.MaxInt64
+	// minOutage is the time without any proof after which the store counts as having been
+	// away. A registration lapses after three heartbeats of an upstream (4.5 s), the last of
+	// which it sent up to 1.5 s before; so a shorter outage can't be the cause of a lapse. It
+	// is also longer than an instance that reaches the store is without a proof when its
+	// watchers fail.
+	minOutage = 2500 * time.Millisecond
 	// maxClockDrift bounds the drift between the store's steady clock and this process's.
 	maxClockDrift = 1e-4
 )
@@ -95,11 +101,26 @@
 }
 
 // prove records that the table was current at a time. A proof that is older than the known
-// one, or zero, changes nothing.
+// one, or zero, changes nothing. A long time since the last proof shows an outage of the
+// store, because an answer to any instance of the region would have proven the table. A
+// failed call shows none: the store may have answered all others.
 func (t *tableState) prove(at time.Time) {
-	if at.After(t.provenAt) {
-		t.provenAt = at
+	if !at.After(t.provenAt) {
+		return
 	}
+	if !t.provenAt.IsZero() && at.Sub(t.provenAt) >= minOutage {
+		t.outageEndedAt = at
+	}
+	t.provenAt = at
+}
+
+// maxChangeAge returns the age that a change may have which the table lacked until now, 0 if
+// that is not known. The lock must be held.
+func (c *Catalog) maxChangeAge(t *tableState) time.Duration {
+	if t.provenAt.IsZero() {
+		return 0
+	}
+	return c.opt.Now().Sub(t.provenAt)
 }
 
 // storeClock estimates when the store answered a call from the steady clock in its answers.
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -10,11 +10,6 @@
 	// Directives holds the operator's configurations and evacuations.
 	Directives Listing `cbor:"1,keyasint"`
 	Upstreams  Listing `cbor:"2,keyasint"`
-	// SinceStoreFailure is the time since the sender's last failed store call,
-	// or 0 if there was none within outageWindow. Receivers do not call the
-	// store themselves. They need this time to tell a registration that lapsed
-	// because of a store outage from an upstream that left.
-	SinceStoreFailure time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot returns the changes to both tables after the given revisions, which
@@ -23,11 +18,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opt.Now()
-	s := Snapshot{Directives: c.tables[Directives].changesSince(directives, now), Upstreams: c.tables[Upstreams].changesSince(upstreams, now)}
-	if age := now.Sub(c.lastStoreFailureAt); !c.lastStoreFailureAt.IsZero() && age < outageWindow {
-		s.SinceStoreFailure = max(age, 1)
-	}
-	return s
+	return Snapshot{Directives: c.tables[Directives].changesSince(directives, now), Upstreams: c.tables[Upstreams].changesSince(upstreams, now)}
 }
 
 // changesSince returns the changes after a revision, or the whole table if the
@@ -70,26 +61,20 @@
 // catalog's own. The snapshot was requested at requestedAt; what it proves is not newer than
 // that, however long the transfer took.
 func (c *Catalog) Merge(s Snapshot, peer string, requestedAt time.Time) {
-	if s.SinceStoreFailure > 0 {
-		c.recordPeerStoreFailure(c.opt.Now().Add(-s.SinceStoreFailure))
-	}
+	transferTime := c.opt.Now().Sub(requestedAt)
 	for table, l := range [...]Listing{Directives: s.Directives, Upstreams: s.Upstreams} {
 		if l.ProofAge >= 0 && l.ProofAge != Unproven {
 			l.ProvenAt = requestedAt.Add(-l.ProofAge)
 		}
+		for i := range l.Rows {
+			if l.Rows[i].Deleted {
+				l.Rows[i].Age += transferTime
+			}
+		}
 		c.mergeTable(Table(table), l, peer)
 	}
 }
 
-// recordPeerStoreFailure records the time of a failed store call of a peer.
-func (c *Catalog) recordPeerStoreFailure(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if at.After(c.lastStoreFailureAt) {
-		c.lastStoreFailureAt = at
-	}
-}
-
 func (c *Catalog) mergeTable(table Table, l Listing, peer string) {
 	if l.Since == 0 {
 		c.replace(table, l, peer)
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// outageGracePeriod is how long an upstream stays in use after its
-	// registration lapsed during or shortly after a store outage. Live
-	// upstreams register again within about two seconds.
+	// outageGracePeriod is how long after a store outage an upstream stays in use
+	// whose registration lapsed during the outage or has lapsed since. Live
+	// upstreams register again within about two seconds of the store's return.
 	outageGracePeriod = 2200 * time.Millisecond
 	// massLapseGracePeriod is the grace period if many registrations lapse at
 	// once while the store appears healthy. It is shorter than
@@ -24,9 +24,6 @@
 	// needed for the change to reach all instances.
 	outageGraceFraction    = 0.88
 	massLapseGraceFraction = 0.6
-	// outageWindow is the time after a failed store call during which a lapse
-	// is attributed to a store outage.
-	outageWindow = 3 * time.Second
 	// A mass lapse is a set of changes applied together that deletes the
 	// registrations of at least massLapseMinCount ready upstreams of a service
 	// and of more than massLapseFraction of the service's upstreams.
@@ -89,11 +86,8 @@
 	// graceDeadlines maps each upstream whose registration lapsed to the end
 	// of its grace period.
 	graceDeadlines map[string]time.Time
-	// lastStoreFailureAt is the time of the last failed store call seen by this
-	// instance or reported by a peer, or zero if there was none.
-	lastStoreFailureAt time.Time
-	storeDown          bool
-	storeCallCount     atomic.Int64
+	storeDown      bool
+	storeCallCount atomic.Int64
 }
 
 type tableState struct {
@@ -107,6 +101,9 @@
 	// time at which the store last answered a call of this instance for it.
 	provenAt        time.Time
 	storeAnsweredAt time.Time
+	// outageEndedAt is the time of the first proof after the last outage of the store, zero
+	// if there was none.
+	outageEndedAt time.Time
 }
 
 // deletion is the deletion of a row: its revision and the earliest time at
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -12,16 +12,21 @@
 const (
 	// listTimeout is the timeout of a List call.
 	listTimeout = 1500 * time.Millisecond
-	// watchWait is the longest time between the answers of the store to two watches, less the
-	// round trip: the delay before a watch and its long-poll time. It is shorter than
-	// maxProofAge, so that the answers of one watcher keep a whole region current.
+	// watchWait is the time after an answer of the store for which the next watch may wait
+	// for a change. It is shorter than maxProofAge, so that the answers of one watcher keep a
+	// whole region current. minWatchWait is the long-poll time of a watch whose answer is
+	// already due.
 	// watchResponseTimeout is the extra time for the response. A connection that has gone
 	// silent is detected only after both have passed. Their sum, a backoff and the time
 	// until the other instances of the region have the changes must stay below
 	// three seconds, the shortest time within which a deployment expects an
 	// instance that lost contact with the store to be up to date again.
 	watchWait            = time.Second
+	minWatchWait         = time.Millisecond
 	watchResponseTimeout = 700 * time.Millisecond
+	// promptAnswer is the longest time for which a call is on its way to the store, in a
+	// watch that the store answers at once.
+	promptAnswer = 250 * time.Millisecond
 	// secondaryWatchWait is the long-poll time while another instance of the
 	// region is the primary watcher. It may be longer than watchWait, because
 	// the primary watcher passes on the changes that this instance misses.
@@ -59,9 +64,6 @@
 func (c *Catalog) syncTable(ctx context.Context, table Table) {
 	listed := false
 	backoff := minBackoff
-	// unobserved stays 0 after a failed call: registrations that lapsed while
-	// the store was away get the whole grace period.
-	var unobserved time.Duration
 	var lastRole WatchRole
 	for ctx.Err() == nil {
 		role := c.opt.WatchRole()
@@ -74,8 +76,7 @@
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
-		changed, err := c.fetch(ctx, table, role, &listed, unobserved)
-		unobserved = 0
+		changed, err := c.fetch(ctx, table, role, &listed)
 		c.recordOutcome(table, err)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -89,8 +90,7 @@
 				c.opt.OnStoreAnswer()
 			}
 			if changed {
-				unobserved = coalesceDelay[table]
-				sleep(ctx, unobserved)
+				sleep(ctx, coalesceDelay[table])
 			}
 		}
 	}
@@ -116,9 +116,8 @@
 }
 
 // fetch lists the table or, if it has been listed, watches it once, and applies
-// the result. unobserved is the delay before the call in which changes may have
-// been made. It reports whether a watch returned changes.
-func (c *Catalog) fetch(ctx context.Context, table Table, role WatchRole, listed *bool, unobserved time.Duration) (changed bool, err error) {
+// the result. It reports whether a watch returned changes.
+func (c *Catalog) fetch(ctx context.Context, table Table, role WatchRole, listed *bool) (changed bool, err error) {
 	c.storeCallCount.Add(1)
 	if !*listed {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
@@ -133,10 +132,7 @@
 		c.replace(table, l, "store")
 		return false, nil
 	}
-	wait := watchWait - unobserved
-	if !role.Primary {
-		wait = secondaryWatchWait
-	}
+	wait := c.nextWatchWait(table, role)
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchResponseTimeout)
 	defer cancel()
 	c.mu.Lock()
@@ -153,15 +149,33 @@
 		earliest = waited
 	}
 	c.recordStoreAnswer(table, &l, earliest)
+	age := c.opt.Now().Sub(l.ProvenAt)
+	if l.ProvenAt.Sub(sentAt) < promptAnswer {
+		// The change may have been made before the store received the call.
+		c.mu.Lock()
+		age = max(age, c.maxChangeAge(&c.tables[table]))
+		c.mu.Unlock()
+	}
 	for i := range l.Rows {
 		if l.Rows[i].Deleted {
-			l.Rows[i].Age = unobserved
+			l.Rows[i].Age = age
 		}
 	}
 	c.update(table, l, "store")
 	return len(l.Rows) > 0, nil
 }
 
+// nextWatchWait returns the long-poll time of the next watch.
+func (c *Catalog) nextWatchWait(table Table, role WatchRole) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, t := c.opt.Now(), &c.tables[table]
+	if !role.Primary && proofAge(t.provenAt, now) <= c.capByDrainTimeout(maxProofAge, maxProofAgeFraction) {
+		return secondaryWatchWait
+	}
+	return max(minWatchWait, watchWait-proofAge(t.storeAnsweredAt, now))
+}
+
 // recordStoreAnswer records that the store answered a call for the table, not before
 // earliest, and sets what the answer proves.
 func (c *Catalog) recordStoreAnswer(table Table, l *Listing, earliest time.Time) {
@@ -184,7 +198,6 @@
 		return
 	}
 	if err != nil {
-		c.lastStoreFailureAt = c.opt.Now()
 		if !c.storeDown {
 			c.storeDown = true
 			event.Log(c.opt.Logger, event.StoreDown, "table", table.String(), "error", err.Error())
