Bound the memory that responses without end take

Other operators report: an upstream sends bytes without end, in a head or in a body, the caller keeps them until it has no memory left, and the requests of other callers end with it. Here no instance ended, but six real instances of 184 MB peaked at 129 to 164 MB (16 to 17 MB before the fault) with next to no other work.

Cause: the bytes of the bodies being read are bounded by a quarter of the memory over all responses, but a buffer that grows takes three times its bytes, the buffers of failed responses stay until they are collected, and the first 128 KB of each response are exempt.

Change: a 24th of the memory, 32 KB exempt, large buffers are not kept for the next response.

Ruled out: heads (8 KB each, refused before they take more) and the loops over interim and foreign responses (bounded, TestResponseWithoutEnd); the soft memory limit of the runtime (0.6 of the memory) does not hold while the buffers are in use.

Test: TestUpstreamsThatSendWithoutEnd requires that the peak grows by a quarter of the memory at most.

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -21,7 +21,7 @@
 	maxResponseBytes = 64 << 20
 	// minBufferedBytes is the part of a response that is read even if
 	// MaxBufferedBytes is used up, so that long responses do not fail short ones.
-	minBufferedBytes = 128 << 10
+	minBufferedBytes = 32 << 10
 	// maxMismatchedResponses is the maximum number of responses to other
 	// requests that are skipped.
 	maxMismatchedResponses = 2
--- a/pkg/exchange/read.go
+++ b/pkg/exchange/read.go
@@ -21,6 +21,8 @@
 	for range maxMismatchedResponses + 1 {
 		message := fasthttp.AcquireResponse()
 		r, reusable, matched := c.readResponse(ctx, k, message, req, used || skipped)
+		// A large buffer is not worth keeping for the next, usually short response.
+		message.ReleaseBody(minBufferedBytes)
 		fasthttp.ReleaseResponse(message)
 		if matched {
 			return r, reusable && !skipped
--- a/pkg/harness/harness.go
+++ b/pkg/harness/harness.go
@@ -45,6 +45,8 @@
 	// TargetLatency and Timeout apply to all routes.
 	TargetLatency time.Duration
 	Timeout       time.Duration
+	// MemoryMB is the memory of an instance, 0 for the default of its settings.
+	MemoryMB int
 	// GracePeriod is the maximum duration of an instance's graceful shutdown.
 	GracePeriod time.Duration
 	// Description is the operators' initial description, as JSON.
--- a/pkg/harness/instance.go
+++ b/pkg/harness/instance.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -108,6 +109,9 @@
 		{"bounds", "repeat_ratio", "0.2"}, {"bounds", "repeat_slack", "60"}, {"bounds", "repeat_window", "10s"},
 		{"bounds", "stop_time", c.Spec.GracePeriod.String()},
 	}...)
+	if c.Spec.MemoryMB > 0 {
+		lines = append(lines, [3]string{"limits", "memory_mb", strconv.Itoa(c.Spec.MemoryMB)})
+	}
 	i.SettingsFile = filepath.Join(c.Dir, i.ID+".ini")
 	return os.WriteFile(i.SettingsFile, []byte(formatINI(lines)), 0o644)
 }
--- a/pkg/harness/process.go
+++ b/pkg/harness/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -90,6 +91,26 @@
 	return p.runningLocked()
 }
 
+// PeakMemory returns the largest resident memory of the current run, in bytes.
+func (p *Process) PeakMemory() (int64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.runningLocked() {
+		return 0, fmt.Errorf("%s is not running", p.Name)
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10, nil
+		}
+	}
+	return 0, fmt.Errorf("%s: no peak memory", p.Name)
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) error {
 	p.mu.Lock()
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -118,6 +118,11 @@
 	membersAhead chan mesh.Member
 }
 
+// responseMemoryDivisor is the memory of the process divided by the bytes of the responses
+// that are being read. They may take a quarter of the memory: a buffer that grows takes three
+// times its bytes, and the garbage collector frees those of failed responses late.
+const responseMemoryDivisor = 24
+
 // New returns an Instance; Run opens its listeners.
 func New(opt Options) *Instance {
 	s := opt.Settings
@@ -125,7 +130,7 @@
 	i.pauseDetector = newPauseDetector(opt.Now, func() time.Time { return opt.Now().Round(0) }, i.syncFromPeers)
 	i.bounds.Store(&s.Bounds)
 	i.commonVersion.Store(&commonVersionState{})
-	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now, MaxBufferedBytes: megabytesToBytes(s.MemoryLimitMB) / 4})
+	i.client = exchange.NewClient(exchange.Config{Headers: opt.Platform.Headers, Now: opt.Now, MaxBufferedBytes: megabytesToBytes(s.MemoryLimitMB) / responseMemoryDivisor})
 	i.balancer = balance.New(balance.Config{Instance: s.ID, Region: s.Region, Domain: s.Domain, RegionByDomain: s.Regions, GlobalLimits: s.Bounds,
 		Now: opt.Now, Random: opt.Random, Logger: opt.Logger, OnRemove: i.client.RemoveUpstream})
 	store := opt.Platform.NewStore(s.StoreAddress)
--- a/test/process/upstream_test.go
+++ b/test/process/upstream_test.go
@@ -113,6 +113,40 @@
 	require.Greater(t, arrivals(t, u, liftedAt.Add(settleTime), liftedAt.Add(settleTime+time.Second)), int(2*limit))
 }
 
+// Guards against an instance that keeps what upstreams send without end, in a head or in a
+// body, until it has no memory left, and ends with the requests of other callers.
+func TestUpstreamsThatSendWithoutEnd(t *testing.T) {
+	const (
+		memoryMB = 184 // the smallest machine of the deployments
+		// maxResponseMemory is the part of the memory that responses may take while they are
+		// read; the rest is for requests, connections and the state.
+		maxResponseMemory = memoryMB << 20 / 4
+	)
+	c := newCluster(t, func(s *harness.Spec) { s.MemoryMB = memoryMB })
+	cfg := mixedLoad(57, 10*time.Second)
+	cfg.Rate *= 2
+	traffic := c.StartLoad(cfg)
+	time.Sleep(2 * time.Second)
+	before := make(map[string]int64)
+	for _, i := range c.Instances {
+		peak, err := i.PeakMemory()
+		require.NoError(t, err)
+		before[i.ID] = peak
+	}
+	for _, domain := range []string{"north-a", "north-b", "south-a"} {
+		require.NoError(t, c.Upstream("shop-"+domain+"-1").SetFaults(platformtest.UpstreamFaults{Mode: platformtest.EndlessBody}))
+	}
+	require.NoError(t, c.Upstream("shop-north-a-2").SetFaults(platformtest.UpstreamFaults{Mode: platformtest.EndlessHead}))
+	report := traffic.Wait()
+	requireInvariants(t, c, report)
+	for _, i := range c.Instances {
+		peak, err := i.PeakMemory()
+		require.NoError(t, err)
+		t.Logf("%s: peak memory %d MB, %d MB before", i.ID, peak>>20, before[i.ID]>>20)
+		require.Less(t, peak-before[i.ID], int64(maxResponseMemory), i.ID)
+	}
+}
+
 // arrivals returns the number of executions that started on an upstream in a span.
 func arrivals(t *testing.T, u *harness.Upstream, from, to time.Time) int {
 	t.Helper()
