Refuse requests that a short grace period would cut off

Other operators report: in a planned stop, requests that come late in the grace period are passed on and cut off without an answer at its end, among them requests that may not be repeated (LOST).

--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -164,15 +164,14 @@
 	return c.request.ArrivedAt.Add(wait)
 }
 
-// admits reports whether a new request is accepted. Once a shutdown has lasted
-// admitAllTime, only requests that time out before the end of the shutdown are
-// accepted.
+// admits reports whether a new request is accepted. Late in a shutdown, only requests that
+// time out before its end are accepted.
 func (i *Instance) admits(c *dispatch) bool {
 	shutdown := i.shutdown.Load()
 	if shutdown == nil {
 		return true
 	}
-	return i.opt.Now().Sub(shutdown.startedAt) < admitAllTime || c.deadline.Before(shutdown.deadline)
+	return i.opt.Now().Before(shutdown.admitAllUntil) || c.deadline.Before(shutdown.deadline)
 }
 
 // run sends the request to upstreams, with retries, and returns the response; it
--- a/pkg/instance/stop_test.go
+++ b/pkg/instance/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -72,3 +73,50 @@
 	require.Contains(t, shutdown.startedAt.String(), "m=", "the time has no monotonic clock reading")
 	require.Contains(t, shutdown.deadline.String(), "m=")
 }
+
+// Guards against requests that come late in the grace period, are passed on, and are cut off
+// without an answer when it ends, among them requests that may not be repeated.
+func TestRequestLateInGracePeriodIsNotCutOff(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// sentAfter is the time from the stop signal to the request, and left the time from
+		// the caller's deadline to the end of the shutdown.
+		sentAfter, left time.Duration
+	}{
+		{"deadline after the end", 2 * time.Second, -time.Second},
+		{"deadline shortly before the end", 1500 * time.Millisecond, 10 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			u := env.startUpstream("u1")
+			inst := env.start("i1")
+			env.awaitReady(inst, 1)
+			// The upstream sends a response without end until its connection is closed.
+			u.setHandler(func(r *http.Request, c net.Conn) string {
+				_, err := c.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Signature: s\r\n\r\n"))
+				for err == nil {
+					time.Sleep(5 * time.Millisecond)
+					_, err = c.Write([]byte("x"))
+				}
+				return ""
+			})
+			callers := []*callerConn{env.dialCaller(inst), env.dialCaller(inst)}
+			inst.stop()
+			require.Eventually(t, func() bool { return inst.shutdown.Load() != nil }, testTimeout, time.Millisecond)
+			shutdown := inst.shutdown.Load()
+			time.Sleep(time.Until(shutdown.startedAt.Add(tc.sentAfter)))
+			for i, path := range []string{"/safe/x", "/unsafe/x"} {
+				callers[i].send(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h.example\r\nX-Id: %d\r\nX-Deadline: %d\r\n\r\n", path, i, time.Until(shutdown.deadline.Add(-tc.left)).Milliseconds()))
+			}
+			for _, c := range callers {
+				r, _ := c.receive()
+				require.Contains(t, []int{http.StatusServiceUnavailable, http.StatusGatewayTimeout}, r.StatusCode)
+				select {
+				case <-inst.done:
+					t.Fatal("the process ended before it answered the request")
+				default:
+				}
+			}
+		})
+	}
+}
