Heed upstreams that say that they leave or ask for no requests

Change: both arrive as typed facts from platform/ and exchange and are decided in pkg/balance/notice.go.

One that leaves gets no requests on any path; its idle connections are closed, choices that were not sent yet are made anew, and the instances tell each other in heartbeats and digests. One that asks for no requests gets none from this instance for so long, then one until it has been answered. If all that may serve a request are closed for longer than it may wait, it is refused at once, and Retry-After covers the time until the first opens.

Responses with status 421 say nothing, as another upstream has written them.

Weighed: telling the other instances that an upstream is closed to one (it asks that one only; the others would leave room unused). Probing after the time like an ejected upstream (non-idempotent requests would wait 2 s more).

Unit tests in pkg/balance, pkg/exchange and pkg/mesh for the values, the order of registrations, reports of peers, reopening and refusals. The soak has both as faults; an upstream that leaves starts again there afterwards.

--- a/cmd/standin-upstream/main.go
+++ b/cmd/standin-upstream/main.go
@@ -22,7 +22,14 @@
 	app.Flag("domain", "Failure domain of the upstream.").Default("domain").StringVar(&u.Domain)
 	app.Flag("slots", "Maximum number of concurrent executions.").Default("4").IntVar(&u.Slots)
 	app.Flag("work", "Execution time of requests without work_ms.").Default("20ms").DurationVar(&u.DefaultWork)
+	leaving := app.Flag("leaving", "Say in all responses that the upstream leaves.").Bool()
+	retryAfter := app.Flag("refuse-for", "Refuse all requests and ask for none for so many seconds, such as 2.5.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	faults := platformtest.UpstreamFaults{Leaving: *leaving}
+	if *retryAfter != "" {
+		faults.Mode, faults.RetryAfter = platformtest.Refuse, *retryAfter
+	}
+	u.SetFaults(faults)
 	err := u.StartAt(*address)
 	if err == nil {
 		fmt.Println("listening on", u.Address())
--- a/pkg/balance/admit.go
+++ b/pkg/balance/admit.go
@@ -49,7 +49,7 @@
 
 // Acquire returns a lease on an upstream for the request. If no upstream admits the
 // request, Acquire waits for up to maxWait. It returns nil if none has admitted the
-// request by then.
+// request by then, or at once if all want no requests for longer.
 func (b *Balancer) Acquire(ctx context.Context, req AcquireRequest, maxWait time.Duration) *Lease {
 	b.mu.Lock()
 	now := b.config.Now()
@@ -74,7 +74,7 @@
 		region = b.config.RegionByDomain[req.Domain]
 	}
 	l := b.pick(p, route, req, region, now)
-	if l != nil || maxWait <= 0 {
+	if l != nil || maxWait <= 0 || b.closedFor(p, req, now) > maxWait {
 		b.mu.Unlock()
 		return l
 	}
--- a/pkg/balance/affinity.go
+++ b/pkg/balance/affinity.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 	"time"
-
-	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
 const (
@@ -72,7 +70,7 @@
 	}
 	var all []hashedUpstream
 	for _, u := range p.upstreams {
-		if u.region == region && u.State == steering.Ready && !u.addressReused {
+		if u.region == region && u.acceptsRequests() {
 			all = append(all, hashedUpstream{u, hash(object, u.ID)})
 		}
 	}
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -61,6 +61,8 @@
 	upstreams map[string]*upstream
 	// byHash holds the same upstreams by the hash of their id.
 	byHash map[uint32]*upstream
+	// notices holds the notices that outlast the registrations of their upstreams, by id.
+	notices map[string]*notice
 	// pools holds the pools by service.
 	pools map[string]*pool
 	// evacuatedDomains holds the failure domains that receive no requests because the
@@ -133,7 +135,7 @@
 
 // New returns a Balancer without upstreams.
 func New(config Config) *Balancer {
-	b := &Balancer{config: config, upstreams: make(map[string]*upstream), byHash: make(map[uint32]*upstream), pools: make(map[string]*pool),
+	b := &Balancer{config: config, upstreams: make(map[string]*upstream), byHash: make(map[uint32]*upstream), notices: make(map[string]*notice), pools: make(map[string]*pool),
 		evacuatedDomains: make(map[string]bool), peers: make(map[string]*peerLoad), splitters: make(map[string]*splitter), roundTrips: make(roundTrips), startedAt: config.Now()}
 	b.instances = map[string]*knownInstance{config.Instance: {Instance: Instance{ID: config.Instance, Region: config.Region}, live: true}}
 	return b
@@ -237,7 +239,8 @@
 		u.updateRegistration(registration, now)
 		return
 	}
-	u = &upstream{hash: hash(registration.ID), region: b.config.RegionByDomain[registration.Domain], reportedSlowness: 1, latencyRatio: 1, hitLatencyRatio: 1}
+	u = &upstream{hash: hash(registration.ID), region: b.config.RegionByDomain[registration.Domain], reportedSlowness: 1, latencyRatio: 1, hitLatencyRatio: 1,
+		notice: b.noticeOf(registration.ID, registration.StartUnixMS)}
 	u.updateRegistration(registration, now)
 	u.peerInFlight = 0
 	for _, p := range b.peers {
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -148,7 +148,7 @@
 	if limit := b.maxConnections(u); limit > 0 && u.inFlight >= limit {
 		return false
 	}
-	if now.Before(u.shedUntil) {
+	if now.Before(u.shedUntil) || u.notice.reopening && u.reopenProbing {
 		return false
 	}
 	if u.consecutiveEjections > 0 {
--- a/pkg/balance/explain.go
+++ b/pkg/balance/explain.go
@@ -16,10 +16,12 @@
 	// exactly one of the fields below.
 	Upstreams int `json:"upstreams"`
 	Evacuated int `json:"evacuated"`
-	// Unavailable counts upstreams that are draining, shedding load or ejected, or
+	// Unavailable counts upstreams that are draining or say that they leave, shedding load or ejected, or
 	// whose address another upstream uses. An ejected upstream is counted even while
 	// a request probes it.
 	Unavailable int `json:"left_out"`
+	// Closed counts upstreams that want no requests of this instance for a time.
+	Closed int `json:"closed"`
 	// Tried counts upstreams that the request was already sent to.
 	Tried int `json:"tried"`
 	// Cold counts cold upstreams whose rate is exhausted or whose slots are full.
@@ -40,7 +42,7 @@
 // LogValue implements slog.LogValuer.
 func (r Refusal) LogValue() slog.Value {
 	return slog.GroupValue(slog.String("region", r.Region), slog.Int("upstreams", r.Upstreams), slog.Int("full", r.Full), slog.Int("elsewhere", r.OtherRegion), slog.Int("displacing", r.AffinityOnly),
-		slog.Int("cold", r.Cold), slog.Int("rate_limited", r.RateLimited), slog.Int("left_out", r.Unavailable), slog.Int("evacuated", r.Evacuated), slog.Int("tried", r.Tried))
+		slog.Int("cold", r.Cold), slog.Int("rate_limited", r.RateLimited), slog.Int("closed", r.Closed), slog.Int("left_out", r.Unavailable), slog.Int("evacuated", r.Evacuated), slog.Int("tried", r.Tried))
 }
 
 // Explain returns why no upstream currently admits the request.
@@ -74,6 +76,8 @@
 		r.Tried++
 	case b.evacuatedDomains[u.Domain]:
 		r.Evacuated++
+	case u.acceptsRequests() && u.notice.closed(now):
+		r.Closed++
 	case !u.usable(now) || now.Before(u.shedUntil) || u.consecutiveEjections > 0:
 		r.Unavailable++
 	case b.admits(u, req, u.load(now), now) && r.Region != "" && u.region != r.Region:
@@ -102,6 +106,10 @@
 	// RateLimit is the request rate per second that the upstream states to take from all
 	// instances together, 0 if it states none.
 	RateLimit float64 `json:"rate_limit"`
+	// Leaving is set if the upstream has said in a response that it leaves, and Closed while
+	// it wants no requests of this instance.
+	Leaving bool `json:"leaving"`
+	Closed  bool `json:"closed"`
 	// Load is the estimated number of requests at the upstream.
 	Load  int `json:"load"`
 	Slots int `json:"slots"`
@@ -122,7 +130,7 @@
 	now := b.config.Now()
 	for _, u := range p.upstreams {
 		list = append(list, UpstreamSnapshot{ID: u.ID, Region: u.region, Domain: u.Domain, Usable: u.usable(now), Evacuated: b.evacuatedDomains[u.Domain],
-			Cold: now.Before(u.coldUntil), RateLimit: u.stated.limit, Load: u.load(now), Slots: u.Slots, Slowness: u.slowness(now), FailureRate: u.currentFailureRate(now)})
+			Cold: now.Before(u.coldUntil), RateLimit: u.stated.limit, Leaving: u.notice.leaving(), Closed: u.notice.closed(now), Load: u.load(now), Slots: u.Slots, Slowness: u.slowness(now), FailureRate: u.currentFailureRate(now)})
 	}
 	sort.Slice(list, func(x, y int) bool { return list[x].ID < list[y].ID })
 	return list
--- a/pkg/balance/lease.go
+++ b/pkg/balance/lease.go
@@ -55,6 +55,8 @@
 	// probe is set if the upstream was ejected when the lease was granted, so that
 	// the attempt is a probe.
 	probe bool
+	// reopenProbe is set if it is the first attempt after the upstream was closed.
+	reopenProbe bool
 }
 
 // lease grants a lease on the candidate's upstream.
@@ -69,6 +71,9 @@
 	if u.consecutiveEjections > 0 {
 		l.probe, u.probing = true, true
 	}
+	if u.notice.reopening {
+		l.reopenProbe, u.reopenProbing = true, true
+	}
 	l.Cold = now.Before(u.coldUntil)
 	b.scheduleNextSend(u, now)
 	u.inFlight++
@@ -91,6 +96,10 @@
 	if r.ConnectTime > 0 && u.Domain != b.config.Domain {
 		b.roundTrips.record(u.Domain, r.ConnectTime)
 	}
+	if l.reopenProbe {
+		u.reopenProbing = false
+	}
+	b.recordNotice(u, r, now)
 	ejectionsBefore := u.consecutiveEjections
 	b.recordStatement(u, r, now)
 	u.recordResult(l, r, now, l.pool.config.WarmUpTime)
--- a/pkg/balance/region_load.go
+++ b/pkg/balance/region_load.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
 const (
@@ -60,7 +58,7 @@
 			l = &regionLoad{}
 			regions[u.region] = l
 		}
-		if u.State == steering.Ready && !u.addressReused && u.consecutiveEjections == 0 && !b.evacuatedDomains[u.Domain] {
+		if u.acceptsRequests() && !u.notice.closed(now) && u.consecutiveEjections == 0 && !b.evacuatedDomains[u.Domain] {
 			l.capacity += p.effectiveSlots(u, now)
 			l.upstreams++
 		}
--- a/pkg/balance/upstream.go
+++ b/pkg/balance/upstream.go
@@ -98,6 +98,11 @@
 	// addressReused is set if another upstream answered at the address.
 	addressReused bool
 
+	// notice is what the upstream has said about itself (notice.go). reopenProbing is set
+	// while the first request after a closed time is in flight.
+	notice        *notice
+	reopenProbing bool
+
 	// coldUntil is the end of the warm-up.
 	coldUntil time.Time
 	// rank is the rank of this instance among those that share limits that protect the
@@ -169,13 +174,15 @@
 
 // acceptsRequests reports whether the upstream is ready for new requests, regardless
 // of whether it is ejected.
-func (u *upstream) acceptsRequests() bool { return u.State == steering.Ready && !u.addressReused }
+func (u *upstream) acceptsRequests() bool {
+	return u.State == steering.Ready && !u.addressReused && !u.notice.leaving()
+}
 
 // usable reports whether the upstream may receive a request now. An ejected
 // upstream is usable again, for a probe, once its ejection time has passed and no
 // other probe is in flight.
 func (u *upstream) usable(now time.Time) bool {
-	if !u.acceptsRequests() {
+	if !u.acceptsRequests() || u.notice.closed(now) {
 		return false
 	}
 	if u.consecutiveEjections > 0 {
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -48,6 +48,8 @@
 	UpstreamRateLimited         ID = 511
 	UpstreamReportOutdated      ID = 512
 
+	UpstreamSaidLeaving ID = 513
+	UpstreamClosed      ID = 514
 	StoreDown           ID = 600
 	StoreUp             ID = 601
 	WatchRoleChanged    ID = 602
@@ -102,6 +104,8 @@
 	{UpstreamRateLimited, slog.LevelInfo, "upstream limits its request rate, or no longer does", "Check the upstream if it limits its rate for long: it has less room than its slots tell."},
 	{UpstreamReportOutdated, slog.LevelWarn, "outdated registration of an upstream ignored", "None if the store was slow or lost responses; otherwise check which process wrote the row."},
 
+	{UpstreamSaidLeaving, slog.LevelInfo, "upstream says in a response that it leaves", "None; the upstream leaves and gets no requests, whatever its registration says until it starts again."},
+	{UpstreamClosed, slog.LevelInfo, "upstream wants no requests for a time", "None; it asked for no requests of this instance for `closed_ms`. Check the service if many do: requests are refused with `no_upstream`, counted under `closed`."},
 	{StoreDown, slog.LevelWarn, "platform store unavailable", "Check the platform; requests are still served."},
 	{StoreUp, slog.LevelInfo, "platform store available", "None."},
 	{WatchRoleChanged, slog.LevelInfo, "role in watching the store changed", "None; an instance that is no watcher of its region watches while its tables are not proven current (`directives_age_ms`, `upstreams_age_ms` above 1,500) or the watchers of its region have no answer from the store."},
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -43,6 +43,8 @@
 	// RateLimit holds the number of requests per second that the upstream takes from all
 	// instances together.
 	RateLimit string
+	// Leaving is set to leavingValue in the responses of an upstream that leaves.
+	Leaving string
 }
 
 // Request is a caller's request in the form that is forwarded to upstreams.
@@ -159,6 +161,11 @@
 	// RateLimit is the number of requests per second that the upstream states to take
 	// from all instances together, 0 if it states none, or unreadableRateLimit.
 	RateLimit float64
+	// Leaving is set if the response says that the upstream leaves.
+	Leaving bool
+	// RetryAfter is the time for which an upstream that refused the request with status 503
+	// wants no further one of this instance, 0 if it states none.
+	RetryAfter time.Duration
 	// NewConnection reports whether the attempt opened a new connection.
 	NewConnection bool
 	// ConnectTime is how long the attempt took to open its connection, 0 if it reused
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -18,7 +18,7 @@
 )
 
 var testHeaders = Headers{RequestID: "X-Id", Deadline: "X-Deadline", AffinityKey: "X-Key", Signature: "X-Signature", Target: "X-Target",
-	Load: "X-Load", NotRun: "X-Not-Run", Upstream: "X-Upstream", ColdRemaining: "X-Cold", RateLimit: "X-Limit"}
+	Load: "X-Load", NotRun: "X-Not-Run", Upstream: "X-Upstream", ColdRemaining: "X-Cold", RateLimit: "X-Limit", Leaving: "X-Leaving"}
 
 // upstream is an HTTP stand-in for an upstream. It responds to each request with
 // the text that the reply function returns for the identifier of the request. An
--- a/pkg/exchange/faults_test.go
+++ b/pkg/exchange/faults_test.go
@@ -300,3 +300,35 @@
 		}
 	}
 }
+
+// Guards against statements of an upstream about itself that are misread, or taken from
+// another upstream that answers at its address.
+func TestStatementsOfUpstreamsThatLeaveOrClose(t *testing.T) {
+	const shed, misdirected = "503 X\r\nX-Not-Run: 1\r\n", "421 X\r\nX-Not-Run: 1\r\n"
+	for header, want := range map[string]struct {
+		leaving    bool
+		retryAfter time.Duration
+	}{
+		shed + "X-Leaving: 1\r\nRetry-After: 2\r\n":                      {true, 2 * time.Second},
+		shed + "Retry-After: 0.25\r\n":                                   {false, 250 * time.Millisecond},
+		shed + "Retry-After: 0\r\n":                                      {false, 0},
+		shed + "Retry-After: -1\r\n":                                     {false, 0},
+		shed + "Retry-After: soon\r\n":                                   {false, 0},
+		shed + "Retry-After: NaN\r\n":                                    {false, 0},
+		shed + "Retry-After: 1e300\r\n":                                  {false, maxRetryAfter},
+		shed + "Retry-After: 1\r\nRetry-After: 3\r\nRetry-After: 2\r\n":  {false, 3 * time.Second},
+		shed + "X-Leaving: 0\r\n":                                        {false, 0},
+		misdirected + "X-Leaving: 1\r\nRetry-After: 2\r\n":               {false, 0},
+		"200 OK\r\nX-Signature: s\r\nX-Leaving: 1\r\nRetry-After: 2\r\n": {true, 0},
+		"500 X\r\nX-Signature: s\r\nx-leaving:  1 \r\n":                  {true, 0},
+		"200 OK\r\nX-Leaving: 1\r\n":                                     {true, 0},
+		"429 X\r\nX-Signature: s\r\nRetry-After: 2\r\n":                  {false, 0},
+	} {
+		u := newUpstream(t, func(id string, _ net.Conn) string {
+			return "HTTP/1.1 " + header + "X-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+		})
+		r := do(NewClient(Config{Headers: testHeaders, Now: time.Now}), u, "1", time.Second)
+		require.Equal(t, want.leaving, r.Leaving, header)
+		require.Equal(t, want.retryAfter, r.RetryAfter, header)
+	}
+}
--- a/pkg/exchange/fields.go
+++ b/pkg/exchange/fields.go
@@ -37,6 +37,23 @@
 	return max(limit, smallestRateLimit)
 }
 
+// leavingValue is the value of the field that says that an upstream leaves.
+const leavingValue = "1"
+
+// maxRetryAfter bounds the time for which an upstream may ask for no requests. Its process is
+// expected to be replaced before.
+const maxRetryAfter = 24 * time.Hour
+
+// parseRetryAfter parses a decimal number of seconds. It returns 0, which asks for nothing,
+// for an invalid or negative value.
+func parseRetryAfter(value []byte) time.Duration {
+	seconds, err := strconv.ParseFloat(string(bytes.TrimSpace(value)), 64)
+	if err != nil || !(seconds > 0) || math.IsInf(seconds, 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // parseKeepAlive returns the idle timeout announced by a Keep-Alive field, or 0
 // if there is none.
 func parseKeepAlive(value []byte) time.Duration {
--- a/pkg/exchange/read.go
+++ b/pkg/exchange/read.go
@@ -60,11 +60,12 @@
 	}
 	switch {
 	case message.StatusCode() == http.StatusMisdirectedRequest:
-		r.Outcome, r.Reason = NotRun, Misdirected
+		// Another upstream has answered, for itself.
+		r.Outcome, r.Reason, r.Leaving, r.RetryAfter = NotRun, Misdirected, false, 0
 	case notRun:
 		r.Outcome, r.Reason = NotRun, Shed
 	case r.Status < http.StatusMultipleChoices && !r.Signed:
-		return &Result{Outcome: Unknown, Reason: Malformed, Load: r.Load, RateLimit: r.RateLimit, Err: errors.New("successful response without signature")}, false, true
+		return &Result{Outcome: Unknown, Reason: Malformed, Load: r.Load, RateLimit: r.RateLimit, Leaving: r.Leaving, Err: errors.New("successful response without signature")}, false, true
 	default:
 		r.Outcome, r.Reason = Answered, Complete
 	}
@@ -210,6 +211,14 @@
 		case strings.EqualFold(name, h.RateLimit):
 			r.RateLimit = parseRateLimit(value)
 			r.Header = append(r.Header, Field{name, string(value)})
+		case strings.EqualFold(name, h.Leaving):
+			r.Leaving = r.Leaving || string(bytes.TrimSpace(value)) == leavingValue
+			r.Header = append(r.Header, Field{name, string(value)})
+		case strings.EqualFold(name, "Retry-After"):
+			if r.Status == http.StatusServiceUnavailable {
+				r.RetryAfter = max(r.RetryAfter, parseRetryAfter(value))
+			}
+			r.Header = append(r.Header, Field{name, string(value)})
 		case strings.EqualFold(name, h.Signature):
 			r.Signed = len(value) > 0
 			r.Header = append(r.Header, Field{h.Signature, string(value)})
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -21,6 +21,7 @@
 		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
 		LocalStatus: i.localStatus, InFlight: i.balancer.InFlight, Demands: i.balancer.Demands, RouteStats: i.balancer.RouteStats,
 		Statements: i.balancer.Statements, RegionStatements: i.balancer.RegionStatements, OnStatements: i.balancer.SetPeerStatements,
+		Leaving: i.balancer.Leaving, RegionLeaving: i.balancer.RegionLeaving, OnLeaving: i.balancer.SetPeerLeaving,
 		RegionTotals: i.balancer.RegionReport, OnLoad: i.balancer.SetPeerInFlight, OnDemand: i.balancer.SetPeerDemand, OnRouteStats: i.balancer.SetPeerRouteStats,
 		OnMembershipChange: i.updateInstances, OnHeartbeat: i.onHeartbeat,
 		OnRegionShares: i.setRegionTraffic,
--- a/pkg/instance/outcome.go
+++ b/pkg/instance/outcome.go
@@ -69,7 +69,9 @@
 	return &ingress.Response{Status: status}
 }
 
-// refuse responds with 503 and a Retry-After to a request that has not run.
+// refuse responds with 503 and a Retry-After to a request that has not run. If all upstreams
+// want no requests for a time, the Retry-After covers the time until the first opens, as far
+// as callers honor it.
 func (c *dispatch) refuse(reason string) *ingress.Response {
 	callerDeadline := c.deadline
 	if c.request.Timeout > 0 {
@@ -77,6 +79,9 @@
 	}
 	remaining := callerDeadline.Sub(c.instance.opt.Now())
 	after := retryAfterBase + time.Duration(c.instance.opt.Random()*float64(retryAfterJitter))
+	if c.acquireRequest.Route != nil {
+		after += c.instance.balancer.OpensIn(c.acquireRequest)
+	}
 	after = max(time.Millisecond, min(after, time.Duration(maxRetryAfterFraction*float64(remaining))))
 	c.logOutcome(event.RequestRejected, http.StatusServiceUnavailable, reason)
 	return &ingress.Response{Status: http.StatusServiceUnavailable, RetryAfter: after}
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -193,7 +193,7 @@
 		if lease == nil {
 			return c.fail(reasonNoUpstream)
 		}
-		lease.Target.OutOfDate = func() bool { return i.pauseDetector.pausedSince(pauseCount) }
+		lease.Target.OutOfDate = func() bool { return i.pauseDetector.pausedSince(pauseCount) || lease.Withdrawn() }
 		r := c.attempt(ctx, lease)
 		if ctx.Err() != nil && r.Reason == exchange.Cancelled {
 			return c.abandon()
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -41,6 +41,8 @@
 	RequestRates cluster.RequestRates `cbor:"7,keyasint,omitempty"`
 	// Statements holds what upstreams have stated to the members, sent with Members.
 	Statements []balance.Statement `cbor:"8,keyasint,omitempty"`
+	// Leaving holds the upstreams that have said to the members that they leave.
+	Leaving []balance.Leaving `cbor:"9,keyasint,omitempty"`
 }
 
 // digestMember describes a live instance in a digest.
@@ -111,7 +113,7 @@
 // regions.
 func (m *Mesh) sendDigests() {
 	inFlight, demand := m.config.RegionTotals()
-	statements := m.config.RegionStatements()
+	statements, leaving := m.config.RegionStatements(), m.config.RegionLeaving()
 	status := m.config.LocalStatus()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -121,7 +123,7 @@
 	}
 	d := &digest{Region: m.config.Self.Region, InFlight: packInFlight(inFlight)}
 	if m.digestCount++; m.digestCount%memberListEvery == 1 {
-		d.Demand, d.Statements = demand, statements
+		d.Demand, d.Statements, d.Leaving = demand, statements, leaving
 		self := m.config.Self
 		self.Status = status
 		m.addRegionMembers(d, self)
@@ -179,6 +181,9 @@
 	if len(d.Statements) > 0 {
 		m.config.OnStatements(d.Region, d.Statements)
 	}
+	if len(d.Leaving) > 0 {
+		m.config.OnLeaving(d.Region, d.Leaving)
+	}
 	if len(d.Members) > 0 {
 		m.config.OnRegionShares(d.Region, d.Shares, d.RequestRates)
 	}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -160,6 +160,10 @@
 	// what they have stated to the instances of the local region.
 	Statements       func() []balance.Statement
 	RegionStatements func() []balance.Statement
+	// Leaving returns the upstreams that have said to this instance that they leave, and
+	// RegionLeaving those that have said so to the instances of the local region.
+	Leaving       func() []balance.Leaving
+	RegionLeaving func() []balance.Leaving
 	// RegionTotals returns the totals over the local region.
 	RegionTotals func() ([]balance.InFlight, []balance.Demand)
 	// OnLoad and OnDemand receive the reports of the members of the local
@@ -173,7 +177,9 @@
 	OnRouteStats func(id, region string, list []balance.RouteStats)
 	// OnStatements receives what upstreams have stated to a member of the local region, or
 	// to the instances of another region.
-	OnStatements       func(region string, list []balance.Statement)
+	OnStatements func(region string, list []balance.Statement)
+	// OnLeaving receives the upstreams that leave in the same way.
+	OnLeaving          func(region string, list []balance.Leaving)
 	OnMembershipChange func()
 	OnHeartbeat        func(Member)
 	// OnRegionShares receives the mean of the shares in effect in another
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -38,6 +38,9 @@
 	version uint64
 	// statements holds the limits that the members of each region have reported.
 	statements map[string]float64
+	// leaving holds the start of an upstream that the members of each region have reported
+	// as leaving.
+	leaving map[string]int64
 }
 
 func (p *peer) statementOf(region string) float64 {
@@ -46,6 +49,12 @@
 	return p.statements[region]
 }
 
+func (p *peer) leavingOf(region string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving[region]
+}
+
 func (p *peer) sharesOf(region string) cluster.Shares {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -86,7 +95,7 @@
 
 // startPeerOn starts a peer on the given socket and clock.
 func startPeerOn(t *testing.T, conn net.PacketConn, now func() time.Time, id, region string, seeds ...string) *peer {
-	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, serviceTimes: map[string]time.Duration{}, shares: map[string]cluster.Shares{}, rates: map[string]float64{}, statements: map[string]float64{}, state: Serving, version: 6}
+	p := &peer{address: conn.LocalAddr().String(), load: map[string]int{}, demand: map[string]float64{}, serviceTimes: map[string]time.Duration{}, shares: map[string]cluster.Shares{}, rates: map[string]float64{}, statements: map[string]float64{}, leaving: map[string]int64{}, state: Serving, version: 6}
 	var open func() (net.PacketConn, error)
 	if o, ok := conn.(*flowConn); ok {
 		open = o.open
@@ -114,6 +123,15 @@
 			defer p.mu.Unlock()
 			p.statements[region] = list[0].Limit
 		},
+		Leaving: func() []balance.Leaving {
+			return []balance.Leaving{{UpstreamHash: 7, StartUnixMS: 8, Age: time.Second}}
+		},
+		RegionLeaving: func() []balance.Leaving { return []balance.Leaving{{UpstreamHash: 7, StartUnixMS: 9}} },
+		OnLeaving: func(region string, list []balance.Leaving) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.leaving[region] = list[0].StartUnixMS
+		},
 		RegionTotals: func() ([]balance.InFlight, []balance.Demand) {
 			return []balance.InFlight{{UpstreamHash: 7, Count: 5}}, []balance.Demand{{RouteHash: 9, Slots: 3}}
 		},
@@ -175,6 +193,7 @@
 		require.Eventually(t, func() bool { return p.loadOf(other) == 5 }, waitTimeout, 10*time.Millisecond, "%s did not receive the load of %s", p.config.Self.ID, other)
 		region := strings.TrimPrefix(other, regionPrefix)
 		require.Eventually(t, func() bool { return p.statementOf(p.config.Self.Region) == 2.5 && p.statementOf(region) == 3.5 }, waitTimeout, 10*time.Millisecond)
+		require.Eventually(t, func() bool { return p.leavingOf(p.config.Self.Region) == 8 && p.leavingOf(region) == 9 }, waitTimeout, 10*time.Millisecond)
 		require.Eventually(t, func() bool { return reflect.DeepEqual(p.sharesOf(region), testShares) && p.rateOf(region) == 15 }, waitTimeout, 10*time.Millisecond)
 		for _, m := range p.Live() {
 			require.EqualValues(t, 6, m.DescriptionVersion)
@@ -259,7 +278,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	return New(Config{Self: Member{ID: "self", Region: "n"}, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.DiscardLogger(),
-		LocalStatus: func() Status { return Status{} }, OnLoad: func(string, string, []balance.InFlight) {}, OnDemand: func(string, string, []balance.Demand) {}, OnRouteStats: func(string, string, []balance.RouteStats) {}, OnStatements: func(string, []balance.Statement) {},
+		LocalStatus: func() Status { return Status{} }, OnLoad: func(string, string, []balance.InFlight) {}, OnDemand: func(string, string, []balance.Demand) {}, OnRouteStats: func(string, string, []balance.RouteStats) {}, OnStatements: func(string, []balance.Statement) {}, OnLeaving: func(string, []balance.Leaving) {},
 		OnMembershipChange: func() {}, OnHeartbeat: func(Member) {}, OnRegionShares: func(string, cluster.Shares, cluster.RequestRates) {}}, &discardConn{conn}), conn.LocalAddr()
 }
 
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -87,6 +87,9 @@
 		if len(msg.Heartbeat.Statements) > 0 {
 			m.config.OnStatements(current.Region, msg.Heartbeat.Statements)
 		}
+		if len(msg.Heartbeat.Leaving) > 0 {
+			m.config.OnLeaving(current.Region, msg.Heartbeat.Leaving)
+		}
 		m.config.OnHeartbeat(current)
 	}
 }
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -52,7 +52,8 @@
 	Statements []balance.Statement  `cbor:"16,keyasint,omitempty"`
 	// Ages holds the ages of Status.Proofs. Older releases omit it, so that their
 	// heartbeats prove nothing.
-	Ages *proofAges `cbor:"17,keyasint,omitempty"`
+	Ages    *proofAges        `cbor:"17,keyasint,omitempty"`
+	Leaving []balance.Leaving `cbor:"18,keyasint,omitempty"`
 }
 
 // proofAges holds the ages of proofs in milliseconds; unprovenMS if there is no proof.
@@ -137,7 +138,7 @@
 func (m *Mesh) heartbeats(withDemand bool) (short, fullHeartbeat *heartbeat) {
 	status := m.config.LocalStatus()
 	short = &heartbeat{State: status.State, DirectivesRevision: status.DirectivesRevision, UpstreamsRevision: status.UpstreamsRevision, Watching: status.Watching,
-		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares, Statements: m.config.Statements(), Ages: ages(status.Proofs, m.config.Now())}
+		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares, Statements: m.config.Statements(), Leaving: m.config.Leaving(), Ages: ages(status.Proofs, m.config.Now())}
 	full := *short
 	full.Region, full.Domain, full.CallerAddress = m.config.Self.Region, m.config.Self.Domain, m.config.Self.CallerAddress
 	full.RequestRates, full.Address = status.RequestRates, m.config.Self.Address
--- a/test/process/upstream_test.go
+++ b/test/process/upstream_test.go
@@ -147,6 +147,97 @@
 	}
 }
 
+// Guards against requests that go on to reach an upstream after it has said in a response
+// that it leaves, also from an instance that is cut off from the store and all others.
+func TestUpstreamThatSaysItLeaves(t *testing.T) {
+	const drain = 2500 * time.Millisecond
+	for _, cutOff := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cut off %v", cutOff), func(t *testing.T) {
+			c := newCluster(t, withRelays)
+			u, instance := c.Upstream("shop-south-a-1"), c.InstancesInDomain("south-a")[0]
+			if cutOff {
+				c.Partition("south-a", true)
+			}
+			cfg := directLoad(58, 7*time.Second, instance)
+			cfg.Rate = 500
+			traffic := c.StartLoad(cfg)
+			time.Sleep(2 * time.Second)
+			require.NoError(t, u.SetFaults(platformtest.UpstreamFaults{Leaving: true}))
+			setAt := time.Now()
+			report := traffic.Wait()
+			saidAt := firstStartAfter(t, u, setAt)
+			require.Less(t, saidAt.Sub(setAt), time.Second)
+			requireNoExecutionsAfter(t, c, u, saidAt.Add(drain))
+			c.Heal()
+			requireInvariants(t, c, report)
+		})
+	}
+}
+
+// firstStartAfter returns the time at which an upstream started its first execution after a
+// time.
+func firstStartAfter(t *testing.T, u *harness.Upstream, after time.Time) time.Time {
+	t.Helper()
+	report, err := u.Report()
+	require.NoError(t, err)
+	var first time.Time
+	for _, e := range report.Executions {
+		if at := time.UnixMicro(e.StartUnixUS); e.Ran() && at.After(after) && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	require.False(t, first.IsZero(), "%s got no request", u.ID)
+	return first
+}
+
+// Guards against requests that reach upstreams which have asked an instance for none, more
+// than half a second after that, and against requests that wait while all have asked.
+func TestUpstreamsThatAskForNoRequests(t *testing.T) {
+	const (
+		closedTime  = 3 * time.Second
+		settleTime  = 500 * time.Millisecond
+		maxArrivals = 2
+	)
+	c := newCluster(t, nil)
+	cfg := directLoad(59, 8*time.Second, c.InstancesInDomain("south-a")[0])
+	traffic := c.StartLoad(cfg)
+	time.Sleep(2 * time.Second)
+	setAt := time.Now()
+	for _, u := range c.Upstreams {
+		require.NoError(t, u.SetFaults(platformtest.UpstreamFaults{Mode: platformtest.Refuse, RetryAfter: fmt.Sprint(closedTime.Seconds())}))
+	}
+	report := traffic.Wait()
+	requireInvariants(t, c, report)
+	require.LessOrEqual(t, report.Summary().Latency[notRun].P90, maxRejectionP90MS, "rejections must be fast")
+	for _, u := range c.Upstreams {
+		refusedAt := refusals(t, u, setAt)
+		require.NotEmpty(t, refusedAt)
+		for _, from := range refusedAt {
+			n := 0
+			for _, at := range refusedAt {
+				if at.After(from.Add(settleTime)) && at.Before(from.Add(closedTime)) {
+					n++
+				}
+			}
+			require.LessOrEqual(t, n, maxArrivals, u.ID)
+		}
+	}
+}
+
+// refusals returns the times at which an upstream refused requests after a time.
+func refusals(t *testing.T, u *harness.Upstream, after time.Time) []time.Time {
+	t.Helper()
+	report, err := u.Report()
+	require.NoError(t, err)
+	var list []time.Time
+	for _, e := range report.Executions {
+		if at := time.UnixMicro(e.EndUnixUS); !e.Ran() && at.After(after) {
+			list = append(list, at)
+		}
+	}
+	return list
+}
+
 // arrivals returns the number of executions that started on an upstream in a span.
 func arrivals(t *testing.T, u *harness.Upstream, from, to time.Time) int {
 	t.Helper()
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -27,9 +27,12 @@
 )
 
 const (
-	host               = "shop.example"
-	gracePeriod        = 3 * time.Second
-	domainCount        = 4
+	host        = "shop.example"
+	gracePeriod = 3 * time.Second
+	domainCount = 4
+	// leavingRestartTime is the time between the end of an upstream that leaves and its next
+	// start.
+	leavingRestartTime = 300 * time.Millisecond
 	upstreamsPerDomain = 3
 	meshPort           = 7660
 )
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -161,7 +161,8 @@
 }
 
 // randomResponseFault returns a function that makes an upstream send responses that are
-// copies, break off or never end, or, most of the time, that does nothing. It has a random
+// copies, break off or never end, that say that it leaves, that refuse and ask for no
+// requests, or, most of the time, that does nothing. It has a random
 // generator of its own, so that the other faults of a seed stay as they were when the seed
 // failed.
 func (env *environment) randomResponseFault() func() {
@@ -169,6 +170,18 @@
 	u := env.upstreams[env.responseFaultRNG.IntN(len(env.upstreams))]
 	mode := env.responseFaultRNG.IntN(3 * len(modes))
 	faultTime := time.Duration(200+env.responseFaultRNG.IntN(2500)) * time.Millisecond
+	switch mode - len(modes) {
+	case 0:
+		return func() {
+			u.SetFaults(platformtest.UpstreamFaults{Leaving: true})
+			time.Sleep(faultTime)
+			// It is used again only after its next start.
+			env.crashAndRestart(u, leavingRestartTime)
+			u.SetFaults(platformtest.UpstreamFaults{})
+		}
+	case 1:
+		return u.withFaults(platformtest.UpstreamFaults{Mode: platformtest.Refuse, RetryAfter: []string{"0.3", "1", "2.5"}[faultTime.Milliseconds()%3]}, faultTime)
+	}
 	if mode >= len(modes) {
 		return func() {}
 	}
