Test how soon tables are proven current after a silent outage

TestTablesAreProvenSoonAfterSilentOutage requires that both tables are proven current, with what changed meanwhile, within 3 s of its end, and that nothing sent into the silence proves anything.

--- a/pkg/catalog/proof_test.go
+++ b/pkg/catalog/proof_test.go
@@ -1,10 +1,14 @@
 package catalog
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
 
 // answer applies a watch answer of the store that was sent at sentAt, when the store's clock
@@ -79,3 +83,59 @@
 	_, age = follower.ProofAges()
 	require.Equal(t, Unproven, age)
 }
+
+// darkStore answers nothing while it is dark, also not later, like a store behind a path that
+// drops everything. Its clock and its revision go on.
+type darkStore struct {
+	Store
+	startedAt time.Time
+	dark      atomic.Bool
+	revision  atomic.Int64
+}
+
+func (s *darkStore) answer(ctx context.Context, wait time.Duration) (Listing, error) {
+	dark := s.dark.Load()
+	sleep(ctx, wait)
+	if dark || s.dark.Load() {
+		<-ctx.Done()
+		return Listing{}, ctx.Err()
+	}
+	return Listing{Revision: 1 + s.revision.Load(), StoreTime: time.Since(s.startedAt)}, ctx.Err()
+}
+
+func (s *darkStore) List(ctx context.Context, _ Table) (Listing, error) { return s.answer(ctx, 0) }
+
+func (s *darkStore) Watch(ctx context.Context, _ Table, _ int64, wait time.Duration) (Listing, error) {
+	return s.answer(ctx, wait)
+}
+
+// Guards against tables that are not proven current in time after an outage in which calls
+// were never answered, and against an answer into the silence that proves anything.
+func TestTablesAreProvenSoonAfterSilentOutage(t *testing.T) {
+	const (
+		outage = 3300 * time.Millisecond
+		// maxTime is the shortest time after which a deployment expects an instance to be up
+		// to date again (3 s).
+		maxTime = 3 * time.Second
+	)
+	s := &darkStore{startedAt: time.Now()}
+	c := New(Options{Store: s, Decode: decoder, Now: time.Now, Random: func() float64 { return 1 }, Logger: event.DiscardLogger(),
+		WatchRole: func() WatchRole { return WatchRole{Watches: true, Primary: true} }})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	require.Eventually(t, c.Current, 5*time.Second, time.Millisecond)
+	for range 2 {
+		s.dark.Store(true)
+		time.Sleep(outage)
+		require.False(t, c.Current())
+		s.revision.Add(1)
+		s.dark.Store(false)
+		endedAt := time.Now()
+		require.Eventually(t, func() bool { _, r := c.Revisions(); return r == 1+s.revision.Load() && c.Current() }, 10*time.Second, time.Millisecond)
+		require.Less(t, time.Since(endedAt), maxTime)
+		require.False(t, c.Proofs().Upstreams.Before(endedAt))
+	}
+	cancel()
+	<-done
+}
