Order the reports of an upstream by the start of its process

Cause: reports of one process were ordered by their sequence, those of two by the order in which the store performed the writes.

Tests: TestNewestReportWinsInAnyOrderOfWrites (200 random orders on a watcher, on one that lists and on a peer) fails without the change. TestLateWriteDoesNotMakeALeavingUpstreamReady held that a lower start is a new process and that nothing orders entries without one; the first was the fault, the second can't reach the catalog any more.

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -159,9 +159,9 @@
 		last = c.removed[r.Key]
 	}
 	if isOutdated(u, last) {
-		// The store may perform an earlier write of the upstream late. It must not make an
-		// upstream that leaves ready again.
-		event.Log(c.opt.Logger, event.UpstreamReportOutdated, "upstream", r.Key, "service", u.Service, "sequence", u.Sequence, "known_sequence", last.Sequence, "revision", r.Revision, "source", source)
+		// The store may perform an earlier write of the upstream late, also of a process that
+		// has ended. It must not make an upstream that leaves ready again.
+		event.Log(c.opt.Logger, event.UpstreamReportOutdated, "upstream", r.Key, "service", u.Service, "sequence", u.Sequence, "known_sequence", last.Sequence, "start_unix_ms", u.StartUnixMS, "known_start_unix_ms", last.StartUnixMS, "revision", r.Revision, "source", source)
 		return
 	}
 	delete(c.graceDeadlines, r.Key)
@@ -174,9 +174,14 @@
 	}
 }
 
-// isOutdated reports whether the same upstream process has made report u before last.
+// isOutdated reports whether an upstream has made report u before last. Reports are ordered
+// by the start of the process that made them and by their sequence, whatever the order in
+// which the store performs the writes.
 func isOutdated(u, last steering.Upstream) bool {
-	return u.StartUnixMS != 0 && u.StartUnixMS == last.StartUnixMS && u.Sequence < last.Sequence
+	if u.StartUnixMS != last.StartUnixMS {
+		return u.StartUnixMS < last.StartUnixMS
+	}
+	return u.Sequence < last.Sequence
 }
 
 // maxRemoved is the maximum number of removed upstreams that are remembered.
