Reset the connection of a request that is given up

Cause: the connection was closed in order, so that bytes that a cut path held up were delivered when the cut ended.

Change: the connection of a request that may have run and has no complete answer is reset, so that unconfirmed bytes are dropped.

Weighed: a deadline that the upstream refuses. It would also guard against bytes that a relay has confirmed, but the deadline that is passed on counts from the arrival of the request, and there is no clock that both sides share. Ruled out as related: calls to the store (a call without a response may be performed later, by its protocol, and carries conditions where that matters) and transfers between instances (they change nothing at the other end).

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -140,6 +140,9 @@
 		p.put(k, c.config.Now())
 		return r
 	}
+	if r.Outcome == Unknown {
+		k.resetOnClose()
+	}
 	p.discard(k)
 	switch {
 	case k.ackTimedOut:
--- a/pkg/exchange/conn.go
+++ b/pkg/exchange/conn.go
@@ -88,6 +88,16 @@
 	firstLateReadAt time.Time
 }
 
+// resetOnClose makes Close reset the connection. Bytes of a request that was given up and that
+// are held up on their way are dropped then; after an orderly close they would be delivered
+// when the path is restored, and the request would run long after its caller was answered.
+func (c *conn) resetOnClose() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// An error means that the connection has ended.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // errTooManyBufferedBytes ends a response for which no memory is left.
 var errTooManyBufferedBytes = errors.New("the responses being read exceed the memory for them")
 
--- a/pkg/exchange/faults_test.go
+++ b/pkg/exchange/faults_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -332,3 +333,21 @@
 		require.Equal(t, want.retryAfter, r.RetryAfter, header)
 	}
 }
+
+// Guards against a request that was given up and still runs seconds later, because its bytes
+// were held up on their way and are delivered after the connection was closed.
+func TestConnectionOfRequestThatWasGivenUpIsReset(t *testing.T) {
+	closed := make(chan error, 2)
+	u := newUpstream(t, func(_ string, c net.Conn) string {
+		_, err := c.Read(make([]byte, 1))
+		closed <- err
+		return ""
+	})
+	c := NewClient(Config{Headers: testHeaders, Now: time.Now})
+	require.Equal(t, TimedOut, do(c, u, "1", 50*time.Millisecond).Reason)
+	require.ErrorIs(t, <-closed, syscall.ECONNRESET)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	require.Equal(t, Cancelled, c.Do(ctx, Target{ID: "u", Address: u.address, SameRegion: true}, testRequest("2"), time.Now().Add(time.Second)).Reason)
+	require.ErrorIs(t, <-closed, syscall.ECONNRESET)
+}
