--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -62,7 +62,7 @@
 	// holds the whole table.
 	Since int64 `cbor:"3,keyasint,omitempty"`
 	// ProvenAt is the time until which the listing is proven current, zero if that is not
-	// known. ProofAge carries it in snapshots.
+	// known. ProofAge carries it in snapshots; older releases omit it, which proves nothing.
 	ProvenAt time.Time     `cbor:"-"`
 	ProofAge time.Duration `cbor:"4,keyasint,omitempty"`
 	// StoreTime is the store's steady clock at its answer, 0 if that is not known.
--- a/pkg/catalog/proof_test.go
+++ b/pkg/catalog/proof_test.go
@@ -71,6 +71,11 @@
 	_, age := follower.ProofAges()
 	require.Equal(t, 1500*time.Millisecond, age)
 
+	s.Upstreams.ProofAge = 0
+	follower.Merge(s, "older release", k.Now())
+	_, age = follower.ProofAges()
+	require.Equal(t, 1500*time.Millisecond, age, "older releases state no age, which proves nothing")
+
 	k.advance(time.Second)
 	watcher.Confirm(0, 3, follower.Proofs())
 	_, age = watcher.ProofAges()
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -24,7 +24,7 @@
 // changesSince returns the changes after a revision, or the whole table if the
 // deletions since then are no longer recorded.
 func (t *tableState) changesSince(revision int64, now time.Time) Listing {
-	l := Listing{Revision: t.revision, ProofAge: proofAge(t.provenAt, now)}
+	l := Listing{Revision: t.revision, ProofAge: max(1, proofAge(t.provenAt, now))}
 	if revision > 0 && revision >= t.deletionsRecordedAfter {
 		l.Since = revision
 	}
@@ -63,7 +63,7 @@
 func (c *Catalog) Merge(s Snapshot, peer string, requestedAt time.Time) {
 	transferTime := c.opt.Now().Sub(requestedAt)
 	for table, l := range [...]Listing{Directives: s.Directives, Upstreams: s.Upstreams} {
-		if l.ProofAge >= 0 && l.ProofAge != Unproven {
+		if l.ProofAge > 0 && l.ProofAge != Unproven {
 			l.ProvenAt = requestedAt.Add(-l.ProofAge)
 		}
 		for i := range l.Rows {
