Measure from the first response in which an upstream says that it leaves

Cause, from its logs: the instance heard it (event 513) in the response to a request that was running when the fault was set, and sent none from then on, as it should; the test looked for a request that starts after the fault was set. It now measures from the end of the first execution that ends after the time before the fault is set, as the rule counts from the response.

--- a/test/process/upstream_test.go
+++ b/test/process/upstream_test.go
@@ -162,10 +162,12 @@
 			cfg.Rate = 500
 			traffic := c.StartLoad(cfg)
 			time.Sleep(2 * time.Second)
-			require.NoError(t, u.SetFaults(platformtest.UpstreamFaults{Leaving: true}))
+			// The instance may stop with the first response that says so, to a request that was
+			// running when the fault was set.
 			setAt := time.Now()
+			require.NoError(t, u.SetFaults(platformtest.UpstreamFaults{Leaving: true}))
 			report := traffic.Wait()
-			saidAt := firstStartAfter(t, u, setAt)
+			saidAt := firstEndAfter(t, u, setAt)
 			require.Less(t, saidAt.Sub(setAt), time.Second)
 			requireNoExecutionsAfter(t, c, u, saidAt.Add(drain))
 			c.Heal()
@@ -174,15 +176,15 @@
 	}
 }
 
-// firstStartAfter returns the time at which an upstream started its first execution after a
+// firstEndAfter returns the time at which an execution of an upstream ended first after a
 // time.
-func firstStartAfter(t *testing.T, u *harness.Upstream, after time.Time) time.Time {
+func firstEndAfter(t *testing.T, u *harness.Upstream, after time.Time) time.Time {
 	t.Helper()
 	report, err := u.Report()
 	require.NoError(t, err)
 	var first time.Time
 	for _, e := range report.Executions {
-		if at := time.UnixMicro(e.StartUnixUS); e.Ran() && at.After(after) && (first.IsZero() || at.Before(first)) {
+		if at := time.UnixMicro(e.EndUnixUS); e.Ran() && at.After(after) && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
