Log the size, the delay and the transfers of configurations

Logs and metrics could not tell whether a version is late because its transfer is ended, because it is large, because decoding takes long or because nobody asks. Event 200 gains the size, the time since an instance of the region had the version from the store, and the decoding time; 307 gains what had been received and the times; 309 is new for large or slow transfers. The metrics gain histograms of the delay, the decoding and the transfers, and counters of their bytes. No decision is changed.

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -96,6 +96,7 @@
 // applyDirective applies a row of the directives table. A row that cannot be
 // decoded is ignored, and so is a configuration older than the current one.
 func (c *Catalog) applyDirective(r Row, source string) {
+	start := c.opt.Now()
 	d, err := c.opt.Decode.Directive(r.Key, r.Value)
 	if r.Deleted {
 		// A deleted row has no value, so the evacuated domain is taken from
@@ -123,7 +124,12 @@
 		return
 	}
 	c.config = d.Config
-	event.Log(c.opt.Logger, event.VersionInForce, "version", d.Config.Version, "routes", d.Config.RouteCount(), "revision", r.Revision, "source", source)
+	now := c.opt.Now()
+	report := ConfigReport{Bytes: len(r.Value), Delay: now.Sub(r.SeenAt), DecodeTime: now.Sub(start)}
+	event.Log(c.opt.Logger, event.VersionInForce, "version", d.Config.Version, "routes", d.Config.RouteCount(), "bytes", report.Bytes, "revision", r.Revision, "source", source, "delay_ms", report.Delay.Milliseconds(), "decode_ms", report.DecodeTime.Milliseconds())
+	if c.opt.OnConfig != nil {
+		c.opt.OnConfig(report)
+	}
 }
 
 // applyUpstream applies a row of the upstreams table. If the row of a ready
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -51,6 +51,10 @@
 	// Age is how long before the reception of a deleted row the deletion may have
 	// been made, or 0 if this is not known.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
+	// SeenAt is the time at which the instance that read the row from the store received it,
+	// on the clock of this process. SeenAge carries it in snapshots; older releases omit it.
+	SeenAt  time.Time     `cbor:"-"`
+	SeenAge time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Listing is a whole table, or the changes to it, as of a store revision.
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -30,6 +30,7 @@
 	}
 	for _, r := range t.rows {
 		if r.Revision > l.Since {
+			r.SeenAge = max(1, now.Sub(r.SeenAt))
 			l.Rows = append(l.Rows, r)
 		}
 	}
@@ -70,6 +71,7 @@
 			if l.Rows[i].Deleted {
 				l.Rows[i].Age += transferTime
 			}
+			l.Rows[i].SeenAt = requestedAt.Add(-l.Rows[i].SeenAge)
 		}
 		c.mergeTable(Table(table), l, peer)
 	}
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -44,6 +44,9 @@
 	DrainTimeout time.Duration
 	// OnChange is called with each new view, one call at a time.
 	OnChange func(*steering.View)
+	// OnConfig is called for each configuration that has come into force. It must not call the
+	// Catalog.
+	OnConfig func(ConfigReport)
 	// WatchRole returns the current role of this instance in watching the
 	// store.
 	WatchRole func() WatchRole
@@ -54,6 +57,18 @@
 	OnStoreAnswer func()
 }
 
+// ConfigReport describes how a configuration came into force.
+type ConfigReport struct {
+	// Bytes is the size of the encoded configuration.
+	Bytes int
+	// Delay is the time since an instance received the configuration from the store: this
+	// one, or the one from which it was fetched. The time of a transfer counts whole, so that
+	// the delay is not stated too short.
+	Delay time.Duration
+	// DecodeTime is the time that decoding took.
+	DecodeTime time.Duration
+}
+
 // WatchRole is the role of an instance in watching the store.
 type WatchRole struct {
 	// Watches reports whether the instance watches the store itself.
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -186,6 +186,9 @@
 	if l.ProvenAt.After(t.storeAnsweredAt) {
 		t.storeAnsweredAt = l.ProvenAt
 	}
+	for i := range l.Rows {
+		l.Rows[i].SeenAt = c.opt.Now()
+	}
 }
 
 // recordOutcome records the outcome of a store call and logs when the store
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -30,6 +30,7 @@
 	MemberDead                  ID = 302
 	SnapshotFailed              ID = 307
 	SocketFailed                ID = 308
+	SnapshotReceived            ID = 309
 	RequestAnswered             ID = 405
 	RequestRejected             ID = 406
 	RequestFailed               ID = 407
@@ -70,7 +71,7 @@
 	{LogLinesDropped, slog.LevelWarn, "log lines dropped", "Check the consumer of the log; requests are not delayed by it."},
 	{ProcessResumed, slog.LevelWarn, "process was paused or its clock was changed", "Find out what paused it; requests were delayed until a peer had sent the missed changes or a timeout passed."},
 
-	{VersionInForce, slog.LevelInfo, "configuration version in force", "None."},
+	{VersionInForce, slog.LevelInfo, "configuration version in force", "None; `delay_ms` is the time since an instance of the region had it from the store."},
 	{PatchAccepted, slog.LevelInfo, "patch accepted", "None."},
 	{PatchRejected, slog.LevelInfo, "patch rejected", "The operator corrects or rebases the patch."},
 	{PatchOutcomeUnknown, slog.LevelWarn, "patch outcome unknown", "Repeat the patch with the same patch id once the store responds."},
@@ -84,8 +85,9 @@
 
 	{MemberJoined, slog.LevelInfo, "member joined", "None."},
 	{MemberDead, slog.LevelWarn, "member dead", "Check the instance unless it was replaced on purpose."},
-	{SnapshotFailed, slog.LevelWarn, "peer snapshot not received", "None if rare: the state is fetched from another peer or from the store."},
+	{SnapshotFailed, slog.LevelWarn, "peer snapshot not received", "None if rare: the state is fetched from another peer or from the store. `dial_ms` 0 means that no connection was opened; `received_bytes` tells how far the transfer came."},
 	{SocketFailed, slog.LevelWarn, "UDP socket not opened", "Check the number of open file descriptors; datagrams are still sent from the previous socket."},
+	{SnapshotReceived, slog.LevelInfo, "peer snapshot received", "None; only large (4 KB) and slow (250 ms) transfers are logged. `received_bytes` over `took_ms` is the rate of the path."},
 	{RequestAnswered, slog.LevelInfo, "request answered", "None."},
 	{RequestRejected, slog.LevelInfo, "request rejected without execution", "See docs/OPERATIONS.md if it repeats: the fields name the limit that rejected it."},
 	{RequestFailed, slog.LevelWarn, "request failed", "See docs/OPERATIONS.md: the fields name the upstream that failed and the cause."},
--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 )
@@ -56,12 +57,11 @@
 // applies them.
 func (i *Instance) fetchAndMerge(ctx context.Context, m mesh.Member) error {
 	requestedAt := i.opt.Now()
-	c, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, i.knownRevisions())
+	c, transfer, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, i.knownRevisions())
+	i.recordTransfer(m.ID, transfer, err)
 	if err != nil {
-		event.Log(i.logger, event.SnapshotFailed, "peer", m.ID, "error", err.Error())
 		return err
 	}
-	i.metrics.changesFetched.Inc(1)
 	i.catalog.Merge(c.Tables, m.ID, requestedAt)
 	switch {
 	case c.Version != nil:
@@ -72,6 +72,38 @@
 	return nil
 }
 
+const (
+	// loggedTransferBytes and loggedTransferTime are the size and the time from which on a
+	// transfer is logged. Smaller ones, of which there are several a second while upstreams
+	// change, are only counted.
+	loggedTransferBytes = 4 << 10
+	loggedTransferTime  = 250 * time.Millisecond
+)
+
+// recordTransfer counts a transfer from a peer and logs it if it failed, was large or took
+// long.
+func (i *Instance) recordTransfer(peer string, t mesh.Transfer, err error) {
+	outcome := "received"
+	if err != nil {
+		outcome = "failed"
+		event.Log(i.logger, event.SnapshotFailed, "peer", peer, "received_bytes", t.ReceivedBytes, "dial_ms", t.DialTime.Milliseconds(), "took_ms", t.Time.Milliseconds(), "error", err.Error())
+	} else {
+		i.metrics.changesFetched.Inc(1)
+		if t.ReceivedBytes >= loggedTransferBytes || t.Time >= loggedTransferTime {
+			event.Log(i.logger, event.SnapshotReceived, "peer", peer, "received_bytes", t.ReceivedBytes, "dial_ms", t.DialTime.Milliseconds(), "took_ms", t.Time.Milliseconds())
+		}
+	}
+	i.metrics.observe("peer_transfer_time_us", t.Time, "outcome", outcome)
+	i.metrics.add("peer_transfer_bytes", t.ReceivedBytes, "outcome", outcome)
+}
+
+// recordConfig records how a configuration came into force.
+func (i *Instance) recordConfig(r catalog.ConfigReport) {
+	i.metrics.observe("configuration_delay_us", r.Delay)
+	i.metrics.observe("configuration_decode_time_us", r.DecodeTime)
+	i.metrics.configBytes.Store(int64(r.Bytes))
+}
+
 // catchUpDelay is how long a peer may be ahead before its changes are fetched.
 // Usually the changes reach this instance through its own watch within that time.
 const catchUpDelay = 200 * time.Millisecond
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -140,7 +140,7 @@
 	i.operator = operatorapi.New(operatorapi.Config{InstanceID: s.ID, Store: store.Versions, LocalInstance: localInstance{i}, Operators: s.Operators,
 		MaxRequestsPerSecond: operatorRequestsPerSecond, Now: opt.Now, Logger: opt.Logger, Registry: i.metrics.registry})
 	i.catalog = catalog.New(catalog.Options{Store: i.store, Decode: opt.Platform.Decoder, Now: opt.Now, Random: opt.Random, Logger: opt.Logger,
-		DrainTimeout: s.Bounds.DrainTimeout, OnChange: func(*steering.View) { i.updateBalancer() }, WatchRole: i.watchRole, OnRevisionAdvance: i.announceChanges, OnStoreAnswer: i.announceProof})
+		DrainTimeout: s.Bounds.DrainTimeout, OnChange: func(*steering.View) { i.updateBalancer() }, WatchRole: i.watchRole, OnRevisionAdvance: i.announceChanges, OnStoreAnswer: i.announceProof, OnConfig: i.recordConfig})
 	i.ingress = ingress.NewServer(ingress.Config{Headers: opt.Platform.Headers, Now: opt.Now, Handler: i, Limits: i.limits,
 		MaxConnections: s.MaxFileDescriptors * 3 / 5, MaxBufferedBodyBytes: megabytesToBytes(s.MemoryLimitMB) / 4})
 	return i
--- a/pkg/instance/metrics.go
+++ b/pkg/instance/metrics.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,6 +24,8 @@
 	registry       metrics.Registry
 	changesFetched metrics.Counter
 	retries        metrics.Counter
+	// configBytes is the size of the encoded configuration in force.
+	configBytes atomic.Int64
 
 	mu sync.Mutex
 	// series caches the labelled metrics, because building their names is costly.
@@ -58,9 +61,12 @@
 
 // count increments a counter. labels holds up to three alternating names and
 // values.
-func (m *instanceMetrics) count(name string, labels ...string) {
+func (m *instanceMetrics) count(name string, labels ...string) { m.add(name, 1, labels...) }
+
+// add adds n to a counter. labels is as for count.
+func (m *instanceMetrics) add(name string, n int64, labels ...string) {
 	if c, ok := m.getOrRegister(name, labels, func() any { return metrics.NewCounter() }).(metrics.Counter); ok {
-		c.Inc(1)
+		c.Inc(n)
 	}
 }
 
@@ -139,6 +145,8 @@
 	view := i.catalog.View()
 	if view.Config != nil {
 		add("configuration_version", int64(view.Config.Version))
+		add("configuration_bytes", i.metrics.configBytes.Load())
+		add("configuration_routes", view.Config.RouteCount())
 	}
 	add("configuration_age_ms", directives.Milliseconds())
 	add("upstream_list_age_ms", upstreams.Milliseconds())
--- a/pkg/mesh/snapshot.go
+++ b/pkg/mesh/snapshot.go
@@ -91,20 +91,45 @@
 	}
 }
 
+// Transfer describes the transfer of a snapshot, also of one that failed.
+type Transfer struct {
+	// ReceivedBytes is the number of bytes received.
+	ReceivedBytes int64
+	// DialTime is the time until the connection was open, 0 if it was not opened, and Time
+	// the time of the whole transfer.
+	DialTime time.Duration
+	Time     time.Duration
+}
+
+// countingReader counts the bytes read from a connection.
+type countingReader struct {
+	net.Conn
+	transfer *Transfer
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	r.transfer.ReceivedBytes += int64(n)
+	return n, err
+}
+
 // FetchSnapshot fetches the changes since known from the instance at address.
-func FetchSnapshot(ctx context.Context, address string, now func() time.Time, known KnownRevisions) (Changes, error) {
-	var changes Changes
+func FetchSnapshot(ctx context.Context, address string, now func() time.Time, known KnownRevisions) (changes Changes, transfer Transfer, err error) {
+	start := now()
+	defer func() { transfer.Time = now().Sub(start) }()
 	c, err := exchange.Dial(ctx, address, dialTimeout, 0)
 	if err != nil {
-		return changes, errors.Trace(err)
+		return changes, transfer, errors.Trace(err)
 	}
 	defer func() { _ = c.Close() }()
+	transfer.DialTime = now().Sub(start)
 	if err := c.SetDeadline(now().Add(snapshotTimeout)); err != nil {
-		return changes, errors.Trace(err)
+		return changes, transfer, errors.Trace(err)
 	}
 	if err := cbor.NewEncoder(c).Encode(&known); err != nil {
-		return changes, errors.Trace(err)
+		return changes, transfer, errors.Trace(err)
 	}
-	err = cbor.NewDecoder(io.LimitReader(c, maxSnapshotBytes)).Decode(&changes)
-	return changes, errors.Trace(err)
+	err = cbor.NewDecoder(io.LimitReader(&countingReader{c, &transfer}, maxSnapshotBytes)).Decode(&changes)
+	return changes, transfer, errors.Trace(err)
 }
