Reproduce late configurations on small links, failing

Six real instances, connections of 10 Mbit/s to the store and between each other, a configuration of 7,500 routes (1.4 MB), then changes that follow each other. Fails on this code: no instance serves the added route 3 s after the acknowledgement.

--- a/pkg/harness/relays.go
+++ b/pkg/harness/relays.go
@@ -183,6 +183,20 @@
 	c.relays.storeByDomain[domain].DropResponsesTo(platformtest.TransactionRequestPrefix, 1)
 }
 
+// LimitBandwidth limits each connection to the store and between instances to a rate in
+// each direction.
+func (c *Cluster) LimitBandwidth(bytesPerSecond int64) {
+	limit := faultproxy.Faults{BytesPerSecond: bytesPerSecond}
+	for _, relay := range c.relays.storeByDomain {
+		relay.SetFaults(limit)
+	}
+	for _, list := range c.relays.meshTCPByDomain {
+		for _, relay := range list {
+			relay.SetFaults(limit)
+		}
+	}
+}
+
 // ImpairMesh drops and reorders the given ratios of the datagrams between all
 // instances.
 func (c *Cluster) ImpairMesh(lossRatio, reorderRatio float64) {
--- a/pkg/harness/standins.go
+++ b/pkg/harness/standins.go
@@ -10,6 +10,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/load"
+	"github.com/sequoiacove/sequoiacove/pkg/result"
 	"github.com/sequoiacove/sequoiacove/platform"
 	"github.com/sequoiacove/sequoiacove/platform/platformtest"
 )
@@ -77,6 +78,25 @@
 	return list
 }
 
+// PutRoutes writes a configuration with the routes of the cluster and further ones to the
+// store.
+func (c *Cluster) PutRoutes(version int, further []platformtest.Route) error {
+	return c.putRow(catalog.Directives, "config", platformtest.EncodeConfig(version, append(c.routes(), further...)))
+}
+
+// CheckHost returns nil if all running instances serve the routes of a host.
+func (c *Cluster) CheckHost(host string) error {
+	for _, i := range c.Instances {
+		if !i.Running() {
+			continue
+		}
+		if report := load.Probe(i.CallerAddress, host); report.Outcome != result.Complete.String() {
+			return fmt.Errorf("%s, host %s: outcome %q, status %d: %s", i.ID, host, report.Outcome, report.Status, report.Detail)
+		}
+	}
+	return nil
+}
+
 func (c *Cluster) putRow(table catalog.Table, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
