Let the backoff of a watch follow the rank, also without history

An instance of rank 20 that backed off during an outage slept up to 7.2 s, also when it then lost its peers and became the one that must ask.

The backoff is now bounded by the rank at each moment. The same on a related path: after ErrHistoryGone the table was listed again without a pause, a loop at full speed while listings are old; it now backs off like any failed call.

--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -10,14 +10,14 @@
 )
 
 const (
-	// listTimeout is the timeout of a List call.
+	// listTimeout is the time within which each page of a List call must make progress.
 	listTimeout = 1500 * time.Millisecond
 	// watchWait is the time after an answer of the store for which the next watch may wait
 	// for a change. It is shorter than maxProofAge, so that the answers of one watcher keep a
 	// whole region current. minWatchWait is the long-poll time of a watch whose answer is
 	// already due.
-	// watchResponseTimeout is the extra time for the response. A connection that has gone
-	// silent is detected only after both have passed. Their sum, a backoff and the time
+	// watchResponseTimeout is the extra time until the response makes progress. A connection
+	// that has gone silent is detected only after both have passed. Their sum, a backoff and the time
 	// until the other instances of the region have the changes must stay below
 	// three seconds, the shortest time within which a deployment expects an
 	// instance that lost contact with the store to be up to date again.
@@ -31,7 +31,8 @@
 	// region is the primary watcher. It may be longer than watchWait, because
 	// the primary watcher passes on the changes that this instance misses.
 	secondaryWatchWait = 8 * watchWait
-	// minBackoff and maxBackoff bound the backoff after a failed call.
+	// minBackoff and maxBackoff bound the backoff after a failed call, also after one that
+	// found the history gone: a store that answers old listings would be asked without pause.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
 	// backoffPerRank is added to maxBackoff for each rank after the first, so
@@ -79,11 +80,10 @@
 		changed, err := c.fetch(ctx, table, role, &listed)
 		c.recordOutcome(table, err)
 		switch {
-		case errors.Is(err, ErrHistoryGone):
-			listed = false
 		case err != nil:
-			sleep(ctx, time.Duration((0.5+c.opt.Random()/2)*float64(backoff)))
-			backoff = min(2*backoff, maxBackoff+time.Duration(role.Rank)*backoffPerRank)
+			listed = listed && !errors.Is(err, ErrHistoryGone)
+			c.backOff(ctx, time.Duration((0.5+c.opt.Random()/2)*float64(backoff)))
+			backoff = min(2*backoff, backoffLimit(role))
 		default:
 			backoff = minBackoff
 			if !changed && c.opt.OnStoreAnswer != nil {
@@ -96,6 +96,24 @@
 	}
 }
 
+// backoffLimit returns the longest backoff of an instance in a role.
+func backoffLimit(role WatchRole) time.Duration {
+	return maxBackoff + time.Duration(role.Rank)*backoffPerRank
+}
+
+// backOff sleeps for the duration of a backoff. It ends early if the role changes so that
+// this instance may not wait for so long, for example because it has lost contact with the
+// instances of a lower rank.
+func (c *Catalog) backOff(ctx context.Context, d time.Duration) {
+	for start := c.opt.Now(); ctx.Err() == nil; {
+		rest := min(d, backoffLimit(c.opt.WatchRole())) - c.opt.Now().Sub(start)
+		if rest <= 0 {
+			return
+		}
+		sleep(ctx, min(rest, roleCheckInterval))
+	}
+}
+
 // logRoleChange logs when the instance begins or ceases to watch the store, or to be the
 // primary watcher, with the ages of the proofs that the role depends on.
 func (c *Catalog) logRoleChange(last, role WatchRole) {
