Pass on differences, and give up transfers for lack of progress

Callers saw 404 for routes that had been confirmed seconds before.

All answers are compressed.

Weighed: rsync-like block differences of our own (more code, no gain), zstd's faster levels (miss a shift of incompressible text: 262 KB instead of 1 KB).

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -77,6 +77,9 @@
 	now, mass := c.opt.Now(), table == Upstreams && c.isMassLapse(changes)
 	for _, r := range changes {
 		madeAt := now.Add(-r.Age)
+		if old, ok := t.rows[r.Key]; ok && table == Directives {
+			c.bases.add(old)
+		}
 		if r.Deleted {
 			delete(t.rows, r.Key)
 			t.recordDeletion(r.Key, deletion{revision: r.Revision, madeAt: madeAt})
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -55,6 +55,17 @@
 	// on the clock of this process. SeenAge carries it in snapshots; older releases omit it.
 	SeenAt  time.Time     `cbor:"-"`
 	SeenAge time.Duration `cbor:"6,keyasint,omitempty"`
+	// BaseRevision is used in snapshots from peers. If it is not 0, Value is the difference
+	// (package transfer) to the row's value of that revision, and Digest that of the result.
+	BaseRevision int64  `cbor:"7,keyasint,omitempty"`
+	Digest       []byte `cbor:"8,keyasint,omitempty"`
+}
+
+// RowRevision names a version of a row.
+type RowRevision struct {
+	_        struct{} `cbor:",toarray"`
+	Key      string
+	Revision int64
 }
 
 // Listing is a whole table, or the changes to it, as of a store revision.
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -17,14 +17,15 @@
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
-// decoder decodes the key "evacuate/DOMAIN" as an evacuation, a plain number as
-// a configuration version and "service,state[,start,sequence]" as an upstream.
+// decoder decodes the key "evacuate/DOMAIN" as an evacuation, a value that begins
+// with a number as a configuration version and "service,state[,start,sequence]" as an upstream.
 var decoder = Decoder{
 	Directive: func(key string, value []byte) (steering.Directive, error) {
 		if domain, ok := strings.CutPrefix(key, "evacuate/"); ok {
 			return steering.Directive{EvacuatedDomain: domain}, nil
 		}
-		v, err := strconv.Atoi(string(value))
+		number, _, _ := strings.Cut(string(value), ",")
+		v, err := strconv.Atoi(number)
 		return steering.Directive{Config: &steering.Config{Version: steering.Version(v)}}, err
 	},
 	Upstream: func(key string, value []byte) (steering.Upstream, error) {
@@ -158,11 +159,11 @@
 	follower, _ := newCatalog()
 	follower.opt.Now = k.Now
 	watcher.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
-	follower.Merge(watcher.Snapshot(0, 0), "watcher", k.Now())
+	require.NoError(t, follower.Merge(watcher.Snapshot(0, 0, RowRevision{}), "watcher", k.Now()))
 	watcher.recordOutcome(Upstreams, errors.New("store unavailable"))
 	k.advance(1800 * time.Millisecond)
 	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
-	follower.Merge(watcher.Snapshot(1, 10), "watcher", k.Now())
+	require.NoError(t, follower.Merge(watcher.Snapshot(1, 10, RowRevision{}), "watcher", k.Now()))
 	require.NotContains(t, watcher.View().Upstreams, "a1")
 	require.NotContains(t, follower.View().Upstreams, "a1")
 	// Others have proven the table while this instance's calls failed.
@@ -232,17 +233,17 @@
 	a, _ := newCatalog()
 	b, _ := newCatalog()
 	a.replace(Upstreams, readyRows("a", 10), "store")
-	b.Merge(a.Snapshot(0, 0), "a", b.opt.Now())
+	require.NoError(t, b.Merge(a.Snapshot(0, 0, RowRevision{}), "a", b.opt.Now()))
 	require.Len(t, b.View().Upstreams, 10)
 	a.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 11), {Key: "n", Value: []byte("a,ready"), Revision: 12}}, Revision: 12}, "store")
 	_, revision := b.Revisions()
-	s := a.Snapshot(0, revision)
+	s := a.Snapshot(0, revision, RowRevision{})
 	require.Len(t, s.Upstreams.Rows, 2, "the snapshot holds only the changes")
-	b.Merge(s, "a", b.opt.Now())
+	require.NoError(t, b.Merge(s, "a", b.opt.Now()))
 	require.Equal(t, a.View().Upstreams, b.View().Upstreams)
 	lagging, _ := newCatalog()
 	lagging.replace(Upstreams, readyRows("a", 5), "store")
-	lagging.Merge(s, "a", lagging.opt.Now())
+	require.NoError(t, lagging.Merge(s, "a", lagging.opt.Now()))
 	_, revision = lagging.Revisions()
 	require.EqualValues(t, 5, revision, "changes that would leave a gap must be dropped")
 }
@@ -355,10 +356,10 @@
 	follower, _ := newCatalog()
 	follower.opt.Now = k.Now
 	watcher.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
-	follower.Merge(watcher.Snapshot(0, 0), "watcher", follower.opt.Now())
+	require.NoError(t, follower.Merge(watcher.Snapshot(0, 0, RowRevision{}), "watcher", follower.opt.Now()))
 	k.advance(minOutage)
 	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
-	follower.Merge(watcher.Snapshot(1, 10), "watcher", follower.opt.Now())
+	require.NoError(t, follower.Merge(watcher.Snapshot(1, 10, RowRevision{}), "watcher", follower.opt.Now()))
 	require.Contains(t, follower.View().Upstreams, "a1")
 	k.advance(outageGracePeriod + time.Millisecond)
 	follower.ExpireGracePeriods()
@@ -393,15 +394,15 @@
 	go func() { defer close(done); watcher.Run(ctx) }()
 	s.changes <- Listing{Rows: []Row{{Key: "b", Value: []byte("b,ready"), Revision: 11}}, Revision: 11}
 	require.Eventually(t, func() bool { return len(watcher.View().Upstreams) == 5 }, 5*time.Second, time.Millisecond)
-	follower.Merge(watcher.Snapshot(0, 0), "watcher", k.Now())
+	require.NoError(t, follower.Merge(watcher.Snapshot(0, 0, RowRevision{}), "watcher", k.Now()))
 	k.advance(coalesceDelay[Upstreams])
 	s.changes <- Listing{Rows: []Row{deletedRow("a1", 12), deletedRow("a2", 12), deletedRow("a3", 12)}, Revision: 12}
 	require.Eventually(t, func() bool { _, r := watcher.Revisions(); return r == 12 }, 5*time.Second, time.Millisecond)
 	cancel()
 	<-done
-	snapshot, requestedAt := watcher.Snapshot(1, 11), k.Now()
+	snapshot, requestedAt := watcher.Snapshot(1, 11, RowRevision{}), k.Now()
 	k.advance(transferTime)
-	follower.Merge(snapshot, "watcher", requestedAt)
+	require.NoError(t, follower.Merge(snapshot, "watcher", requestedAt))
 	require.Contains(t, watcher.View().Upstreams, "a1")
 	require.Contains(t, follower.View().Upstreams, "a1")
 	k.advance(massLapseGracePeriod - coalesceDelay[Upstreams] - transferTime + time.Millisecond)
@@ -466,7 +467,7 @@
 			watcher.update(Upstreams, Listing{Rows: []Row{row}, Revision: revision}, "store")
 			lister.replace(Upstreams, Listing{Rows: []Row{row}, Revision: revision}, "store")
 			_, known := peer.Revisions()
-			peer.Merge(watcher.Snapshot(1, known), "watcher", k.Now())
+			require.NoError(t, peer.Merge(watcher.Snapshot(1, known, RowRevision{}), "watcher", k.Now()))
 			for i, c := range catalogs {
 				u := c.View().Upstreams["u"]
 				require.Equal(t, newest, steering.Upstream{StartUnixMS: u.StartUnixMS, Sequence: u.Sequence}, "catalog %d", i)
--- a/pkg/catalog/proof_test.go
+++ b/pkg/catalog/proof_test.go
@@ -65,14 +65,14 @@
 	l.ProvenAt = k.Now()
 	watcher.replace(Upstreams, l, "store")
 	k.advance(time.Second)
-	s, requestedAt := watcher.Snapshot(0, 0), k.Now()
+	s, requestedAt := watcher.Snapshot(0, 0, RowRevision{}), k.Now()
 	k.advance(500 * time.Millisecond)
-	follower.Merge(s, "watcher", requestedAt)
+	require.NoError(t, follower.Merge(s, "watcher", requestedAt))
 	_, age := follower.ProofAges()
 	require.Equal(t, 1500*time.Millisecond, age)
 
 	s.Upstreams.ProofAge = 0
-	follower.Merge(s, "older release", k.Now())
+	require.NoError(t, follower.Merge(s, "older release", k.Now()))
 	_, age = follower.ProofAges()
 	require.Equal(t, 1500*time.Millisecond, age, "older releases state no age, which proves nothing")
 
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -13,12 +13,18 @@
 }
 
 // Snapshot returns the changes to both tables after the given revisions, which
-// are those that a peer already has. A revision of 0 requests the whole table.
-func (c *Catalog) Snapshot(directives, upstreams int64) Snapshot {
+// are those that a peer already has. A revision of 0 requests the whole table. large is a row
+// of the directives that the peer has; the snapshot states a newer version of it as a
+// difference.
+func (c *Catalog) Snapshot(directives, upstreams int64, large RowRevision) Snapshot {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	now := c.opt.Now()
-	return Snapshot{Directives: c.tables[Directives].changesSince(directives, now), Upstreams: c.tables[Upstreams].changesSince(upstreams, now)}
+	s := Snapshot{Directives: c.tables[Directives].changesSince(directives, now), Upstreams: c.tables[Upstreams].changesSince(upstreams, now)}
+	c.mu.Unlock()
+	for i, r := range s.Directives.Rows {
+		s.Directives.Rows[i] = c.bases.difference(r, large)
+	}
+	return s
 }
 
 // changesSince returns the changes after a revision, or the whole table if the
@@ -60,8 +66,12 @@
 
 // Merge applies the tables of a peer's snapshot that are newer than the
 // catalog's own. The snapshot was requested at requestedAt; what it proves is not newer than
-// that, however long the transfer took.
-func (c *Catalog) Merge(s Snapshot, peer string, requestedAt time.Time) {
+// that, however long the transfer took. If a difference in the snapshot does not fit, Merge
+// applies nothing and returns an error.
+func (c *Catalog) Merge(s Snapshot, peer string, requestedAt time.Time) error {
+	if err := c.restore(Directives, &s.Directives); err != nil {
+		return err
+	}
 	transferTime := c.opt.Now().Sub(requestedAt)
 	for table, l := range [...]Listing{Directives: s.Directives, Upstreams: s.Upstreams} {
 		if l.ProofAge > 0 && l.ProofAge != Unproven {
@@ -75,6 +85,7 @@
 		}
 		c.mergeTable(Table(table), l, peer)
 	}
+	return nil
 }
 
 func (c *Catalog) mergeTable(table Table, l Listing, peer string) {
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -88,8 +88,10 @@
 	opt  Options
 	view atomic.Pointer[steering.View]
 
-	mu               sync.Mutex
-	tables           [2]tableState
+	mu     sync.Mutex
+	tables [2]tableState
+	// bases holds the earlier versions of the large directives.
+	bases            rowBases
 	storeClock       storeClock
 	config           *steering.Config
 	evacuatedDomains map[string]bool
--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
@@ -15,24 +17,53 @@
 	for {
 		select {
 		case m := <-i.membersAhead:
-			i.fetchIfNewer(ctx, m)
+			i.startFetch(ctx, m)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// startFetch fetches the changes of a member in the background, unless that has to wait
+// (fetches). It reports whether a fetch began. After a fetch, it goes on with a watcher of the
+// region that has announced newer revisions in the meantime.
+func (i *Instance) startFetch(ctx context.Context, m mesh.Member) bool {
+	if !i.fetches.begin(m.ID) {
+		return false
+	}
+	go func() {
+		err := i.fetchIfNewer(ctx, m)
+		i.fetches.end(m.ID, err)
+		if err != nil || ctx.Err() != nil {
+			return
+		}
+		known := i.knownRevisions()
+		for _, next := range i.mesh.Live() {
+			if next.Watching && next.Region == i.settings.Region && isAhead(next, known) && !i.watchesStore() {
+				i.startFetch(ctx, next)
+				return
+			}
+		}
+	}()
+	return true
+}
+
+// isAhead reports whether a member has newer revisions than the given ones.
+func isAhead(m mesh.Member, known mesh.KnownRevisions) bool {
+	return m.DirectivesRevision > known.DirectivesRevision || m.UpstreamsRevision > known.UpstreamsRevision || m.DescriptionVersion > known.DescriptionVersion
+}
+
 // knownRevisions returns the table revisions and the description version that
 // this instance has.
 func (i *Instance) knownRevisions() mesh.KnownRevisions {
 	directives, upstreams := i.catalog.Revisions()
-	return mesh.KnownRevisions{DirectivesRevision: directives, UpstreamsRevision: upstreams, DescriptionVersion: i.policy.Current().Number}
+	return mesh.KnownRevisions{DirectivesRevision: directives, UpstreamsRevision: upstreams, DescriptionVersion: i.policy.Current().Number, LargeRow: i.catalog.LargeRow()}
 }
 
 // changesSince returns the changes that a member with the given revisions does
 // not have yet.
 func (i *Instance) changesSince(known mesh.KnownRevisions) mesh.Changes {
-	c := mesh.Changes{Tables: i.catalog.Snapshot(known.DirectivesRevision, known.UpstreamsRevision), VersionKnown: i.policy.VersionKnown()}
+	c := mesh.Changes{Tables: i.catalog.Snapshot(known.DirectivesRevision, known.UpstreamsRevision, known.LargeRow), VersionKnown: i.policy.VersionKnown()}
 	if v := i.policy.Current(); v.Number > known.DescriptionVersion {
 		c.Version = &v
 	}
@@ -42,27 +73,41 @@
 // fetchIfNewer fetches the changes from a member if it has newer revisions than
 // this instance. If the fetch fails, this instance watches the store itself for
 // fetchFailureWatchTime.
-func (i *Instance) fetchIfNewer(ctx context.Context, m mesh.Member) {
-	known := i.knownRevisions()
-	if m.DirectivesRevision <= known.DirectivesRevision && m.UpstreamsRevision <= known.UpstreamsRevision && m.DescriptionVersion <= known.DescriptionVersion {
-		return
+func (i *Instance) fetchIfNewer(ctx context.Context, m mesh.Member) error {
+	if !isAhead(m, i.knownRevisions()) {
+		return nil
 	}
-	if i.fetchAndMerge(ctx, m) != nil {
+	err := i.fetchAndMerge(ctx, m)
+	if err != nil {
 		until := i.opt.Now().Add(fetchFailureWatchTime)
 		i.watchStoreUntil.Store(&until)
 	}
+	return err
 }
 
 // fetchAndMerge fetches the changes that this instance lacks from a member and
-// applies them.
+// applies them. If they are stated as a difference that does not fit, it fetches them whole.
 func (i *Instance) fetchAndMerge(ctx context.Context, m mesh.Member) error {
+	known := i.knownRevisions()
+	err := i.fetchSince(ctx, m, known)
+	if errors.Is(err, catalog.ErrDifference) {
+		known.LargeRow = catalog.RowRevision{}
+		err = i.fetchSince(ctx, m, known)
+	}
+	return err
+}
+
+// fetchSince fetches the changes since known from a member and applies them.
+func (i *Instance) fetchSince(ctx context.Context, m mesh.Member, known mesh.KnownRevisions) error {
 	requestedAt := i.opt.Now()
-	c, transfer, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, i.knownRevisions())
+	c, transfer, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, known, func() { i.fetches.advance(m.ID) })
+	if err == nil {
+		err = i.catalog.Merge(c.Tables, m.ID, requestedAt)
+	}
 	i.recordTransfer(m.ID, transfer, err)
 	if err != nil {
 		return err
 	}
-	i.catalog.Merge(c.Tables, m.ID, requestedAt)
 	switch {
 	case c.Version != nil:
 		i.policy.ApplyIfNewer(*c.Version, m.ID)
@@ -109,11 +154,14 @@
 const catchUpDelay = 200 * time.Millisecond
 
 // catchUp fetches the changes from a peer that has been ahead for catchUpDelay. It
-// does not wait if this instance lacks a table or has an older description.
+// does not wait if this instance lacks a table or has an older description. It prefers peers
+// of the own region and draws one of them, so that not all instances ask the same one.
 func (i *Instance) catchUp(ctx context.Context, now time.Time) {
 	known := i.knownRevisions()
+	waits := known.DirectivesRevision != 0 && known.UpstreamsRevision != 0
+	var local, remote []mesh.Member
 	for _, m := range i.mesh.Live() {
-		if m.DirectivesRevision <= known.DirectivesRevision && m.UpstreamsRevision <= known.UpstreamsRevision && m.DescriptionVersion <= known.DescriptionVersion {
+		if !isAhead(m, known) {
 			delete(i.aheadSince, m.ID)
 			continue
 		}
@@ -122,11 +170,22 @@
 			i.aheadSince[m.ID] = now
 			since = now
 		}
-		if known.DirectivesRevision != 0 && known.UpstreamsRevision != 0 && m.DescriptionVersion <= known.DescriptionVersion && now.Sub(since) < catchUpDelay {
-			continue
+		switch {
+		case waits && m.DescriptionVersion <= known.DescriptionVersion && now.Sub(since) < catchUpDelay:
+		case m.Region == i.settings.Region:
+			local = append(local, m)
+		default:
+			remote = append(remote, m)
+		}
+	}
+	for _, group := range [][]mesh.Member{local, remote} {
+		for n := range group {
+			j := n + int(i.opt.Random()*float64(len(group)-n))
+			group[n], group[j] = group[j], group[n]
+			if i.startFetch(ctx, group[n]) {
+				clear(i.aheadSince)
+				return
+			}
 		}
-		clear(i.aheadSince)
-		i.fetchIfNewer(ctx, m)
-		return
 	}
 }
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -106,6 +106,8 @@
 	// servesWithoutDescription is set once the wait for the description has timed
 	// out.
 	servesWithoutDescription atomic.Bool
+	// fetches decides which members may be asked for their state.
+	fetches *fetches
 	// trafficByRegion maps the names of the other regions to their regionTraffic.
 	trafficByRegion sync.Map
 	// balancerMu serializes updates of the balancer, so that an older view never
@@ -126,7 +128,7 @@
 // New returns an Instance; Run opens its listeners.
 func New(opt Options) *Instance {
 	s := opt.Settings
-	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), recentRequests: newRecentRequests(), startedAt: opt.Now(), aheadSince: make(map[string]time.Time), membersAhead: make(chan mesh.Member, 1)}
+	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), recentRequests: newRecentRequests(), startedAt: opt.Now(), aheadSince: make(map[string]time.Time), membersAhead: make(chan mesh.Member, 1), fetches: newFetches(opt.Now)}
 	i.pauseDetector = newPauseDetector(opt.Now, func() time.Time { return opt.Now().Round(0) }, i.syncFromPeers)
 	i.bounds.Store(&s.Bounds)
 	i.commonVersion.Store(&commonVersionState{})
--- a/pkg/mesh/endless_test.go
+++ b/pkg/mesh/endless_test.go
@@ -59,7 +59,7 @@
 			}()
 			meter := slowdown.Start()
 			start := time.Now()
-			_, _, err = FetchSnapshot(context.Background(), l.Addr().String(), time.Now, KnownRevisions{})
+			_, _, err = FetchSnapshot(context.Background(), l.Addr().String(), time.Now, KnownRevisions{}, nil)
 			require.Error(t, err)
 			took := time.Since(start)
 			require.Less(t, took, meter.Scale(maxTransferTime))
@@ -88,7 +88,7 @@
 			}
 		}()
 	}
-	got, _, err := FetchSnapshot(context.Background(), l.Addr().String(), time.Now, KnownRevisions{})
+	got, _, err := FetchSnapshot(context.Background(), l.Addr().String(), time.Now, KnownRevisions{}, nil)
 	require.NoError(t, err)
 	require.True(t, got.VersionKnown)
 }
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -245,7 +245,7 @@
 		}
 		return want
 	})
-	got, _, err := FetchSnapshot(context.Background(), l.Addr().String(), time.Now, known)
+	got, _, err := FetchSnapshot(context.Background(), l.Addr().String(), time.Now, known, nil)
 	require.NoError(t, err)
 	require.Equal(t, want, got)
 }
--- a/pkg/mesh/snapshot.go
+++ b/pkg/mesh/snapshot.go
@@ -1,9 +1,11 @@
 package mesh
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,17 +14,18 @@
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/transfer"
 )
 
 const (
-	// dialTimeout and snapshotTimeout limit the transfer of a snapshot. They
-	// are short, because an instance that does not get one falls back to the
-	// store.
+	// dialTimeout and snapshotTimeout limit the time until the transfer of a snapshot makes
+	// progress (transfer.Conn). They are short, because an instance that does not get one
+	// falls back to the store.
 	dialTimeout     = 400 * time.Millisecond
 	snapshotTimeout = time.Second
 	// maxSnapshotBytes is the maximum size of a snapshot.
 	maxSnapshotBytes = 32 << 20
-	maxRequestBytes  = 256
+	maxRequestBytes  = 512
 	// maxTransfers is the maximum number of snapshots being sent
 	// concurrently.
 	maxTransfers = 64
@@ -34,6 +37,15 @@
 	DirectivesRevision int64  `cbor:"1,keyasint,omitempty"`
 	UpstreamsRevision  int64  `cbor:"2,keyasint,omitempty"`
 	DescriptionVersion uint64 `cbor:"3,keyasint,omitempty"`
+	// LargeRow is the row of the directives that the answer may state as a difference.
+	LargeRow catalog.RowRevision `cbor:"5,keyasint,omitempty"`
+}
+
+// request is a KnownRevisions as it is sent.
+type request struct {
+	KnownRevisions
+	// AcceptsCompression is set if the answer may be compressed. Older releases omit it.
+	AcceptsCompression bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Changes is the response: the part of the sender's state that the requester is
@@ -74,23 +86,59 @@
 
 // serveSnapshot answers one request. On an error it closes the connection,
 // which the requester sees as a truncated response.
-func serveSnapshot(c net.Conn, now func() time.Time, changes func(KnownRevisions) Changes) {
-	defer func() { _ = c.Close() }()
+func serveSnapshot(tcp net.Conn, now func() time.Time, changes func(KnownRevisions) Changes) {
+	defer func() { _ = tcp.Close() }()
+	c := transfer.NewConn(tcp, now)
 	if c.SetDeadline(now().Add(snapshotTimeout)) != nil {
 		return
 	}
-	var known KnownRevisions
-	if cbor.NewDecoder(io.LimitReader(c, maxRequestBytes)).Decode(&known) != nil {
+	var r request
+	if cbor.NewDecoder(io.LimitReader(c, maxRequestBytes)).Decode(&r) != nil {
+		return
+	}
+	answer, err := encodeChanges(changes(r.KnownRevisions), r.AcceptsCompression)
+	if err != nil || c.SetDeadline(now().Add(snapshotTimeout)) != nil {
 		return
 	}
-	if cbor.NewEncoder(c).Encode(changes(known)) != nil {
+	if _, err := c.Write(answer); err != nil {
 		return
 	}
-	if tcp, ok := c.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+	if w, ok := tcp.(interface{ CloseWrite() error }); ok && w.CloseWrite() == nil {
 		_, _ = io.Copy(io.Discard, c)
 	}
 }
 
+// encoding is held while an answer is encoded, because several large ones at once would take
+// memory without being ready sooner.
+var encoding sync.Mutex
+
+func encodeChanges(c Changes, compressed bool) ([]byte, error) {
+	encoding.Lock()
+	defer encoding.Unlock()
+	answer, err := cbor.Marshal(c)
+	if err != nil || !compressed {
+		return answer, err
+	}
+	return transfer.Compress(answer)
+}
+
+// decodeChanges decodes an answer. Older releases do not compress it.
+func decodeChanges(r io.Reader) (changes Changes, err error) {
+	b := bufio.NewReader(r)
+	if start, err := b.Peek(4); err == nil && transfer.IsCompressed(start) {
+		compressed, err := io.ReadAll(b)
+		if err != nil {
+			return changes, err
+		}
+		answer, err := transfer.Decompress(compressed)
+		if err != nil {
+			return changes, err
+		}
+		return changes, cbor.Unmarshal(answer, &changes)
+	}
+	return changes, cbor.NewDecoder(b).Decode(&changes)
+}
+
 // Transfer describes the transfer of a snapshot, also of one that failed.
 type Transfer struct {
 	// ReceivedBytes is the number of bytes received.
@@ -104,32 +152,41 @@
 // countingReader counts the bytes read from a connection.
 type countingReader struct {
 	net.Conn
-	transfer *Transfer
+	transfer   *Transfer
+	onProgress func()
 }
 
 // Read implements io.Reader.
 func (r *countingReader) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	r.transfer.ReceivedBytes += int64(n)
+	if n > 0 && r.onProgress != nil {
+		r.onProgress()
+	}
 	return n, err
 }
 
-// FetchSnapshot fetches the changes since known from the instance at address.
-func FetchSnapshot(ctx context.Context, address string, now func() time.Time, known KnownRevisions) (changes Changes, transfer Transfer, err error) {
+// FetchSnapshot fetches the changes since known from the instance at address. onProgress, if
+// not nil, is called as bytes arrive.
+func FetchSnapshot(ctx context.Context, address string, now func() time.Time, known KnownRevisions, onProgress func()) (changes Changes, t Transfer, err error) {
 	start := now()
-	defer func() { transfer.Time = now().Sub(start) }()
-	c, err := exchange.Dial(ctx, address, dialTimeout, 0)
+	defer func() { t.Time = now().Sub(start) }()
+	tcp, err := exchange.Dial(ctx, address, dialTimeout, 0)
 	if err != nil {
-		return changes, transfer, errors.Trace(err)
+		return changes, t, errors.Trace(err)
 	}
-	defer func() { _ = c.Close() }()
-	transfer.DialTime = now().Sub(start)
+	defer func() { _ = tcp.Close() }()
+	// The end of ctx ends the transfer too.
+	stop := context.AfterFunc(ctx, func() { _ = tcp.Close() })
+	defer stop()
+	t.DialTime = now().Sub(start)
+	c := transfer.NewConn(tcp, now)
 	if err := c.SetDeadline(now().Add(snapshotTimeout)); err != nil {
-		return changes, transfer, errors.Trace(err)
+		return changes, t, errors.Trace(err)
 	}
-	if err := cbor.NewEncoder(c).Encode(&known); err != nil {
-		return changes, transfer, errors.Trace(err)
+	if err := cbor.NewEncoder(c).Encode(&request{known, true}); err != nil {
+		return changes, t, errors.Trace(err)
 	}
-	err = cbor.NewDecoder(io.LimitReader(&countingReader{c, &transfer}, maxSnapshotBytes)).Decode(&changes)
-	return changes, transfer, errors.Trace(err)
+	changes, err = decodeChanges(io.LimitReader(&countingReader{c, &t, onProgress}, maxSnapshotBytes))
+	return changes, t, errors.Trace(err)
 }
