Let the instances with the largest links watch the store

Instances without a stated link rank last, among each other as before. The gateway between regions is still chosen by hash: what it forwards does not grow with the configuration.

--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -15,7 +15,7 @@
 func (i *Instance) startMesh(ctx context.Context, l *listeners) {
 	s := i.settings
 	i.mesh = mesh.New(mesh.Config{
-		Self:        mesh.Member{ID: s.ID, Region: s.Region, Domain: s.Domain, CallerAddress: s.CallerAddress, Address: s.advertisedMeshAddress()},
+		Self:        mesh.Member{ID: s.ID, Region: s.Region, Domain: s.Domain, CallerAddress: s.CallerAddress, Address: s.advertisedMeshAddress(), LinkMbps: s.LinkMbps},
 		OpenSocket:  func() (net.PacketConn, error) { return net.ListenPacket("udp4", s.meshSourceAddress()) },
 		Incarnation: uint64(i.opt.Random() * (1 << 62)),
 		Seeds:       s.Seeds, Now: i.opt.Now, Random: i.opt.Random, Logger: i.logger,
--- a/pkg/instance/settings.go
+++ b/pkg/instance/settings.go
@@ -36,7 +36,9 @@
 	MemoryLimitMB int
 	// MaxFileDescriptors is the maximum number of open file descriptors.
 	MaxFileDescriptors int
-	Bounds             steering.GlobalLimits
+	// LinkMbps is the rate of the machine's link in Mbit/s, 0 if it is not stated.
+	LinkMbps float64
+	Bounds   steering.GlobalLimits
 	// Operators maps the names of operators to their tokens. If it is empty, the
 	// operator API is disabled.
 	Operators map[string]string
@@ -69,6 +71,7 @@
 		StoreAddress:       r.Address("store", "address"),
 		MemoryLimitMB:      r.Int("limits", "memory_mb", 256, 32, 1<<20),
 		MaxFileDescriptors: r.Int("limits", "descriptors", 1024, 64, 1<<20),
+		LinkMbps:           r.Float("limits", "link_mbps", 0, 0, 1e6),
 		Bounds:             readBounds(r),
 	}
 	s.Operators = readOperators(r)
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -66,14 +66,23 @@
 	return h.Sum32()
 }
 
+// ranksBefore reports whether a has a lower rank than b. The instances with the largest links
+// come first, because those with the lowest ranks serve the others of their region.
+func ranksBefore(a, b Member) bool {
+	if a.LinkMbps != b.LinkMbps {
+		return a.LinkMbps > b.LinkMbps
+	}
+	return idHash(a.ID) < idHash(b.ID)
+}
+
 // Rank returns the zero-based position of this instance among the live members
-// of the local region that satisfy include, ordered by idHash.
+// of the local region that satisfy include, ordered by ranksBefore.
 func (m *Mesh) Rank(include func(Member) bool) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	ownHash, position := idHash(m.config.Self.ID), 0
+	position := 0
 	for _, x := range m.members {
-		if x.alive && x.Region == m.config.Self.Region && idHash(x.ID) < ownHash && include(x.Member) {
+		if x.alive && x.Region == m.config.Self.Region && ranksBefore(x.Member, m.config.Self) && include(x.Member) {
 			position++
 		}
 	}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -105,6 +105,9 @@
 	CallerAddress string `json:"Caller"`
 	// Address is the address on which the instance receives mesh traffic.
 	Address string
+	// LinkMbps is the rate of the instance's link in Mbit/s, 0 if it is not known, as for
+	// members of other regions.
+	LinkMbps float64
 	Status
 }
 
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -85,6 +85,9 @@
 	return p.serviceTimes[id]
 }
 
+// peerLinkMbps is the rate of the link of each peer.
+const peerLinkMbps = 200
+
 var testShares = cluster.Shares{"shop": {"n-a": 0.25, "s-a": 0.75}}
 
 func startPeer(t *testing.T, id, region string, seeds ...string) *peer {
@@ -102,7 +105,7 @@
 	}
 	p.Mesh = New(Config{
 		OpenSocket:  open,
-		Self:        Member{ID: id, Region: region, Domain: region + "-a", CallerAddress: "10.0.0.1:1", Address: p.address},
+		Self:        Member{ID: id, Region: region, Domain: region + "-a", CallerAddress: "10.0.0.1:1", Address: p.address, LinkMbps: peerLinkMbps},
 		Incarnation: uint64(time.Now().UnixNano()), Seeds: seeds, Now: now, Random: func() float64 { return 0.5 }, Logger: event.DiscardLogger(),
 		LocalStatus: func() Status {
 			p.mu.Lock()
@@ -231,6 +234,34 @@
 	require.Eventually(t, func() bool { return a.Live()[0].State == Leaving }, waitTimeout, time.Millisecond)
 }
 
+// Guards against instances with small links that serve the large state to a whole region.
+func TestInstancesWithLargeLinksRankFirst(t *testing.T) {
+	var ids []string
+	for n := range 6 {
+		ids = append(ids, fmt.Sprint("n", n))
+	}
+	ranks := make(map[int]string)
+	for own, id := range ids {
+		m := &Mesh{config: Config{Self: Member{ID: id, Region: "n", LinkMbps: float64(own % 3 * 100)}}, members: make(map[string]*member)}
+		for other, otherID := range ids {
+			if other != own {
+				m.members[otherID] = &member{Member: Member{ID: otherID, Region: "n", LinkMbps: float64(other % 3 * 100)}, alive: true}
+			}
+		}
+		ranks[m.Rank(func(Member) bool { return true })] = id
+	}
+	require.Len(t, ranks, len(ids), "all instances agree on one order")
+	require.ElementsMatch(t, []string{"n2", "n5"}, []string{ranks[0], ranks[1]})
+	require.ElementsMatch(t, []string{"n0", "n3"}, []string{ranks[4], ranks[5]})
+}
+
+// Guards against members whose link the others do not know.
+func TestHeartbeatsCarryTheLink(t *testing.T) {
+	a := startPeer(t, "n0", "n")
+	startPeer(t, "n1", "n", a.address)
+	require.Eventually(t, func() bool { l := a.Live(); return len(l) == 1 && l[0].LinkMbps == peerLinkMbps }, waitTimeout, 10*time.Millisecond)
+}
+
 // Guards against changes that arrive incomplete.
 func TestSnapshotTransfer(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -106,7 +106,7 @@
 		if h.Region != "" {
 			changed = changed || x.CallerAddress != h.CallerAddress
 			x.ID, x.Region, x.Domain, x.CallerAddress = msg.ID, h.Region, h.Domain, h.CallerAddress
-			x.sendAddress, x.Address, x.RequestRates = from, from.String(), h.RequestRates
+			x.sendAddress, x.Address, x.RequestRates, x.LinkMbps = from, from.String(), h.RequestRates, h.LinkMbps
 			if to, err := net.ResolveUDPAddr("udp4", h.Address); err == nil && h.Address != "" {
 				x.sendAddress, x.Address = to, h.Address
 			}
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -54,6 +54,8 @@
 	// heartbeats prove nothing.
 	Ages    *proofAges        `cbor:"17,keyasint,omitempty"`
 	Leaving []balance.Leaving `cbor:"18,keyasint,omitempty"`
+	// LinkMbps is sent with Region. Older releases omit it.
+	LinkMbps float64 `cbor:"19,keyasint,omitempty"`
 }
 
 // proofAges holds the ages of proofs in milliseconds; unprovenMS if there is no proof.
@@ -141,7 +143,7 @@
 		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares, Statements: m.config.Statements(), Leaving: m.config.Leaving(), Ages: ages(status.Proofs, m.config.Now())}
 	full := *short
 	full.Region, full.Domain, full.CallerAddress = m.config.Self.Region, m.config.Self.Domain, m.config.Self.CallerAddress
-	full.RequestRates, full.Address = status.RequestRates, m.config.Self.Address
+	full.RequestRates, full.Address, full.LinkMbps = status.RequestRates, m.config.Self.Address, m.config.Self.LinkMbps
 	if withDemand {
 		full.Demand, full.RouteStats = m.config.Demands(), m.config.RouteStats()
 	}
