Pass on differences of the operators' description too

A patch of the operators' description (up to 1 MB) sent the whole body and the previous one to every instance. A peer that has the previous version now gets the difference, checked by the hash of the version; otherwise both bodies, compressed. The compressor of ordinary answers is kept instead of built for each.

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -46,6 +46,9 @@
 	Body []byte `cbor:"b" json:"-"`
 	// PreviousBody is the description of the previous version, or empty.
 	PreviousBody []byte `cbor:"pb,omitempty" json:"-"`
+	// BaseHash is used between instances. If it is set, Body is the difference (package
+	// transfer) to the body with this hash, which is also the previous one.
+	BaseHash string `cbor:"bh,omitempty" json:"-"`
 	// AcceptedUnixMS is the acceptance time in Unix milliseconds, by the clock of
 	// the accepting instance.
 	AcceptedUnixMS int64  `cbor:"at" json:"accepted_unix_ms"`
--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 )
@@ -57,7 +58,8 @@
 // this instance has.
 func (i *Instance) knownRevisions() mesh.KnownRevisions {
 	directives, upstreams := i.catalog.Revisions()
-	return mesh.KnownRevisions{DirectivesRevision: directives, UpstreamsRevision: upstreams, DescriptionVersion: i.policy.Current().Number, LargeRow: i.catalog.LargeRow()}
+	version := i.policy.Current()
+	return mesh.KnownRevisions{DirectivesRevision: directives, UpstreamsRevision: upstreams, DescriptionVersion: version.Number, DescriptionHash: version.Hash, LargeRow: i.catalog.LargeRow()}
 }
 
 // changesSince returns the changes that a member with the given revisions does
@@ -65,6 +67,7 @@
 func (i *Instance) changesSince(known mesh.KnownRevisions) mesh.Changes {
 	c := mesh.Changes{Tables: i.catalog.Snapshot(known.DirectivesRevision, known.UpstreamsRevision, known.LargeRow), VersionKnown: i.policy.VersionKnown()}
 	if v := i.policy.Current(); v.Number > known.DescriptionVersion {
+		v = i.descriptionDifferences.stateTo(v, known.DescriptionHash)
 		c.Version = &v
 	}
 	return c
@@ -91,7 +94,7 @@
 	known := i.knownRevisions()
 	err := i.fetchSince(ctx, m, known)
 	if errors.Is(err, catalog.ErrDifference) {
-		known.LargeRow = catalog.RowRevision{}
+		known.LargeRow, known.DescriptionHash = catalog.RowRevision{}, ""
 		err = i.fetchSince(ctx, m, known)
 	}
 	return err
@@ -101,6 +104,10 @@
 func (i *Instance) fetchSince(ctx context.Context, m mesh.Member, known mesh.KnownRevisions) error {
 	requestedAt := i.opt.Now()
 	c, transfer, err := mesh.FetchSnapshot(ctx, m.Address, i.opt.Now, known, func() { i.fetches.advance(m.ID) })
+	var version cluster.Version
+	if err == nil && c.Version != nil {
+		version, err = restoreVersion(*c.Version, i.policy.Current())
+	}
 	if err == nil {
 		err = i.catalog.Merge(c.Tables, m.ID, requestedAt)
 	}
@@ -110,7 +117,7 @@
 	}
 	switch {
 	case c.Version != nil:
-		i.policy.ApplyIfNewer(*c.Version, m.ID)
+		i.policy.ApplyIfNewer(version, m.ID)
 	case c.VersionKnown:
 		i.policy.MarkVersionKnown()
 	}
--- a/pkg/instance/description.go
+++ b/pkg/instance/description.go
@@ -1,14 +1,21 @@
 package instance
 
 import (
+	"encoding/hex"
 	"maps"
+	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/description"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 	"github.com/sequoiacove/sequoiacove/pkg/policy"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
+	"github.com/sequoiacove/sequoiacove/pkg/transfer"
 )
 
 // descriptionTimeout is how long after its start an instance waits for the
@@ -41,6 +48,54 @@
 	go i.mesh.Announce()
 }
 
+// minDescriptionDifference is the size in bytes from which on a description is passed on as a
+// difference to the previous version.
+const minDescriptionDifference = 4 << 10
+
+// descriptionDifferences computes the difference between two versions once for all peers.
+type descriptionDifferences struct {
+	mu   sync.Mutex
+	last cluster.Version
+}
+
+// stateTo returns v with its body as the difference to the previous one, if that is the
+// description with the hash that a peer has; otherwise it returns v as it is.
+func (d *descriptionDifferences) stateTo(v cluster.Version, peerHash string) cluster.Version {
+	if peerHash == "" || len(v.Body) < minDescriptionDifference {
+		return v
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.last.Hash != v.Hash || d.last.Number != v.Number {
+		d.last = v
+		if diff, err := transfer.Diff(v.PreviousBody, v.Body); err == nil && len(v.PreviousBody) > 0 {
+			d.last.Body, d.last.PreviousBody, d.last.BaseHash = diff, nil, description.Hash(v.PreviousBody)
+		}
+	}
+	if d.last.BaseHash != peerHash {
+		return v
+	}
+	return d.last
+}
+
+// restoreVersion returns a version from a peer with its whole body. It returns ErrDifference
+// if its body is a difference to another description than current.
+func restoreVersion(v, current cluster.Version) (cluster.Version, error) {
+	if v.BaseHash == "" {
+		return v, nil
+	}
+	digest, err := hex.DecodeString(v.Hash)
+	if err != nil || v.BaseHash != current.Hash {
+		return v, errors.Annotatef(catalog.ErrDifference, "description %d", v.Number)
+	}
+	body, err := transfer.Patch(current.Body, v.Body, digest)
+	if err != nil {
+		return v, errors.Annotatef(catalog.ErrDifference, "description %d: %v", v.Number, err)
+	}
+	v.Body, v.PreviousBody, v.BaseHash = body, current.Body, ""
+	return v, nil
+}
+
 // updateBalancer passes the current view to the balancer, with the upstreams
 // drained by operators marked as draining.
 func (i *Instance) updateBalancer() {
--- /dev/null
+++ b/pkg/instance/description_test.go
@@ -0,0 +1,52 @@
+package instance
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/description"
+)
+
+// largeVersion returns a version of a large description.
+func largeVersion(number int) cluster.Version {
+	body := func(number int) []byte {
+		var b bytes.Buffer
+		fmt.Fprintf(&b, "version %d", number)
+		for n := range 2000 {
+			fmt.Fprintf(&b, ", part %d of %d", n*7919%10007, n%13)
+		}
+		return b.Bytes()
+	}
+	return cluster.Version{Number: uint64(number), Hash: description.Hash(body(number)), Body: body(number), PreviousBody: body(number - 1)}
+}
+
+// Guards against patches that cost the size of the description between instances.
+func TestPeerGetsTheDifferenceOfALargeDescription(t *testing.T) {
+	var d descriptionDifferences
+	current, next := largeVersion(4), largeVersion(5)
+	stated := d.stateTo(next, current.Hash)
+	require.Less(t, len(stated.Body)+len(stated.PreviousBody), 200)
+	got, err := restoreVersion(stated, current)
+	require.NoError(t, err)
+	require.Equal(t, next, got)
+}
+
+// Guards against a description that is restored from another one than its difference is
+// made for.
+func TestDescriptionWhoseDifferenceDoesNotFitIsFetchedWhole(t *testing.T) {
+	var d descriptionDifferences
+	next := largeVersion(5)
+	require.Equal(t, next, d.stateTo(next, largeVersion(3).Hash), "the peer has another version")
+	require.Equal(t, next, d.stateTo(next, ""), "an older release")
+	stated := d.stateTo(next, largeVersion(4).Hash)
+	_, err := restoreVersion(stated, largeVersion(3))
+	require.ErrorIs(t, err, catalog.ErrDifference)
+	stated.Body = stated.Body[1:]
+	_, err = restoreVersion(stated, largeVersion(4))
+	require.ErrorIs(t, err, catalog.ErrDifference)
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -106,6 +106,7 @@
 	// servesWithoutDescription is set once the wait for the description has timed
 	// out.
 	servesWithoutDescription atomic.Bool
+	descriptionDifferences   descriptionDifferences
 	// fetches decides which members may be asked for their state.
 	fetches *fetches
 	// trafficByRegion maps the names of the other regions to their regionTraffic.
--- a/pkg/mesh/snapshot.go
+++ b/pkg/mesh/snapshot.go
@@ -39,6 +39,9 @@
 	DescriptionVersion uint64 `cbor:"3,keyasint,omitempty"`
 	// LargeRow is the row of the directives that the answer may state as a difference.
 	LargeRow catalog.RowRevision `cbor:"5,keyasint,omitempty"`
+	// DescriptionHash is the hash of the description to which the answer may state the next
+	// version as a difference. Older releases omit it.
+	DescriptionHash string `cbor:"6,keyasint,omitempty"`
 }
 
 // request is a KnownRevisions as it is sent.
@@ -119,7 +122,7 @@
 	if err != nil || !compressed {
 		return answer, err
 	}
-	return transfer.Compress(answer)
+	return transfer.Compress(answer), nil
 }
 
 // decodeChanges decodes an answer. Older releases do not compress it.
--- a/pkg/transfer/diff.go
+++ b/pkg/transfer/diff.go
@@ -3,15 +3,18 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"sync"
 
 	"github.com/juju/errors"
 	"github.com/klauspost/compress/zstd"
 )
 
 const (
-	// windowBytes is the compression window. It covers a state and its predecessor, so that
-	// what both have in common is found.
-	windowBytes = 8 << 20
+	// diffWindowBytes is the compression window of a difference. It covers a state and its
+	// predecessor, so that what both have in common is found. windowBytes is that of other
+	// states.
+	diffWindowBytes = 8 << 20
+	windowBytes     = 1 << 20
 	// maxStateBytes limits a state that Patch or Decompress restores.
 	maxStateBytes = 32 << 20
 	// baseID identifies the base in a compressed difference; any non-zero number serves.
@@ -22,13 +25,23 @@
 func Diff(base, target []byte) ([]byte, error) {
 	// The faster levels skip ahead in text that they can't compress and then miss what it has
 	// in common with the base.
-	return compress(target, zstd.SpeedBetterCompression, zstd.WithEncoderDictRaw(baseID, base))
+	e, err := newEncoder(zstd.SpeedBetterCompression, diffWindowBytes, zstd.WithEncoderDictRaw(baseID, base))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = e.Close() }()
+	return e.EncodeAll(target, nil), nil
 }
 
 // Patch restores the target of a Diff from its base. It returns an error unless the result
 // has the given SHA-256 digest.
 func Patch(base, diff, digest []byte) ([]byte, error) {
-	target, err := decompress(diff, zstd.WithDecoderDictRaw(baseID, base))
+	d, err := newDecoder(zstd.WithDecoderDictRaw(baseID, base))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer d.Close()
+	target, err := d.DecodeAll(diff, nil)
 	if err != nil {
 		return nil, errors.Annotate(err, "difference does not fit its base")
 	}
@@ -44,34 +57,40 @@
 	return d[:]
 }
 
+// coder compresses and decompresses states that need no base. It is kept, because small states
+// are compressed several times a second.
+var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
+	e, encoderErr := newEncoder(zstd.SpeedFastest, windowBytes)
+	d, decoderErr := newDecoder()
+	if encoderErr != nil || decoderErr != nil {
+		// The options are constants, so an error is a bug.
+		panic(errors.Errorf("%v, %v", encoderErr, decoderErr))
+	}
+	return e, d
+})
+
 // Compress returns the compressed state.
-func Compress(state []byte) ([]byte, error) { return compress(state, zstd.SpeedFastest) }
+func Compress(state []byte) []byte {
+	e, _ := coder()
+	return e.EncodeAll(state, nil)
+}
 
 // Decompress restores a state that Compress has compressed.
-func Decompress(compressed []byte) ([]byte, error) { return decompress(compressed) }
+func Decompress(compressed []byte) ([]byte, error) {
+	_, d := coder()
+	state, err := d.DecodeAll(compressed, nil)
+	return state, errors.Trace(err)
+}
 
 // IsCompressed reports whether a state begins as Compress begins it. No CBOR map begins so.
 func IsCompressed(start []byte) bool {
 	return bytes.HasPrefix(start, []byte{0x28, 0xb5, 0x2f, 0xfd})
 }
 
-func compress(state []byte, level zstd.EncoderLevel, options ...zstd.EOption) ([]byte, error) {
-	options = append(options, zstd.WithEncoderLevel(level), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true))
-	e, err := zstd.NewWriter(nil, options...)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	defer func() { _ = e.Close() }()
-	return e.EncodeAll(state, nil), nil
+func newEncoder(level zstd.EncoderLevel, window int, options ...zstd.EOption) (*zstd.Encoder, error) {
+	return zstd.NewWriter(nil, append(options, zstd.WithEncoderLevel(level), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(window), zstd.WithLowerEncoderMem(true))...)
 }
 
-func decompress(compressed []byte, options ...zstd.DOption) ([]byte, error) {
-	options = append(options, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxStateBytes), zstd.WithDecoderMaxWindow(windowBytes))
-	d, err := zstd.NewReader(nil, options...)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	defer d.Close()
-	state, err := d.DecodeAll(compressed, nil)
-	return state, errors.Trace(err)
+func newDecoder(options ...zstd.DOption) (*zstd.Decoder, error) {
+	return zstd.NewReader(nil, append(options, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxStateBytes), zstd.WithDecoderMaxWindow(diffWindowBytes))...)
 }
--- a/pkg/transfer/transfer_test.go
+++ b/pkg/transfer/transfer_test.go
@@ -154,8 +154,6 @@
 
 // Guards against memory without bound for a small message that claims a large state.
 func TestDecompressLimitsMemory(t *testing.T) {
-	compressed, err := Compress(make([]byte, maxStateBytes+1))
-	require.NoError(t, err)
-	_, err = Decompress(compressed)
+	_, err := Decompress(Compress(make([]byte, maxStateBytes+1)))
 	require.Error(t, err)
 }
