Ask upstreams for their health while an instance is isolated

A cold upstream got 22 or 23 requests in a second where 21.5 are allowed: an instance that is cut off from the store and from all other domains during an evacuation goes on at the full rate, while the others send at the cold rate.

An instance whose tables are not proven current, and that has heard nothing from another failure domain for 1.2 s, now checks the health of the upstreams that it sent requests to in the last second, at most twelve each 0.25 s, those that were checked longest ago first. One that states the rest of its warm-up gets the cold rate. No answer is no evidence.

Weighed: checks by all instances whose tables are not proven (in an outage of the store 64 instances would check 182 upstreams several times a second); a lower rate for all upstreams while isolated (a third of what such an instance can serve); asking through peers (an isolated instance has none).

TestIsolatedInstanceLearnsFromUpstreamsThatTheyAreCold fails without the checks; a second test holds that an outage of the store alone causes none.

--- a/pkg/balance/lease.go
+++ b/pkg/balance/lease.go
@@ -77,6 +77,7 @@
 	l.Cold = now.Before(u.coldUntil)
 	b.scheduleNextSend(u, now)
 	u.inFlight++
+	u.lastLeaseAt = now
 	u.activeLeases = append(u.activeLeases, l)
 	return l
 }
--- a/pkg/balance/upstream.go
+++ b/pkg/balance/upstream.go
@@ -105,6 +105,9 @@
 
 	// coldUntil is the end of the warm-up.
 	coldUntil time.Time
+	// lastLeaseAt and lastCheckAt are the times of the last lease and the last health check.
+	lastLeaseAt time.Time
+	lastCheckAt time.Time
 	// rank is the rank of this instance among those that share limits that protect the
 	// upstream, nil if it has not been computed.
 	rank *holderRank
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -31,6 +31,7 @@
 	SnapshotFailed              ID = 307
 	SocketFailed                ID = 308
 	SnapshotReceived            ID = 309
+	IsolationChanged            ID = 310
 	RequestAnswered             ID = 405
 	RequestRejected             ID = 406
 	RequestFailed               ID = 407
@@ -51,6 +52,7 @@
 
 	UpstreamSaidLeaving ID = 513
 	UpstreamClosed      ID = 514
+	UpstreamSaidCold    ID = 515
 	StoreDown           ID = 600
 	StoreUp             ID = 601
 	WatchRoleChanged    ID = 602
@@ -88,6 +90,7 @@
 	{SnapshotFailed, slog.LevelWarn, "peer snapshot not received", "None if rare: the state is fetched from another peer or from the store. `dial_ms` 0 means that no connection was opened; `received_bytes` tells how far the transfer came."},
 	{SocketFailed, slog.LevelWarn, "UDP socket not opened", "Check the number of open file descriptors; datagrams are still sent from the previous socket."},
 	{SnapshotReceived, slog.LevelInfo, "peer snapshot received", "None; only large (4 KB) and slow (250 ms) transfers are logged. `received_bytes` over `took_ms` is the rate of the path."},
+	{IsolationChanged, slog.LevelWarn, "instance became isolated, or no longer is", "Check the network of its failure domain: it has contact neither with the store nor with other domains, serves with what it knows, and asks the upstreams in use for their health."},
 	{RequestAnswered, slog.LevelInfo, "request answered", "None."},
 	{RequestRejected, slog.LevelInfo, "request rejected without execution", "See docs/OPERATIONS.md if it repeats: the fields name the limit that rejected it."},
 	{RequestFailed, slog.LevelWarn, "request failed", "See docs/OPERATIONS.md: the fields name the upstream that failed and the cause."},
@@ -108,6 +111,7 @@
 
 	{UpstreamSaidLeaving, slog.LevelInfo, "upstream says in a response that it leaves", "None; the upstream leaves and gets no requests, whatever its registration says until it starts again."},
 	{UpstreamClosed, slog.LevelInfo, "upstream wants no requests for a time", "None; it asked for no requests of this instance for `closed_ms`. Check the service if many do: requests are refused with `no_upstream`, counted under `closed`."},
+	{UpstreamSaidCold, slog.LevelInfo, "upstream says in a health check that it is cold", "None; it gets requests at the cold rate. Only isolated instances check the health of upstreams."},
 	{StoreDown, slog.LevelWarn, "platform store unavailable", "Check the platform; requests are still served."},
 	{StoreUp, slog.LevelInfo, "platform store available", "None."},
 	{WatchRoleChanged, slog.LevelInfo, "role in watching the store changed", "None; an instance that is no watcher of its region watches while its tables are not proven current (`directives_age_ms`, `upstreams_age_ms` above 1,500) or the watchers of its region have no answer from the store."},
--- a/pkg/instance/fake_test.go
+++ b/pkg/instance/fake_test.go
@@ -304,8 +304,11 @@
 		MaxAttempts: 2, Split: []steering.WeightedService{{Service: "shop", Weight: 1}}}
 }
 
+// healthPath is the path of the health check of the service in the configurations.
+const healthPath = "/health"
+
 func (env *testEnv) writeConfig(version int, routes ...*steering.Route) {
-	c := &steering.Config{Version: steering.Version(version), Services: map[string]*steering.Service{"shop": {Name: "shop", MaxColdRequestRate: 16, WarmUpTime: time.Second}}}
+	c := &steering.Config{Version: steering.Version(version), Services: map[string]*steering.Service{"shop": {Name: "shop", HealthPath: healthPath, MaxColdRequestRate: 16, WarmUpTime: time.Second}}}
 	c.SetRoutes(routes)
 	env.mu.Lock()
 	env.configs[version] = c
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -170,6 +170,7 @@
 	go i.runPeriodicTasks(backgroundCtx)
 	go i.pauseDetector.run(backgroundCtx)
 	go i.fetchAnnouncedChanges(backgroundCtx)
+	go i.checkWhileIsolated(backgroundCtx)
 	go (&registrar{instance: i, now: i.opt.Now}).run(backgroundCtx)
 	i.startHTTP(listeners)
 	serveErr := make(chan error, 1)
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -177,6 +177,7 @@
 	m.receivedCount++
 	changed := m.updateRemoteMembers(d)
 	if !d.Forwarded {
+		m.otherDomainHeardAt = m.config.Now()
 		m.forwardDigest(msg)
 	}
 	m.mu.Unlock()
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -221,6 +221,9 @@
 	digestCount     int
 	sentCount       int64
 	receivedCount   int64
+	// otherDomainHeardAt is the time of the last message that came directly from a member of
+	// another failure domain.
+	otherDomainHeardAt time.Time
 }
 
 // deadMember is a member that was declared dead and is still probed.
@@ -349,6 +352,14 @@
 	return len(m.candidateAddresses)
 }
 
+// HeardFromOtherDomainAt returns the time of the last message that came directly from a member
+// of another failure domain, the zero time if none did.
+func (m *Mesh) HeardFromOtherDomainAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.otherDomainHeardAt
+}
+
 // DatagramCounts returns the numbers of datagrams sent and received.
 func (m *Mesh) DatagramCounts() (sent, received int64) {
 	m.mu.Lock()
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -66,6 +66,9 @@
 	joined := !x.alive || restarted
 	changed := m.updateMember(x, msg, from, restarted)
 	current := x.Member
+	if x.Domain != m.config.Self.Domain {
+		m.otherDomainHeardAt = now
+	}
 	if joined && x.Region == m.config.Self.Region && len(m.joined) < maxMembers {
 		m.joined = append(m.joined, x.sendAddress)
 	}
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -25,6 +25,8 @@
 // Service is the configuration of a service.
 type Service struct {
 	Name string
+	// HealthPath is the path of the upstreams' health check, empty if they have none.
+	HealthPath string
 	// MaxConnections is the maximum number of connections of all instances together
 	// to one upstream; 0 means no limit.
 	MaxConnections int
