Take the end of a request during a dial for no failure to connect

One request tried five upstreams in 5 ms, each with "operation was canceled", and ended as 503 connect_failed. Cause: a dial that ended because the caller had left was reported as ConnectFailed.

A cancelled context is now Cancelled, as in a write or a read (checked: both were right): event 408, no further upstream, no evidence. A dial that ends at the request's own deadline is OutOfTime (new), also no evidence.

Event 406 of requests without a route or a configuration states the status and the ages of what the instance knows.

Tests: the three new ones fail before (409 for u2, u3, u4 and no 408).

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -263,3 +263,20 @@
 	require.Zero(t, refusal.AffinityOnly)
 	require.Equal(t, refusal.Upstreams, refusal.Evacuated+refusal.Unavailable+refusal.Cold+refusal.Full+refusal.OtherRegion)
 }
+
+// Guards against ejecting an upstream because requests ended before a connection was open.
+func TestEndOfTheRequestIsNoEvidenceAgainstTheUpstream(t *testing.T) {
+	f := newFixture(1, 0)
+	f.addUpstream("one", "n-a")
+	f.publish()
+	b := f.balancers[0]
+	for range 2 * maxConsecutiveFailures {
+		for _, reason := range []exchange.Reason{exchange.Cancelled, exchange.OutOfTime} {
+			acquire(b, testRoute(0), "").Done(&exchange.Result{Outcome: exchange.NotRun, Reason: reason})
+		}
+	}
+	u := b.upstreams["one"]
+	require.Zero(t, u.consecutiveEjections)
+	require.Zero(t, u.failureRate)
+	require.False(t, u.unreachable)
+}
--- a/pkg/balance/upstream.go
+++ b/pkg/balance/upstream.go
@@ -207,7 +207,7 @@
 	switch {
 	case r.Outcome == exchange.Answered && r.Status < 500:
 		u.recordSuccess(l, r, now, warmUpTime)
-	case r.Reason == exchange.Cancelled, r.Reason == exchange.Expired, r.Reason == exchange.Silent:
+	case r.Reason == exchange.Cancelled, r.Reason == exchange.Expired, r.Reason == exchange.Silent, r.Reason == exchange.OutOfTime:
 	case r.Reason == exchange.Shed:
 		u.shedUntil = now.Add(shedBackoff)
 		if u.load(now) < u.Slots {
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -127,7 +127,7 @@
 	if opened {
 		var err error
 		if k, err = c.open(ctx, p, t, deadline.Sub(start)); err != nil {
-			return &Result{Outcome: NotRun, Reason: ConnectFailed, NewConnection: true, Err: err}
+			return &Result{Outcome: NotRun, Reason: c.dialFailure(ctx, deadline, err), NewConnection: true, Err: err}
 		}
 	}
 	var connectTime time.Duration
@@ -232,6 +232,18 @@
 	return k, nil
 }
 
+// dialFailure returns the reason of a failed attempt to open a connection. The end of the
+// request, by its caller or by its deadline, tells nothing about the upstream.
+func (c *Client) dialFailure(ctx context.Context, deadline time.Time, err error) Reason {
+	switch {
+	case ctx.Err() != nil:
+		return Cancelled
+	case isTimeout(err) && !c.config.Now().Before(deadline):
+		return OutOfTime
+	}
+	return ConnectFailed
+}
+
 // RemoveUpstream drops the connection pool of an upstream that is no longer
 // used and closes its idle connections.
 func (c *Client) RemoveUpstream(t Target) {
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -119,11 +119,13 @@
 	// Silent means that no byte arrived on any kept connection for longer than responses
 	// usually take, and that a new connection may deliver.
 	Silent
+	// OutOfTime means that the deadline passed before a connection was open.
+	OutOfTime
 )
 
 // String implements fmt.Stringer.
 func (r Reason) String() string {
-	return [...]string{"complete", "shed", "misdirected", "connect_failed", "lost", "malformed", "timed_out", "cancelled", "expired", "silent"}[r]
+	return [...]string{"complete", "shed", "misdirected", "connect_failed", "lost", "malformed", "timed_out", "cancelled", "expired", "silent", "out_of_time"}[r]
 }
 
 // Load is the load report of an upstream.
--- a/pkg/exchange/faults_test.go
+++ b/pkg/exchange/faults_test.go
@@ -351,3 +351,33 @@
 	require.Equal(t, Cancelled, c.Do(ctx, Target{ID: "u", Address: u.address, SameRegion: true}, testRequest("2"), time.Now().Add(time.Second)).Reason)
 	require.ErrorIs(t, <-closed, syscall.ECONNRESET)
 }
+
+// Guards against an upstream that is blamed because a request ended, by its caller or by its
+// deadline, while a connection was being opened.
+func TestEndOfTheRequestDuringADialIsNoFailureToConnect(t *testing.T) {
+	// hangingDial opens no connection until its time is over.
+	hangingDial := func(ctx context.Context, _ string, timeout, _ time.Duration) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+	}
+	c := NewClient(Config{Headers: testHeaders, Now: time.Now, Dial: hangingDial})
+	do := func(ctx context.Context, timeout time.Duration) *Result {
+		return c.Do(ctx, Target{ID: "u", Address: "127.0.0.1:1", SameRegion: true}, testRequest("1"), time.Now().Add(timeout))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	for name, r := range map[string]struct {
+		result *Result
+		want   Reason
+	}{
+		"the caller left":                 {do(ctx, 5*time.Second), Cancelled},
+		"the caller had left":             {do(ctx, 5*time.Second), Cancelled},
+		"the deadline of the request":     {do(context.Background(), sameRegionDialTimeout/4), OutOfTime},
+		"no connection in the usual time": {do(context.Background(), 5*time.Second), ConnectFailed},
+	} {
+		require.Equal(t, NotRun, r.result.Outcome, name)
+		require.Equal(t, r.want, r.result.Reason, name)
+	}
+}
--- a/pkg/instance/attempt.go
+++ b/pkg/instance/attempt.go
@@ -66,9 +66,10 @@
 	c.lease = l
 	r := c.instance.client.Do(ctx, l.Target, &c.request.Request, c.deadline)
 	l.Done(r)
-	switch r.Reason {
-	case exchange.ConnectFailed:
-	case exchange.Expired:
+	switch {
+	case r.Reason == exchange.ConnectFailed, r.Reason == exchange.OutOfTime, r.Reason == exchange.Cancelled && r.Outcome == exchange.NotRun:
+		// Nothing was sent.
+	case r.Reason == exchange.Expired:
 		c.triedUpstreams = c.triedUpstreams[:len(c.triedUpstreams)-1]
 	default:
 		c.attempts++
--- a/pkg/instance/fake_test.go
+++ b/pkg/instance/fake_test.go
@@ -371,6 +371,12 @@
 // startIn runs an instance in a region until the test ends.
 func (env *testEnv) startIn(region, id string, seeds ...string) *testInstance {
 	inst := env.newInstance(region, id, seeds...)
+	env.run(inst)
+	return inst
+}
+
+// run runs an instance until the test ends.
+func (env *testEnv) run(inst *testInstance) {
 	ctx, cancel := context.WithCancel(context.Background())
 	inst.stop, inst.done = cancel, make(chan struct{})
 	go func() {
@@ -381,7 +387,6 @@
 	}()
 	env.t.Cleanup(func() { cancel(); <-inst.done })
 	env.instances = append(env.instances, inst)
-	return inst
 }
 
 // newInstance returns an instance that is not running.
--- a/pkg/instance/lost_test.go
+++ b/pkg/instance/lost_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
+	"github.com/sequoiacove/sequoiacove/pkg/exchange"
 	"github.com/sequoiacove/sequoiacove/pkg/slowdown"
 )
 
@@ -118,3 +121,41 @@
 		}
 	}
 }
+
+// Guards against a request that tries one upstream after the other, and blames them, although
+// its caller has left while a connection was being opened.
+func TestCallerLeavesWhileAConnectionIsOpened(t *testing.T) {
+	env := newTestEnv(t)
+	// Nothing answers there, and connections to it are not refused.
+	const unreachable = "192.0.2.1:80"
+	for n := range 5 {
+		env.store.write(catalog.Upstreams, fmt.Sprint("u", n), "shop "+unreachable+" n-a ready", false)
+	}
+	inst := env.newInstance("n", "i1")
+	dialing := make(chan struct{}, 10)
+	inst.client = exchange.NewClient(exchange.Config{Headers: inst.opt.Platform.Headers, Now: inst.opt.Now, Dial: func(ctx context.Context, _ string, _, _ time.Duration) (net.Conn, error) {
+		dialing <- struct{}{}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}})
+	env.run(inst)
+	env.awaitReady(inst, 5)
+	caller := env.dialCaller(inst)
+	caller.send(requestText("GET", "/safe/x", "left", ""))
+	<-dialing
+	require.NoError(t, caller.conn.Close())
+	require.Eventually(t, func() bool { return strings.Contains(inst.log.String(), `"event":408`) }, testTimeout, 5*time.Millisecond)
+	require.Empty(t, dialing, "no further upstream is tried")
+	require.NotContains(t, inst.log.String(), `"event":409`)
+	require.NotContains(t, inst.log.String(), `"event":502`)
+}
+
+// Guards against rejected requests whose line lacks what decided it.
+func TestRequestWithoutRouteIsLoggedWithItsInputs(t *testing.T) {
+	env := newTestEnv(t)
+	inst := env.start("i1")
+	env.awaitReady(inst, 0)
+	r, _ := env.dialCaller(inst).do("GET", "/nowhere", "lost", "")
+	require.Equal(t, http.StatusNotFound, r.StatusCode)
+	require.Regexp(t, `"event":406,"request":"lost","status":404,"reason":"no_route".*"version":1,"directives_age_ms":\d+,"upstreams_age_ms":\d+`, inst.log.String())
+}
--- a/pkg/instance/outcome.go
+++ b/pkg/instance/outcome.go
@@ -93,6 +93,14 @@
 	return nil
 }
 
+// logUnrouted logs a request that is rejected before a route is known. args are further
+// fields.
+func (i *Instance) logUnrouted(r *ingress.Request, status int, reason string, args ...any) {
+	directives, upstreams := i.catalog.ProofAges()
+	fields := append([]any{"request", r.ID, "status", status, "reason", reason}, args...)
+	event.Log(i.logger, event.RequestRejected, append(fields, "directives_age_ms", directives.Milliseconds(), "upstreams_age_ms", upstreams.Milliseconds())...)
+}
+
 // logOutcome logs and counts the outcome of the request. Requests that were not
 // answered, were late or got a server error are also kept for operators.
 func (c *dispatch) logOutcome(id event.ID, status int, reason string) {
--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
-	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
 	"github.com/sequoiacove/sequoiacove/pkg/ingress"
 	"github.com/sequoiacove/sequoiacove/pkg/policy"
@@ -67,12 +66,12 @@
 	i.pauseDetector.wait(ctx)
 	config := i.catalog.View().Config
 	if config == nil {
-		event.Log(i.logger, event.RequestRejected, "request", r.ID, "reason", "no_configuration")
+		i.logUnrouted(r, http.StatusServiceUnavailable, "no_configuration")
 		return &ingress.Response{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterBase}
 	}
 	route := config.Match(r.Host, r.URI)
 	if route == nil {
-		event.Log(i.logger, event.RequestRejected, "request", r.ID, "reason", "no_route", "host", r.Host, "path", r.URI, "version", config.Version)
+		i.logUnrouted(r, http.StatusNotFound, "no_route", "host", r.Host, "path", r.URI, "version", config.Version)
 		return &ingress.Response{Status: http.StatusNotFound}
 	}
 	r.Idempotent = route.Idempotent
