Pass on what upstreams say through one type; split the mesh file

Statements of limits and of leaving travelled through two pairs of callbacks of the same shape; they are balance.Notices now. No behaviour is changed.

--- a/pkg/balance/notice.go
+++ b/pkg/balance/notice.go
@@ -147,14 +147,14 @@
 	Age time.Duration
 }
 
-// Leaving returns the upstreams that have recently said to this instance that they leave.
-func (b *Balancer) Leaving() []Leaving {
+// ownLeaving returns the upstreams that have recently said to this instance that they leave.
+func (b *Balancer) ownLeaving() []Leaving {
 	return b.leaving(func(n *notice) bool { return n.received })
 }
 
-// RegionLeaving returns the upstreams that have recently said to the instances of this
+// regionLeaving returns the upstreams that have recently said to the instances of this
 // region that they leave.
-func (b *Balancer) RegionLeaving() []Leaving {
+func (b *Balancer) regionLeaving() []Leaving {
 	return b.leaving(func(n *notice) bool { return n.regional })
 }
 
@@ -171,9 +171,9 @@
 	return list
 }
 
-// SetPeerLeaving applies the reports of another instance or region. It ignores those about
+// setPeerLeaving applies the reports of another instance or region. It ignores those about
 // unknown upstreams and other starts.
-func (b *Balancer) SetPeerLeaving(region string, list []Leaving) {
+func (b *Balancer) setPeerLeaving(region string, list []Leaving) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.config.Now()
--- a/pkg/balance/notice_test.go
+++ b/pkg/balance/notice_test.go
@@ -77,16 +77,16 @@
 	f.addUpstream("u", "n-a")
 	f.publish()
 	a, b := f.balancers[0], f.balancers[1]
-	b.SetPeerLeaving("n", []Leaving{{UpstreamHash: hash("u"), StartUnixMS: 9}, {UpstreamHash: 1}, {UpstreamHash: hash("u"), StartUnixMS: 1, Age: time.Minute}})
+	b.setPeerLeaving("n", []Leaving{{UpstreamHash: hash("u"), StartUnixMS: 9}, {UpstreamHash: 1}, {UpstreamHash: hash("u"), StartUnixMS: 1, Age: time.Minute}})
 	require.True(t, b.upstreams["u"].acceptsRequests())
 	acquire(a, testRoute(0), "").Done(&exchange.Result{Outcome: exchange.Answered, Status: 200, Leaving: true})
-	require.Len(t, a.Leaving(), 1)
-	b.SetPeerLeaving("n", a.Leaving())
+	require.Len(t, a.ownLeaving(), 1)
+	b.setPeerLeaving("n", a.ownLeaving())
 	require.False(t, b.upstreams["u"].acceptsRequests())
-	require.Empty(t, b.Leaving(), "only what an instance heard itself is reported to its region")
-	require.Empty(t, b.RegionLeaving(), "the report came from another region")
+	require.Empty(t, b.ownLeaving(), "only what an instance heard itself is reported to its region")
+	require.Empty(t, b.regionLeaving(), "the report came from another region")
 	f.advance(noticeReportTime + time.Millisecond)
-	require.Empty(t, a.Leaving())
+	require.Empty(t, a.ownLeaving())
 }
 
 // Guards against requests to an upstream that asked for none for a time, and against all
--- a/pkg/balance/stated_limit.go
+++ b/pkg/balance/stated_limit.go
@@ -89,14 +89,14 @@
 	return b.share(sharedLimit{total: limit, upstream: u, maxHolders: holders, whileUnknown: limit / float64(holders)}, now), true
 }
 
-// Statements returns the recent statements that this instance has received.
-func (b *Balancer) Statements() []Statement {
+// ownStatements returns the recent statements that this instance has received.
+func (b *Balancer) ownStatements() []Statement {
 	return b.statements(func(s statement) bool { return s.received })
 }
 
-// RegionStatements returns the recent statements that the instances of this region have
+// regionStatements returns the recent statements that the instances of this region have
 // received.
-func (b *Balancer) RegionStatements() []Statement {
+func (b *Balancer) regionStatements() []Statement {
 	return b.statements(func(s statement) bool { return s.regional })
 }
 
@@ -113,9 +113,9 @@
 	return list
 }
 
-// SetPeerStatements applies the statements that another instance or region reports. It
+// setPeerStatements applies the statements that another instance or region reports. It
 // ignores entries that are not valid.
-func (b *Balancer) SetPeerStatements(region string, list []Statement) {
+func (b *Balancer) setPeerStatements(region string, list []Statement) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.config.Now()
--- a/pkg/balance/stated_limit_test.go
+++ b/pkg/balance/stated_limit_test.go
@@ -55,7 +55,7 @@
 func (f *limitedFixture) exchangeStatements() {
 	for _, from := range f.balancers {
 		for _, to := range f.balancers {
-			to.SetPeerStatements(from.config.Region, from.Statements())
+			to.setPeerStatements(from.config.Region, from.ownStatements())
 		}
 	}
 }
@@ -114,7 +114,7 @@
 	}
 	for _, s := range []Statement{{Limit: math.NaN()}, {Limit: -1}, {Limit: math.Inf(1)}, {Age: -time.Second}, {Age: time.Minute}, {Age: 1500 * time.Millisecond}} {
 		s.UpstreamHash = u.hash
-		b.SetPeerStatements("n", []Statement{s})
+		b.setPeerStatements("n", []Statement{s})
 	}
 	require.Equal(t, 4.0, u.stated.limit)
 	f.advance(statementTTL)
--- a/pkg/instance/members_test.go
+++ b/pkg/instance/members_test.go
@@ -30,8 +30,7 @@
 				Proofs: catalog.Proofs{Directives: lastHeard(), Upstreams: lastHeard(), StoreAnswered: lastHeard()}}
 		},
 		InFlight: func() []balance.InFlight { return nil }, Demands: func() []balance.Demand { return nil }, RouteStats: func() []balance.RouteStats { return nil },
-		Statements: func() []balance.Statement { return nil }, RegionStatements: func() []balance.Statement { return nil }, OnStatements: func(string, []balance.Statement) {},
-		Leaving: func() []balance.Leaving { return nil }, RegionLeaving: func() []balance.Leaving { return nil }, OnLeaving: func(string, []balance.Leaving) {},
+		Notices: func() (n balance.Notices) { return n }, RegionNotices: func() (n balance.Notices) { return n }, OnNotices: func(string, balance.Notices) {},
 		RegionTotals: func() ([]balance.InFlight, []balance.Demand) { return nil, nil },
 		OnLoad:       func(string, string, []balance.InFlight) {}, OnDemand: func(string, string, []balance.Demand) {}, OnRouteStats: func(string, string, []balance.RouteStats) {},
 		OnMembershipChange: func() {}, OnHeartbeat: func(mesh.Member) {}, OnRegionShares: func(string, cluster.Shares, cluster.RequestRates) {},
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -122,7 +122,7 @@
 // regions.
 func (m *Mesh) sendDigests() {
 	inFlight, demand := m.config.RegionTotals()
-	statements, leaving := m.config.RegionStatements(), m.config.RegionLeaving()
+	notices := m.config.RegionNotices()
 	status := m.config.LocalStatus()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -132,7 +132,7 @@
 	}
 	d := &digest{Region: m.config.Self.Region, InFlight: packInFlight(inFlight)}
 	if m.digestCount++; m.digestCount%memberListEvery == 1 {
-		d.Demand, d.Statements, d.Leaving = demand, statements, leaving
+		d.Demand, d.Statements, d.Leaving = demand, notices.Statements, notices.Leaving
 		self := m.config.Self
 		self.Status = status
 		m.addRegionMembers(d, self)
@@ -188,12 +188,7 @@
 	if d.Demand != nil {
 		m.config.OnDemand(regionPrefix+d.Region, d.Region, d.Demand)
 	}
-	if len(d.Statements) > 0 {
-		m.config.OnStatements(d.Region, d.Statements)
-	}
-	if len(d.Leaving) > 0 {
-		m.config.OnLeaving(d.Region, d.Leaving)
-	}
+	m.reportNotices(d.Region, balance.Notices{Statements: d.Statements, Leaving: d.Leaving})
 	if len(d.Members) > 0 {
 		m.config.OnRegionShares(d.Region, d.Shares, d.RequestRates)
 	}
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -19,15 +19,11 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"sort"
 	"sync"
 	"time"
 
-	"github.com/sequoiacove/sequoiacove/pkg/balance"
-	"github.com/sequoiacove/sequoiacove/pkg/catalog"
-	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 )
 
@@ -85,111 +81,6 @@
 	pauseThreshold = time.Second
 )
 
-// State is the lifecycle state that an instance reports.
-type State uint8
-
-// States of an instance.
-const (
-	// Starting instances have no configuration yet.
-	Starting State = iota + 1
-	Serving
-	Leaving
-)
-
-// Member is a live instance.
-type Member struct {
-	ID     string
-	Region string
-	Domain string
-	// CallerAddress is the address on which the instance serves callers.
-	CallerAddress string `json:"Caller"`
-	// Address is the address on which the instance receives mesh traffic.
-	Address string
-	// LinkMbps is the rate of the instance's link in Mbit/s, 0 if it is not known, as for
-	// members of other regions.
-	LinkMbps float64
-	Status
-}
-
-// Status is what an instance reports about itself.
-type Status struct {
-	State State
-	// DirectivesRevision and UpstreamsRevision are the revisions of the tables that
-	// the instance holds.
-	DirectivesRevision int64 `json:"Directives"`
-	UpstreamsRevision  int64 `json:"Upstreams"`
-	// Watching reports whether the instance watches the store and can reach
-	// it.
-	Watching bool
-	// Proofs holds the times until which the tables are proven current. Digests do not carry
-	// them.
-	Proofs catalog.Proofs `json:"-"`
-	// DescriptionVersion is the version of the operator's description in force.
-	DescriptionVersion uint64 `json:"Version"`
-	// ActiveRequests is the number of callers' requests in flight.
-	ActiveRequests int `json:"Active"`
-	// Shares holds the shares in effect. The digests of other regions carry only
-	// the mean over the region (Config.OnRegionShares).
-	Shares cluster.Shares
-	// RequestRates holds the request rate per second of the instance's own callers
-	// by service, for the services named in the description. The digests of other
-	// regions carry only the sum over the region (Config.OnRegionShares).
-	RequestRates cluster.RequestRates `json:"Rates"`
-}
-
-// Config configures a Mesh.
-type Config struct {
-	// Self describes this instance. Self.Address is the address at which the other
-	// members reach it.
-	Self Member
-	// Incarnation distinguishes successive starts of an instance with the
-	// same id.
-	Incarnation uint64
-	// OpenSocket opens a socket for sending. If it is nil, datagrams are sent
-	// from the receiving socket.
-	OpenSocket func() (net.PacketConn, error)
-	// Seeds are the addresses to probe before any member is known.
-	Seeds  []string
-	Now    func() time.Time
-	Random func() float64
-	Logger *slog.Logger
-	// LocalStatus, InFlight, Demands and RouteStats return the current status,
-	// requests in flight, demand and measurements of this instance.
-	LocalStatus func() Status
-	InFlight    func() []balance.InFlight
-	Demands     func() []balance.Demand
-	RouteStats  func() []balance.RouteStats
-	// Statements returns what upstreams have stated to this instance, and RegionStatements
-	// what they have stated to the instances of the local region.
-	Statements       func() []balance.Statement
-	RegionStatements func() []balance.Statement
-	// Leaving returns the upstreams that have said to this instance that they leave, and
-	// RegionLeaving those that have said so to the instances of the local region.
-	Leaving       func() []balance.Leaving
-	RegionLeaving func() []balance.Leaving
-	// RegionTotals returns the totals over the local region.
-	RegionTotals func() ([]balance.InFlight, []balance.Demand)
-	// OnLoad and OnDemand receive the reports of the members of the local
-	// region, and the totals of other regions under the id "region/NAME".
-	// OnRouteStats receives the measurements of a member of the local region.
-	// OnHeartbeat receives each heartbeat of a member of the local region.
-	// OnMembershipChange is called when a member joins, restarts, dies, or changes its
-	// state or caller address.
-	OnLoad       func(id, region string, list []balance.InFlight)
-	OnDemand     func(id, region string, list []balance.Demand)
-	OnRouteStats func(id, region string, list []balance.RouteStats)
-	// OnStatements receives what upstreams have stated to a member of the local region, or
-	// to the instances of another region.
-	OnStatements func(region string, list []balance.Statement)
-	// OnLeaving receives the upstreams that leave in the same way.
-	OnLeaving          func(region string, list []balance.Leaving)
-	OnMembershipChange func()
-	OnHeartbeat        func(Member)
-	// OnRegionShares receives the mean of the shares in effect in another
-	// region and the sum of its request rates per second.
-	OnRegionShares func(region string, shares cluster.Shares, rates cluster.RequestRates)
-}
-
 // Mesh exchanges datagrams with the other instances.
 type Mesh struct {
 	config Config
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -117,23 +117,18 @@
 		RouteStats: func() []balance.RouteStats {
 			return []balance.RouteStats{{RouteHash: 9, ServiceTime: 30 * time.Millisecond, SampleCount: 4}}
 		},
-		Statements: func() []balance.Statement {
-			return []balance.Statement{{UpstreamHash: 7, Limit: 2.5, Age: time.Second}}
+		Notices: func() balance.Notices {
+			return balance.Notices{Statements: []balance.Statement{{UpstreamHash: 7, Limit: 2.5, Age: time.Second}},
+				Leaving: []balance.Leaving{{UpstreamHash: 7, StartUnixMS: 8, Age: time.Second}}}
 		},
-		RegionStatements: func() []balance.Statement { return []balance.Statement{{UpstreamHash: 7, Limit: 3.5}} },
-		OnStatements: func(region string, list []balance.Statement) {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.statements[region] = list[0].Limit
-		},
-		Leaving: func() []balance.Leaving {
-			return []balance.Leaving{{UpstreamHash: 7, StartUnixMS: 8, Age: time.Second}}
+		RegionNotices: func() balance.Notices {
+			return balance.Notices{Statements: []balance.Statement{{UpstreamHash: 7, Limit: 3.5}}, Leaving: []balance.Leaving{{UpstreamHash: 7, StartUnixMS: 9}}}
 		},
-		RegionLeaving: func() []balance.Leaving { return []balance.Leaving{{UpstreamHash: 7, StartUnixMS: 9}} },
-		OnLeaving: func(region string, list []balance.Leaving) {
+		OnNotices: func(region string, n balance.Notices) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.leaving[region] = list[0].StartUnixMS
+			p.statements[region] = n.Statements[0].Limit
+			p.leaving[region] = n.Leaving[0].StartUnixMS
 		},
 		RegionTotals: func() ([]balance.InFlight, []balance.Demand) {
 			return []balance.InFlight{{UpstreamHash: 7, Count: 5}}, []balance.Demand{{RouteHash: 9, Slots: 3}}
@@ -309,7 +304,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	return New(Config{Self: Member{ID: "self", Region: "n"}, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.DiscardLogger(),
-		LocalStatus: func() Status { return Status{} }, OnLoad: func(string, string, []balance.InFlight) {}, OnDemand: func(string, string, []balance.Demand) {}, OnRouteStats: func(string, string, []balance.RouteStats) {}, OnStatements: func(string, []balance.Statement) {}, OnLeaving: func(string, []balance.Leaving) {},
+		LocalStatus: func() Status { return Status{} }, OnLoad: func(string, string, []balance.InFlight) {}, OnDemand: func(string, string, []balance.Demand) {}, OnRouteStats: func(string, string, []balance.RouteStats) {}, OnNotices: func(string, balance.Notices) {},
 		OnMembershipChange: func() {}, OnHeartbeat: func(Member) {}, OnRegionShares: func(string, cluster.Shares, cluster.RequestRates) {}}, &discardConn{conn}), conn.LocalAddr()
 }
 
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -87,16 +87,18 @@
 			m.config.OnDemand(msg.ID, current.Region, msg.Heartbeat.Demand)
 			m.config.OnRouteStats(msg.ID, current.Region, msg.Heartbeat.RouteStats)
 		}
-		if len(msg.Heartbeat.Statements) > 0 {
-			m.config.OnStatements(current.Region, msg.Heartbeat.Statements)
-		}
-		if len(msg.Heartbeat.Leaving) > 0 {
-			m.config.OnLeaving(current.Region, msg.Heartbeat.Leaving)
-		}
+		m.reportNotices(current.Region, balance.Notices{Statements: msg.Heartbeat.Statements, Leaving: msg.Heartbeat.Leaving})
 		m.config.OnHeartbeat(current)
 	}
 }
 
+// reportNotices passes on what upstreams have said to instances of a region, if they have.
+func (m *Mesh) reportNotices(region string, n balance.Notices) {
+	if len(n.Statements)+len(n.Leaving) > 0 {
+		m.config.OnNotices(region, n)
+	}
+}
+
 // updateMember updates a member from a message and reports whether the member
 // joined, restarted, or changed its state or caller address.
 func (m *Mesh) updateMember(x *member, msg *message, from net.Addr, restarted bool) bool {
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -139,8 +139,9 @@
 // set yet. withDemand specifies whether the full one includes the demand.
 func (m *Mesh) heartbeats(withDemand bool) (short, fullHeartbeat *heartbeat) {
 	status := m.config.LocalStatus()
+	notices := m.config.Notices()
 	short = &heartbeat{State: status.State, DirectivesRevision: status.DirectivesRevision, UpstreamsRevision: status.UpstreamsRevision, Watching: status.Watching,
-		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares, Statements: m.config.Statements(), Leaving: m.config.Leaving(), Ages: ages(status.Proofs, m.config.Now())}
+		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares, Statements: notices.Statements, Leaving: notices.Leaving, Ages: ages(status.Proofs, m.config.Now())}
 	full := *short
 	full.Region, full.Domain, full.CallerAddress = m.config.Self.Region, m.config.Self.Domain, m.config.Self.CallerAddress
 	full.RequestRates, full.Address, full.LinkMbps = status.RequestRates, m.config.Self.Address, m.config.Self.LinkMbps
