Do not ask a member again at once that has less than it announces

Found on reading: after a fetch an instance goes on with a watcher that is still ahead. The instance now goes on only if the fetch has brought it forward; otherwise the next heartbeat or round asks.

--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -33,12 +33,13 @@
 		return false
 	}
 	go func() {
+		before := i.knownRevisions()
 		err := i.fetchIfNewer(ctx, m)
 		i.fetches.end(m.ID, err)
-		if err != nil || ctx.Err() != nil {
+		known := i.knownRevisions()
+		if err != nil || ctx.Err() != nil || known == before {
 			return
 		}
-		known := i.knownRevisions()
 		for _, next := range i.mesh.Live() {
 			if next.Watching && next.Region == i.settings.Region && isAhead(next, known) && !i.watchesStore() {
 				i.startFetch(ctx, next)
--- a/pkg/instance/changes_test.go
+++ b/pkg/instance/changes_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,3 +113,31 @@
 	isCold := func() bool { return inst.balancer.UpstreamSnapshots("shop")[0].Cold }
 	require.Eventually(t, isCold, testTimeout, time.Millisecond)
 }
+
+// Guards against fetches at full speed from members that announce more than they have.
+func TestMemberThatHasLessThanItAnnouncesIsNotAskedAgainAtOnce(t *testing.T) {
+	const maxFetchesPerSecond = 12 // two members, two heartbeats and four rounds of catchUp a second
+	env := newTestEnv(t)
+	inst := env.start("i1")
+	env.awaitReady(inst, 0)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var fetchCount atomic.Int64
+	for n := 0; inst.watchesStore(); n++ {
+		address := env.startWatcher(ctx, fmt.Sprint("w", n), inst, 1, time.Now)
+		l, err := net.Listen("tcp4", address)
+		require.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		go mesh.ServeSnapshots(l, time.Now, func(mesh.KnownRevisions) mesh.Changes {
+			fetchCount.Add(1)
+			return mesh.Changes{VersionKnown: true}
+		})
+		time.Sleep(50 * time.Millisecond)
+		require.Less(t, n, 20)
+	}
+	require.Eventually(t, func() bool { return fetchCount.Load() > 0 }, testTimeout, time.Millisecond)
+	const watched = 2 * time.Second
+	before := fetchCount.Load()
+	time.Sleep(watched)
+	require.Less(t, fetchCount.Load()-before, int64(maxFetchesPerSecond*watched/time.Second))
+}
--- a/pkg/instance/members_test.go
+++ b/pkg/instance/members_test.go
@@ -17,8 +17,9 @@
 )
 
 // startWatcher starts a member of the instance's region that reports that it watches the
-// store, last heard from it at lastHeard, and knows what the instance knows.
-func (env *testEnv) startWatcher(ctx context.Context, id string, inst *testInstance, lastHeard func() time.Time) {
+// store, last heard from it at lastHeard, and knows what the instance knows and the given
+// number of further revisions. It returns the address of the member.
+func (env *testEnv) startWatcher(ctx context.Context, id string, inst *testInstance, ahead int64, lastHeard func() time.Time) string {
 	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	require.NoError(env.t, err)
 	m := mesh.New(mesh.Config{
@@ -26,7 +27,7 @@
 		Seeds: []string{inst.settings.MeshAddress}, Now: time.Now, Random: func() float64 { return 0 }, Logger: inst.logger, Incarnation: 1,
 		LocalStatus: func() mesh.Status {
 			directives, upstreams := inst.catalog.Revisions()
-			return mesh.Status{State: mesh.Serving, Watching: true, DirectivesRevision: directives, UpstreamsRevision: upstreams,
+			return mesh.Status{State: mesh.Serving, Watching: true, DirectivesRevision: directives + ahead, UpstreamsRevision: upstreams,
 				Proofs: catalog.Proofs{Directives: lastHeard(), Upstreams: lastHeard(), StoreAnswered: lastHeard()}}
 		},
 		InFlight: func() []balance.InFlight { return nil }, Demands: func() []balance.Demand { return nil }, RouteStats: func() []balance.RouteStats { return nil },
@@ -36,6 +37,7 @@
 		OnMembershipChange: func() {}, OnHeartbeat: func(mesh.Member) {}, OnRegionShares: func(string, cluster.Shares, cluster.RequestRates) {},
 	}, conn)
 	go m.Run(ctx)
+	return conn.LocalAddr().String()
 }
 
 // Guards against instances that learn too late that an upstream leaves, because the members
@@ -49,7 +51,7 @@
 	defer stop()
 	for n := 0; inst.watchesStore(); n++ {
 		// The rank of an id follows from its hash; some of the first ids come before "i1".
-		env.startWatcher(ctx, fmt.Sprint("w", n), inst, time.Now)
+		env.startWatcher(ctx, fmt.Sprint("w", n), inst, 0, time.Now)
 		time.Sleep(50 * time.Millisecond)
 		require.Less(t, n, 20)
 	}
@@ -72,7 +74,7 @@
 	defer stop()
 	var lastHeard atomic.Pointer[time.Time]
 	for n := 0; inst.watchesStore(); n++ {
-		env.startWatcher(ctx, fmt.Sprint("w", n), inst, func() time.Time {
+		env.startWatcher(ctx, fmt.Sprint("w", n), inst, 0, func() time.Time {
 			if at := lastHeard.Load(); at != nil {
 				return *at
 			}
