Let a transfer outlast the wait for it; narrow when an instance is isolated

Found on reading the change.

An instance that knows of no other failure domain counted as isolated in each outage of the store, and all of them would have checked the health of their upstreams; it is now isolated only if it hears no instance at all.

--- a/pkg/instance/isolation.go
+++ b/pkg/instance/isolation.go
@@ -24,9 +24,17 @@
 )
 
 // isolated reports whether the instance has contact neither with the store nor with another
-// failure domain. It then does not learn that the upstreams that it uses have become cold.
+// failure domain, or with no instance at all if it knows of no other domain. It then does not
+// learn that the upstreams that it uses have become cold.
 func (i *Instance) isolated() bool {
-	return !i.catalog.Current() && i.opt.Now().Sub(i.mesh.HeardFromOtherDomainAt()) > isolationTime
+	if i.catalog.Current() {
+		return false
+	}
+	heardAt := i.mesh.HeardFromOtherDomainAt()
+	if heardAt.IsZero() {
+		return len(i.mesh.Live()) == 0
+	}
+	return i.opt.Now().Sub(heardAt) > isolationTime
 }
 
 // checkWhileIsolated checks the health of the upstreams in use while the instance is
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -482,3 +482,19 @@
 	}
 	require.Eventually(t, versionReceived, time.Second, 5*time.Millisecond)
 }
+
+// Guards against transfers that are thrown away because the wait of the one who asked is over.
+func TestTransferGoesOnAfterTheWaitForIt(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	go ServeSnapshots(l, time.Now, func(KnownRevisions) Changes {
+		cancel()
+		time.Sleep(20 * time.Millisecond)
+		return Changes{VersionKnown: true}
+	})
+	got, _, err := FetchSnapshot(ctx, l.Addr().String(), time.Now, KnownRevisions{}, nil)
+	require.NoError(t, err)
+	require.True(t, got.VersionKnown)
+}
--- a/pkg/mesh/snapshot.go
+++ b/pkg/mesh/snapshot.go
@@ -170,7 +170,8 @@
 }
 
 // FetchSnapshot fetches the changes since known from the instance at address. onProgress, if
-// not nil, is called as bytes arrive.
+// not nil, is called as bytes arrive. ctx bounds opening the connection; a transfer that has
+// begun goes on while it makes progress, because what it brings is of use later, too.
 func FetchSnapshot(ctx context.Context, address string, now func() time.Time, known KnownRevisions, onProgress func()) (changes Changes, t Transfer, err error) {
 	start := now()
 	defer func() { t.Time = now().Sub(start) }()
@@ -179,9 +180,6 @@
 		return changes, t, errors.Trace(err)
 	}
 	defer func() { _ = tcp.Close() }()
-	// The end of ctx ends the transfer too.
-	stop := context.AfterFunc(ctx, func() { _ = tcp.Close() })
-	defer stop()
 	t.DialTime = now().Sub(start)
 	c := transfer.NewConn(tcp, now)
 	if err := c.SetDeadline(now().Add(snapshotTimeout)); err != nil {
