Start the listeners of a test before the members that announce them

Cause: the test listened for TCP on the port that the system had chosen for UDP, which a connection of another process may hold. Its members now take addresses whose port is outside the range of such ports, as the instances of these tests do.

No bound is changed.

--- a/pkg/instance/changes_test.go
+++ b/pkg/instance/changes_test.go
@@ -124,7 +124,7 @@
 	defer stop()
 	var fetchCount atomic.Int64
 	for n := 0; inst.watchesStore(); n++ {
-		address := env.startWatcher(ctx, fmt.Sprint("w", n), inst, 1, time.Now)
+		address := freeAddress()
 		l, err := net.Listen("tcp4", address)
 		require.NoError(t, err)
 		defer func() { _ = l.Close() }()
@@ -132,6 +132,7 @@
 			fetchCount.Add(1)
 			return mesh.Changes{VersionKnown: true}
 		})
+		env.startWatcher(ctx, fmt.Sprint("w", n), address, inst, 1, time.Now)
 		time.Sleep(50 * time.Millisecond)
 		require.Less(t, n, 20)
 	}
--- a/pkg/instance/members_test.go
+++ b/pkg/instance/members_test.go
@@ -17,10 +17,10 @@
 )
 
 // startWatcher starts a member of the instance's region that reports that it watches the
-// store, last heard from it at lastHeard, and knows what the instance knows and the given
-// number of further revisions. It returns the address of the member.
-func (env *testEnv) startWatcher(ctx context.Context, id string, inst *testInstance, ahead int64, lastHeard func() time.Time) string {
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+// store at an address, last heard from it at lastHeard, and knows what the instance knows and
+// the given number of further revisions.
+func (env *testEnv) startWatcher(ctx context.Context, id, address string, inst *testInstance, ahead int64, lastHeard func() time.Time) {
+	conn, err := net.ListenPacket("udp4", address)
 	require.NoError(env.t, err)
 	m := mesh.New(mesh.Config{
 		Self:  mesh.Member{ID: id, Region: inst.settings.Region, Domain: inst.settings.Domain, Address: conn.LocalAddr().String()},
@@ -37,7 +37,6 @@
 		OnMembershipChange: func() {}, OnHeartbeat: func(mesh.Member) {}, OnRegionShares: func(string, cluster.Shares, cluster.RequestRates) {},
 	}, conn)
 	go m.Run(ctx)
-	return conn.LocalAddr().String()
 }
 
 // Guards against instances that learn too late that an upstream leaves, because the members
@@ -51,7 +50,7 @@
 	defer stop()
 	for n := 0; inst.watchesStore(); n++ {
 		// The rank of an id follows from its hash; some of the first ids come before "i1".
-		env.startWatcher(ctx, fmt.Sprint("w", n), inst, 0, time.Now)
+		env.startWatcher(ctx, fmt.Sprint("w", n), freeAddress(), inst, 0, time.Now)
 		time.Sleep(50 * time.Millisecond)
 		require.Less(t, n, 20)
 	}
@@ -74,7 +73,7 @@
 	defer stop()
 	var lastHeard atomic.Pointer[time.Time]
 	for n := 0; inst.watchesStore(); n++ {
-		env.startWatcher(ctx, fmt.Sprint("w", n), inst, 0, func() time.Time {
+		env.startWatcher(ctx, fmt.Sprint("w", n), freeAddress(), inst, 0, func() time.Time {
 			if at := lastHeard.Load(); at != nil {
 				return *at
 			}
