--- a/pkg/transfer/conn.go
+++ b/pkg/transfer/conn.go
@@ -45,7 +45,7 @@
 	// first is the deadline that was set, deadline the current one and limit the latest one;
 	// zero if there is none.
 	first, deadline, limit time.Time
-	startedAt       time.Time
+	startedAt              time.Time
 	// bytes is the number of bytes transferred, and counted the part of them that has
 	// extended the deadline.
 	bytes, counted int64
