Keep differences in one place

The differences of configurations and of the operators' description were each cached by code of their own. transfer.DiffCache serves both; the second lock and the second cache of the catalog go. maxExtension is not exported any more, and a comment is wrapped. No behaviour is changed.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/juju/errors"
@@ -68,6 +69,9 @@
 	Revision int64
 }
 
+// String implements fmt.Stringer.
+func (r RowRevision) String() string { return fmt.Sprintf("%s@%d", r.Key, r.Revision) }
+
 // Listing is a whole table, or the changes to it, as of a store revision.
 type Listing struct {
 	Rows     []Row `cbor:"1,keyasint"`
--- a/pkg/catalog/difference.go
+++ b/pkg/catalog/difference.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/juju/errors"
@@ -23,31 +24,22 @@
 // this instance has; the row must be fetched whole.
 var ErrDifference = errors.New("difference does not fit")
 
-// rowBases holds the earlier versions of the large rows of a table, and the differences to
-// the current versions that have been asked for.
+// rowBases holds the earlier versions of the large rows of a table.
 type rowBases struct {
-	// computing is held while a difference is computed, so that each is computed once. It is
-	// locked before mu.
-	computing   sync.Mutex
 	mu          sync.Mutex
 	versions    map[string][]Row
-	differences map[RowRevision]Row
+	differences transfer.DiffCache
 }
 
 // add records a version that a newer one replaces. The newest base is kept whatever its size.
 func (b *rowBases) add(old Row) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for base := range b.differences {
-		if base.Key == old.Key {
-			delete(b.differences, base)
-		}
-	}
 	if len(old.Value) < minDifferenceBytes {
 		return
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.versions == nil {
-		b.versions, b.differences = make(map[string][]Row), make(map[RowRevision]Row)
+		b.versions = make(map[string][]Row)
 	}
 	list := append(b.versions[old.Key], old)
 	size := 0
@@ -64,39 +56,26 @@
 // difference returns r as the difference to the version that a peer has, or r itself if that
 // version is not known or the difference is not smaller.
 func (b *rowBases) difference(r Row, known RowRevision) Row {
-	if r.Key != known.Key || len(r.Value) < minDifferenceBytes {
+	base, found := b.find(known)
+	if !found || r.Key != known.Key || len(r.Value) < minDifferenceBytes {
 		return r
 	}
-	b.computing.Lock()
-	defer b.computing.Unlock()
-	base, d := b.lookUp(known)
-	if d.Revision != r.Revision {
-		if base.Revision == 0 {
-			return r
-		}
-		diff, err := transfer.Diff(base.Value, r.Value)
-		if err != nil || len(diff) >= len(r.Value) {
-			return r
-		}
-		d = Row{Revision: r.Revision, Value: diff, Digest: transfer.Digest(r.Value)}
-		b.mu.Lock()
-		b.differences[known] = d
-		b.mu.Unlock()
+	diff, ok := b.differences.Diff(known.String(), RowRevision{Key: r.Key, Revision: r.Revision}.String(), base.Value, r.Value)
+	if !ok {
+		return r
 	}
-	r.Value, r.Digest, r.BaseRevision = d.Value, d.Digest, known.Revision
+	r.Value, r.Digest, r.BaseRevision = diff, transfer.Digest(r.Value), known.Revision
 	return r
 }
 
-// lookUp returns the version that a peer has and the last difference to it, or zero values.
-func (b *rowBases) lookUp(known RowRevision) (base, difference Row) {
+func (b *rowBases) find(known RowRevision) (base Row, found bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, r := range b.versions[known.Key] {
-		if r.Revision == known.Revision {
-			base = r
-		}
+	i := slices.IndexFunc(b.versions[known.Key], func(r Row) bool { return r.Revision == known.Revision })
+	if i < 0 {
+		return Row{}, false
 	}
-	return base, b.differences[known]
+	return b.versions[known.Key][i], true
 }
 
 // LargeRow names the largest row of the directives that a snapshot may state as a difference,
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -16,11 +16,12 @@
 	// for a change. It is shorter than maxProofAge, so that the answers of one watcher keep a
 	// whole region current. minWatchWait is the long-poll time of a watch whose answer is
 	// already due.
-	// watchResponseTimeout is the extra time until the response makes progress. A connection
-	// that has gone silent is detected only after both have passed. Their sum, a backoff and the time
-	// until the other instances of the region have the changes must stay below
-	// three seconds, the shortest time within which a deployment expects an
-	// instance that lost contact with the store to be up to date again.
+	// watchResponseTimeout is the extra time until the response makes progress. A
+	// connection that has gone silent is detected only after both have passed. Their
+	// sum, a backoff and the time until the other instances of the region have the
+	// changes must stay below three seconds, the shortest time within which a
+	// deployment expects an instance that lost contact with the store to be up to
+	// date again.
 	watchWait            = time.Second
 	minWatchWait         = time.Millisecond
 	watchResponseTimeout = 700 * time.Millisecond
--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -68,7 +68,7 @@
 func (i *Instance) changesSince(known mesh.KnownRevisions) mesh.Changes {
 	c := mesh.Changes{Tables: i.catalog.Snapshot(known.DirectivesRevision, known.UpstreamsRevision, known.LargeRow), VersionKnown: i.policy.VersionKnown()}
 	if v := i.policy.Current(); v.Number > known.DescriptionVersion {
-		v = i.descriptionDifferences.stateTo(v, known.DescriptionHash)
+		v = versionFor(v, known.DescriptionHash, &i.descriptionDifferences)
 		c.Version = &v
 	}
 	return c
--- a/pkg/instance/description.go
+++ b/pkg/instance/description.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"maps"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,30 +51,16 @@
 // difference to the previous version.
 const minDescriptionDifference = 4 << 10
 
-// descriptionDifferences computes the difference between two versions once for all peers.
-type descriptionDifferences struct {
-	mu   sync.Mutex
-	last cluster.Version
-}
-
-// stateTo returns v with its body as the difference to the previous one, if that is the
-// description with the hash that a peer has; otherwise it returns v as it is.
-func (d *descriptionDifferences) stateTo(v cluster.Version, peerHash string) cluster.Version {
-	if peerHash == "" || len(v.Body) < minDescriptionDifference {
+// versionFor returns v as a peer gets it that has the description with the given hash: with
+// the body as the difference to the previous one if that is it, otherwise as it is.
+func versionFor(v cluster.Version, peerHash string, differences *transfer.DiffCache) cluster.Version {
+	if peerHash == "" || len(v.Body) < minDescriptionDifference || description.Hash(v.PreviousBody) != peerHash {
 		return v
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.last.Hash != v.Hash || d.last.Number != v.Number {
-		d.last = v
-		if diff, err := transfer.Diff(v.PreviousBody, v.Body); err == nil && len(v.PreviousBody) > 0 {
-			d.last.Body, d.last.PreviousBody, d.last.BaseHash = diff, nil, description.Hash(v.PreviousBody)
-		}
-	}
-	if d.last.BaseHash != peerHash {
-		return v
+	if diff, ok := differences.Diff(peerHash, v.Hash, v.PreviousBody, v.Body); ok {
+		v.Body, v.PreviousBody, v.BaseHash = diff, nil, peerHash
 	}
-	return d.last
+	return v
 }
 
 // restoreVersion returns a version from a peer with its whole body. It returns ErrDifference
--- a/pkg/instance/description_test.go
+++ b/pkg/instance/description_test.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/description"
+	"github.com/sequoiacove/sequoiacove/pkg/transfer"
 )
 
 // largeVersion returns a version of a large description.
@@ -27,9 +28,9 @@
 
 // Guards against patches that cost the size of the description between instances.
 func TestPeerGetsTheDifferenceOfALargeDescription(t *testing.T) {
-	var d descriptionDifferences
+	var d transfer.DiffCache
 	current, next := largeVersion(4), largeVersion(5)
-	stated := d.stateTo(next, current.Hash)
+	stated := versionFor(next, current.Hash, &d)
 	require.Less(t, len(stated.Body)+len(stated.PreviousBody), 200)
 	got, err := restoreVersion(stated, current)
 	require.NoError(t, err)
@@ -39,11 +40,11 @@
 // Guards against a description that is restored from another one than its difference is
 // made for.
 func TestDescriptionWhoseDifferenceDoesNotFitIsFetchedWhole(t *testing.T) {
-	var d descriptionDifferences
+	var d transfer.DiffCache
 	next := largeVersion(5)
-	require.Equal(t, next, d.stateTo(next, largeVersion(3).Hash), "the peer has another version")
-	require.Equal(t, next, d.stateTo(next, ""), "an older release")
-	stated := d.stateTo(next, largeVersion(4).Hash)
+	require.Equal(t, next, versionFor(next, largeVersion(3).Hash, &d), "the peer has another version")
+	require.Equal(t, next, versionFor(next, "", &d), "an older release")
+	stated := versionFor(next, largeVersion(4).Hash, &d)
 	_, err := restoreVersion(stated, largeVersion(3))
 	require.ErrorIs(t, err, catalog.ErrDifference)
 	stated.Body = stated.Body[1:]
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -32,6 +32,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/operatorapi"
 	"github.com/sequoiacove/sequoiacove/pkg/policy"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
+	"github.com/sequoiacove/sequoiacove/pkg/transfer"
 )
 
 // Paths holds the HTTP paths and query parameters that an instance serves.
@@ -106,7 +107,8 @@
 	// servesWithoutDescription is set once the wait for the description has timed
 	// out.
 	servesWithoutDescription atomic.Bool
-	descriptionDifferences   descriptionDifferences
+	// descriptionDifferences holds the differences to the description in force.
+	descriptionDifferences transfer.DiffCache
 	// fetches decides which members may be asked for their state.
 	fetches *fetches
 	// trafficByRegion maps the names of the other regions to their regionTraffic.
--- a/pkg/transfer/conn.go
+++ b/pkg/transfer/conn.go
@@ -19,16 +19,16 @@
 	minProgress = 4 << 10
 	// stallTimeout covers a lost packet that TCP sends again, and the queue of a busy link.
 	stallTimeout = 800 * time.Millisecond
-	// MaxExtension bounds a transfer beyond its first deadline: what takes longer is out of
+	// maxExtension bounds a transfer beyond its first deadline: what takes longer is out of
 	// date when it arrives. It is the time in which a change must be in force.
-	MaxExtension = 8 * time.Second
+	maxExtension = 8 * time.Second
 	// maxWrite is the number of bytes after which the progress of a write is checked.
 	maxWrite = 16 << 10
 )
 
 // Conn is a connection whose deadlines apply to transfers without progress. A deadline that
 // is set holds until minProgress bytes have been transferred; from then on, each further
-// minProgress bytes extend it to stallTimeout from that time, up to MaxExtension in all.
+// minProgress bytes extend it to stallTimeout from that time, up to maxExtension in all.
 type Conn struct {
 	net.Conn
 	now func() time.Time
@@ -54,7 +54,7 @@
 func (p *progress) start(deadline, now time.Time) {
 	*p = progress{first: deadline, deadline: deadline, startedAt: now}
 	if !deadline.IsZero() {
-		p.limit = deadline.Add(MaxExtension)
+		p.limit = deadline.Add(maxExtension)
 	}
 }
 
--- a/pkg/transfer/diff.go
+++ b/pkg/transfer/diff.go
@@ -51,6 +51,31 @@
 	return target, nil
 }
 
+// DiffCache keeps the differences to one target, so that each is computed once however many
+// peers ask for it. The zero value is empty.
+type DiffCache struct {
+	mu     sync.Mutex
+	target string
+	diffs  map[string][]byte
+}
+
+// Diff returns the difference between two states, which their names identify. It returns false
+// if it is not smaller than the target.
+func (c *DiffCache) Diff(baseName, targetName string, base, target []byte) (diff []byte, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.target != targetName || c.diffs == nil {
+		c.target, c.diffs = targetName, make(map[string][]byte)
+	}
+	diff, known := c.diffs[baseName]
+	if !known {
+		// An error leaves the difference empty, which no difference is.
+		diff, _ = Diff(base, target)
+		c.diffs[baseName] = diff
+	}
+	return diff, len(diff) > 0 && len(diff) < len(target)
+}
+
 // Digest returns the SHA-256 digest of a state.
 func Digest(state []byte) []byte {
 	d := sha256.Sum256(state)
--- a/pkg/transfer/transfer_test.go
+++ b/pkg/transfer/transfer_test.go
@@ -83,7 +83,7 @@
 	for n := range 100 {
 		p.advance(minProgress, start.Add(time.Duration(n)*100*time.Millisecond))
 	}
-	require.Equal(t, start.Add(time.Second+MaxExtension), p.deadline)
+	require.Equal(t, start.Add(time.Second+maxExtension), p.deadline)
 }
 
 // Guards against writers that never end because their peer does not read.
