Take the steps of the shares in turn

Found by the race detector in one of twelve copies of the tests of pkg/instance at once: the periodic task and an accepted patch called Policy.Step at the same time. The step with the older description could be applied last, so that the shares moved towards the old targets until the next step, and both could move them for the time of the same pause, beyond the cap. No caller was seen to be affected. Steps now hold a lock from reading the description to the end.

TestStepsAtOnceAreTakenInTurn reports the race before and passes after.

--- a/pkg/policy/assign.go
+++ b/pkg/policy/assign.go
@@ -22,8 +22,11 @@
 }
 
 // Step applies new inputs, advances the shares to the current time and updates
-// the link budgets. It is called a few times per second.
+// the link budgets. It is called a few times per second
+// and when a description comes into force.
 func (p *Policy) Step(in Inputs) {
+	p.stepMu.Lock()
+	defer p.stepMu.Unlock()
 	p.mu.Lock()
 	d, previous, version := p.description, p.previousDescription, p.version
 	p.mu.Unlock()
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -81,7 +81,10 @@
 	// responseBudgets the response bytes received from them.
 	requestBudgets  *linkbudget.Budgets
 	responseBudgets *linkbudget.Budgets
-	// lastStep is the time of the last call of Step.
+	// stepMu is held during Step, so that the step with the newest description is applied
+	// last. It is locked before mu.
+	stepMu sync.Mutex
+	// lastStep is the time of the last call of Step. It is guarded by stepMu.
 	lastStep time.Time
 
 	mu                  sync.Mutex
--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -415,3 +416,23 @@
 	require.Greater(t, peer["n-a"]+peer["n-b"], 0.6, "the peers must have moved past a share of 0.6 while the instance was paused")
 	require.InDelta(t, peer["n-a"], own["n-a"], 2*regionCap*stepInterval.Seconds())
 }
+
+// Guards against steps at once, by the periodic task and by a description that comes into
+// force: the one with the older description could be applied last, and both could move the
+// shares for the time of the same pause. The race detector sees them.
+func TestStepsAtOnceAreTakenInTurn(t *testing.T) {
+	f := newFleet(t, 1)
+	p := f.policies[0]
+	p.ApplyIfNewer(f.accept(0, descriptionBody(0.5)), "test")
+	in := Inputs{Reachable: map[string]map[string]bool{service: f.reachable}, InstanceCount: 1}
+	var steps sync.WaitGroup
+	for range 2 {
+		steps.Go(func() {
+			for range 100 {
+				p.Step(in)
+			}
+		})
+	}
+	steps.Wait()
+	require.InDelta(t, 0.5, p.Shares()[service]["n-a"]+p.Shares()[service]["n-b"], 1e-9)
+}
