Refuse requests late in the grace period that leave no time for their answer

Callers whose deadline lay just before the end of a shutdown could be cut off on a loaded machine: two requests were answered 45 to 48 ms after their deadlines, after the process had stopped (2 of 12 copies of pkg/instance under the race detector at once). Cause: admitted if the deadline is before that end, by however little. It now has to be 100 ms before it; else the request is refused, not run.

The check of TestRequestLateInGracePeriodIsNotCutOff is replaced by a stricter one. It asked whether the process had ended once the answer was received, which it may have by then (so it failed with nothing in flight), and which does not show that the answer came first. It now asks that each answer stands before event 102 and that nothing is in flight there. Mutants that admit all requests, and that stop without waiting, fail it in the cases concerned. A case with a deadline that leaves time for the answer is added.

TestRequestWithoutTimeForItsAnswerIsNotAdmitted fails before. 12 of 12 copies of the package pass after.

--- a/pkg/instance/serve.go
+++ b/pkg/instance/serve.go
@@ -164,13 +164,13 @@
 }
 
 // admits reports whether a new request is accepted. Late in a shutdown, only requests that
-// time out before its end are accepted.
+// time out well before its end are accepted.
 func (i *Instance) admits(c *dispatch) bool {
 	shutdown := i.shutdown.Load()
 	if shutdown == nil {
 		return true
 	}
-	return i.opt.Now().Before(shutdown.admitAllUntil) || c.deadline.Before(shutdown.deadline)
+	return i.opt.Now().Before(shutdown.admitAllUntil) || c.deadline.Add(answerMargin).Before(shutdown.deadline)
 }
 
 // run sends the request to upstreams, with retries, and returns the response; it
--- a/pkg/instance/stop.go
+++ b/pkg/instance/stop.go
@@ -23,10 +23,13 @@
 	acceptPeriodFraction = 0.6
 	// maxAdmitAllTime is how long after the stop signal a leaving instance admits
 	// all requests, and admitAllFraction limits it to a fraction of a short grace period.
-	// Later it admits only requests that time out before the end of the shutdown, because
-	// the others could be cut off then.
+	// Later it admits only requests that time out answerMargin before the end of the
+	// shutdown, because the others could be cut off then.
 	maxAdmitAllTime  = 2500 * time.Millisecond
 	admitAllFraction = 0.42
+	// answerMargin is the time from the deadline of a request until its caller has the answer,
+	// on a machine that is loaded.
+	answerMargin = 100 * time.Millisecond
 )
 
 // shutdownTimes holds when a leaving instance was told to stop, until when it admits all
--- a/pkg/instance/stop_test.go
+++ b/pkg/instance/stop_test.go
@@ -85,6 +85,7 @@
 	}{
 		{"deadline after the end", 2 * time.Second, -time.Second},
 		{"deadline shortly before the end", 1500 * time.Millisecond, 10 * time.Millisecond},
+		{"deadline that leaves time for the answer", 1500 * time.Millisecond, answerMargin + 10*time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			env := newTestEnv(t)
@@ -111,12 +112,28 @@
 			for _, c := range callers {
 				r, _ := c.receive()
 				require.Contains(t, []int{http.StatusServiceUnavailable, http.StatusGatewayTimeout}, r.StatusCode)
-				select {
-				case <-inst.done:
-					t.Fatal("the process ended before it answered the request")
-				default:
-				}
 			}
+			<-inst.done
+			answered := strings.LastIndex(inst.log.String(), `"reason":`)
+			stopped := strings.Index(inst.log.String(), `"event":102,"in_flight":0`)
+			require.Greater(t, stopped, answered, "the process ended before it answered the requests")
 		})
 	}
 }
+
+// Guards against requests that are admitted late in the grace period and whose answer, due just
+// before its end, comes too late on a loaded machine.
+func TestRequestWithoutTimeForItsAnswerIsNotAdmitted(t *testing.T) {
+	env := newTestEnv(t)
+	inst := env.newInstance("n", "i1")
+	stoppedAt := time.Unix(1000, 0)
+	times := newShutdownTimes(stoppedAt, inst.settings.Bounds.ShutdownGracePeriod)
+	inst.shutdown.Store(times)
+	inst.opt.Now = func() time.Time { return times.admitAllUntil.Add(time.Millisecond) }
+	admitted := func(left time.Duration) bool {
+		return inst.admits(&dispatch{instance: inst.Instance, deadline: times.deadline.Add(-left)})
+	}
+	require.True(t, admitted(answerMargin+time.Millisecond))
+	require.False(t, admitted(answerMargin))
+	require.False(t, admitted(time.Millisecond))
+}
