Refuse responses with a status below 100, wherever responses are read

Callers got 200 for a response whose status line said 000, with its body and signature. The store's client took such a response for rows and for the acknowledgement of a write, the health check for a stated warm-up, the operator's client for an answer of an instance.

Cause: fasthttp keeps the status 0 for "not set" and reports it as 200. It takes 001 to 099 as they are, which package exchange counted as interim responses. The check of heads in package exchange looked at lengths only, and at nothing at all if blank lines came before the status line: it took those for the whole head. The clients of the store, of health checks and of the operator API had no check.

Change: package httpio reads a response for all four: it finds the head, checks its status line and framing and only then has fasthttp parse it. The fasthttp clients get there through a RoundTripper. So responses with a length and chunks, which package exchange refused already, are refused by the other three too, and their connections are closed when bytes follow a response. A response of an upstream may now be preceded by 100 interim ones, as fasthttp allows, instead of 3.

Why it works: no response gets to the parser whose status does not start with 1 to 9; the parser itself refuses what has not three digits. Statuses from 600 are passed on as before: RFC 9110 has clients treat them as server errors.

Ruled out: a check of StatusCode() after parsing, which can't tell 000 from 200; a check in package instance, which the other readers would lack.

Evidence: with the tests on, 10 of 17 statuses in TestResponseWithInvalidStatusIsNoAnswer were answers or had another reason ("status 200, body abc"), and "four interim responses" was refused; TestBrokenResponseIsNoHealth failed in 10 cases, the test of the store's client in 8 for a listing, 8 for a write of a row and 9 for one of an object, that of the operator's client in 8. All other responses of httpiotest.Sound passed before and pass now.

--- /dev/null
+++ b/pkg/exchange/broken_test.go
@@ -0,0 +1,53 @@
+package exchange
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/httpio/httpiotest"
+)
+
+// signedFields are the fields that make a response that to request 1.
+const signedFields = "X-Id: 1\r\nX-Signature: s\r\n"
+
+// receive returns the result of a request that an upstream answers with the given text.
+func receive(t *testing.T, response string) *Result {
+	address := httpiotest.Serve(t, func(*http.Request) string { return response })
+	return do(testClient(), &upstream{address: address}, "1", time.Second)
+}
+
+// requireMalformed requires that none of the responses is taken for an answer.
+func requireMalformed(t *testing.T, responses map[string]httpiotest.Response) {
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			r := receive(t, response.With(signedFields, "abc"))
+			require.Equal(t, Unknown, r.Outcome, "status %d, body %q", r.Status, r.Body)
+			require.Equal(t, Malformed, r.Reason, "%v", r.Err)
+			require.Empty(t, r.Body)
+		})
+	}
+}
+
+// Guards against a status that is none and reaches the caller as 200.
+func TestResponseWithInvalidStatusIsNoAnswer(t *testing.T) {
+	requireMalformed(t, httpiotest.InvalidStatus)
+}
+
+// Guards against sound answers that the checks of responses refuse.
+func TestUnusualResponsesAreAnswers(t *testing.T) {
+	for name, response := range httpiotest.Sound {
+		t.Run(name, func(t *testing.T) {
+			r := receive(t, response.With(signedFields, "abc"))
+			require.Equal(t, Answered, r.Outcome, "%v", r.Err)
+			require.Equal(t, http.StatusOK, r.Status)
+			require.Equal(t, "abc", string(r.Body))
+		})
+	}
+	for _, status := range []string{"201", "299", "304", "404", "418", "599", "600", "999"} {
+		r := receive(t, "HTTP/1.1 "+status+"\r\n"+signedFields+"Content-Length: 0\r\n\r\n")
+		require.Equal(t, Answered, r.Outcome, "%v", r.Err)
+	}
+}
--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -25,12 +25,6 @@
 	// maxMismatchedResponses is the maximum number of responses to other
 	// requests that are skipped.
 	maxMismatchedResponses = 2
-	// maxHeaderReads is the maximum number of headers read per response: those of
-	// the 1xx responses and that of the final response.
-	maxHeaderReads = 4
-	// closeDelimitedLength is the content length that fasthttp reports for a response
-	// that ends when its connection is closed.
-	closeDelimitedLength = -2
 	// smallestRateLimit stands for a stated rate limit of 0, in requests per second. It
 	// differs from 0, which means that no limit is stated.
 	smallestRateLimit = 1e-3
--- a/pkg/exchange/read.go
+++ b/pkg/exchange/read.go
@@ -1,16 +1,16 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiacove/sequoiacove/pkg/httpio"
 )
 
 // read reads responses until it finds the one to req. used reports whether an
@@ -35,10 +35,7 @@
 // readResponse reads one response. matched is false if the response carries the
 // identifier of another request.
 func (c *Client) readResponse(ctx context.Context, k *conn, message *fasthttp.Response, req *Request, used bool) (r *Result, reusable, matched bool) {
-	if err := readHeader(k.reader, message); err != nil {
-		return readFailure(ctx, k, err), false, true
-	}
-	complete, err := readBody(k.reader, message, req.Method, int(min(maxResponseBytes, c.config.MaxBufferedBytes)))
+	closeDelimited, err := httpio.ReadResponse(k.reader, message, req.Method, int(min(maxResponseBytes, c.config.MaxBufferedBytes)))
 	if err != nil {
 		return readFailure(ctx, k, err), false, true
 	}
@@ -54,7 +51,7 @@
 		return &Result{Outcome: Unknown, Reason: Malformed, Err: errors.New("response without request identifier")}, false, true
 	}
 	r = c.toResult(message)
-	reusable = complete && !message.ConnectionClose() && k.reader.Buffered() == 0 && req.ID != ""
+	reusable = !closeDelimited && !message.ConnectionClose() && k.reader.Buffered() == 0 && req.ID != ""
 	if idle := parseKeepAlive(message.Header.Peek("Keep-Alive")); idle > 0 {
 		k.peerIdleTimeout = idle
 	}
@@ -72,99 +69,6 @@
 	return r, reusable, true
 }
 
-func readHeader(b *bufio.Reader, message *fasthttp.Response) error {
-	for range maxHeaderReads {
-		if err := checkFraming(b); err != nil {
-			return err
-		}
-		if err := message.Header.Read(b); err != nil {
-			return err
-		}
-		status := message.StatusCode()
-		if status == http.StatusSwitchingProtocols {
-			return errors.New("unexpected 101 Switching Protocols response")
-		}
-		if status >= http.StatusOK {
-			return nil
-		}
-	}
-	return errors.New("too many interim responses")
-}
-
-// checkFraming waits for a complete header and rejects one from which the length of the
-// body does not follow without doubt. fasthttp would use the last of several lengths, and
-// a body cut there would pass for a complete one.
-func checkFraming(b *bufio.Reader) error {
-	head, err := peekHeader(b)
-	if err != nil {
-		return err
-	}
-	lengths, encodings := 0, 0
-	for line := range bytes.Lines(head) {
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		switch value = bytes.TrimSpace(value); {
-		case bytes.EqualFold(name, []byte("Content-Length")):
-			lengths++
-			if _, err := strconv.ParseUint(string(value), 10, 63); err != nil {
-				return errors.New("content length that is not a number")
-			}
-		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			encodings++
-		}
-	}
-	if lengths+encodings > 1 {
-		return errors.New("several lengths or encodings of the body")
-	}
-	return nil
-}
-
-// peekHeader returns the header up to its blank line without consuming it.
-func peekHeader(b *bufio.Reader) ([]byte, error) {
-	for n := 1; ; n = b.Buffered() + 1 {
-		if n > b.Size() {
-			return nil, errors.New("response header too long")
-		}
-		_, err := b.Peek(n)
-		head, _ := b.Peek(b.Buffered())
-		if end := headerEnd(head); end > 0 {
-			return head[:end], nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// headerEnd returns the length of a header including its blank line, 0 if it is
-// incomplete.
-func headerEnd(head []byte) int {
-	for _, blank := range []string{"\r\n\r\n", "\n\n"} {
-		if i := bytes.Index(head, []byte(blank)); i >= 0 {
-			return i + len(blank)
-		}
-	}
-	return 0
-}
-
-// readBody reads the body. complete is false when the response is delimited by
-// the end of the connection, so that the connection cannot be reused.
-func readBody(b *bufio.Reader, message *fasthttp.Response, method string, maxBodyBytes int) (complete bool, err error) {
-	status := message.StatusCode()
-	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
-		return true, nil
-	}
-	length := message.Header.ContentLength()
-	if err := message.ReadBody(b, maxBodyBytes); err != nil {
-		return false, err
-	}
-	if length == -1 {
-		if err := message.Header.ReadTrailer(b); err != nil {
-			return false, err
-		}
-	}
-	return length != closeDelimitedLength, nil
-}
-
 func readFailure(ctx context.Context, k *conn, err error) *Result {
 	r := &Result{Outcome: Unknown, Reason: Malformed, Err: errors.Trace(err)}
 	var netErr net.Error
--- a/pkg/healthcheck/healthcheck.go
+++ b/pkg/healthcheck/healthcheck.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/httpio"
 )
 
 const (
@@ -49,6 +50,7 @@
 		DisableHeaderNamesNormalizing: true,
 		MaxConnsPerHost:               1,
 		MaxIdleConnDuration:           maxIdleTime,
+		Transport:                     httpio.Transport{Now: time.Now},
 		MaxIdemponentCallAttempts:     1,
 		MaxResponseBodySize:           maxResponseBytes,
 	}}
--- a/pkg/healthcheck/healthcheck_test.go
+++ b/pkg/healthcheck/healthcheck_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/httpio/httpiotest"
 )
 
 var testHeaders = exchange.Headers{Upstream: "X-Upstream", ColdRemaining: "X-Cold"}
@@ -52,3 +53,11 @@
 		})
 	}
 }
+
+// Guards against a broken response that is taken for the health of an upstream.
+func TestBrokenResponseIsNoHealth(t *testing.T) {
+	httpiotest.CheckReader(t, "X-Upstream: u\r\n", "", func(address string) error {
+		_, err := NewClient(testHeaders).Check(Target{ID: "u", Address: address, Path: "/healthz"}, time.Second)
+		return err
+	})
+}
--- /dev/null
+++ b/pkg/httpio/head.go
@@ -0,0 +1,123 @@
+package httpio
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// peekSection returns the next part of a message without consuming it. end returns the length
+// of the part, 0 while it is incomplete.
+func peekSection(b *bufio.Reader, end func(buffered []byte) int) ([]byte, error) {
+	for n := 1; ; n = b.Buffered() + 1 {
+		if n > b.Size() {
+			return nil, errors.New("head exceeds the read buffer")
+		}
+		_, err := b.Peek(n)
+		buffered, _ := b.Peek(b.Buffered())
+		if length := end(buffered); length > 0 {
+			return buffered[:length], nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// blankLine returns the length of the line end at the start of b, 0 if there is none.
+func blankLine(b []byte) int {
+	switch {
+	case bytes.HasPrefix(b, []byte("\r\n")):
+		return 2
+	case bytes.HasPrefix(b, []byte("\n")):
+		return 1
+	}
+	return 0
+}
+
+// fieldsEnd returns the length of field lines including the blank line that ends them, 0 if
+// they are incomplete.
+func fieldsEnd(b []byte) int {
+	for offset := 0; ; {
+		if n := blankLine(b[offset:]); n > 0 {
+			return offset + n
+		}
+		lineEnd := bytes.IndexByte(b[offset:], '\n')
+		if lineEnd < 0 {
+			return 0
+		}
+		offset += lineEnd + 1
+	}
+}
+
+// startLine returns the offsets of the first line that is not blank, which fasthttp takes for
+// the start line, and of the field lines behind it; fields is 0 if the line is incomplete.
+func startLine(b []byte) (start, fields int) {
+	for n := blankLine(b); n > 0; n = blankLine(b[start:]) {
+		start += n
+	}
+	if lineEnd := bytes.IndexByte(b[start:], '\n'); lineEnd >= 0 {
+		fields = start + lineEnd + 1
+	}
+	return start, fields
+}
+
+// headEnd returns the length of a head including its blank line, 0 if it is incomplete.
+func headEnd(b []byte) int {
+	_, fields := startLine(b)
+	if fields == 0 {
+		return 0
+	}
+	end := fieldsEnd(b[fields:])
+	if end == 0 {
+		return 0
+	}
+	return fields + end
+}
+
+// checkResponseHead returns an error if the head is not that of a response, or if the length
+// of the body does not follow from it without doubt.
+func checkResponseHead(head []byte) error {
+	start, fields := startLine(head)
+	if err := checkStatus(head[start:fields]); err != nil {
+		return err
+	}
+	return checkFraming(head[fields:])
+}
+
+// checkStatus rejects a status below 100. fasthttp reports 000 as 200 and takes the others for
+// those of interim responses. A status above 599 is passed on; RFC 9110 has clients treat it
+// as a server error.
+func checkStatus(statusLine []byte) error {
+	_, status, _ := bytes.Cut(statusLine, []byte(" "))
+	status = bytes.TrimLeft(status, " ")
+	if len(status) == 0 || status[0] < '1' || status[0] > '9' {
+		return errors.Errorf("no valid status in %.40q", statusLine)
+	}
+	return nil
+}
+
+// checkFraming rejects fields from which the length of the body does not follow without doubt.
+// fasthttp would use the last of several lengths, and a body cut there would pass for a
+// complete one.
+func checkFraming(fields []byte) error {
+	lengths, encodings := 0, 0
+	for line := range bytes.Lines(fields) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch value = bytes.TrimSpace(value); {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			lengths++
+			if _, err := strconv.ParseUint(string(value), 10, 63); err != nil {
+				return errors.New("content length that is not a number")
+			}
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			encodings++
+		}
+	}
+	if lengths+encodings > 1 {
+		return errors.New("several lengths or encodings of the body")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/httpio/response.go
@@ -0,0 +1,70 @@
+// Package httpio reads HTTP/1.1 messages. It parses them with fasthttp, but first checks and
+// rejects what fasthttp would read as something that the sender did not say.
+//
+// All responses are read by ReadResponse: those of upstreams in package exchange, and those of
+// fasthttp clients, whose Transport has to be that of this package.
+package httpio
+
+import (
+	"bufio"
+	"net/http"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxInterimResponses is the maximum number of 1xx responses before the final one, the
+	// same as that of the clients of fasthttp.
+	maxInterimResponses = 100
+	// chunkedLength and closeDelimitedLength are the content lengths that fasthttp reports for
+	// a chunked response and for one that ends with its connection.
+	chunkedLength        = -1
+	closeDelimitedLength = -2
+)
+
+// ReadResponse reads the final response to a request with the given method, and the interim
+// responses before it. It fails if the body exceeds maxBodyBytes. closeDelimited reports
+// whether the body ended with the connection, so that it is complete only if that ended in
+// order. Errors of b are returned as they are, io.EOF also for a head that broke off.
+func ReadResponse(b *bufio.Reader, response *fasthttp.Response, method string, maxBodyBytes int) (closeDelimited bool, err error) {
+	if err := readHead(b, response); err != nil {
+		return false, err
+	}
+	status := response.StatusCode()
+	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+		return false, nil
+	}
+	length := response.Header.ContentLength()
+	if err := response.ReadBody(b, maxBodyBytes); err != nil {
+		return false, err
+	}
+	if length == chunkedLength {
+		return false, response.Header.ReadTrailer(b)
+	}
+	return length == closeDelimitedLength, nil
+}
+
+// readHead reads the head of the final response.
+func readHead(b *bufio.Reader, response *fasthttp.Response) error {
+	for range maxInterimResponses + 1 {
+		head, err := peekSection(b, headEnd)
+		if err != nil {
+			return err
+		}
+		if err := checkResponseHead(head); err != nil {
+			return err
+		}
+		if err := response.Header.Read(b); err != nil {
+			return err
+		}
+		status := response.StatusCode()
+		if status == http.StatusSwitchingProtocols {
+			return errors.New("unexpected 101 Switching Protocols response")
+		}
+		if status >= http.StatusOK {
+			return nil
+		}
+	}
+	return errors.New("too many interim responses")
+}
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiacove/sequoiacove/pkg/httpio"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 	"github.com/sequoiacove/sequoiacove/pkg/wait"
 )
@@ -58,6 +59,7 @@
 		Name:                      "sequoiactl",
 		Dial:                      dial,
 		MaxResponseBodySize:       maxReplyBytes,
+		Transport:                 httpio.Transport{Now: time.Now},
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
--- a/pkg/operator/client_test.go
+++ b/pkg/operator/client_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sequoiacove/sequoiacove/pkg/httpio/httpiotest"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
 )
 
@@ -137,3 +138,11 @@
 	_, err := newTestClient(refusingAddress(t)).Patch(context.Background(), testPatch)
 	require.Equal(t, result.PeerUnreachable, result.CodeOf(err))
 }
+
+// Guards against a broken response of an instance that is taken for its answer.
+func TestBrokenResponseOfAnInstanceIsNoAnswer(t *testing.T) {
+	httpiotest.CheckReader(t, "", `{}`, func(address string) error {
+		_, err := newTestClient(address).Members(context.Background())
+		return err
+	})
+}
