Refuse a response that a reset has cut while the request is still written

An upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. Callers got that part as the whole answer.

Cause: requests of over 16 KB are written while the response is read. The system reports the error of a connection to one call only. When that was the write, the read saw the end of the data as after an orderly close, which is how a response without a length ends. The error of the write only kept the connection from being used again.

Change: when a response has ended with its connection, the write that still runs is stopped and its error decides. A timeout (it was stopped), no error (all was written) and EPIPE leave the response complete; any other error, as ECONNRESET or ETIMEDOUT, means that the connection did not end in order.

Why it works: the read saw the end, so either the peer had closed its sending side in order, or the write has received the error. In the first case Linux reports a later reset as EPIPE. The write has a deadline in the past then and ends at once, so a complete early response does not wait for the upload.

--- a/pkg/exchange/client.go
+++ b/pkg/exchange/client.go
@@ -272,7 +272,7 @@
 		return &Result{Outcome: NotRun, Reason: Expired}, stop()
 	}
 	message := c.encode(t, req, deadline)
-	written, n, err := write(k, message)
+	w, n, err := write(k, message)
 	if err != nil {
 		stop()
 		return writeFailure(ctx, n, err), false
@@ -282,7 +282,7 @@
 	if used && len(message) <= inlineWriteBytes {
 		c.silence.sent(k, t.ID, req.Idempotent, c.config.Now())
 	}
-	r, reusable := c.read(ctx, k, req, used)
+	r, reusable := c.read(ctx, w, req, used)
 	c.silence.ended(k)
 	if k.givenUp && r.Outcome != Answered {
 		r.Reason, reusable = Silent, false
@@ -291,13 +291,7 @@
 	if !stop() {
 		reusable = false
 	}
-	select {
-	case err := <-written:
-		reusable = reusable && err == nil
-	default:
-		// The upstream responded before it read the whole body. The rest of the
-		// body must not be parsed as the next request.
-		reusable = false
-	}
-	return r, reusable
+	// If the upstream responded before it read the whole body, the rest of the body must
+	// not be parsed as the next request.
+	return r, reusable && w.complete()
 }
--- a/pkg/exchange/read.go
+++ b/pkg/exchange/read.go
@@ -13,14 +13,14 @@
 	"github.com/sequoiacove/sequoiacove/pkg/httpio"
 )
 
-// read reads responses until it finds the one to req. used reports whether an
-// earlier request was sent on the connection. The second result reports whether
-// the connection can be reused.
-func (c *Client) read(ctx context.Context, k *conn, req *Request, used bool) (*Result, bool) {
+// read reads responses until it finds the one to req, of which w is the write. used
+// reports whether an earlier request was sent on the connection. The second result
+// reports whether the connection can be reused.
+func (c *Client) read(ctx context.Context, w *requestWrite, req *Request, used bool) (*Result, bool) {
 	skipped := false
 	for range maxMismatchedResponses + 1 {
 		message := fasthttp.AcquireResponse()
-		r, reusable, matched := c.readResponse(ctx, k, message, req, used || skipped)
+		r, reusable, matched := c.readResponse(ctx, w, message, req, used || skipped)
 		// A large buffer is not worth keeping for the next, usually short response.
 		message.ReleaseBody(minBufferedBytes)
 		fasthttp.ReleaseResponse(message)
@@ -34,8 +34,12 @@
 
 // readResponse reads one response. matched is false if the response carries the
 // identifier of another request.
-func (c *Client) readResponse(ctx context.Context, k *conn, message *fasthttp.Response, req *Request, used bool) (r *Result, reusable, matched bool) {
+func (c *Client) readResponse(ctx context.Context, w *requestWrite, message *fasthttp.Response, req *Request, used bool) (r *Result, reusable, matched bool) {
+	k := w.conn
 	closeDelimited, err := httpio.ReadResponse(k.reader, message, req.Method, int(min(maxResponseBytes, c.config.MaxBufferedBytes)))
+	if err == nil && closeDelimited {
+		err = w.stop()
+	}
 	if err != nil {
 		return readFailure(ctx, k, err), false, true
 	}
--- a/pkg/exchange/write.go
+++ b/pkg/exchange/write.go
@@ -3,29 +3,67 @@
 import (
 	"context"
 	"net"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 )
 
+// requestWrite is the write of a request. It may still run while the response is read.
+type requestWrite struct {
+	conn *conn
+	// done receives the error of the write, or nil, when it has ended.
+	done chan error
+}
+
 // write sends the message; a message longer than inlineWriteBytes is sent
-// concurrently with reading the response. The channel receives the error of the
-// write, or nil. The second result is the number of bytes written, or the length
-// of a message that is still being sent.
-func write(k *conn, message []byte) (<-chan error, int, error) {
-	written := make(chan error, 1)
+// concurrently with reading the response. The second result is the number of bytes
+// written, or the length of a message that is still being sent.
+func write(k *conn, message []byte) (*requestWrite, int, error) {
+	w := &requestWrite{conn: k, done: make(chan error, 1)}
 	if len(message) <= inlineWriteBytes {
 		n, err := k.Write(message)
-		written <- err
-		return written, n, err
+		w.done <- err
+		return w, n, err
 	}
 	go func() {
 		_, err := k.Write(message)
-		written <- err
+		w.done <- err
 	}()
-	return written, len(message), nil
+	return w, len(message), nil
+}
+
+// complete reports whether the whole request has been written.
+func (w *requestWrite) complete() bool {
+	select {
+	case err := <-w.done:
+		w.done <- err
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// stop ends the write, and returns the error of the connection if it has ended the write
+// before the peer has closed its sending side.
+//
+// The system reports an error of a connection to one call only. If that is the write, a read
+// sees the end of the data as after an orderly close. A reset that comes after an orderly
+// close ends the write with EPIPE.
+func (w *requestWrite) stop() error {
+	if err := w.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return errors.Trace(err)
+	}
+	err := <-w.done
+	w.done <- err
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	w.conn.ackTimedOut = w.conn.ackTimedOut || errors.Is(err, syscall.ETIMEDOUT)
+	return err
 }
 
 // writeFailure returns the Result of an attempt whose write failed after n bytes.
