Refuse responses with invalid names of fields

An upstream sent a head in which the name of a field held a blank or a control byte. Callers got it as an answer: with the line passed on ("X Fill: 2"), with a body cut by it ("Content-Length : 2" gives "ab" of "abc"), or with a body that starts with the rest of the head ("\nX-Fill: 2" gives "X-F" of "abc").

Cause: fasthttp accepts blanks inside a name and drops those behind it. It lets a line of a single LF end a head or trailer if CR LF CR LF comes later, which is so when the LF is the first byte of a name. All other control bytes it refuses. The check of heads compared names as they stood, so "Content-Length " was no length for it.

Change: CheckFields requires that each line has a name that is a token of RFC 9110, and that the fields end with CR LF CR LF. It is applied to heads, interim heads and trailers of all responses.

Why it works: the check sees the same bytes as the parser and before it, up to the first empty line of either kind.

Ruled out: a check of the names that the parser returns, in which the blanks behind a name are missing; refusing lines that end with a single LF, which RFC 9112 lets a recipient accept and which can be read in one way only.

--- a/pkg/exchange/broken_test.go
+++ b/pkg/exchange/broken_test.go
@@ -36,6 +36,12 @@
 	requireMalformed(t, httpiotest.InvalidStatus)
 }
 
+// Guards against a name of a field that is none and reaches the caller, or moves the end of
+// the head or of the body.
+func TestResponseWithInvalidFieldNameIsNoAnswer(t *testing.T) {
+	requireMalformed(t, httpiotest.InvalidFields())
+}
+
 // Guards against sound answers that the checks of responses refuse.
 func TestUnusualResponsesAreAnswers(t *testing.T) {
 	for name, response := range httpiotest.Sound {
--- a/pkg/httpio/head.go
+++ b/pkg/httpio/head.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // peekSection returns the next part of a message without consuming it. end returns the length
@@ -13,7 +14,7 @@
 func peekSection(b *bufio.Reader, end func(buffered []byte) int) ([]byte, error) {
 	for n := 1; ; n = b.Buffered() + 1 {
 		if n > b.Size() {
-			return nil, errors.New("head exceeds the read buffer")
+			return nil, errors.New("head or trailer exceeds the read buffer")
 		}
 		_, err := b.Peek(n)
 		buffered, _ := b.Peek(b.Buffered())
@@ -84,9 +85,39 @@
 	if err := checkStatus(head[start:fields]); err != nil {
 		return err
 	}
+	if err := CheckFields(head[fields:]); err != nil {
+		return err
+	}
 	return checkFraming(head[fields:])
 }
 
+// CheckFields returns an error if one of the field lines of a head or trailer has no valid
+// name, or if they do not end with an empty line. fields includes that line.
+//
+// fasthttp accepts blanks inside a name, drops those behind it, so that "Content-Length " sets
+// the length, and lets a line of a single LF end the fields, so that the rest of them becomes
+// the start of the body. Lines that end with LF, and values on several lines, are accepted.
+func CheckFields(fields []byte) error {
+	if !bytes.Equal(fields, []byte("\r\n")) && !bytes.HasSuffix(fields, []byte("\r\n\r\n")) {
+		return errors.New("fields do not end with an empty line")
+	}
+	previous := false
+	for line := range bytes.Lines(fields) {
+		if blankLine(line) > 0 {
+			continue
+		}
+		if continues := line[0] == ' ' || line[0] == '\t'; continues && previous {
+			continue
+		}
+		previous = true
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+			return errors.Errorf("no valid field name in %.40q", line)
+		}
+	}
+	return nil
+}
+
 // checkStatus rejects a status below 100. fasthttp reports 000 as 200 and takes the others for
 // those of interim responses. A status above 599 is passed on; RFC 9110 has clients treat it
 // as a server error.
--- a/pkg/httpio/httpiotest/check.go
+++ b/pkg/httpio/httpiotest/check.go
@@ -9,7 +9,7 @@
 // Broken returns all responses that no reader may take for an answer.
 func Broken() map[string]Response {
 	all := make(map[string]Response)
-	for _, group := range []map[string]Response{InvalidStatus, BrokenFraming} {
+	for _, group := range []map[string]Response{InvalidStatus, BrokenFraming, InvalidFields()} {
 		maps.Copy(all, group)
 	}
 	return all
--- a/pkg/httpio/httpiotest/responses.go
+++ b/pkg/httpio/httpiotest/responses.go
@@ -64,6 +64,36 @@
 	"head without its end":     okHead,
 }
 
+// InvalidNames holds names of fields that are no tokens of RFC 9110.
+var InvalidNames = []string{"", "X Fill", "X-Fill ", "X-Fill  ", "Content-Length ", "Content -Length", "Transfer-Encoding ", "X\tFill", "X-Fill\t",
+	"\x00X-Fill", "X\x01Fill", "X-Fill\x7f", "X\x0bFill", "\x0cX-Fill", "X\rFill", "X-Fill\r", "\rX-Fill", "X\nFill", "X-Fill\n", "\nX-Fill", "\n\nX-Fill", "\n",
+	"X-F\xe9ll", "X(Fill)", "X\"Fill\"", "X/Fill", "X@Fill", "X,Fill", "X[Fill]", "X{Fill}", "X=Fill", "X;Fill", "X?Fill", "X<Fill>", "X\\Fill"}
+
+// InvalidFields returns responses with a field whose name is none of HTTP: in the head, in that
+// of an interim response, or in the trailer.
+func InvalidFields() map[string]Response {
+	all := map[string]Response{
+		"first line starts with a blank": "HTTP/1.1 200 OK\r\n X-Fill: 3\r\n{fields}Content-Length: {length}\r\n\r\n{body}",
+		"line without a colon":           okHead + "X-Fill\r\n\r\n{body}",
+		"trailer without a colon":        chunkedAnswer + "X-Fill\r\n\r\n",
+		"head that ends with LF LF":      okHead + "X-A: 1\n\n{body}\r\n\r\n",
+		"head that ends with LF CR LF":   okHead + "X-A: 1\n\r\n{body}\r\n\r\n",
+		"head that ends with CR LF LF":   okHead + "\n{body}\r\n\r\n",
+		"trailer that ends with LF":      chunkedAnswer + "\nX-A: 1\r\n\r\n",
+	}
+	for _, name := range InvalidNames {
+		line := Response(name + ": 2\r\n")
+		quoted := strconv.Quote(name)
+		all[quoted+" in the head"] = okHead + line + "\r\n{body}"
+		all[quoted+" first in the head"] = "HTTP/1.1 200 OK\r\n" + line + "{fields}Content-Length: {length}\r\n\r\n{body}"
+		all[quoted+" in a head without a length"] = "HTTP/1.1 200 OK\r\n{fields}" + line + "\r\n{body}"
+		all[quoted+" in an interim response"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + okAnswer
+		all[quoted+" in the trailer"] = chunkedAnswer + line + "\r\n"
+		all[quoted+" second in the trailer"] = chunkedAnswer + "X-Sum: 1\r\n" + line + "\r\n"
+	}
+	return all
+}
+
 // Sound holds responses with status 200 that are unusual but valid, or that senders are known
 // to produce and that can be read in one way only.
 var Sound = map[string]Response{
--- a/pkg/httpio/response.go
+++ b/pkg/httpio/response.go
@@ -40,6 +40,9 @@
 		return false, err
 	}
 	if length == chunkedLength {
+		if err := checkTrailer(b); err != nil {
+			return false, err
+		}
 		return false, response.Header.ReadTrailer(b)
 	}
 	return length == closeDelimitedLength, nil
@@ -68,3 +71,12 @@
 	}
 	return errors.New("too many interim responses")
 }
+
+// checkTrailer waits for a complete trailer and checks it without consuming it.
+func checkTrailer(b *bufio.Reader) error {
+	trailer, err := peekSection(b, fieldsEnd)
+	if err != nil {
+		return err
+	}
+	return CheckFields(trailer)
+}
