Refuse requests with invalid names of fields

A caller's field whose name held a blank was passed on to upstreams as it was. A name that began with LF ended the head, so one request became two: the second could be any that the caller wrote into its fields, or into the trailer of a chunked body.

Cause: as for responses, fasthttp accepts blanks inside a name, and a line of a single LF as the end of a head or trailer if CR LF CR LF comes later.

Change: package ingress checks the fields of each request with httpio.CheckFields and answers 400; the servers for lookups, readiness checks and operators do the same. Chunked bodies of callers are read by httpio.NewChunkedReader, on the chunk reader of net/http/httputil, because fasthttp drops a trailer without showing it.

Why it works: the check sees the bytes that fasthttp has taken for the head. A head that ended early does not end with CR LF CR LF.

Ruled out: dropping such fields, which would hide that the two ends read the request differently; a stricter fasthttp, which has no setting for it; reading bodies with a length in a new way too, which changes what counts as their memory (TestBodiesOfManyCallersTakeBoundedMemory).

--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -6,6 +6,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/sequoiacove/sequoiacove/pkg/httpio"
 )
 
 const (
@@ -39,8 +41,10 @@
 	if err := x.conn.SetReadDeadline(x.server.config.Now().Add(bodyTimeout)); err != nil {
 		return errors.Trace(err)
 	}
-	err := message.ContinueReadBodyStream(x.reader, limit, false)
-	if err == nil {
+	var err error
+	if length < 0 {
+		r.Body, err = x.server.receiveBody(httpio.NewChunkedReader(x.reader), length, limit)
+	} else if err = message.ContinueReadBodyStream(x.reader, limit, false); err == nil {
 		r.Body, err = x.server.receiveBody(message.BodyStream(), length, limit)
 	}
 	r.HasBody = err == nil
--- a/pkg/ingress/read.go
+++ b/pkg/ingress/read.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/httpio"
 )
 
 // requestError is an error that is reported to the caller with an HTTP status
@@ -79,7 +80,7 @@
 	}
 	switch {
 	case err == nil:
-		return nil
+		return checkFields(message)
 	case errors.As(err, &small):
 		return &requestError{http.StatusRequestHeaderFieldsTooLarge, err}
 	case errors.Is(err, io.EOF) || isNetError(err):
@@ -88,6 +89,19 @@
 	return &requestError{http.StatusBadRequest, err}
 }
 
+// checkFields refuses a head with an invalid field name or end. The names are passed on to
+// upstreams as they are.
+func checkFields(message *fasthttp.Request) error {
+	fields := message.Header.RawHeaders()
+	if len(fields) == 0 {
+		return nil
+	}
+	if err := httpio.CheckFields(fields); err != nil {
+		return &requestError{http.StatusBadRequest, err}
+	}
+	return nil
+}
+
 // bufferedBytes returns a reader for the bytes that are buffered in b.
 func bufferedBytes(b *bufio.Reader) io.Reader {
 	return io.LimitReader(b, int64(b.Buffered()))
--- a/pkg/instance/http.go
+++ b/pkg/instance/http.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/httpio"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 	"github.com/sequoiacove/sequoiacove/pkg/operator"
 )
@@ -37,7 +38,7 @@
 	if l == nil {
 		return
 	}
-	server := &fasthttp.Server{Handler: handler, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: httpTimeout * 4, GetOnly: readOnly, MaxRequestBodySize: operator.MaxBodyBytes,
+	server := &fasthttp.Server{Handler: refuseInvalidFields(handler), ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: httpTimeout * 4, GetOnly: readOnly, MaxRequestBodySize: operator.MaxBodyBytes,
 		NoDefaultServerHeader: true, ReduceMemoryUsage: true, ReadBufferSize: 4 << 10, Logger: log.New(io.Discard, "", 0)}
 	go func() {
 		if err := server.Serve(l); err != nil {
@@ -46,6 +47,21 @@
 	}()
 }
 
+// refuseInvalidFields returns a handler that refuses requests with an invalid field name or end
+// of the head, as package ingress does.
+func refuseInvalidFields(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if fields := ctx.Request.Header.RawHeaders(); len(fields) > 0 {
+			if err := httpio.CheckFields(fields); err != nil {
+				ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+				ctx.SetConnectionClose()
+				return
+			}
+		}
+		handler(ctx)
+	}
+}
+
 // publicAPI serves readiness checks and lookups.
 func (i *Instance) publicAPI(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
