Refuse chunked responses in versions other than HTTP/1.1

A response with status line HTTP/1.0 or HTTP/2.0 and chunks reached callers with the sizes of the chunks as part of the body ("3 abc 0" for "abc").

Cause: fasthttp ignores Transfer-Encoding if the version is not HTTP/1.1 and reads the body until the connection ends. Found while looking at how the other lines of the head are read.

Change: such a response is refused, as RFC 9112 6.1 asks for; requests of this kind were refused by fasthttp already. HTTP/1.0 without that field is read as before (httpiotest.Sound).

--- a/pkg/exchange/broken_test.go
+++ b/pkg/exchange/broken_test.go
@@ -42,6 +42,15 @@
 	requireMalformed(t, httpiotest.InvalidFields())
 }
 
+// Guards against a response whose framing is ambiguous and that is taken for complete.
+func TestResponseWithBrokenFramingIsNoAnswer(t *testing.T) {
+	for name, response := range httpiotest.BrokenFraming {
+		r := receive(t, response.With(signedFields, "abc"))
+		require.Equal(t, Unknown, r.Outcome, "%s: status %d, body %q", name, r.Status, r.Body)
+		require.Empty(t, r.Body, name)
+	}
+}
+
 // Guards against sound answers that the checks of responses refuse.
 func TestUnusualResponsesAreAnswers(t *testing.T) {
 	for name, response := range httpiotest.Sound {
--- a/pkg/httpio/head.go
+++ b/pkg/httpio/head.go
@@ -88,7 +88,7 @@
 	if err := CheckFields(head[fields:]); err != nil {
 		return err
 	}
-	return checkFraming(head[fields:])
+	return checkFraming(head[fields:], bytes.HasPrefix(head[start:], []byte("HTTP/1.1 ")))
 }
 
 // CheckFields returns an error if one of the field lines of a head or trailer has no valid
@@ -132,8 +132,9 @@
 
 // checkFraming rejects fields from which the length of the body does not follow without doubt.
 // fasthttp would use the last of several lengths, and a body cut there would pass for a
-// complete one.
-func checkFraming(fields []byte) error {
+// complete one. It ignores the encoding in versions other than HTTP/1.1, and the sizes of the
+// chunks would pass for content; RFC 9112 has such a response treated as faulty.
+func checkFraming(fields []byte, isHTTP11 bool) error {
 	lengths, encodings := 0, 0
 	for line := range bytes.Lines(fields) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
@@ -147,6 +148,9 @@
 			encodings++
 		}
 	}
+	if encodings > 0 && !isHTTP11 {
+		return errors.New("encoding of the body in a version other than HTTP/1.1")
+	}
 	if lengths+encodings > 1 {
 		return errors.New("several lengths or encodings of the body")
 	}
--- a/pkg/httpio/httpiotest/responses.go
+++ b/pkg/httpio/httpiotest/responses.go
@@ -61,6 +61,8 @@
 	"length that is no number": "HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}x\r\n\r\n{body}",
 	"unknown coding":           "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: gzip\r\n\r\n{body}",
 	"chunks without their end": chunkedAnswer,
+	"chunks in HTTP/1.0":       "HTTP/1.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunked}\r\n",
+	"chunks in HTTP/2.0":       "HTTP/2.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunked}\r\n",
 	"head without its end":     okHead,
 }
 
