Test broken responses through an instance and broken answers of peers

An answer of another instance that broke off is refused at each of its lengths (TestSnapshotThatBrokeOffIsRefused), also on.

Names: empty line and space instead of blank, Valid instead of Sound.

--- a/pkg/exchange/broken_test.go
+++ b/pkg/exchange/broken_test.go
@@ -51,9 +51,9 @@
 	}
 }
 
-// Guards against sound answers that the checks of responses refuse.
+// Guards against valid responses that the checks refuse.
 func TestUnusualResponsesAreAnswers(t *testing.T) {
-	for name, response := range httpiotest.Sound {
+	for name, response := range httpiotest.Valid {
 		t.Run(name, func(t *testing.T) {
 			r := receive(t, response.With(signedFields, "abc"))
 			require.Equal(t, Answered, r.Outcome, "%v", r.Err)
--- a/pkg/httpio/head.go
+++ b/pkg/httpio/head.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// blankLine returns the length of the line end at the start of b, 0 if there is none.
-func blankLine(b []byte) int {
+// emptyLine returns the length of the empty line at the start of b, 0 if there is none.
+func emptyLine(b []byte) int {
 	switch {
 	case bytes.HasPrefix(b, []byte("\r\n")):
 		return 2
@@ -38,11 +38,11 @@
 	return 0
 }
 
-// fieldsEnd returns the length of field lines including the blank line that ends them, 0 if
+// fieldsEnd returns the length of field lines including the empty line that ends them, 0 if
 // they are incomplete.
 func fieldsEnd(b []byte) int {
 	for offset := 0; ; {
-		if n := blankLine(b[offset:]); n > 0 {
+		if n := emptyLine(b[offset:]); n > 0 {
 			return offset + n
 		}
 		lineEnd := bytes.IndexByte(b[offset:], '\n')
@@ -53,10 +53,10 @@
 	}
 }
 
-// startLine returns the offsets of the first line that is not blank, which fasthttp takes for
+// startLine returns the offsets of the first line that is not empty, which fasthttp takes for
 // the start line, and of the field lines behind it; fields is 0 if the line is incomplete.
 func startLine(b []byte) (start, fields int) {
-	for n := blankLine(b); n > 0; n = blankLine(b[start:]) {
+	for n := emptyLine(b); n > 0; n = emptyLine(b[start:]) {
 		start += n
 	}
 	if lineEnd := bytes.IndexByte(b[start:], '\n'); lineEnd >= 0 {
@@ -65,7 +65,7 @@
 	return start, fields
 }
 
-// headEnd returns the length of a head including its blank line, 0 if it is incomplete.
+// headEnd returns the length of a head including its empty line, 0 if it is incomplete.
 func headEnd(b []byte) int {
 	_, fields := startLine(b)
 	if fields == 0 {
@@ -94,22 +94,22 @@
 // CheckFields returns an error if one of the field lines of a head or trailer has no valid
 // name, or if they do not end with an empty line. fields includes that line.
 //
-// fasthttp accepts blanks inside a name, drops those behind it, so that "Content-Length " sets
+// fasthttp accepts spaces inside a name, drops those behind it, so that "Content-Length " sets
 // the length, and lets a line of a single LF end the fields, so that the rest of them becomes
 // the start of the body. Lines that end with LF, and values on several lines, are accepted.
 func CheckFields(fields []byte) error {
 	if !bytes.Equal(fields, []byte("\r\n")) && !bytes.HasSuffix(fields, []byte("\r\n\r\n")) {
 		return errors.New("fields do not end with an empty line")
 	}
-	previous := false
+	afterField := false
 	for line := range bytes.Lines(fields) {
-		if blankLine(line) > 0 {
+		if emptyLine(line) > 0 {
 			continue
 		}
-		if continues := line[0] == ' ' || line[0] == '\t'; continues && previous {
+		if continues := line[0] == ' ' || line[0] == '\t'; continues && afterField {
 			continue
 		}
-		previous = true
+		afterField = true
 		name, _, found := bytes.Cut(line, []byte(":"))
 		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
 			return errors.Errorf("no valid field name in %.40q", line)
--- a/pkg/httpio/httpiotest/check.go
+++ b/pkg/httpio/httpiotest/check.go
@@ -16,7 +16,7 @@
 }
 
 // CheckReader runs call against a server that sends the responses of Broken, which have to
-// fail, and those of Sound, which must not. Each has the given field lines, each ended by
+// fail, and those of Valid, which must not. Each has the given field lines, each ended by
 // CRLF, and body.
 func CheckReader(t *testing.T, fields, body string, call func(address string) error) {
 	run := func(kind string, responses map[string]Response, fails bool) {
@@ -30,5 +30,5 @@
 		}
 	}
 	run("broken", Broken(), true)
-	run("sound", Sound, false)
+	run("valid", Valid, false)
 }
--- a/pkg/httpio/httpiotest/responses.go
+++ b/pkg/httpio/httpiotest/responses.go
@@ -1,4 +1,4 @@
-// Package httpiotest provides responses that are broken, or unusual but sound, and a server
+// Package httpiotest provides responses that are broken, or unusual but valid, and a server
 // that sends them byte for byte.
 package httpiotest
 
@@ -27,11 +27,11 @@
 )
 
 // InvalidStatus holds responses whose status is not one of HTTP, also where only an interim
-// response or blank lines come before.
+// response or empty lines come before.
 var InvalidStatus = map[string]Response{
 	"status 000":                     withStatus("000 OK"),
 	"status 000 without phrase":      withStatus("000"),
-	"status 000 after more blanks":   withStatus("  000 OK"),
+	"status 000 after more spaces":   withStatus("  000 OK"),
 	"status 001":                     withStatus("001 OK"),
 	"status 099":                     withStatus("099 OK"),
 	"status of one digit":            withStatus("2 OK"),
@@ -40,8 +40,8 @@
 	"status with a sign":             withStatus("+20 OK"),
 	"status that is no number":       withStatus("2O0 OK"),
 	"no status":                      withStatus(""),
-	"status 000 after a blank line":  "\r\n" + withStatus("000 OK"),
-	"status 000 after blank lines":   "\r\n\r\n" + withStatus("000 OK"),
+	"status 000 after an empty line": "\r\n" + withStatus("000 OK"),
+	"status 000 after empty lines":   "\r\n\r\n" + withStatus("000 OK"),
 	"status 000 after bare LFs":      "\n\n" + withStatus("000 OK"),
 	"status 000 after an interim":    "HTTP/1.1 100 Continue\r\n\r\n" + withStatus("000 OK"),
 	"interim response of status 000": "HTTP/1.1 000 Continue\r\n\r\n" + okAnswer,
@@ -75,7 +75,7 @@
 // of an interim response, or in the trailer.
 func InvalidFields() map[string]Response {
 	all := map[string]Response{
-		"first line starts with a blank": "HTTP/1.1 200 OK\r\n X-Fill: 3\r\n{fields}Content-Length: {length}\r\n\r\n{body}",
+		"first line starts with a space": "HTTP/1.1 200 OK\r\n X-Fill: 3\r\n{fields}Content-Length: {length}\r\n\r\n{body}",
 		"line without a colon":           okHead + "X-Fill\r\n\r\n{body}",
 		"trailer without a colon":        chunkedAnswer + "X-Fill\r\n\r\n",
 		"head that ends with LF LF":      okHead + "X-A: 1\n\n{body}\r\n\r\n",
@@ -96,14 +96,14 @@
 	return all
 }
 
-// Sound holds responses with status 200 that are unusual but valid, or that senders are known
-// to produce and that can be read in one way only.
-var Sound = map[string]Response{
+// Valid holds responses with status 200 that are unusual but valid, or that recipients may
+// accept because they can be read in one way only.
+var Valid = map[string]Response{
 	"usual":                         okAnswer,
 	"no reason phrase":              withStatus("200"),
 	"empty reason phrase":           withStatus("200 "),
 	"other reason phrase":           withStatus("200 \"Fine\", 000: \xe9"),
-	"blank lines before":            "\r\n\r\n" + okAnswer,
+	"empty lines before":            "\r\n\r\n" + okAnswer,
 	"HTTP/1.0 until the end":        "HTTP/1.0 200 OK\r\n{fields}\r\n{body}",
 	"until the end":                 "HTTP/1.1 200 OK\r\n{fields}\r\n{body}",
 	"interim responses":             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\nlink: x\r\n\r\n" + okAnswer,
@@ -114,8 +114,8 @@
 	"trailer":                       chunkedAnswer + "X-Sum: 1\r\nx-other:\r\n\r\n",
 	"announced trailer":             "HTTP/1.1 200 OK\r\n{fields}Trailer: X-Sum\r\nTransfer-Encoding: chunked\r\n\r\n{chunked}X-Sum: 1\r\n\r\n",
 	"length with zeros before":      "HTTP/1.1 200 OK\r\n{fields}Content-Length: 000{length}\r\n\r\n{body}",
-	"no blank before a value":       "HTTP/1.1 200 OK\r\n{fields}Content-Length:{length}\r\nX-A:b\r\n\r\n{body}",
-	"blanks and tabs around values": "HTTP/1.1 200 OK\r\n{fields}Content-Length: \t {length} \t\r\nX-A:\t b c\t\r\n\r\n{body}",
+	"no space before a value":       "HTTP/1.1 200 OK\r\n{fields}Content-Length:{length}\r\nX-A:b\r\n\r\n{body}",
+	"spaces and tabs around values": "HTTP/1.1 200 OK\r\n{fields}Content-Length: \t {length} \t\r\nX-A:\t b c\t\r\n\r\n{body}",
 	"empty values":                  okHead + "X-A:\r\nX-B: \r\n\r\n{body}",
 	"value of other bytes":          okHead + "X-A: caf\xe9 \xff \"q\" a:b\tc\r\n\r\n{body}",
 	"all bytes of a name":           okHead + "!#$%&'*+-.^_`|~09azAZ: x\r\n\r\n{body}",
--- a/pkg/ingress/fields_test.go
+++ b/pkg/ingress/fields_test.go
@@ -63,14 +63,14 @@
 	}
 }
 
-// Guards against unusual but sound requests that the checks refuse.
+// Guards against unusual but valid requests that the checks refuse.
 func TestUnusualRequestsAreServed(t *testing.T) {
 	for name, sent := range map[string]string{
 		"all bytes of a name":    requestHead + "!#$%&'*+-.^_`|~09azAZ: x\r\n\r\n",
 		"values":                 requestHead + "X-A:\r\nX-B: caf\xe9 \xff \"q\" a:b\tc\t\r\nX-C:b\r\nX-C: c\r\n\r\n",
 		"folded value":           requestHead + "X-A: 1,\r\n 2\r\n\t3\r\n\r\n",
 		"lines that end with LF": "GET /a HTTP/1.1\nHost: h\nX-A: 1\r\n\r\n",
-		"blank lines before":     "\r\n\r\n" + requestHead + "\r\n",
+		"empty lines before":     "\r\n\r\n" + requestHead + "\r\n",
 		"names in other case":    "GET /a HTTP/1.1\r\nhOST: h\r\nx-ID: 1\r\n\r\n",
 		"chunks":                 chunkedRequest + "\r\n",
 		"trailer":                chunkedRequest + "X-Sum: 1\r\nx-other:\r\n\r\n",
--- a/pkg/instance/lost_test.go
+++ b/pkg/instance/lost_test.go
@@ -45,6 +45,12 @@
 		// The instance closes the connection when the time for the request is over.
 		_, _ = c.Read(make([]byte, 1))
 	},
+	"status 000": func(r *http.Request, c net.Conn) {
+		write(c, strings.Replace(okResponse(r, "first"), "200 OK", "000 OK", 1))
+	},
+	"invalid field name": func(r *http.Request, c net.Conn) {
+		write(c, strings.Replace(okResponse(r, "first"), "X-Signature", "X Fill: 1\r\nX-Signature", 1))
+	},
 	"response to another request": func(_ *http.Request, c net.Conn) {
 		write(c, "HTTP/1.1 503 Unavailable\r\nX-Id: another\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	},
--- a/pkg/mesh/endless_test.go
+++ b/pkg/mesh/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/slowdown"
 )
 
@@ -93,3 +95,22 @@
 	require.NoError(t, err)
 	require.True(t, got.VersionKnown)
 }
+
+// Guards against an answer of another instance that broke off and is applied in part.
+func TestSnapshotThatBrokeOffIsRefused(t *testing.T) {
+	var changes Changes
+	for n := range 50 {
+		changes.Tables.Upstreams.Rows = append(changes.Tables.Upstreams.Rows, catalog.Row{Key: fmt.Sprint("u", n), Value: []byte("value"), Revision: int64(n)})
+	}
+	for _, compressed := range []bool{false, true} {
+		answer, err := encodeChanges(changes, compressed)
+		require.NoError(t, err)
+		for length := range len(answer) {
+			_, err := decodeChanges(bytes.NewReader(answer[:length]), func() error { return nil })
+			require.Error(t, err, "%d of %d bytes, compressed %v", length, len(answer), compressed)
+		}
+		whole, err := decodeChanges(bytes.NewReader(answer), func() error { return nil })
+		require.NoError(t, err)
+		require.Equal(t, changes, whole)
+	}
+}
