Count an invalid response as malformed whatever text it quotes

A response that is refused was logged and counted as a lost connection if the error quoted "EOF", "reset" or "closed" from it, such as a field named "closed ". On a connection in use again, that lowers the time for which idle connections of the service are kept.

Cause: the errors of fasthttp are told apart by their text. Those of the checks quote the line in question.

Change: what the checks and the parser of heads and trailers find is a NotValid error of juju/errors, which package exchange looks for before the text. Texts of errors of the connection and of bodies do not quote the upstream.

--- a/pkg/exchange/broken_test.go
+++ b/pkg/exchange/broken_test.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// Guards against text of an upstream that decides how its broken response is counted: as a
+// lost connection, which lowers the time for which idle connections are kept.
+func TestTextOfBrokenResponseDoesNotMatter(t *testing.T) {
+	for _, text := range []string{"EOF", "reset", "closed"} {
+		requireMalformed(t, map[string]httpiotest.Response{
+			"status " + text:  httpiotest.Response("HTTP/1.1 " + text + "\r\n{fields}Content-Length: {length}\r\n\r\n{body}"),
+			"name " + text:    httpiotest.Response("HTTP/1.1 200 OK\r\n{fields}" + text + " : 1\r\nContent-Length: {length}\r\n\r\n{body}"),
+			"value " + text:   httpiotest.Response("HTTP/1.1 200 OK\r\n{fields}X-A: " + text + "\x01\r\nContent-Length: {length}\r\n\r\n{body}"),
+			"length " + text:  httpiotest.Response("HTTP/1.1 200 OK\r\n{fields}Content-Length: " + text + "\r\n\r\n{body}"),
+			"trailer " + text: httpiotest.Response("HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunked}X-A: " + text + "\x01\r\n\r\n"),
+		})
+	}
+}
+
 // Guards against valid responses that the checks refuse.
 func TestUnusualResponsesAreAnswers(t *testing.T) {
 	for name, response := range httpiotest.Valid {
--- a/pkg/exchange/read.go
+++ b/pkg/exchange/read.go
@@ -81,6 +81,8 @@
 		r.Reason = Cancelled
 	case k.ackTimedOut:
 		r.Reason = ConnectionLost
+	case errors.Is(err, errors.NotValid):
+		// The text of the error may quote the upstream.
 	case isTimeout(err):
 		r.Reason = TimedOut
 	case errors.As(err, &netErr), isConnectionLost(err):
--- a/pkg/httpio/head.go
+++ b/pkg/httpio/head.go
@@ -78,7 +78,7 @@
 	return fields + end
 }
 
-// checkResponseHead returns an error if the head is not that of a response, or if the length
+// checkResponseHead returns a NotValid error if the head is not that of a response, or if the length
 // of the body does not follow from it without doubt.
 func checkResponseHead(head []byte) error {
 	start, fields := startLine(head)
@@ -91,7 +91,7 @@
 	return checkFraming(head[fields:], bytes.HasPrefix(head[start:], []byte("HTTP/1.1 ")))
 }
 
-// CheckFields returns an error if one of the field lines of a head or trailer has no valid
+// CheckFields returns a NotValid error if one of the field lines of a head or trailer has no valid
 // name, or if they do not end with an empty line. fields includes that line.
 //
 // fasthttp accepts spaces inside a name, drops those behind it, so that "Content-Length " sets
@@ -99,7 +99,7 @@
 // the start of the body. Lines that end with LF, and values on several lines, are accepted.
 func CheckFields(fields []byte) error {
 	if !bytes.Equal(fields, []byte("\r\n")) && !bytes.HasSuffix(fields, []byte("\r\n\r\n")) {
-		return errors.New("fields do not end with an empty line")
+		return errors.NotValidf("end of the fields")
 	}
 	afterField := false
 	for line := range bytes.Lines(fields) {
@@ -112,7 +112,7 @@
 		afterField = true
 		name, _, found := bytes.Cut(line, []byte(":"))
 		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-			return errors.Errorf("no valid field name in %.40q", line)
+			return errors.NotValidf("field name in %.40q", line)
 		}
 	}
 	return nil
@@ -125,7 +125,7 @@
 	_, status, _ := bytes.Cut(statusLine, []byte(" "))
 	status = bytes.TrimLeft(status, " ")
 	if len(status) == 0 || status[0] < '1' || status[0] > '9' {
-		return errors.Errorf("no valid status in %.40q", statusLine)
+		return errors.NotValidf("status in %.40q", statusLine)
 	}
 	return nil
 }
@@ -142,17 +142,17 @@
 		case bytes.EqualFold(name, []byte("Content-Length")):
 			lengths++
 			if _, err := strconv.ParseUint(string(value), 10, 63); err != nil {
-				return errors.New("content length that is not a number")
+				return errors.NotValidf("content length %.40q", value)
 			}
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			encodings++
 		}
 	}
 	if encodings > 0 && !isHTTP11 {
-		return errors.New("encoding of the body in a version other than HTTP/1.1")
+		return errors.NotValidf("encoding of the body in a version other than HTTP/1.1")
 	}
 	if lengths+encodings > 1 {
-		return errors.New("several lengths or encodings of the body")
+		return errors.NotValidf("several lengths or encodings of the body")
 	}
 	return nil
 }
--- a/pkg/httpio/response.go
+++ b/pkg/httpio/response.go
@@ -26,7 +26,8 @@
 // ReadResponse reads the final response to a request with the given method, and the interim
 // responses before it. It fails if the body exceeds maxBodyBytes. closeDelimited reports
 // whether the body ended with the connection, so that it is complete only if that ended in
-// order. Errors of b are returned as they are, io.EOF also for a head that broke off.
+// order. An invalid head or trailer is a NotValid error of juju/errors. Errors of b are
+// returned as they are, io.EOF also for a head that broke off.
 func ReadResponse(b *bufio.Reader, response *fasthttp.Response, method string, maxBodyBytes int) (closeDelimited bool, err error) {
 	if err := readHead(b, response); err != nil {
 		return false, err
@@ -43,7 +44,7 @@
 		if err := checkTrailer(b); err != nil {
 			return false, err
 		}
-		return false, response.Header.ReadTrailer(b)
+		return false, errors.WithType(response.Header.ReadTrailer(b), errors.NotValid)
 	}
 	return length == closeDelimitedLength, nil
 }
@@ -58,18 +59,19 @@
 		if err := checkResponseHead(head); err != nil {
 			return err
 		}
+		// The whole head is buffered, so that an error is one of the parser.
 		if err := response.Header.Read(b); err != nil {
-			return err
+			return errors.WithType(err, errors.NotValid)
 		}
 		status := response.StatusCode()
 		if status == http.StatusSwitchingProtocols {
-			return errors.New("unexpected 101 Switching Protocols response")
+			return errors.NotValidf("unexpected 101 Switching Protocols response")
 		}
 		if status >= http.StatusOK {
 			return nil
 		}
 	}
-	return errors.New("too many interim responses")
+	return errors.NotValidf("number of interim responses")
 }
 
 // checkTrailer waits for a complete trailer and checks it without consuming it.
