Check the fields of requests, and trailers, in one place

Package ingress and the servers for lookups and operators each took the raw fields of a request and checked them; the readers of responses and of chunked requests each looked for the trailer. Both stand once in package httpio now (CheckRequest, peekTrailer), and the check of field lines is not exported.

--- a/pkg/httpio/chunked.go
+++ b/pkg/httpio/chunked.go
@@ -39,16 +39,13 @@
 }
 
 func (r *chunkedReader) skipTrailer() error {
-	trailer, err := peekSection(r.b, fieldsEnd)
+	trailer, err := peekTrailer(r.b)
 	switch {
 	case err == io.EOF:
 		return io.ErrUnexpectedEOF
 	case err != nil:
 		return err
 	}
-	if err := CheckFields(trailer); err != nil {
-		return err
-	}
 	if _, err := r.b.Discard(len(trailer)); err != nil {
 		return err
 	}
--- a/pkg/httpio/head.go
+++ b/pkg/httpio/head.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -78,26 +79,45 @@
 	return fields + end
 }
 
-// checkResponseHead returns a NotValid error if the head is not that of a response, or if the length
-// of the body does not follow from it without doubt.
+// peekTrailer returns a complete and valid trailer without consuming it.
+func peekTrailer(b *bufio.Reader) ([]byte, error) {
+	trailer, err := peekSection(b, fieldsEnd)
+	if err != nil {
+		return nil, err
+	}
+	return trailer, checkFields(trailer)
+}
+
+// CheckRequest returns a NotValid error of juju/errors if the head from which h was parsed has
+// an invalid field name or end.
+func CheckRequest(h *fasthttp.RequestHeader) error {
+	fields := h.RawHeaders()
+	if len(fields) == 0 {
+		return nil
+	}
+	return checkFields(fields)
+}
+
+// checkResponseHead returns a NotValid error if the head is not that of a response, or if the
+// length of the body does not follow from it without doubt.
 func checkResponseHead(head []byte) error {
 	start, fields := startLine(head)
 	if err := checkStatus(head[start:fields]); err != nil {
 		return err
 	}
-	if err := CheckFields(head[fields:]); err != nil {
+	if err := checkFields(head[fields:]); err != nil {
 		return err
 	}
 	return checkFraming(head[fields:], bytes.HasPrefix(head[start:], []byte("HTTP/1.1 ")))
 }
 
-// CheckFields returns a NotValid error if one of the field lines of a head or trailer has no valid
-// name, or if they do not end with an empty line. fields includes that line.
+// checkFields returns a NotValid error if one of the field lines of a head or trailer has no
+// valid name, or if they do not end with an empty line. fields includes that line.
 //
 // fasthttp accepts spaces inside a name, drops those behind it, so that "Content-Length " sets
 // the length, and lets a line of a single LF end the fields, so that the rest of them becomes
 // the start of the body. Lines that end with LF, and values on several lines, are accepted.
-func CheckFields(fields []byte) error {
+func checkFields(fields []byte) error {
 	if !bytes.Equal(fields, []byte("\r\n")) && !bytes.HasSuffix(fields, []byte("\r\n\r\n")) {
 		return errors.NotValidf("end of the fields")
 	}
--- a/pkg/httpio/response.go
+++ b/pkg/httpio/response.go
@@ -41,7 +41,7 @@
 		return false, err
 	}
 	if length == chunkedLength {
-		if err := checkTrailer(b); err != nil {
+		if _, err := peekTrailer(b); err != nil {
 			return false, err
 		}
 		return false, errors.WithType(response.Header.ReadTrailer(b), errors.NotValid)
@@ -73,12 +73,3 @@
 	}
 	return errors.NotValidf("number of interim responses")
 }
-
-// checkTrailer waits for a complete trailer and checks it without consuming it.
-func checkTrailer(b *bufio.Reader) error {
-	trailer, err := peekSection(b, fieldsEnd)
-	if err != nil {
-		return err
-	}
-	return CheckFields(trailer)
-}
--- a/pkg/ingress/read.go
+++ b/pkg/ingress/read.go
@@ -78,9 +78,13 @@
 		x.reader = bufio.NewReaderSize(io.MultiReader(bufferedBytes(x.reader), x.conn), limit)
 		err = message.Header.Read(x.reader)
 	}
+	if err == nil {
+		// The names of the fields are passed on to upstreams as they are.
+		err = httpio.CheckRequest(&message.Header)
+	}
 	switch {
 	case err == nil:
-		return checkFields(message)
+		return nil
 	case errors.As(err, &small):
 		return &requestError{http.StatusRequestHeaderFieldsTooLarge, err}
 	case errors.Is(err, io.EOF) || isNetError(err):
@@ -89,19 +93,6 @@
 	return &requestError{http.StatusBadRequest, err}
 }
 
-// checkFields refuses a head with an invalid field name or end. The names are passed on to
-// upstreams as they are.
-func checkFields(message *fasthttp.Request) error {
-	fields := message.Header.RawHeaders()
-	if len(fields) == 0 {
-		return nil
-	}
-	if err := httpio.CheckFields(fields); err != nil {
-		return &requestError{http.StatusBadRequest, err}
-	}
-	return nil
-}
-
 // bufferedBytes returns a reader for the bytes that are buffered in b.
 func bufferedBytes(b *bufio.Reader) io.Reader {
 	return io.LimitReader(b, int64(b.Buffered()))
--- a/pkg/instance/http.go
+++ b/pkg/instance/http.go
@@ -51,12 +51,10 @@
 // of the head, as package ingress does.
 func refuseInvalidFields(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if fields := ctx.Request.Header.RawHeaders(); len(fields) > 0 {
-			if err := httpio.CheckFields(fields); err != nil {
-				ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-				ctx.SetConnectionClose()
-				return
-			}
+		if err := httpio.CheckRequest(&ctx.Request.Header); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			ctx.SetConnectionClose()
+			return
 		}
 		handler(ctx)
 	}
