Keep the error of a request's write beside the end of the write

The error went through a channel and was put back by each reader of it. The end is a closed channel now and the error a field. No behaviour changes.

--- a/pkg/exchange/write.go
+++ b/pkg/exchange/write.go
@@ -15,33 +15,38 @@
 // requestWrite is the write of a request. It may still run while the response is read.
 type requestWrite struct {
 	conn *conn
-	// done receives the error of the write, or nil, when it has ended.
-	done chan error
+	// ended is closed when the write has ended, with err.
+	ended chan struct{}
+	err   error
 }
 
 // write sends the message; a message longer than inlineWriteBytes is sent
 // concurrently with reading the response. The second result is the number of bytes
 // written, or the length of a message that is still being sent.
 func write(k *conn, message []byte) (*requestWrite, int, error) {
-	w := &requestWrite{conn: k, done: make(chan error, 1)}
+	w := &requestWrite{conn: k, ended: make(chan struct{})}
 	if len(message) <= inlineWriteBytes {
 		n, err := k.Write(message)
-		w.done <- err
+		w.end(err)
 		return w, n, err
 	}
 	go func() {
 		_, err := k.Write(message)
-		w.done <- err
+		w.end(err)
 	}()
 	return w, len(message), nil
 }
 
+func (w *requestWrite) end(err error) {
+	w.err = err
+	close(w.ended)
+}
+
 // complete reports whether the whole request has been written.
 func (w *requestWrite) complete() bool {
 	select {
-	case err := <-w.done:
-		w.done <- err
-		return err == nil
+	case <-w.ended:
+		return w.err == nil
 	default:
 		return false
 	}
@@ -57,13 +62,12 @@
 	if err := w.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		return errors.Trace(err)
 	}
-	err := <-w.done
-	w.done <- err
-	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+	<-w.ended
+	if w.err == nil || errors.Is(w.err, os.ErrDeadlineExceeded) || errors.Is(w.err, syscall.EPIPE) {
 		return nil
 	}
-	w.conn.ackTimedOut = w.conn.ackTimedOut || errors.Is(err, syscall.ETIMEDOUT)
-	return err
+	w.conn.ackTimedOut = w.conn.ackTimedOut || errors.Is(w.err, syscall.ETIMEDOUT)
+	return w.err
 }
 
 // writeFailure returns the Result of an attempt whose write failed after n bytes.
