--- a/pkg/httpio/httpiotest/responses.go
+++ b/pkg/httpio/httpiotest/responses.go
@@ -64,6 +64,11 @@
 	"chunks in HTTP/1.0":       "HTTP/1.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunked}\r\n",
 	"chunks in HTTP/2.0":       "HTTP/2.0 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n{chunked}\r\n",
 	"head without its end":     okHead,
+	"101 interim responses":    withInterims(101),
+}
+
+func withInterims(count int) Response {
+	return Response(strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", count)) + okAnswer
 }
 
 // InvalidNames holds names of fields that are no tokens of RFC 9110.
@@ -107,7 +112,7 @@
 	"HTTP/1.0 until the end":        "HTTP/1.0 200 OK\r\n{fields}\r\n{body}",
 	"until the end":                 "HTTP/1.1 200 OK\r\n{fields}\r\n{body}",
 	"interim responses":             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\nlink: x\r\n\r\n" + okAnswer,
-	"four interim responses":        Response(strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 4)) + okAnswer,
+	"100 interim responses":         withInterims(100),
 	"names in other case":           "HTTP/1.1 200 OK\r\n{fields}cONTENT-lENGTH: {length}\r\n\r\n{body}",
 	"chunks":                        chunkedAnswer + "\r\n",
 	"coding in other case":          "HTTP/1.1 200 OK\r\n{fields}transfer-encoding: Chunked\r\n\r\n{chunked}\r\n",
--- a/pkg/ingress/fields_test.go
+++ b/pkg/ingress/fields_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -102,3 +103,18 @@
 		require.Equal(t, want, statuses(t, h, sent+"GET /b HTTP/1.1\r\n\r\n")[0], "%s", sent[len(sent)-40:])
 	}
 }
+
+// Guards against a request that broke off and is served, at each of its lengths.
+func TestRequestThatBrokeOffIsNotServed(t *testing.T) {
+	for _, request := range []string{chunkedRequest + "X-Sum: 1\r\n\r\n", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"} {
+		for length := range len(request) {
+			h := &countingHandler{make(chan string, 4)}
+			s, _, c := serve(t, h)
+			_, err := io.WriteString(c, request[:length])
+			require.NoError(t, err)
+			require.NoError(t, c.(*net.TCPConn).CloseWrite())
+			require.Eventually(t, func() bool { return s.Connections() == 0 && s.InFlight() == 0 }, 5*time.Second, time.Millisecond)
+			require.Empty(t, h.requests, "%q", request[:length])
+		}
+	}
+}
