Send invalid responses to real instances

The stand-in of an upstream sends a status 000, or a field name that ends in a space, with another body than its own; TestUpstreamsThatSendInvalidResponses has two of nine upstreams do so.

--- a/test/process/upstream_test.go
+++ b/test/process/upstream_test.go
@@ -39,6 +39,25 @@
 	requireComplete(t, report, "with failing upstreams", idempotent)
 }
 
+// Guards against invalid responses that callers get as answers, and against idempotent
+// requests that are not sent again after them.
+func TestUpstreamsThatSendInvalidResponses(t *testing.T) {
+	c := newCluster(t, nil)
+	traffic := c.StartLoad(mixedLoad(53, 6*time.Second))
+	time.Sleep(time.Second)
+	faults := map[string]platformtest.UpstreamFaultMode{"shop-north-a-1": platformtest.InvalidStatus, "shop-south-a-1": platformtest.InvalidField}
+	for id, mode := range faults {
+		require.NoError(t, c.Upstream(id).SetFaults(platformtest.UpstreamFaults{Mode: mode}))
+	}
+	time.Sleep(4 * time.Second)
+	for id := range faults {
+		require.NoError(t, c.Upstream(id).SetFaults(platformtest.UpstreamFaults{}))
+	}
+	report := traffic.Wait()
+	requireInvariants(t, c, report)
+	requireComplete(t, report, "with invalid responses", idempotent)
+}
+
 // Guards against requests that fail because they are routed to a killed upstream, and
 // against duplicate executions after broken connections.
 func TestUpstreamKilled(t *testing.T) {
