Log when the store answers with an older state than the table

Event 607 states both revisions when the store falls behind the table and when it no longer is, once each, so that a store that is asked ten times a second does not fill the log.

The test fails without the event (no lines).

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -12,6 +12,7 @@
 func (c *Catalog) replace(table Table, l Listing, source string) {
 	c.mu.Lock()
 	t := &c.tables[table]
+	c.logStoreBehind(table, l, source)
 	if l.Revision <= t.revision {
 		if l.Revision == t.revision {
 			t.prove(l.ProvenAt)
@@ -39,12 +40,31 @@
 	c.applyAndUnlock(table, changes, l, source)
 }
 
+// logStoreBehind logs when the store begins to answer with an older state than the table's,
+// and when it no longer does. The lock must be held.
+func (c *Catalog) logStoreBehind(table Table, l Listing, source string) {
+	t, now := &c.tables[table], c.opt.Now()
+	behind := l.Revision < t.revision
+	if source != storeSource || behind == !t.storeBehindSince.IsZero() {
+		return
+	}
+	since := t.storeBehindSince
+	if behind {
+		since = now
+		t.storeBehindSince = now
+	} else {
+		t.storeBehindSince = time.Time{}
+	}
+	event.Log(c.opt.Logger, event.StoreBehind, "table", table.String(), "behind", behind, "held", t.revision, "listed", l.Revision, "lasted_ms", now.Sub(since).Milliseconds())
+}
+
 // update applies the changes in l to the table. It ignores a listing that is
 // older than the table. It also ignores one that starts after the table's
 // revision, because the changes in between would be missing.
 func (c *Catalog) update(table Table, l Listing, source string) {
 	c.mu.Lock()
 	t := &c.tables[table]
+	c.logStoreBehind(table, l, source)
 	if l.Since > t.revision || l.Revision < t.revision {
 		c.mu.Unlock()
 		return
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -1,9 +1,11 @@
 package catalog
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -475,3 +477,23 @@
 		}
 	}
 }
+
+// Guards against a store that falls behind an instance without a line in its log: event 604
+// alone does not tell whether the listings that follow it are old.
+func TestLogsThatTheStoreIsBehind(t *testing.T) {
+	var log bytes.Buffer
+	c, now := newCatalog()
+	c.opt.Logger = event.NewLogger(&log, slog.LevelWarn, "instance", "i")
+	c.replace(Directives, Listing{Revision: 9, Rows: []Row{{Key: "config", Value: []byte("2"), Revision: 9}}}, storeSource)
+	older := Listing{Revision: 5, Rows: []Row{{Key: "config", Value: []byte("1"), Revision: 5}}}
+	c.replace(Directives, older, storeSource)
+	now.advance(time.Second)
+	c.replace(Directives, older, storeSource)
+	c.replace(Directives, Listing{Revision: 9}, "peer")
+	now.advance(time.Second)
+	c.replace(Directives, Listing{Revision: 10, Rows: []Row{{Key: "config", Value: []byte("3"), Revision: 10}}}, storeSource)
+	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+	require.Len(t, lines, 2)
+	require.Contains(t, lines[0], `"event":607,"table":"directives","behind":true,"held":9,"listed":5,"lasted_ms":0`)
+	require.Contains(t, lines[1], `"event":607,"table":"directives","behind":false,"held":9,"listed":10,"lasted_ms":2000`)
+}
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -118,6 +118,9 @@
 	// time at which the store last answered a call of this instance for it.
 	provenAt        time.Time
 	storeAnsweredAt time.Time
+	// storeBehindSince is the time from which on the store has answered with an older state
+	// than the table's, zero if its last answer was not older.
+	storeBehindSince time.Time
 	// outageEndedAt is the time of the first proof after the last outage of the store, zero
 	// if there was none.
 	outageEndedAt time.Time
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -44,6 +44,9 @@
 	roleCheckInterval = 250 * time.Millisecond
 )
 
+// storeSource names the store as the source of changes in logs.
+const storeSource = "store"
+
 // coalesceDelay is the delay between a change and the next watch, so that a
 // burst of changes needs few calls. It is shorter for directives, because there
 // is a tighter limit on the time until they take effect.
@@ -148,7 +151,7 @@
 		}
 		*listed = true
 		c.recordStoreAnswer(table, &l, sentAt)
-		c.replace(table, l, "store")
+		c.replace(table, l, storeSource)
 		return false, nil
 	}
 	wait := c.nextWatchWait(table, role)
@@ -180,7 +183,7 @@
 			l.Rows[i].Age = age
 		}
 	}
-	c.update(table, l, "store")
+	c.update(table, l, storeSource)
 	return len(l.Rows) > 0, nil
 }
 
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -59,6 +59,7 @@
 	StoreHistoryExpired ID = 604
 	RegistrationFailed  ID = 605
 	RegistrationRemoved ID = 606
+	StoreBehind         ID = 607
 
 	OperatorRequestRejected ID = 700
 )
@@ -118,6 +119,7 @@
 	{StoreHistoryExpired, slog.LevelWarn, "platform store no longer has the requested changes", "None; the table is listed again."},
 	{RegistrationFailed, slog.LevelWarn, "instance registration failed", "None if the store is unavailable: the instance retries."},
 	{RegistrationRemoved, slog.LevelInfo, "registration of a replaced instance removed", "None."},
+	{StoreBehind, slog.LevelWarn, "platform store answers with an older state than this instance holds, or no longer does", "None if it ends within seconds: the store has served an old listing. If `held` stays the same, check whether the store was restored from an older copy."},
 
 	{OperatorRequestRejected, slog.LevelWarn, "operator request rejected", "Check the operator's token and request rate."},
 }
