Let the stand-in store come back from an older copy of itself

The platform's store may come back from a copy that is some seconds old. Its counter goes back, it gives the same numbers out again, and what was written since is gone. The stand-in could not do that, so no test showed it.

The control interface has /copy, /restore and /old-listings.

--- a/pkg/harness/standins.go
+++ b/pkg/harness/standins.go
@@ -46,6 +46,25 @@
 	return stats, err
 }
 
+// TakeCopy makes the store copy its state.
+func (s *Store) TakeCopy() error {
+	return doJSON(http.MethodPost, "http://"+s.controlAddress+"/copy", "", nil, nil)
+}
+
+// RestoreCopy takes the store out of service for the duration of outage and then replaces
+// its state with the copy taken last. It returns when the store is back.
+func (s *Store) RestoreCopy(outage time.Duration) error { return s.callControl("/restore", outage) }
+
+// ServeOldListings drops the history of the store and makes it serve listings from the copy
+// taken last for a duration.
+func (s *Store) ServeOldListings(duration time.Duration) error {
+	return s.callControl("/old-listings", duration)
+}
+
+func (s *Store) callControl(path string, d time.Duration) error {
+	return doJSON(http.MethodPost, "http://"+s.controlAddress+path, "", map[string]int64{"duration_ms": d.Milliseconds()}, nil)
+}
+
 // startStore starts the store, waits until it responds and writes the routes.
 func (c *Cluster) startStore() error {
 	s := &Store{}
