Reproduce the store that comes back from an older copy

The store is copied, a configuration and the leaving of an upstream are written and come into force, the store returns from the copy, and its writers write again.

TestStoreRestoredAndCounterPassed: the instances are cut off until the counter has passed its old value.

--- a/pkg/harness/relays.go
+++ b/pkg/harness/relays.go
@@ -207,3 +207,10 @@
 		}
 	}
 }
+
+// CutStore cuts all instances off from the store, or ends that. It requires Spec.UseRelays.
+func (c *Cluster) CutStore(cut bool) {
+	for _, relay := range c.relays.storeByDomain {
+		relay.SetFaults(faultproxy.Faults{Cut: cut})
+	}
+}
