--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
@@ -69,7 +70,7 @@
 	// operator evacuated them.
 	evacuatedDomains map[string]bool
 	// evacuationEnds is View.EvacuationEnds of the last view.
-	evacuationEnds map[string]int64
+	evacuationEnds map[string]revision.Revision
 	// instances holds the instances among which global limits are divided, by id,
 	// including this one (instances.go).
 	instances map[string]*knownInstance
@@ -259,8 +260,8 @@
 			b.endEvacuation(domain, now)
 		}
 	}
-	for domain, revision := range v.EvacuationEnds {
-		if revision > b.evacuationEnds[domain] && !b.evacuatedDomains[domain] {
+	for domain, endedAt := range v.EvacuationEnds {
+		if endedAt.After(b.evacuationEnds[domain]) && !b.evacuatedDomains[domain] {
 			// The evacuation ended before this instance knew of it.
 			b.endEvacuation(domain, now)
 		}
--- a/pkg/catalog/backoff_test.go
+++ b/pkg/catalog/backoff_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 	"github.com/sequoiacove/sequoiacove/pkg/slowdown"
 )
 
@@ -38,10 +39,10 @@
 
 func (s *forgetfulStore) List(context.Context, Table) (Listing, error) {
 	s.listCount.Add(1)
-	return Listing{Revision: 1}, nil
+	return Listing{Revision: at(1)}, nil
 }
 
-func (s *forgetfulStore) Watch(context.Context, Table, int64, time.Duration) (Listing, error) {
+func (s *forgetfulStore) Watch(context.Context, Table, revision.Revision, time.Duration) (Listing, error) {
 	return Listing{}, ErrHistoryGone
 }
 
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -10,7 +10,11 @@
 // What proves that the copy is current, and how old that proof may be, is decided in
 // proof.go for all of these ways.
 //
-// Within a process the configuration version never decreases. A registration
+// The store may come back from an older copy of itself (package revision). What an earlier
+// era says then changes and proves nothing any more (era.go), and what it left in force stays
+// so until it is written again or a bounded time has passed (held.go).
+//
+// Within a process the configuration version never decreases otherwise. A registration
 // lapses if its row is deleted while the upstream is still ready. If that
 // happens during or shortly after a store outage, or to many upstreams at once,
 // the upstreams stay in use for a short grace period, because upstreams that
@@ -24,6 +28,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
@@ -45,10 +50,10 @@
 
 // Row is one row of a table.
 type Row struct {
-	Key      string `cbor:"1,keyasint"`
-	Value    []byte `cbor:"2,keyasint,omitempty"`
-	Revision int64  `cbor:"3,keyasint"`
-	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+	Key      string            `cbor:"1,keyasint"`
+	Value    []byte            `cbor:"2,keyasint,omitempty"`
+	Revision revision.Revision `cbor:"3,keyasint"`
+	Deleted  bool              `cbor:"4,keyasint,omitempty"`
 	// Age is how long before the reception of a deleted row the deletion may have
 	// been made, or 0 if this is not known.
 	Age time.Duration `cbor:"5,keyasint,omitempty"`
@@ -56,30 +61,33 @@
 	// on the clock of this process. SeenAge carries it in snapshots; older releases omit it.
 	SeenAt  time.Time     `cbor:"-"`
 	SeenAge time.Duration `cbor:"6,keyasint,omitempty"`
-	// BaseRevision is used in snapshots from peers. If it is not 0, Value is the difference
+	// BaseRevision is used in snapshots from peers. If it is not zero, Value is the difference
 	// (package transfer) to the row's value of that revision, and Digest that of the result.
-	BaseRevision int64  `cbor:"7,keyasint,omitempty"`
-	Digest       []byte `cbor:"8,keyasint,omitempty"`
+	BaseRevision revision.Revision `cbor:"7,keyasint,omitempty"`
+	Digest       []byte            `cbor:"8,keyasint,omitempty"`
 }
 
 // RowRevision names a version of a row.
 type RowRevision struct {
 	_        struct{} `cbor:",toarray"`
 	Key      string
-	Revision int64
+	Revision revision.Revision
 }
 
 // String implements fmt.Stringer.
-func (r RowRevision) String() string { return fmt.Sprintf("%s@%d", r.Key, r.Revision) }
+func (r RowRevision) String() string { return fmt.Sprintf("%s@%s", r.Key, r.Revision) }
 
 // Listing is a whole table, or the changes to it, as of a store revision.
 type Listing struct {
-	Rows     []Row `cbor:"1,keyasint"`
-	Revision int64 `cbor:"2,keyasint"`
-	// Since is used in snapshots from peers. If it is not 0, Rows holds the
-	// changes after this revision, including deleted rows. If it is 0, Rows
+	Rows     []Row             `cbor:"1,keyasint"`
+	Revision revision.Revision `cbor:"2,keyasint"`
+	// Since is used in snapshots from peers. If it is not zero, Rows holds the
+	// changes after this revision, including deleted rows. If it is zero, Rows
 	// holds the whole table.
-	Since int64 `cbor:"3,keyasint,omitempty"`
+	Since revision.Revision `cbor:"3,keyasint,omitempty"`
+	// EraUnknown is set if the store has not stated its era. The listing then counts as one
+	// of the newest known era.
+	EraUnknown bool `cbor:"-"`
 	// ProvenAt is the time until which the listing is proven current, zero if that is not
 	// known. ProofAge carries it in snapshots; older releases omit it, which proves nothing.
 	ProvenAt time.Time     `cbor:"-"`
@@ -98,11 +106,12 @@
 	// List returns all rows of a table.
 	List(ctx context.Context, table Table) (Listing, error)
 	// Watch returns the changes after a revision as soon as there are any, or
-	// an empty listing after wait.
-	Watch(ctx context.Context, table Table, after int64, wait time.Duration) (Listing, error)
+	// an empty listing after wait. If the store has changed its era since, the listing says
+	// so and its rows are of no use.
+	Watch(ctx context.Context, table Table, after revision.Revision, wait time.Duration) (Listing, error)
 	Put(ctx context.Context, table Table, key string, value []byte) error
 	// Remove deletes a row if it still has the given revision.
-	Remove(ctx context.Context, table Table, key string, revision int64) error
+	Remove(ctx context.Context, table Table, key string, revision revision.Revision) error
 }
 
 // Decoder decodes the values of rows.
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
@@ -74,9 +75,9 @@
 
 // readyRows returns n ready registrations of a service with revisions 1 to n.
 func readyRows(service string, n int) Listing {
-	l := Listing{Revision: int64(n)}
+	l := Listing{Revision: at(int64(n))}
 	for i := 1; i <= n; i++ {
-		l.Rows = append(l.Rows, Row{Key: fmt.Sprintf("%s%d", service, i), Value: []byte(service + ",ready"), Revision: int64(i)})
+		l.Rows = append(l.Rows, Row{Key: fmt.Sprintf("%s%d", service, i), Value: []byte(service + ",ready"), Revision: at(int64(i))})
 	}
 	return l
 }
@@ -87,21 +88,21 @@
 	return l
 }
 
-func deletedRow(key string, revision int64) Row {
-	return Row{Key: key, Revision: revision, Deleted: true}
+func deletedRow(key string, number int64) Row {
+	return Row{Key: key, Revision: at(number), Deleted: true}
 }
 
 // Guards against a configuration version that decreases, and against an
 // undecodable row that replaces the last good configuration.
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
 	c, _ := newCatalog()
-	c.replace(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("7"), Revision: 5}}, Revision: 5}, "store")
+	c.replace(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("7"), Revision: at(5)}}, Revision: at(5)}, "store")
 	require.EqualValues(t, 7, c.View().Config.Version)
-	c.update(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("6"), Revision: 6}}, Revision: 6}, "store")
+	c.update(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("6"), Revision: at(6)}}, Revision: at(6)}, "store")
 	require.EqualValues(t, 7, c.View().Config.Version)
-	c.update(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("x"), Revision: 7}}, Revision: 7}, "store")
+	c.update(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("x"), Revision: at(7)}}, Revision: at(7)}, "store")
 	require.EqualValues(t, 7, c.View().Config.Version)
-	c.replace(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("8"), Revision: 4}}, Revision: 4}, "peer")
+	c.replace(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("8"), Revision: at(4)}}, Revision: at(4)}, "peer")
 	require.EqualValues(t, 7, c.View().Config.Version, "an older table from a peer must be ignored")
 }
 
@@ -109,11 +110,11 @@
 // one that continues after that.
 func TestEvacuationLastsUntilItsRowIsDeleted(t *testing.T) {
 	c, _ := newCatalog()
-	c.replace(Directives, Listing{Rows: []Row{{Key: "evacuate/a", Value: []byte("{}"), Revision: 1}}, Revision: 1}, "store")
+	c.replace(Directives, Listing{Rows: []Row{{Key: "evacuate/a", Value: []byte("{}"), Revision: at(1)}}, Revision: at(1)}, "store")
 	require.True(t, c.View().EvacuatedDomains["a"])
-	c.update(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("7"), Revision: 2}}, Revision: 2}, "store")
+	c.update(Directives, Listing{Rows: []Row{{Key: "config", Value: []byte("7"), Revision: at(2)}}, Revision: at(2)}, "store")
 	require.True(t, c.View().EvacuatedDomains["a"])
-	c.update(Directives, Listing{Rows: []Row{deletedRow("evacuate/a", 3)}, Revision: 3}, "store")
+	c.update(Directives, Listing{Rows: []Row{deletedRow("evacuate/a", 3)}, Revision: at(3)}, "store")
 	require.False(t, c.View().EvacuatedDomains["a"])
 }
 
@@ -123,19 +124,19 @@
 func TestGracePeriodOnlyAfterOutage(t *testing.T) {
 	c, k := newCatalog()
 	c.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
-	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: at(11)}), "store")
 	require.NotContains(t, c.View().Upstreams, "a1", "a removal while the store is healthy takes effect immediately")
 	k.advance(minOutage)
-	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a2", 12)}, Revision: 12}), "store")
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a2", 12)}, Revision: at(12)}), "store")
 	require.Contains(t, c.View().Upstreams, "a2", "a lapse in an outage gets the grace period")
 	k.advance(time.Second)
-	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a3", 13)}, Revision: 13}), "store")
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a3", 13)}, Revision: at(13)}), "store")
 	require.Contains(t, c.View().Upstreams, "a3", "a lapse after an outage gets the rest of it")
 	k.advance(outageGracePeriod - time.Second + time.Millisecond)
 	c.ExpireGracePeriods()
 	require.NotContains(t, c.View().Upstreams, "a2", "removed when the grace period ends without a new registration")
 	require.NotContains(t, c.View().Upstreams, "a3", "the grace period counts from the end of the outage")
-	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a4", 14)}, Revision: 14}), "store")
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a4", 14)}, Revision: at(14)}), "store")
 	require.NotContains(t, c.View().Upstreams, "a4", "the outage is over")
 }
 
@@ -145,9 +146,9 @@
 func TestMassLapseGracePeriod(t *testing.T) {
 	c, k := newCatalog()
 	c.replace(Upstreams, readyRows("a", 4), "store")
-	c.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 5), deletedRow("a2", 5), deletedRow("a3", 5)}, Revision: 5}, "store")
+	c.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 5), deletedRow("a2", 5), deletedRow("a3", 5)}, Revision: at(5)}, "store")
 	require.Len(t, c.View().Upstreams, 4)
-	c.update(Upstreams, Listing{Rows: []Row{{Key: "a1", Value: []byte("a,ready"), Revision: 6}}, Revision: 6}, "store")
+	c.update(Upstreams, Listing{Rows: []Row{{Key: "a1", Value: []byte("a,ready"), Revision: at(6)}}, Revision: at(6)}, "store")
 	k.advance(massLapseGracePeriod + time.Millisecond)
 	c.ExpireGracePeriods()
 	require.Len(t, c.View().Upstreams, 2, "a1 registered again and a4 never lapsed")
@@ -161,20 +162,20 @@
 	follower, _ := newCatalog()
 	follower.opt.Now = k.Now
 	watcher.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
-	require.NoError(t, follower.Merge(watcher.Snapshot(0, 0, RowRevision{}), "watcher", k.Now()))
+	require.NoError(t, follower.Merge(watcher.Snapshot(at(0), at(0), RowRevision{}), "watcher", k.Now()))
 	watcher.recordOutcome(Upstreams, errors.New("store unavailable"))
 	k.advance(1800 * time.Millisecond)
-	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
-	require.NoError(t, follower.Merge(watcher.Snapshot(1, 10, RowRevision{}), "watcher", k.Now()))
+	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: at(11)}), "store")
+	require.NoError(t, follower.Merge(watcher.Snapshot(at(1), at(10), RowRevision{}), "watcher", k.Now()))
 	require.NotContains(t, watcher.View().Upstreams, "a1")
 	require.NotContains(t, follower.View().Upstreams, "a1")
 	// Others have proven the table while this instance's calls failed.
 	for range 4 {
 		watcher.recordOutcome(Upstreams, errors.New("store unavailable"))
 		k.advance(time.Second)
-		watcher.Confirm(0, 11, Proofs{Upstreams: k.Now()})
+		watcher.Confirm(at(0), at(11), Proofs{Upstreams: k.Now()}, "watcher")
 	}
-	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a2", 12)}, Revision: 12}), "store")
+	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a2", 12)}, Revision: at(12)}), "store")
 	require.NotContains(t, watcher.View().Upstreams, "a2")
 }
 
@@ -182,7 +183,7 @@
 // pause is no outage of the store, and nobody knows when in it they left.
 func TestNoGracePeriodAfterPause(t *testing.T) {
 	c, k := newCatalog()
-	c.opt.Store = &scriptedStore{lists: []Listing{{Revision: 11, Rows: readyRows("a", 1).Rows}}}
+	c.opt.Store = &scriptedStore{lists: []Listing{{Revision: at(11), Rows: readyRows("a", 1).Rows}}}
 	c.replace(Upstreams, k.proven(readyRows("a", 4)), "store")
 	k.advance(time.Minute)
 	c.Invalidate()
@@ -203,7 +204,7 @@
 	_, err := c.fetch(context.Background(), Upstreams, WatchRole{Watches: true, Primary: true}, &listed)
 	require.NoError(t, err)
 	k.advance(1900 * time.Millisecond)
-	s.changes <- Listing{Rows: []Row{deletedRow("a1", 5), deletedRow("a2", 5), deletedRow("a3", 5)}, Revision: 5}
+	s.changes <- Listing{Rows: []Row{deletedRow("a1", 5), deletedRow("a2", 5), deletedRow("a3", 5)}, Revision: at(5)}
 	changed, err := c.fetch(context.Background(), Upstreams, WatchRole{Watches: true, Primary: true}, &listed)
 	require.NoError(t, err)
 	require.True(t, changed)
@@ -214,8 +215,8 @@
 func TestNoGracePeriodForDrainingUpstream(t *testing.T) {
 	c, _ := newCatalog()
 	c.replace(Upstreams, readyRows("a", 4), "store")
-	c.update(Upstreams, Listing{Rows: []Row{{Key: "a1", Value: []byte("a,draining"), Revision: 5}}, Revision: 5}, "store")
-	c.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 6), deletedRow("a2", 6), deletedRow("a3", 6), deletedRow("a4", 6)}, Revision: 6}, "store")
+	c.update(Upstreams, Listing{Rows: []Row{{Key: "a1", Value: []byte("a,draining"), Revision: at(5)}}, Revision: at(5)}, "store")
+	c.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 6), deletedRow("a2", 6), deletedRow("a3", 6), deletedRow("a4", 6)}, Revision: at(6)}, "store")
 	require.NotContains(t, c.View().Upstreams, "a1")
 	require.Contains(t, c.View().Upstreams, "a2")
 }
@@ -225,7 +226,7 @@
 func TestUndecodableRowRemovesUpstream(t *testing.T) {
 	c, _ := newCatalog()
 	c.replace(Upstreams, readyRows("a", 3), "store")
-	c.update(Upstreams, Listing{Rows: []Row{{Key: "a2", Value: []byte("?"), Revision: 4}, {Key: "b", Value: nil, Revision: 4}}, Revision: 4}, "store")
+	c.update(Upstreams, Listing{Rows: []Row{{Key: "a2", Value: []byte("?"), Revision: at(4)}, {Key: "b", Value: nil, Revision: at(4)}}, Revision: at(4)}, "store")
 	require.Len(t, c.View().Upstreams, 2)
 }
 
@@ -235,19 +236,19 @@
 	a, _ := newCatalog()
 	b, _ := newCatalog()
 	a.replace(Upstreams, readyRows("a", 10), "store")
-	require.NoError(t, b.Merge(a.Snapshot(0, 0, RowRevision{}), "a", b.opt.Now()))
+	require.NoError(t, b.Merge(a.Snapshot(at(0), at(0), RowRevision{}), "a", b.opt.Now()))
 	require.Len(t, b.View().Upstreams, 10)
-	a.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 11), {Key: "n", Value: []byte("a,ready"), Revision: 12}}, Revision: 12}, "store")
-	_, revision := b.Revisions()
-	s := a.Snapshot(0, revision, RowRevision{})
+	a.update(Upstreams, Listing{Rows: []Row{deletedRow("a1", 11), {Key: "n", Value: []byte("a,ready"), Revision: at(12)}}, Revision: at(12)}, "store")
+	_, known := b.Revisions()
+	s := a.Snapshot(at(0), known, RowRevision{})
 	require.Len(t, s.Upstreams.Rows, 2, "the snapshot holds only the changes")
 	require.NoError(t, b.Merge(s, "a", b.opt.Now()))
 	require.Equal(t, a.View().Upstreams, b.View().Upstreams)
 	lagging, _ := newCatalog()
 	lagging.replace(Upstreams, readyRows("a", 5), "store")
 	require.NoError(t, lagging.Merge(s, "a", lagging.opt.Now()))
-	_, revision = lagging.Revisions()
-	require.EqualValues(t, 5, revision, "changes that would leave a gap must be dropped")
+	_, known = lagging.Revisions()
+	require.Equal(t, at(5), known, "changes that would leave a gap must be dropped")
 }
 
 // scriptedStore answers List calls from a script and Watch calls from a
@@ -265,7 +266,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if table != Upstreams || len(s.lists) == 0 {
-		return Listing{Revision: 1}, nil
+		return Listing{Revision: at(1)}, nil
 	}
 	s.calls = append(s.calls, "list")
 	l := s.lists[0]
@@ -273,13 +274,13 @@
 	return l, nil
 }
 
-func (s *scriptedStore) Watch(ctx context.Context, table Table, after int64, _ time.Duration) (Listing, error) {
+func (s *scriptedStore) Watch(ctx context.Context, table Table, after revision.Revision, _ time.Duration) (Listing, error) {
 	if table != Upstreams {
 		<-ctx.Done()
 		return Listing{}, ctx.Err()
 	}
 	s.mu.Lock()
-	s.calls = append(s.calls, fmt.Sprintf("watch %d", after))
+	s.calls = append(s.calls, fmt.Sprintf("watch %s", after))
 	historyGone := s.historyGone
 	s.historyGone = false
 	s.mu.Unlock()
@@ -296,14 +297,14 @@
 
 // Guards against changes that are missed when the store discards its history.
 func TestRelistsWhenHistoryIsGone(t *testing.T) {
-	s := &scriptedStore{lists: []Listing{readyRows("a", 3), {Revision: 9, Rows: []Row{{Key: "z", Value: []byte("a,ready"), Revision: 9}}}}, historyGone: true, changes: make(chan Listing)}
+	s := &scriptedStore{lists: []Listing{readyRows("a", 3), {Revision: at(9), Rows: []Row{{Key: "z", Value: []byte("a,ready"), Revision: at(9)}}}}, historyGone: true, changes: make(chan Listing)}
 	c := New(Options{Store: s, Decode: decoder, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.DiscardLogger(),
 		WatchRole: func() WatchRole { return WatchRole{Watches: true, Primary: true} }})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); c.Run(ctx) }()
 	require.Eventually(t, func() bool { return c.View().Upstreams["z"].ID == "z" }, 5*time.Second, time.Millisecond)
-	s.changes <- Listing{Rows: []Row{{Key: "y", Value: []byte("a,ready"), Revision: 10}}, Revision: 10}
+	s.changes <- Listing{Rows: []Row{{Key: "y", Value: []byte("a,ready"), Revision: at(10)}}, Revision: at(10)}
 	require.Eventually(t, func() bool { return c.View().Upstreams["y"].ID == "y" }, 5*time.Second, time.Millisecond)
 	cancel()
 	<-done
@@ -319,9 +320,11 @@
 	deadlines chan time.Duration
 }
 
-func (s *silentStore) List(context.Context, Table) (Listing, error) { return Listing{Revision: 1}, nil }
+func (s *silentStore) List(context.Context, Table) (Listing, error) {
+	return Listing{Revision: at(1)}, nil
+}
 
-func (s *silentStore) Watch(ctx context.Context, _ Table, _ int64, _ time.Duration) (Listing, error) {
+func (s *silentStore) Watch(ctx context.Context, _ Table, _ revision.Revision, _ time.Duration) (Listing, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return Listing{}, errors.New("no deadline")
@@ -358,10 +361,10 @@
 	follower, _ := newCatalog()
 	follower.opt.Now = k.Now
 	watcher.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
-	require.NoError(t, follower.Merge(watcher.Snapshot(0, 0, RowRevision{}), "watcher", follower.opt.Now()))
+	require.NoError(t, follower.Merge(watcher.Snapshot(at(0), at(0), RowRevision{}), "watcher", follower.opt.Now()))
 	k.advance(minOutage)
-	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
-	require.NoError(t, follower.Merge(watcher.Snapshot(1, 10, RowRevision{}), "watcher", follower.opt.Now()))
+	watcher.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: at(11)}), "store")
+	require.NoError(t, follower.Merge(watcher.Snapshot(at(1), at(10), RowRevision{}), "watcher", follower.opt.Now()))
 	require.Contains(t, follower.View().Upstreams, "a1")
 	k.advance(outageGracePeriod + time.Millisecond)
 	follower.ExpireGracePeriods()
@@ -375,7 +378,7 @@
 	c.SetDrainTimeout(time.Second)
 	c.replace(Upstreams, k.proven(readyRows("a", 10)), "store")
 	k.advance(minOutage)
-	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: 11}), "store")
+	c.update(Upstreams, k.proven(Listing{Rows: []Row{deletedRow("a1", 11)}, Revision: at(11)}), "store")
 	k.advance(900 * time.Millisecond)
 	c.ExpireGracePeriods()
 	require.NotContains(t, c.View().Upstreams, "a1")
@@ -394,15 +397,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); watcher.Run(ctx) }()
-	s.changes <- Listing{Rows: []Row{{Key: "b", Value: []byte("b,ready"), Revision: 11}}, Revision: 11}
+	s.changes <- Listing{Rows: []Row{{Key: "b", Value: []byte("b,ready"), Revision: at(11)}}, Revision: at(11)}
 	require.Eventually(t, func() bool { return len(watcher.View().Upstreams) == 5 }, 5*time.Second, time.Millisecond)
-	require.NoError(t, follower.Merge(watcher.Snapshot(0, 0, RowRevision{}), "watcher", k.Now()))
+	require.NoError(t, follower.Merge(watcher.Snapshot(at(0), at(0), RowRevision{}), "watcher", k.Now()))
 	k.advance(coalesceDelay[Upstreams])
-	s.changes <- Listing{Rows: []Row{deletedRow("a1", 12), deletedRow("a2", 12), deletedRow("a3", 12)}, Revision: 12}
-	require.Eventually(t, func() bool { _, r := watcher.Revisions(); return r == 12 }, 5*time.Second, time.Millisecond)
+	s.changes <- Listing{Rows: []Row{deletedRow("a1", 12), deletedRow("a2", 12), deletedRow("a3", 12)}, Revision: at(12)}
+	require.Eventually(t, func() bool { _, r := watcher.Revisions(); return r == at(12) }, 5*time.Second, time.Millisecond)
 	cancel()
 	<-done
-	snapshot, requestedAt := watcher.Snapshot(1, 11, RowRevision{}), k.Now()
+	snapshot, requestedAt := watcher.Snapshot(at(1), at(11), RowRevision{}), k.Now()
 	k.advance(transferTime)
 	require.NoError(t, follower.Merge(snapshot, "watcher", requestedAt))
 	require.Contains(t, watcher.View().Upstreams, "a1")
@@ -418,12 +421,12 @@
 // of its earlier writes late, before or after its registration was removed.
 func TestLateWriteDoesNotMakeALeavingUpstreamReady(t *testing.T) {
 	c, _ := newCatalog()
-	revision := int64(1)
+	number := int64(1)
 	put := func(value string) {
-		revision++
-		c.update(Upstreams, Listing{Revision: revision, Rows: []Row{{Key: "u", Value: []byte(value), Revision: revision, Deleted: value == ""}}}, "test")
+		number++
+		c.update(Upstreams, Listing{Revision: at(number), Rows: []Row{{Key: "u", Value: []byte(value), Revision: at(number), Deleted: value == ""}}}, "test")
 	}
-	c.replace(Upstreams, Listing{Revision: 1}, "test")
+	c.replace(Upstreams, Listing{Revision: at(1)}, "test")
 	put("a,ready,100,7")
 	put("a,draining,100,8")
 	put("a,ready,100,6")
@@ -455,21 +458,21 @@
 		catalogs := []*Catalog{watcher, lister, peer}
 		for _, c := range catalogs {
 			c.opt.Now = k.Now
-			c.replace(Upstreams, Listing{Revision: 1}, "store")
+			c.replace(Upstreams, Listing{Revision: at(1)}, "store")
 		}
 		var newest steering.Upstream
-		for revision := int64(2); revision < 14; revision++ {
+		for number := int64(2); number < 14; number++ {
 			report := steering.Upstream{StartUnixMS: 100 + int64(random.IntN(3)), Sequence: int64(random.IntN(6))}
 			// The state follows from the report, because each report is made once.
 			state := []string{"ready", "draining"}[(report.StartUnixMS+report.Sequence)%2]
-			row := Row{Key: "u", Value: fmt.Appendf(nil, "a,%s,%d,%d", state, report.StartUnixMS, report.Sequence), Revision: revision}
+			row := Row{Key: "u", Value: fmt.Appendf(nil, "a,%s,%d,%d", state, report.StartUnixMS, report.Sequence), Revision: at(number)}
 			if report.StartUnixMS > newest.StartUnixMS || report.StartUnixMS == newest.StartUnixMS && report.Sequence > newest.Sequence {
 				newest = report
 			}
-			watcher.update(Upstreams, Listing{Rows: []Row{row}, Revision: revision}, "store")
-			lister.replace(Upstreams, Listing{Rows: []Row{row}, Revision: revision}, "store")
+			watcher.update(Upstreams, Listing{Rows: []Row{row}, Revision: at(number)}, "store")
+			lister.replace(Upstreams, Listing{Rows: []Row{row}, Revision: at(number)}, "store")
 			_, known := peer.Revisions()
-			require.NoError(t, peer.Merge(watcher.Snapshot(1, known, RowRevision{}), "watcher", k.Now()))
+			require.NoError(t, peer.Merge(watcher.Snapshot(at(1), known, RowRevision{}), "watcher", k.Now()))
 			for i, c := range catalogs {
 				u := c.View().Upstreams["u"]
 				require.Equal(t, newest, steering.Upstream{StartUnixMS: u.StartUnixMS, Sequence: u.Sequence}, "catalog %d", i)
@@ -484,16 +487,19 @@
 	var log bytes.Buffer
 	c, now := newCatalog()
 	c.opt.Logger = event.NewLogger(&log, slog.LevelWarn, "instance", "i")
-	c.replace(Directives, Listing{Revision: 9, Rows: []Row{{Key: "config", Value: []byte("2"), Revision: 9}}}, storeSource)
-	older := Listing{Revision: 5, Rows: []Row{{Key: "config", Value: []byte("1"), Revision: 5}}}
+	c.replace(Directives, Listing{Revision: at(9), Rows: []Row{{Key: "config", Value: []byte("2"), Revision: at(9)}}}, storeSource)
+	older := Listing{Revision: at(5), Rows: []Row{{Key: "config", Value: []byte("1"), Revision: at(5)}}}
 	c.replace(Directives, older, storeSource)
 	now.advance(time.Second)
 	c.replace(Directives, older, storeSource)
-	c.replace(Directives, Listing{Revision: 9}, "peer")
+	c.replace(Directives, Listing{Revision: at(9)}, "peer")
 	now.advance(time.Second)
-	c.replace(Directives, Listing{Revision: 10, Rows: []Row{{Key: "config", Value: []byte("3"), Revision: 10}}}, storeSource)
+	c.replace(Directives, Listing{Revision: at(10), Rows: []Row{{Key: "config", Value: []byte("3"), Revision: at(10)}}}, storeSource)
 	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
 	require.Len(t, lines, 2)
-	require.Contains(t, lines[0], `"event":607,"table":"directives","behind":true,"held":9,"listed":5,"lasted_ms":0`)
-	require.Contains(t, lines[1], `"event":607,"table":"directives","behind":false,"held":9,"listed":10,"lasted_ms":2000`)
+	require.Contains(t, lines[0], `"event":607,"table":"directives","behind":true,"held":"9","listed":"5","lasted_ms":0`)
+	require.Contains(t, lines[1], `"event":607,"table":"directives","behind":false,"held":"9","listed":"10","lasted_ms":2000`)
 }
+
+// at returns a revision of a store that does not state its era.
+func at(number int64) revision.Revision { return revision.Revision{Number: number} }
--- a/pkg/catalog/difference.go
+++ b/pkg/catalog/difference.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 	"github.com/sequoiacove/sequoiacove/pkg/transfer"
 )
 
@@ -97,25 +98,25 @@
 func (c *Catalog) restore(table Table, l *Listing) error {
 	for i := range l.Rows {
 		r := &l.Rows[i]
-		if r.BaseRevision == 0 {
+		if r.BaseRevision.IsZero() {
 			continue
 		}
 		c.mu.Lock()
 		own := c.tables[table].rows[r.Key]
 		c.mu.Unlock()
-		if own.Revision >= r.Revision {
+		if !own.Revision.Before(r.Revision) {
 			// The store has meanwhile sent this version or a newer one.
 			*r = own
 			continue
 		}
 		if own.Revision != r.BaseRevision {
-			return errors.Annotatef(ErrDifference, "row %q: base %d, in force %d", r.Key, r.BaseRevision, own.Revision)
+			return errors.Annotatef(ErrDifference, "row %q: base %s, in force %s", r.Key, r.BaseRevision, own.Revision)
 		}
 		value, err := transfer.Patch(own.Value, r.Value, r.Digest)
 		if err != nil {
-			return errors.Annotatef(ErrDifference, "row %q, revision %d: %v", r.Key, r.Revision, err)
+			return errors.Annotatef(ErrDifference, "row %q, revision %s: %v", r.Key, r.Revision, err)
 		}
-		r.Value, r.BaseRevision, r.Digest = value, 0, nil
+		r.Value, r.BaseRevision, r.Digest = value, revision.Revision{}, nil
 	}
 	return nil
 }
--- a/pkg/catalog/difference_test.go
+++ b/pkg/catalog/difference_test.go
@@ -24,7 +24,7 @@
 func withConfigs(n int) *Catalog {
 	c, _ := newCatalog()
 	for version := 1; version <= n; version++ {
-		c.replace(Directives, Listing{Revision: int64(version), Rows: []Row{{Key: "config", Value: largeConfig(version), Revision: int64(version)}}}, "store")
+		c.replace(Directives, Listing{Revision: at(int64(version)), Rows: []Row{{Key: "config", Value: largeConfig(version), Revision: at(int64(version))}}}, "store")
 	}
 	return c
 }
@@ -32,29 +32,29 @@
 // Guards against changes that cost the size of the configuration between instances.
 func TestPeerGetsTheDifferenceOfALargeConfiguration(t *testing.T) {
 	a, b := withConfigs(5), withConfigs(2)
-	s := a.Snapshot(2, 0, b.LargeRow())
+	s := a.Snapshot(at(2), at(0), b.LargeRow())
 	require.Len(t, s.Directives.Rows, 1)
-	require.EqualValues(t, 2, s.Directives.Rows[0].BaseRevision)
+	require.Equal(t, at(2), s.Directives.Rows[0].BaseRevision)
 	require.Less(t, len(s.Directives.Rows[0].Value), 200)
 	require.NoError(t, b.Merge(s, "a", b.opt.Now()))
 	require.EqualValues(t, 5, b.View().Config.Version)
 	require.Equal(t, a.tables[Directives].rows["config"].Value, b.tables[Directives].rows["config"].Value)
-	s = b.Snapshot(2, 0, RowRevision{Key: "config", Revision: 2})
-	require.EqualValues(t, 2, s.Directives.Rows[0].BaseRevision, "an instance that was served serves on")
+	s = b.Snapshot(at(2), at(0), RowRevision{Key: "config", Revision: at(2)})
+	require.Equal(t, at(2), s.Directives.Rows[0].BaseRevision, "an instance that was served serves on")
 }
 
 // Guards against a configuration that is in force in part, or not at all, because a
 // difference was applied to another version than it was made for.
 func TestDifferenceThatDoesNotFitIsNotApplied(t *testing.T) {
 	a := withConfigs(5)
-	s := a.Snapshot(2, 0, RowRevision{Key: "config", Revision: 2})
+	s := a.Snapshot(at(2), at(0), RowRevision{Key: "config", Revision: at(2)})
 	other := withConfigs(3)
 	require.ErrorIs(t, other.Merge(s, "a", other.opt.Now()), ErrDifference, "another base")
 	require.EqualValues(t, 3, other.View().Config.Version)
 
 	changed := withConfigs(1)
 	value := bytes.Replace(largeConfig(2), []byte("service 7"), []byte("service 8"), 1)
-	changed.replace(Directives, Listing{Revision: 2, Rows: []Row{{Key: "config", Value: value, Revision: 2}}}, "store")
+	changed.replace(Directives, Listing{Revision: at(2), Rows: []Row{{Key: "config", Value: value, Revision: at(2)}}}, "store")
 	require.ErrorIs(t, changed.Merge(s, "a", changed.opt.Now()), ErrDifference, "another value under the same revision")
 	require.EqualValues(t, 2, changed.View().Config.Version)
 
@@ -68,7 +68,7 @@
 func TestPeerThatLagsFarBehindGetsTheWholeConfiguration(t *testing.T) {
 	a, b := withConfigs(maxBases+4), withConfigs(1)
 	require.Len(t, a.bases.versions["config"], maxBases)
-	s := a.Snapshot(1, 0, b.LargeRow())
+	s := a.Snapshot(at(1), at(0), b.LargeRow())
 	require.Zero(t, s.Directives.Rows[0].BaseRevision)
 	require.NoError(t, b.Merge(s, "a", b.opt.Now()))
 	require.EqualValues(t, maxBases+4, b.View().Config.Version)
--- /dev/null
+++ b/pkg/catalog/era_test.go
@@ -0,0 +1,279 @@
+package catalog
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
+	"github.com/sequoiacove/sequoiacove/pkg/steering"
+)
+
+// in returns a revision of an era.
+func in(era, number int64) revision.Revision {
+	return revision.Revision{Era: era, Number: number}
+}
+
+// listingIn returns a listing of an era whose rows alternate keys and values and have the
+// numbers 1, 2 and so on.
+func listingIn(era, number int64, keysAndValues ...string) Listing {
+	l := Listing{Revision: in(era, number)}
+	for n := 0; n < len(keysAndValues); n += 2 {
+		l.Rows = append(l.Rows, Row{Key: keysAndValues[n], Value: []byte(keysAndValues[n+1]), Revision: in(era, int64(n/2+1))})
+	}
+	return l
+}
+
+func changeIn(era, number int64, key, value string) Listing {
+	return Listing{Revision: in(era, number), Rows: []Row{{Key: key, Value: []byte(value), Revision: in(era, number), Deleted: value == ""}}}
+}
+
+// expireAt advances the clock to a time after the return of the store at returnedAt, while the
+// tables are proven current every half second.
+func (k *clock) expireAt(c *Catalog, returnedAt time.Time, after time.Duration) {
+	for end := returnedAt.Add(after); k.Now().Before(end); {
+		k.advance(min(500*time.Millisecond, end.Sub(k.Now())))
+		c.Confirm(c.tables[Directives].revision, c.tables[Upstreams].revision, Proofs{Directives: k.Now(), Upstreams: k.Now()}, "watcher")
+		c.ExpireGracePeriods()
+	}
+}
+
+// Guards against instances that ignore all changes of a store that has come back from an
+// older copy, until its counter has passed the revision that they hold (issue 41).
+func TestStoreThatComesBackOlderIsFollowed(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(1, 100, "config", "7")), storeSource)
+	c.replace(Directives, k.proven(listingIn(2, 60, "config", "7")), storeSource)
+	require.Equal(t, in(2, 60), c.tables[Directives].revision)
+	c.update(Directives, k.proven(changeIn(2, 61, "config", "8")), storeSource)
+	require.EqualValues(t, 8, c.View().Config.Version)
+}
+
+// Guards against changes that are missed for good because the counter of the store has passed
+// the revision that the instance holds before the first call.
+func TestRowsOfTheSameRevisionInAnotherEra(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Upstreams, k.proven(listingIn(1, 3, "u", "a,ready", "v", "a,ready", "w", "a,ready")), storeSource)
+	c.replace(Upstreams, k.proven(listingIn(2, 9, "u", "a,ready", "v", "a,draining", "x", "a,ready")), storeSource)
+	v := c.View()
+	require.Equal(t, steering.Draining, v.Upstreams["v"].State)
+	require.Contains(t, v.Upstreams, "x")
+}
+
+// Guards against answers, snapshots and heartbeats of an earlier era that change or prove
+// something once a newer era is known.
+func TestEarlierEraChangesAndProvesNothing(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(2, 5, "config", "5")), storeSource)
+	c.replace(Upstreams, k.proven(listingIn(2, 5, "u", "a,ready")), storeSource)
+	proofs := c.Proofs()
+	k.advance(time.Second)
+	old, _ := newCatalog()
+	old.replace(Directives, k.proven(listingIn(1, 90, "config", "9")), storeSource)
+	old.replace(Upstreams, k.proven(listingIn(1, 90, "v", "a,ready")), storeSource)
+
+	require.NoError(t, c.Merge(old.Snapshot(at(0), at(0), RowRevision{}), "peer", k.Now()))
+	c.Confirm(in(1, 90), in(1, 90), Proofs{Directives: k.Now(), Upstreams: k.Now()}, "peer")
+	c.update(Upstreams, k.proven(changeIn(1, 91, "v", "a,ready")), storeSource)
+	l := k.proven(listingIn(1, 92, "v", "a,ready"))
+	require.ErrorIs(t, c.recordStoreAnswer(Upstreams, &l, k.Now()), errOutdatedEra)
+
+	require.EqualValues(t, 5, c.View().Config.Version)
+	require.NotContains(t, c.View().Upstreams, "v")
+	require.Equal(t, proofs, c.Proofs())
+}
+
+// Guards against tables that count as current although only a newer era could prove them.
+func TestNewEraEndsTheProofsOfBothTables(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(1, 5, "config", "5")), storeSource)
+	c.replace(Upstreams, k.proven(listingIn(1, 5, "u", "a,ready")), storeSource)
+	require.True(t, c.Current())
+	c.Confirm(in(2, 4), in(1, 5), Proofs{Directives: k.Now(), Upstreams: k.Now()}, "peer")
+	require.False(t, c.Current(), "a heartbeat states the new era")
+	require.Equal(t, Proofs{}, c.Proofs())
+	c.replace(Directives, k.proven(listingIn(2, 4, "config", "5")), storeSource)
+	require.False(t, c.Current(), "one table is still of the old era")
+	c.Confirm(in(2, 4), in(1, 5), Proofs{Directives: k.Now(), Upstreams: k.Now()}, "lagging peer")
+	require.False(t, c.Current())
+	c.replace(Upstreams, k.proven(listingIn(2, 4, "u", "a,ready")), storeSource)
+	require.True(t, c.Current())
+}
+
+// Guards against a difference between two tables that is applied to a base of the same number
+// and another era.
+func TestSnapshotsBetweenErasAreWhole(t *testing.T) {
+	newer, k := newCatalog()
+	newer.replace(Upstreams, k.proven(listingIn(2, 10, "u", "a,ready", "v", "a,ready")), storeSource)
+	newer.update(Upstreams, k.proven(changeIn(2, 11, "w", "a,ready")), storeSource)
+	older, _ := newCatalog()
+	older.replace(Upstreams, k.proven(listingIn(1, 10, "u", "a,ready", "z", "a,ready")), storeSource)
+	_, known := older.Revisions()
+	s := newer.Snapshot(at(0), known, RowRevision{})
+	require.True(t, s.Upstreams.Since.IsZero())
+	require.NoError(t, older.Merge(s, "newer", k.Now()))
+	require.Equal(t, in(2, 11), older.tables[Upstreams].revision)
+	require.Len(t, older.tables[Upstreams].rows, 3)
+
+	lagging, _ := newCatalog()
+	lagging.replace(Upstreams, k.proven(listingIn(1, 11, "u", "a,ready")), storeSource)
+	lagging.update(Upstreams, Listing{Since: in(2, 10), Revision: in(2, 11)}, "newer")
+	require.Equal(t, in(1, 11), lagging.tables[Upstreams].revision, "a difference of another era leaves the table as it is")
+}
+
+// Guards against a flap to the configuration of the older copy, and against a store that stays
+// old and is never followed.
+func TestConfigurationOfTheOlderCopyIsHeldBack(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(1, 100, "config", "20")), storeSource)
+	returnedAt := k.Now()
+	c.replace(Directives, k.proven(listingIn(2, 90, "config", "18")), storeSource)
+	require.EqualValues(t, 20, c.View().Config.Version)
+	c.update(Directives, k.proven(changeIn(2, 91, "config", "19")), storeSource)
+	require.EqualValues(t, 20, c.View().Config.Version, "the operator writes the versions again one by one")
+	k.expireAt(c, returnedAt, rewriteTimeout-time.Millisecond)
+	require.EqualValues(t, 20, c.View().Config.Version)
+	k.expireAt(c, returnedAt, rewriteTimeout)
+	require.EqualValues(t, 19, c.View().Config.Version, "the store has stayed old")
+}
+
+// Guards against an older configuration in force after the operator has written the newest
+// again.
+func TestConfigurationWrittenAgainIsKept(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(1, 100, "config", "20")), storeSource)
+	returnedAt := k.Now()
+	c.replace(Directives, k.proven(listingIn(2, 90, "config", "18")), storeSource)
+	c.update(Directives, k.proven(changeIn(2, 91, "config", "20")), storeSource)
+	k.expireAt(c, returnedAt, 2*rewriteTimeout)
+	require.EqualValues(t, 20, c.View().Config.Version)
+}
+
+// Guards against evacuations that end, or begin again, because the copy is older than the
+// operator's last word.
+func TestEvacuationsOfTheOlderCopyAreHeldBack(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(1, 3, "config", "1", "evacuate/ended", "{}", "evacuate/kept", "{}")), storeSource)
+	c.update(Directives, k.proven(changeIn(1, 4, "evacuate/ended", "")), storeSource)
+	c.update(Directives, k.proven(changeIn(1, 5, "evacuate/begun", "{}")), storeSource)
+	endedAt := c.View().EvacuationEnds["ended"]
+	returnedAt := k.Now()
+	c.replace(Directives, k.proven(listingIn(2, 3, "config", "1", "evacuate/ended", "{}", "evacuate/kept", "{}")), storeSource)
+	require.Equal(t, map[string]bool{"kept": true, "begun": true}, c.View().EvacuatedDomains)
+	require.Equal(t, endedAt, c.View().EvacuationEnds["ended"])
+
+	c.update(Directives, k.proven(changeIn(2, 4, "evacuate/ended", "")), storeSource)
+	k.expireAt(c, returnedAt, rewriteTimeout)
+	require.Equal(t, map[string]bool{"kept": true}, c.View().EvacuatedDomains, "one was withdrawn again, the other not begun again")
+	c.update(Directives, k.proven(changeIn(2, 5, "evacuate/ended", "{}")), storeSource)
+	require.Contains(t, c.View().EvacuatedDomains, "ended", "an evacuation of the new era")
+}
+
+// Guards against requests to an upstream that has left, because the copy still has its
+// registration, and against one that is never used again although it runs.
+func TestRegistrationsOfTheOlderCopyAreHeldBack(t *testing.T) {
+	c, k := newCatalog()
+	l := listingIn(1, 4, "left", "a,ready,5,1", "restarted", "a,ready,5,1", "leaving", "a,ready,5,1", "back", "a,ready,5,1")
+	c.replace(Upstreams, k.proven(l), storeSource)
+	c.update(Upstreams, k.proven(changeIn(1, 5, "left", "")), storeSource)
+	c.update(Upstreams, k.proven(changeIn(1, 6, "restarted", "a,ready,9,1")), storeSource)
+	c.update(Upstreams, k.proven(changeIn(1, 7, "leaving", "a,draining,5,2")), storeSource)
+	c.update(Upstreams, k.proven(changeIn(1, 8, "back", "")), storeSource)
+	returnedAt := k.Now()
+	l = listingIn(2, 4, "left", "a,ready,5,1", "restarted", "a,ready,5,1", "leaving", "a,ready,5,1", "back", "a,ready,5,1")
+	c.replace(Upstreams, k.proven(l), storeSource)
+	v := c.View()
+	require.NotContains(t, v.Upstreams, "left")
+	require.EqualValues(t, 9, v.Upstreams["restarted"].StartUnixMS)
+	require.Equal(t, steering.Draining, v.Upstreams["leaving"].State)
+
+	c.update(Upstreams, k.proven(changeIn(2, 5, "left", "")), storeSource)
+	c.update(Upstreams, k.proven(changeIn(2, 6, "back", "a,ready,5,3")), storeSource)
+	require.Contains(t, c.View().Upstreams, "back", "it has registered again")
+	k.expireAt(c, returnedAt, rewriteTimeout)
+	require.NotContains(t, c.View().Upstreams, "left")
+}
+
+// Guards against upstreams that lose their place because the copy lacks their registrations,
+// and against ones that are gone and stay in use.
+func TestRegistrationsThatTheOlderCopyLacks(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Upstreams, k.proven(listingIn(1, 9, "u", "a,ready", "v", "a,ready", "w", "a,ready")), storeSource)
+	returnedAt := k.Now()
+	c.replace(Upstreams, k.proven(listingIn(2, 1, "u", "a,ready")), storeSource)
+	require.Len(t, c.View().Upstreams, 3)
+	k.advance(time.Second)
+	c.replace(Upstreams, k.proven(listingIn(3, 1, "u", "a,ready")), storeSource)
+	k.expireAt(c, returnedAt, outageGracePeriod+500*time.Millisecond)
+	require.Len(t, c.View().Upstreams, 3, "a second return extends the grace period")
+	c.update(Upstreams, k.proven(changeIn(3, 2, "v", "a,ready")), storeSource)
+	k.expireAt(c, returnedAt, time.Second+outageGracePeriod+time.Millisecond)
+	require.Contains(t, c.View().Upstreams, "v")
+	require.NotContains(t, c.View().Upstreams, "w")
+}
+
+// Guards against a store without eras that is treated otherwise than before, silently.
+func TestAnswersWithoutEra(t *testing.T) {
+	var log bytes.Buffer
+	c, k := newCatalog()
+	c.opt.Logger = event.NewLogger(&log, slog.LevelWarn, "instance", "i")
+	l := k.proven(listingIn(4, 5, "config", "5"))
+	require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now()))
+	c.replace(Directives, l, storeSource)
+	for range 2 {
+		l = Listing{EraUnknown: true, Revision: at(6), Rows: []Row{{Key: "config", Value: []byte("6"), Revision: at(6)}}}
+		require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now()))
+	}
+	c.replace(Directives, l, storeSource)
+	require.EqualValues(t, 6, c.View().Config.Version)
+	require.Equal(t, in(4, 6), c.tables[Directives].revision)
+	require.Equal(t, 1, bytes.Count(log.Bytes(), []byte(fmt.Sprintf(`"event":%d`, event.StoreEraUnstated))))
+}
+
+// eraStore is a store that comes back in a newer era while a watch waits. Its counter has
+// passed the revision of the watch by then, so that it does not answer "history gone".
+type eraStore struct {
+	Store
+	calls    chan string
+	returned bool
+}
+
+func (s *eraStore) List(context.Context, Table) (Listing, error) {
+	s.calls <- "list"
+	if !s.returned {
+		return listingIn(1, 5, "config", "5"), nil
+	}
+	return listingIn(2, 9, "config", "6"), nil
+}
+
+func (s *eraStore) Watch(ctx context.Context, _ Table, after revision.Revision, _ time.Duration) (Listing, error) {
+	s.calls <- "watch " + after.String()
+	if !s.returned {
+		s.returned = true
+		return Listing{Revision: in(2, 9)}, nil
+	}
+	<-ctx.Done()
+	return Listing{}, ctx.Err()
+}
+
+// Guards against a watch that goes on from the revision of an earlier era.
+func TestRelistsWhenTheEraChanges(t *testing.T) {
+	c, _ := newCatalog()
+	s := &eraStore{calls: make(chan string, 10)}
+	c.opt.Store, c.opt.WatchRole = s, func() WatchRole { return WatchRole{Watches: true, Primary: true} }
+	changed := make(chan int64, 1)
+	c.opt.OnEraChange = func(era int64) { changed <- era }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.syncTable(ctx, Directives)
+	for _, call := range []string{"list", "watch 1.5", "list", "watch 2.9"} {
+		require.Equal(t, call, <-s.calls)
+	}
+	require.EqualValues(t, 2, <-changed)
+}
--- a/pkg/catalog/lapse.go
+++ b/pkg/catalog/lapse.go
@@ -22,6 +22,18 @@
 	return end
 }
 
+// extendGracePeriods extends the running grace periods after a new era of the store: what the
+// upstreams have written since their registrations lapsed may be lost, too. The lock must be
+// held.
+func (c *Catalog) extendGracePeriods() {
+	end := c.gracePeriodEnd(time.Time{}, false)
+	for id, graceEnd := range c.graceDeadlines {
+		if end.After(graceEnd) {
+			c.graceDeadlines[id] = end
+		}
+	}
+}
+
 // isMassLapse reports whether changes are a mass lapse. The lock must be held.
 func (c *Catalog) isMassLapse(changes []Row) bool {
 	lapsedCounts, upstreamCounts := make(map[string]int), make(map[string]int)
@@ -57,11 +69,13 @@
 	c.opt.DrainTimeout = d
 }
 
-// ExpireGracePeriods removes the upstreams whose grace period has ended.
+// ExpireGracePeriods removes the upstreams whose grace period has ended, and replaces what an
+// earlier era of the store left in force and has not been written again in time.
 func (c *Catalog) ExpireGracePeriods() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now, changed := c.opt.Now(), false
+	now := c.opt.Now()
+	changed := c.releaseHeldRows(now)
 	for id, end := range c.graceDeadlines {
 		if now.After(end) {
 			c.removeUpstream(id, "did not register again", "clock")
--- a/pkg/catalog/proof.go
+++ b/pkg/catalog/proof.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 // A table is proven current as of the time at which the store answered a call with its
@@ -10,7 +12,8 @@
 // heartbeat of a watcher say nothing about the store. Every answer of the store, and every
 // table or revision that is passed on between instances, therefore comes with the age of its
 // proof, and a proof only grows older on its way. An instance whose own tables were proven
-// longer than maxProofAge ago asks the store itself.
+// longer than maxProofAge ago asks the store itself. A proof of an earlier era of the store
+// counts no more once a newer era is known.
 
 const (
 	// maxProofAge is how old the proof of a table may be. The shortest time in which a
@@ -60,6 +63,12 @@
 	return proofAge(p.Directives, now), proofAge(p.Upstreams, now)
 }
 
+// StoreAnswerAge returns how long ago the store last answered this instance's own calls for
+// both tables, or Unproven.
+func (c *Catalog) StoreAnswerAge() time.Duration {
+	return proofAge(c.Proofs().StoreAnswered, c.opt.Now())
+}
+
 func proofAge(at, now time.Time) time.Duration {
 	if at.IsZero() {
 		return Unproven
@@ -81,14 +90,16 @@
 }
 
 // Confirm records that the tables were current with the given revisions until the given
-// times, as an instance has stated. A table with an older revision is not proven by that.
-func (c *Catalog) Confirm(directivesRevision, upstreamsRevision int64, p Proofs) {
+// times, as the instance source has stated. A table with an older revision is not proven by
+// that, and a statement about an earlier era proves nothing.
+func (c *Catalog) Confirm(directives, upstreams revision.Revision, p Proofs, source string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t := &c.tables[Directives]; t.revision >= directivesRevision {
+	c.enterEra(max(directives.Era, upstreams.Era), source)
+	if t := &c.tables[Directives]; c.isCurrentEra(t.revision, directives) && !t.revision.Before(directives) {
 		t.prove(p.Directives)
 	}
-	if t := &c.tables[Upstreams]; t.revision >= upstreamsRevision {
+	if t := &c.tables[Upstreams]; c.isCurrentEra(t.revision, upstreams) && !t.revision.Before(upstreams) {
 		t.prove(p.Upstreams)
 	}
 }
--- a/pkg/catalog/proof_test.go
+++ b/pkg/catalog/proof_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 // answer applies a watch answer of the store that was sent at sentAt, when the store's clock
@@ -22,17 +23,17 @@
 // Guards against an answer of the store that was held up on its way and counts as new.
 func TestAnswerThatComesLateProvesOnlyThePast(t *testing.T) {
 	c, k := newCatalog()
-	c.answer(Listing{Revision: 1}, k.Now(), time.Minute)
+	c.answer(Listing{Revision: at(1)}, k.Now(), time.Minute)
 	sentAt := k.Now()
 	k.advance(3 * time.Second)
-	c.answer(Listing{Revision: 2}, sentAt, time.Minute+time.Second)
+	c.answer(Listing{Revision: at(2)}, sentAt, time.Minute+time.Second)
 	_, age := c.ProofAges()
 	require.InDelta(t, 2*time.Second, age, float64(2*time.Millisecond))
 	// Without the store's clock, only the time of the call is known.
 	k.advance(time.Second)
 	sentAt = k.Now()
 	k.advance(time.Second)
-	c.answer(Listing{Revision: 3}, sentAt, 0)
+	c.answer(Listing{Revision: at(3)}, sentAt, 0)
 	_, age = c.ProofAges()
 	require.Equal(t, time.Second, age)
 }
@@ -42,12 +43,12 @@
 func TestProofsAfterClockWasSet(t *testing.T) {
 	for _, jump := range []time.Duration{-time.Hour, time.Hour} {
 		c, k := newCatalog()
-		c.answer(Listing{Revision: 1}, k.Now(), 2*time.Hour)
+		c.answer(Listing{Revision: at(1)}, k.Now(), 2*time.Hour)
 		for revision := range int64(3) {
 			k.advance(time.Second)
 			sentAt := k.Now()
 			k.advance(20 * time.Millisecond)
-			c.answer(Listing{Revision: revision + 2}, sentAt, 2*time.Hour+jump+k.Now().Sub(time.Unix(1001, 0)))
+			c.answer(Listing{Revision: at(revision + 2)}, sentAt, 2*time.Hour+jump+k.Now().Sub(time.Unix(1001, 0)))
 			_, age := c.ProofAges()
 			require.LessOrEqual(t, age, 20*time.Millisecond)
 			require.GreaterOrEqual(t, age, time.Duration(0))
@@ -65,7 +66,7 @@
 	l.ProvenAt = k.Now()
 	watcher.replace(Upstreams, l, "store")
 	k.advance(time.Second)
-	s, requestedAt := watcher.Snapshot(0, 0, RowRevision{}), k.Now()
+	s, requestedAt := watcher.Snapshot(at(0), at(0), RowRevision{}), k.Now()
 	k.advance(500 * time.Millisecond)
 	require.NoError(t, follower.Merge(s, "watcher", requestedAt))
 	_, age := follower.ProofAges()
@@ -77,11 +78,11 @@
 	require.Equal(t, 1500*time.Millisecond, age, "older releases state no age, which proves nothing")
 
 	k.advance(time.Second)
-	watcher.Confirm(0, 3, follower.Proofs())
+	watcher.Confirm(at(0), at(3), follower.Proofs(), "watcher")
 	_, age = watcher.ProofAges()
 	require.Equal(t, 2500*time.Millisecond, age)
 	require.False(t, watcher.Current())
-	follower.Confirm(0, 4, Proofs{Upstreams: k.Now()})
+	follower.Confirm(at(0), at(4), Proofs{Upstreams: k.Now()}, "watcher")
 	_, age = follower.ProofAges()
 	require.Equal(t, 2500*time.Millisecond, age, "a newer revision proves nothing about an older table")
 	follower.Invalidate()
@@ -105,12 +106,12 @@
 		<-ctx.Done()
 		return Listing{}, ctx.Err()
 	}
-	return Listing{Revision: 1 + s.revision.Load(), StoreTime: time.Since(s.startedAt)}, ctx.Err()
+	return Listing{Revision: at(1 + s.revision.Load()), StoreTime: time.Since(s.startedAt)}, ctx.Err()
 }
 
 func (s *darkStore) List(ctx context.Context, _ Table) (Listing, error) { return s.answer(ctx, 0) }
 
-func (s *darkStore) Watch(ctx context.Context, _ Table, _ int64, wait time.Duration) (Listing, error) {
+func (s *darkStore) Watch(ctx context.Context, _ Table, _ revision.Revision, wait time.Duration) (Listing, error) {
 	return s.answer(ctx, wait)
 }
 
@@ -137,7 +138,7 @@
 		s.revision.Add(1)
 		s.dark.Store(false)
 		endedAt := time.Now()
-		require.Eventually(t, func() bool { _, r := c.Revisions(); return r == 1+s.revision.Load() && c.Current() }, 10*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { _, r := c.Revisions(); return r == at(1+s.revision.Load()) && c.Current() }, 10*time.Second, time.Millisecond)
 		require.Less(t, time.Since(endedAt), maxTime)
 		require.False(t, c.Proofs().Upstreams.Before(endedAt))
 	}
--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 // Snapshot holds both tables, or the changes to them, for transfer between
@@ -13,10 +15,11 @@
 }
 
 // Snapshot returns the changes to both tables after the given revisions, which
-// are those that a peer already has. A revision of 0 requests the whole table. large is a row
+// are those that a peer already has. A zero revision, or one of another era, requests the
+// whole table. large is a row
 // of the directives that the peer has; the snapshot states a newer version of it as a
 // difference.
-func (c *Catalog) Snapshot(directives, upstreams int64, large RowRevision) Snapshot {
+func (c *Catalog) Snapshot(directives, upstreams revision.Revision, large RowRevision) Snapshot {
 	c.mu.Lock()
 	now := c.opt.Now()
 	s := Snapshot{Directives: c.tables[Directives].changesSince(directives, now), Upstreams: c.tables[Upstreams].changesSince(upstreams, now)}
@@ -29,20 +32,20 @@
 
 // changesSince returns the changes after a revision, or the whole table if the
 // deletions since then are no longer recorded.
-func (t *tableState) changesSince(revision int64, now time.Time) Listing {
+func (t *tableState) changesSince(known revision.Revision, now time.Time) Listing {
 	l := Listing{Revision: t.revision, ProofAge: max(1, proofAge(t.provenAt, now))}
-	if revision > 0 && revision >= t.deletionsRecordedAfter {
-		l.Since = revision
+	if !known.IsZero() && known.Era == t.revision.Era && !known.Before(t.deletionsRecordedAfter) {
+		l.Since = known
 	}
 	for _, r := range t.rows {
-		if r.Revision > l.Since {
+		if r.Revision.After(l.Since) {
 			r.SeenAge = max(1, now.Sub(r.SeenAt))
 			l.Rows = append(l.Rows, r)
 		}
 	}
-	if l.Since > 0 {
+	if !l.Since.IsZero() {
 		for key, d := range t.deletions {
-			if d.revision > l.Since {
+			if d.revision.After(l.Since) {
 				l.Rows = append(l.Rows, Row{Key: key, Revision: d.revision, Deleted: true, Age: now.Sub(d.madeAt)})
 			}
 		}
@@ -89,7 +92,7 @@
 }
 
 func (c *Catalog) mergeTable(table Table, l Listing, peer string) {
-	if l.Since == 0 {
+	if l.Since.IsZero() {
 		c.replace(table, l, peer)
 		return
 	}
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
@@ -52,6 +53,9 @@
 	WatchRole func() WatchRole
 	// OnRevisionAdvance is called after the revision of a table has increased.
 	OnRevisionAdvance func()
+	// OnEraChange is called in a goroutine of its own after the store has come back from an
+	// older copy, with the new era.
+	OnEraChange func(era int64)
 	// OnStoreAnswer is called after an answer of the store has proven that a table whose
 	// revision did not increase is current.
 	OnStoreAnswer func()
@@ -90,12 +94,19 @@
 
 	mu     sync.Mutex
 	tables [2]tableState
+	// era is the newest known era of the store.
+	era int64
+	// eraUnstated is set once the store has answered without its era, and outdatedEra is the
+	// last era of which an answer was ignored; both are for the log.
+	eraUnstated bool
+	outdatedEra *int64
+	held        heldRows
 	// bases holds the earlier versions of the large directives.
 	bases            rowBases
 	storeClock       storeClock
 	config           *steering.Config
 	evacuatedDomains map[string]bool
-	evacuationEnds   map[string]int64
+	evacuationEnds   map[string]revision.Revision
 	upstreams        map[string]steering.Upstream
 	// removed holds the last report of each upstream that has been removed and stated its
 	// start time.
@@ -109,11 +120,11 @@
 
 type tableState struct {
 	rows     map[string]Row
-	revision int64
+	revision revision.Revision
 	// deletions maps the keys deleted after revision deletionsRecordedAfter to
 	// their deletions. Earlier deletions are not recorded.
 	deletions              map[string]deletion
-	deletionsRecordedAfter int64
+	deletionsRecordedAfter revision.Revision
 	// provenAt is the time until which the table is proven current, and storeAnsweredAt the
 	// time at which the store last answered a call of this instance for it.
 	provenAt        time.Time
@@ -129,13 +140,13 @@
 // deletion is the deletion of a row: its revision and the earliest time at
 // which it may have been made.
 type deletion struct {
-	revision int64
+	revision revision.Revision
 	madeAt   time.Time
 }
 
 // New returns an empty Catalog.
 func New(opt Options) *Catalog {
-	c := &Catalog{opt: opt, evacuatedDomains: make(map[string]bool), evacuationEnds: make(map[string]int64), upstreams: make(map[string]steering.Upstream), removed: make(map[string]steering.Upstream), graceDeadlines: make(map[string]time.Time)}
+	c := &Catalog{opt: opt, evacuatedDomains: make(map[string]bool), evacuationEnds: make(map[string]revision.Revision), upstreams: make(map[string]steering.Upstream), removed: make(map[string]steering.Upstream), graceDeadlines: make(map[string]time.Time), held: newHeldRows()}
 	for i := range c.tables {
 		c.tables[i].rows = make(map[string]Row)
 		c.tables[i].deletions = make(map[string]deletion)
@@ -147,9 +158,9 @@
 // View returns the current view; it is never nil.
 func (c *Catalog) View() *steering.View { return c.view.Load() }
 
-// Revisions returns the current revision of each table; 0 means that the table
+// Revisions returns the current revision of each table; zero means that the table
 // has not been loaded.
-func (c *Catalog) Revisions() (directives, upstreams int64) {
+func (c *Catalog) Revisions() (directives, upstreams revision.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.tables[Directives].revision, c.tables[Upstreams].revision
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -129,12 +129,12 @@
 	event.Log(c.opt.Logger, event.WatchRoleChanged, "watches", role.Watches, "primary", primary, "rank", role.Rank, "directives_age_ms", directives.Milliseconds(), "upstreams_age_ms", upstreams.Milliseconds())
 }
 
-// isLoaded reports whether the table has been loaded, so that a watch can
-// continue from its revision.
+// isLoaded reports whether the table has been loaded in the newest known era, so that a watch
+// can continue from its revision.
 func (c *Catalog) isLoaded(table Table) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tables[table].revision > 0
+	return !c.tables[table].revision.IsZero() && c.tables[table].revision.Era == c.era
 }
 
 // fetch lists the table or, if it has been listed, watches it once, and applies
@@ -149,8 +149,10 @@
 		if err != nil {
 			return false, err
 		}
+		if err := c.recordStoreAnswer(table, &l, sentAt); err != nil {
+			return false, err
+		}
 		*listed = true
-		c.recordStoreAnswer(table, &l, sentAt)
 		c.replace(table, l, storeSource)
 		return false, nil
 	}
@@ -170,7 +172,14 @@
 		// The store answers without changes only once it has waited for them.
 		earliest = waited
 	}
-	c.recordStoreAnswer(table, &l, earliest)
+	if err := c.recordStoreAnswer(table, &l, earliest); err != nil {
+		return false, err
+	}
+	if l.Revision.Era != after.Era {
+		// The store has come back from an older copy, so that the table must be listed.
+		*listed = false
+		return false, nil
+	}
 	age := c.opt.Now().Sub(l.ProvenAt)
 	if l.ProvenAt.Sub(sentAt) < promptAnswer {
 		// The change may have been made before the store received the call.
@@ -199,10 +208,14 @@
 }
 
 // recordStoreAnswer records that the store answered a call for the table, not before
-// earliest, and sets what the answer proves.
-func (c *Catalog) recordStoreAnswer(table Table, l *Listing, earliest time.Time) {
+// earliest, and sets what the answer proves. It returns errOutdatedEra if the answer is one of
+// an earlier era.
+func (c *Catalog) recordStoreAnswer(table Table, l *Listing, earliest time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err := c.checkEra(table, l); err != nil {
+		return err
+	}
 	l.ProvenAt = c.storeClock.answeredAt(earliest, c.opt.Now(), l.StoreTime)
 	t := &c.tables[table]
 	if l.ProvenAt.After(t.storeAnsweredAt) {
@@ -211,6 +224,7 @@
 	for i := range l.Rows {
 		l.Rows[i].SeenAt = c.opt.Now()
 	}
+	return nil
 }
 
 // recordOutcome records the outcome of a store call and logs when the store
@@ -219,7 +233,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if errors.Is(err, ErrHistoryGone) {
-		event.Log(c.opt.Logger, event.StoreHistoryExpired, "table", table.String(), "revision", c.tables[table].revision)
+		event.Log(c.opt.Logger, event.StoreHistoryExpired, "table", table.String(), "revision", c.tables[table].revision.String())
 		return
 	}
 	if err != nil {
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -60,6 +60,11 @@
 	RegistrationFailed  ID = 605
 	RegistrationRemoved ID = 606
 	StoreBehind         ID = 607
+	StoreEraChanged     ID = 608
+	StoreEraOutdated    ID = 609
+	StoreEraUnstated    ID = 610
+	RowHeldBack         ID = 611
+	RowReleased         ID = 612
 
 	OperatorRequestRejected ID = 700
 )
@@ -78,7 +83,7 @@
 	{PatchAccepted, slog.LevelInfo, "patch accepted", "None."},
 	{PatchRejected, slog.LevelInfo, "patch rejected", "The operator corrects or rebases the patch."},
 	{PatchOutcomeUnknown, slog.LevelWarn, "patch outcome unknown", "Repeat the patch with the same patch id once the store responds."},
-	{StoreVersionStale, slog.LevelError, "store holds an older configuration than this instance", "The store's table was reset or restored from a backup: restore it to the version in force, because patches based on the older version take no effect."},
+	{StoreVersionStale, slog.LevelError, "store holds an older configuration than this instance", "After event 608 none: the version in force stays until its operator has written it again. Without 608 an operator has written an older version, which takes no effect: submit a newer one."},
 	{VersionRejected, slog.LevelError, "configuration version rejected as invalid", "Check that this instance runs the same release as the instance that accepted the version."},
 	{EvacuationStarted, slog.LevelInfo, "failure domain evacuation started", "None."},
 	{EvacuationEnded, slog.LevelInfo, "failure domain evacuation ended", "None; its upstreams are treated as cold for the cold-start time of their service."},
@@ -120,6 +125,11 @@
 	{RegistrationFailed, slog.LevelWarn, "instance registration failed", "None if the store is unavailable: the instance retries."},
 	{RegistrationRemoved, slog.LevelInfo, "registration of a replaced instance removed", "None."},
 	{StoreBehind, slog.LevelWarn, "platform store answers with an older state than this instance holds, or no longer does", "None if it ends within seconds: the store has served an old listing. If `held` stays the same, check whether the store was restored from an older copy."},
+	{StoreEraChanged, slog.LevelWarn, "platform store has come back from an older copy", "None at once: what was in force stays so until its writers have written it again. See \"The store has come back from an older copy\" in docs/OPERATIONS.md."},
+	{StoreEraOutdated, slog.LevelWarn, "answer of an earlier era of the platform store ignored", "None if it does not repeat with new eras: the answer was late, or a part of the store has not changed its era yet."},
+	{StoreEraUnstated, slog.LevelWarn, "platform store does not state its era, or does again", "Check the release of the store: without the era, an older copy of it cannot be told from an old answer."},
+	{RowHeldBack, slog.LevelWarn, "row of an older copy of the platform store held back", "None if its writer writes it again within `timeout_ms`; what was in force stays so until then."},
+	{RowReleased, slog.LevelWarn, "row of an older copy of the platform store in force, because it was not written again", "Check whether the writer of the row (operator or upstream) knows that the store has lost it."},
 
 	{OperatorRequestRejected, slog.LevelWarn, "operator request rejected", "Check the operator's token and request rate."},
 }
--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -41,7 +41,7 @@
 			return
 		}
 		for _, next := range i.mesh.Live() {
-			if next.Watching && next.Region == i.settings.Region && isAhead(next, known) && !i.watchesStore() {
+			if next.Watching && next.Region == i.settings.Region && isAhead(next, known) && i.takesTablesFrom(next, known) {
 				i.startFetch(ctx, next)
 				return
 			}
@@ -52,7 +52,19 @@
 
 // isAhead reports whether a member has newer revisions than the given ones.
 func isAhead(m mesh.Member, known mesh.KnownRevisions) bool {
-	return m.DirectivesRevision > known.DirectivesRevision || m.UpstreamsRevision > known.UpstreamsRevision || m.DescriptionVersion > known.DescriptionVersion
+	return hasNewerTables(m, known) || m.DescriptionVersion > known.DescriptionVersion
+}
+
+func hasNewerTables(m mesh.Member, known mesh.KnownRevisions) bool {
+	return m.DirectivesRevision.After(known.DirectivesRevision) || m.UpstreamsRevision.After(known.UpstreamsRevision)
+}
+
+// takesTablesFrom reports whether this instance takes the tables from a watcher of its region
+// instead of the store. In a new era of the store it does so although its own tables are no
+// longer proven current, because otherwise all instances would list them at the same moment.
+func (i *Instance) takesTablesFrom(m mesh.Member, known mesh.KnownRevisions) bool {
+	newEra := m.DirectivesRevision.Era > known.DirectivesRevision.Era || m.UpstreamsRevision.Era > known.UpstreamsRevision.Era
+	return newEra || !i.watchesStore()
 }
 
 // knownRevisions returns the table revisions and the description version that
@@ -166,7 +178,7 @@
 // of the own region and draws one of them, so that not all instances ask the same one.
 func (i *Instance) catchUp(ctx context.Context, now time.Time) {
 	known := i.knownRevisions()
-	waits := known.DirectivesRevision != 0 && known.UpstreamsRevision != 0
+	waits := !known.DirectivesRevision.IsZero() && !known.UpstreamsRevision.IsZero()
 	var local, remote []mesh.Member
 	for _, m := range i.mesh.Live() {
 		if !isAhead(m, known) {
--- a/pkg/instance/changes_test.go
+++ b/pkg/instance/changes_test.go
@@ -94,7 +94,7 @@
 		}
 		return nonWatcher != nil
 	}, testTimeout, 10*time.Millisecond)
-	nonWatcher.fetchIfNewer(context.Background(), mesh.Member{ID: "dead", Address: freeAddress(), Status: mesh.Status{DirectivesRevision: 1 << 40, UpstreamsRevision: 1 << 40}})
+	nonWatcher.fetchIfNewer(context.Background(), mesh.Member{ID: "dead", Address: freeAddress(), Status: mesh.Status{DirectivesRevision: at(1 << 40), UpstreamsRevision: at(1 << 40)}})
 	watches := nonWatcher.watchesStore()
 	require.True(t, watches)
 }
--- a/pkg/instance/fake_test.go
+++ b/pkg/instance/fake_test.go
@@ -23,6 +23,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 	"github.com/sequoiacove/sequoiacove/pkg/table/tabletest"
 )
@@ -76,7 +77,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	r := catalog.Row{Key: key, Value: []byte(value), Revision: s.revision, Deleted: deleted}
+	r := catalog.Row{Key: key, Value: []byte(value), Revision: at(s.revision), Deleted: deleted}
 	if deleted {
 		delete(s.rows[table], key)
 	} else {
@@ -101,7 +102,7 @@
 	if s.down {
 		return catalog.Listing{}, errStoreDown
 	}
-	l := catalog.Listing{Revision: max(1, s.revision), StoreTime: time.Since(s.startedAt)}
+	l := catalog.Listing{Revision: at(max(1, s.revision)), StoreTime: time.Since(s.startedAt)}
 	for _, r := range s.rows[table] {
 		l.Rows = append(l.Rows, r)
 	}
@@ -109,13 +110,13 @@
 }
 
 // Watch implements catalog.Store.
-func (s *fakeStore) Watch(ctx context.Context, table catalog.Table, after int64, wait time.Duration) (catalog.Listing, error) {
+func (s *fakeStore) Watch(ctx context.Context, table catalog.Table, after revision.Revision, wait time.Duration) (catalog.Listing, error) {
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
-		l := catalog.Listing{Revision: max(1, s.revision), StoreTime: time.Since(s.startedAt)}
+		l := catalog.Listing{Revision: at(max(1, s.revision)), StoreTime: time.Since(s.startedAt)}
 		for _, r := range s.changes[table] {
-			if r.Revision > after {
+			if r.Revision.After(after) {
 				l.Rows = append(l.Rows, r)
 			}
 		}
@@ -157,7 +158,7 @@
 }
 
 // Remove implements catalog.Store.
-func (s *fakeStore) Remove(_ context.Context, table catalog.Table, key string, revision int64) error {
+func (s *fakeStore) Remove(_ context.Context, table catalog.Table, key string, revision revision.Revision) error {
 	s.mu.Lock()
 	current, down := s.rows[table][key].Revision, s.down
 	s.mu.Unlock()
@@ -165,7 +166,7 @@
 	case down:
 		return errStoreDown
 	case current != revision:
-		return result.New(result.StoreConflict, "revision %d", current)
+		return result.New(result.StoreConflict, "revision %s", current)
 	}
 	s.write(table, key, "", true)
 	return nil
@@ -497,3 +498,6 @@
 	env.t.Fatalf("none of %d requests reached the upstream", maxRequests)
 	return timedResponse{}
 }
+
+// at returns a revision of a store that does not state its era.
+func at(number int64) revision.Revision { return revision.Revision{Number: number} }
--- a/pkg/instance/http.go
+++ b/pkg/instance/http.go
@@ -166,8 +166,8 @@
 	ConfigVersion      int64         `json:"version"`
 	DescriptionVersion uint64        `json:"description"`
 	Shares             any           `json:"shares,omitempty"`
-	DirectivesRevision int64         `json:"directives_revision"`
-	UpstreamsRevision  int64         `json:"upstreams_revision"`
+	DirectivesRevision string        `json:"directives_revision"`
+	UpstreamsRevision  string        `json:"upstreams_revision"`
 	StoreDown          bool          `json:"store_down"`
 	StoreCalls         int64         `json:"store_calls"`
 	Connections        int           `json:"connections"`
@@ -181,7 +181,7 @@
 func (i *Instance) state() any {
 	v := i.catalog.View()
 	d, u := i.catalog.Revisions()
-	s := stateDump{Instance: i.settings.ID, Region: i.settings.Region, Domain: i.settings.Domain, DirectivesRevision: d, UpstreamsRevision: u,
+	s := stateDump{Instance: i.settings.ID, Region: i.settings.Region, Domain: i.settings.Domain, DirectivesRevision: d.String(), UpstreamsRevision: u.String(),
 		StoreDown: i.catalog.StoreDown(), StoreCalls: i.catalog.StoreCallCount(), Connections: i.ingress.Connections(), InFlight: i.ingress.InFlight(),
 		Members: i.mesh.Live(), UpstreamCount: len(v.Upstreams), Dials: i.client.Dials(), DescriptionVersion: i.policy.Current().Number, Shares: i.policy.Shares()}
 	if v.Config != nil {
--- a/pkg/instance/instance_test.go
+++ b/pkg/instance/instance_test.go
@@ -78,7 +78,7 @@
 	inst.startMesh(ctx, l)
 	go func() { _ = inst.ingress.Serve(l.callers) }()
 	t.Cleanup(func() { _ = l.callers.Close() })
-	require.NoError(t, inst.catalog.Merge(peer.catalog.Snapshot(0, 0, catalog.RowRevision{}), "i1", time.Now()))
+	require.NoError(t, inst.catalog.Merge(peer.catalog.Snapshot(at(0), at(0), catalog.RowRevision{}), "i1", time.Now()))
 	caller := env.dialCaller(inst)
 	r, _ := caller.do("GET", "/safe/x", "early", "")
 	require.Equal(t, http.StatusServiceUnavailable, r.StatusCode)
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -88,10 +88,10 @@
 // if the member has newer revisions.
 func (i *Instance) onHeartbeat(m mesh.Member) {
 	newer := m.DescriptionVersion > i.policy.Current().Number
-	i.catalog.Confirm(m.DirectivesRevision, m.UpstreamsRevision, m.Proofs)
+	i.catalog.Confirm(m.DirectivesRevision, m.UpstreamsRevision, m.Proofs, m.ID)
 	if m.Watching {
-		directives, upstreams := i.catalog.Revisions()
-		newer = newer || !i.watchesStore() && (m.DirectivesRevision > directives || m.UpstreamsRevision > upstreams)
+		known := i.knownRevisions()
+		newer = newer || hasNewerTables(m, known) && i.takesTablesFrom(m, known)
 	}
 	if !newer {
 		return
--- a/pkg/instance/members_test.go
+++ b/pkg/instance/members_test.go
@@ -27,7 +27,8 @@
 		Seeds: []string{inst.settings.MeshAddress}, Now: time.Now, Random: func() float64 { return 0 }, Logger: inst.logger, Incarnation: 1,
 		LocalStatus: func() mesh.Status {
 			directives, upstreams := inst.catalog.Revisions()
-			return mesh.Status{State: mesh.Serving, Watching: true, DirectivesRevision: directives + ahead, UpstreamsRevision: upstreams,
+			directives.Number += ahead
+			return mesh.Status{State: mesh.Serving, Watching: true, DirectivesRevision: directives, UpstreamsRevision: upstreams,
 				Proofs: catalog.Proofs{Directives: lastHeard(), Upstreams: lastHeard(), StoreAnswered: lastHeard()}}
 		},
 		InFlight: func() []balance.InFlight { return nil }, Demands: func() []balance.Demand { return nil }, RouteStats: func() []balance.RouteStats { return nil },
--- a/pkg/instance/metrics.go
+++ b/pkg/instance/metrics.go
@@ -159,6 +159,8 @@
 		add(labelledName("repeats_denied", labels), b.Denied)
 	}
 	add("callers_turned_away", i.ingress.RejectedConnections())
+	add("store_era", i.catalog.Era())
+	add("store_answer_age_ms", i.catalog.StoreAnswerAge().Milliseconds())
 	add("store_calls", i.catalog.StoreCallCount())
 	add("store_down", btoi(i.catalog.StoreDown()))
 	add("members", len(i.mesh.Live()))
--- a/pkg/instance/register.go
+++ b/pkg/instance/register.go
@@ -9,6 +9,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 const (
@@ -27,7 +28,7 @@
 // registration records the current revision of an instance's row and when this
 // registrar first saw that revision.
 type registration struct {
-	revision    int64
+	revision    revision.Revision
 	firstSeenAt time.Time
 }
 
@@ -135,7 +136,7 @@
 		if err != nil {
 			return err
 		}
-		event.Log(r.instance.logger, event.RegistrationRemoved, "member", row.Key, "revision", row.Revision, "since_ms", now.Sub(known.firstSeenAt).Milliseconds())
+		event.Log(r.instance.logger, event.RegistrationRemoved, "member", row.Key, "revision", row.Revision.String(), "since_ms", now.Sub(known.firstSeenAt).Milliseconds())
 	}
 	r.registrations = current
 	return nil
--- a/pkg/mesh/digest.go
+++ b/pkg/mesh/digest.go
@@ -8,6 +8,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 const (
@@ -56,6 +57,9 @@
 	UpstreamsRevision  int64  `cbor:"7,keyasint,omitempty"`
 	DescriptionVersion uint64 `cbor:"8,keyasint,omitempty"`
 	ActiveRequests     int    `cbor:"9,keyasint,omitempty"`
+	// DirectivesEra and UpstreamsEra are the eras of the revisions above, as in a heartbeat.
+	DirectivesEra int64 `cbor:"10,keyasint,omitempty"`
+	UpstreamsEra  int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // idHash returns the hash by which the instances of a region are ordered. The
@@ -157,7 +161,7 @@
 	d.RequestRates = make(cluster.RequestRates)
 	for _, x := range regionMembers {
 		d.Members = append(d.Members, digestMember{ID: x.ID, Domain: x.Domain, CallerAddress: x.CallerAddress, Address: x.Address, State: x.State,
-			DirectivesRevision: x.DirectivesRevision, UpstreamsRevision: x.UpstreamsRevision, DescriptionVersion: x.DescriptionVersion, ActiveRequests: x.ActiveRequests})
+			DirectivesRevision: x.DirectivesRevision.Number, UpstreamsRevision: x.UpstreamsRevision.Number, DirectivesEra: x.DirectivesRevision.Era, UpstreamsEra: x.UpstreamsRevision.Era, DescriptionVersion: x.DescriptionVersion, ActiveRequests: x.ActiveRequests})
 		for service, rate := range x.RequestRates {
 			d.RequestRates[service] += rate
 		}
@@ -228,7 +232,7 @@
 		}
 		changed = changed || !x.alive || x.State != r.State || x.CallerAddress != r.CallerAddress
 		x.Member = Member{ID: r.ID, Region: d.Region, Domain: r.Domain, CallerAddress: r.CallerAddress, Address: r.Address,
-			Status: Status{State: r.State, DirectivesRevision: r.DirectivesRevision, UpstreamsRevision: r.UpstreamsRevision, DescriptionVersion: r.DescriptionVersion, ActiveRequests: r.ActiveRequests}}
+			Status: Status{State: r.State, DirectivesRevision: revision.Revision{Era: r.DirectivesEra, Number: r.DirectivesRevision}, UpstreamsRevision: revision.Revision{Era: r.UpstreamsEra, Number: r.UpstreamsRevision}, DescriptionVersion: r.DescriptionVersion, ActiveRequests: r.ActiveRequests}}
 		x.lastHeardAt, x.alive = now, true
 		delete(m.candidateAddresses, r.Address)
 		delete(m.deadMembers, r.Address)
--- a/pkg/mesh/endless_test.go
+++ b/pkg/mesh/endless_test.go
@@ -100,7 +100,7 @@
 func TestSnapshotThatBrokeOffIsRefused(t *testing.T) {
 	var changes Changes
 	for n := range 50 {
-		changes.Tables.Upstreams.Rows = append(changes.Tables.Upstreams.Rows, catalog.Row{Key: fmt.Sprint("u", n), Value: []byte("value"), Revision: int64(n)})
+		changes.Tables.Upstreams.Rows = append(changes.Tables.Upstreams.Rows, catalog.Row{Key: fmt.Sprint("u", n), Value: []byte("value"), Revision: at(int64(n))})
 	}
 	for _, compressed := range []bool{false, true} {
 		answer, err := encodeChanges(changes, compressed)
--- a/pkg/mesh/member.go
+++ b/pkg/mesh/member.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 // State is the lifecycle state that an instance reports.
@@ -36,8 +37,8 @@
 	State State
 	// DirectivesRevision and UpstreamsRevision are the revisions of the tables that
 	// the instance holds.
-	DirectivesRevision int64 `json:"Directives"`
-	UpstreamsRevision  int64 `json:"Upstreams"`
+	DirectivesRevision revision.Revision `json:"Directives"`
+	UpstreamsRevision  revision.Revision `json:"Upstreams"`
 	// Watching reports whether the instance watches the store and can reach
 	// it.
 	Watching bool
--- a/pkg/mesh/mesh_test.go
+++ b/pkg/mesh/mesh_test.go
@@ -18,6 +18,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 // peer is a mesh on a loopback socket that records the reports it receives.
@@ -110,7 +111,7 @@
 		LocalStatus: func() Status {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			return Status{State: p.state, DirectivesRevision: 3, UpstreamsRevision: 4, Watching: true, DescriptionVersion: p.version, ActiveRequests: 8, Shares: testShares, RequestRates: cluster.RequestRates{"shop": 5}}
+			return Status{State: p.state, DirectivesRevision: at(3), UpstreamsRevision: at(4), Watching: true, DescriptionVersion: p.version, ActiveRequests: 8, Shares: testShares, RequestRates: cluster.RequestRates{"shop": 5}}
 		},
 		InFlight: func() []balance.InFlight { return []balance.InFlight{{UpstreamHash: 7, Count: 2}} },
 		Demands:  func() []balance.Demand { return []balance.Demand{{RouteHash: 9, Slots: 1.5}} },
@@ -263,8 +264,8 @@
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
 	want := Changes{VersionKnown: true, Version: &cluster.Version{Number: 7, Body: []byte("{}")},
-		Tables: catalog.Snapshot{Upstreams: catalog.Listing{Revision: 9, Since: 5, Rows: []catalog.Row{{Key: "u", Revision: 8, Deleted: true}, {Key: "v", Revision: 9, Value: make([]byte, 1<<20)}}}}}
-	known := KnownRevisions{DirectivesRevision: 2, UpstreamsRevision: 5, DescriptionVersion: 6}
+		Tables: catalog.Snapshot{Upstreams: catalog.Listing{Revision: at(9), Since: at(5), Rows: []catalog.Row{{Key: "u", Revision: at(8), Deleted: true}, {Key: "v", Revision: at(9), Value: make([]byte, 1<<20)}}}}}
+	known := KnownRevisions{DirectivesRevision: at(2), UpstreamsRevision: at(5), DescriptionVersion: 6}
 	go ServeSnapshots(l, time.Now, func(k KnownRevisions) Changes {
 		if k != known {
 			return Changes{}
@@ -292,9 +293,9 @@
 	m.handleMessage(short(1, 3, 7), from)
 	live := m.Live()
 	require.Len(t, live, 1)
-	require.Equal(t, Member{ID: "a", Region: "n", Domain: "n-a", CallerAddress: "10.0.0.1:1", Address: from.String(), Status: Status{State: Serving, DirectivesRevision: 7}}, live[0])
+	require.Equal(t, Member{ID: "a", Region: "n", Domain: "n-a", CallerAddress: "10.0.0.1:1", Address: from.String(), Status: Status{State: Serving, DirectivesRevision: at(7)}}, live[0])
 	m.handleMessage(short(2, 1, 8), from)
-	require.EqualValues(t, 7, m.Live()[0].DirectivesRevision, "a restarted member is ignored until it sends a full heartbeat")
+	require.Equal(t, at(7), m.Live()[0].DirectivesRevision, "a restarted member is ignored until it sends a full heartbeat")
 }
 
 // quietMesh returns a mesh that sends nothing, and a sender address for the
@@ -498,3 +499,6 @@
 	require.NoError(t, err)
 	require.True(t, got.VersionKnown)
 }
+
+// at returns a revision of a store that does not state its era.
+func at(number int64) revision.Revision { return revision.Revision{Number: number} }
--- a/pkg/mesh/receive.go
+++ b/pkg/mesh/receive.go
@@ -9,6 +9,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/balance"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 // receive handles datagrams until the socket is closed.
@@ -105,7 +106,9 @@
 	changed := !x.alive || restarted
 	if h := msg.Heartbeat; h != nil {
 		changed = changed || x.State != h.State
-		x.State, x.DirectivesRevision, x.UpstreamsRevision, x.Watching = h.State, h.DirectivesRevision, h.UpstreamsRevision, h.Watching
+		x.State, x.Watching = h.State, h.Watching
+		x.DirectivesRevision = revision.Revision{Era: h.DirectivesEra, Number: h.DirectivesRevision}
+		x.UpstreamsRevision = revision.Revision{Era: h.UpstreamsEra, Number: h.UpstreamsRevision}
 		x.Proofs = h.proofs(m.config.Now())
 		x.DescriptionVersion, x.ActiveRequests, x.Shares = h.DescriptionVersion, h.ActiveRequests, h.Shares
 		if h.Region != "" {
--- a/pkg/mesh/send.go
+++ b/pkg/mesh/send.go
@@ -56,6 +56,10 @@
 	Leaving []balance.Leaving `cbor:"18,keyasint,omitempty"`
 	// LinkMbps is sent with Region. Older releases omit it.
 	LinkMbps float64 `cbor:"19,keyasint,omitempty"`
+	// DirectivesEra and UpstreamsEra are the eras of the revisions above, which hold only the
+	// numbers. Older releases omit them and ignore them.
+	DirectivesEra int64 `cbor:"20,keyasint,omitempty"`
+	UpstreamsEra  int64 `cbor:"21,keyasint,omitempty"`
 }
 
 // proofAges holds the ages of proofs in milliseconds; unprovenMS if there is no proof.
@@ -140,7 +144,8 @@
 func (m *Mesh) heartbeats(withDemand bool) (short, fullHeartbeat *heartbeat) {
 	status := m.config.LocalStatus()
 	notices := m.config.Notices()
-	short = &heartbeat{State: status.State, DirectivesRevision: status.DirectivesRevision, UpstreamsRevision: status.UpstreamsRevision, Watching: status.Watching,
+	short = &heartbeat{State: status.State, DirectivesRevision: status.DirectivesRevision.Number, UpstreamsRevision: status.UpstreamsRevision.Number,
+		DirectivesEra: status.DirectivesRevision.Era, UpstreamsEra: status.UpstreamsRevision.Era, Watching: status.Watching,
 		DescriptionVersion: status.DescriptionVersion, ActiveRequests: status.ActiveRequests, Shares: status.Shares, Statements: notices.Statements, Leaving: notices.Leaving, Ages: ages(status.Proofs, m.config.Now())}
 	full := *short
 	full.Region, full.Domain, full.CallerAddress = m.config.Self.Region, m.config.Self.Domain, m.config.Self.CallerAddress
--- a/pkg/mesh/snapshot.go
+++ b/pkg/mesh/snapshot.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/exchange"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 	"github.com/sequoiacove/sequoiacove/pkg/transfer"
 )
 
@@ -35,9 +36,9 @@
 // KnownRevisions is the request for a snapshot. It holds the revisions of both
 // tables and the version of the description that the requester already has.
 type KnownRevisions struct {
-	DirectivesRevision int64  `cbor:"1,keyasint,omitempty"`
-	UpstreamsRevision  int64  `cbor:"2,keyasint,omitempty"`
-	DescriptionVersion uint64 `cbor:"3,keyasint,omitempty"`
+	DirectivesRevision revision.Revision `cbor:"1,keyasint,omitempty"`
+	UpstreamsRevision  revision.Revision `cbor:"2,keyasint,omitempty"`
+	DescriptionVersion uint64            `cbor:"3,keyasint,omitempty"`
 	// LargeRow is the row of the directives that the answer may state as a difference.
 	LargeRow catalog.RowRevision `cbor:"5,keyasint,omitempty"`
 	// DescriptionHash is the hash of the description to which the answer may state the next
--- a/pkg/steering/steering.go
+++ b/pkg/steering/steering.go
@@ -8,6 +8,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 // Version is the revision of a configuration. Newer revisions are larger.
@@ -166,7 +168,7 @@
 	// EvacuationEnds holds, by failure domain, the store revision at which its last
 	// evacuation ended. An instance may learn of the end of an evacuation without having
 	// seen it in force.
-	EvacuationEnds map[string]int64
+	EvacuationEnds map[string]revision.Revision
 }
 
 // Directive is a row written by the operator: either a configuration or the
