Don't take an empty watch answer of another era for one that was waited for

A watch that is answered without rows counts as answered at the end of its wait. A store that has changed its era may answer at once. If that answer is held up for longer than the wait, the estimate of the store's clock is up to one second too late, and later answers prove tables for a time after changes that the tables lack.

Ran: the new test on the code before (fails) and after (passes).

--- a/pkg/catalog/era_test.go
+++ b/pkg/catalog/era_test.go
@@ -277,3 +277,32 @@
 	}
 	require.EqualValues(t, 2, <-changed)
 }
+
+// Guards against a table that counts as proven after a change that it lacks: an answer without
+// rows of another era says nothing about how long the store has waited.
+func TestEmptyAnswerOfANewEraIsNotTakenForALaterOne(t *testing.T) {
+	c, k := newCatalog()
+	c.opt.Store = &answeringStore{answer: func() Listing {
+		k.advance(2 * watchWait) // on its way; the store answered at once
+		return Listing{Revision: in(2, 5), StoreTime: time.Hour}
+	}}
+	c.replace(Directives, k.proven(listingIn(1, 5, "config", "5")), storeSource)
+	answeredAt, listed := k.Now(), true
+	_, err := c.fetch(context.Background(), Directives, WatchRole{Watches: true, Primary: true}, &listed)
+	require.NoError(t, err)
+	require.False(t, c.tables[Directives].storeAnsweredAt.After(answeredAt))
+	l := listingIn(2, 6, "config", "5")
+	l.StoreTime = time.Hour + time.Second
+	require.NoError(t, c.recordStoreAnswer(Directives, &l, answeredAt))
+	require.False(t, l.ProvenAt.After(answeredAt.Add(time.Second)))
+}
+
+// answeringStore is a store whose watches get the given answer.
+type answeringStore struct {
+	Store
+	answer func() Listing
+}
+
+func (s *answeringStore) Watch(context.Context, Table, revision.Revision, time.Duration) (Listing, error) {
+	return s.answer(), nil
+}
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -168,8 +168,9 @@
 		return false, err
 	}
 	earliest := sentAt
-	if waited := sentAt.Add(wait); len(l.Rows) == 0 && !waited.After(c.opt.Now()) {
-		// The store answers without changes only once it has waited for them.
+	if waited := sentAt.Add(wait); len(l.Rows) == 0 && l.Revision.Era == after.Era && !waited.After(c.opt.Now()) {
+		// The store answers without changes only once it has waited for them. An answer of
+		// another era may come at once.
 		earliest = waited
 	}
 	if err := c.recordStoreAnswer(table, &l, earliest); err != nil {
