Estimate the store's clock anew in each era

A store that comes back from an older copy may run on another machine. If its clock is ahead of the earlier one by less than an answer is on its way, the estimate from before stays, and the answer counts as later than it was given.

Change: enterEra drops the estimate. The first answer of the era then counts from the time at which the call was sent, as after a start.

--- a/pkg/catalog/era.go
+++ b/pkg/catalog/era.go
@@ -23,6 +23,8 @@
 	}
 	previous, loaded := c.era, false
 	c.era = era
+	// The store's clock may be another one, for example that of another machine.
+	c.storeClock = storeClock{}
 	for i := range c.tables {
 		t := &c.tables[i]
 		loaded = loaded || !t.revision.IsZero()
--- a/pkg/catalog/era_test.go
+++ b/pkg/catalog/era_test.go
@@ -306,3 +306,18 @@
 func (s *answeringStore) Watch(context.Context, Table, revision.Revision, time.Duration) (Listing, error) {
 	return s.answer(), nil
 }
+
+// Guards against a table that counts as proven after a change that it lacks, because the store
+// has come back on a machine whose clock is ahead.
+func TestClockOfTheStoreIsEstimatedAnewInANewEra(t *testing.T) {
+	c, k := newCatalog()
+	l := listingIn(1, 5, "config", "5")
+	l.StoreTime = time.Hour
+	require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now()))
+	sentAt := k.Now()
+	k.advance(2 * time.Second)
+	l = listingIn(2, 5, "config", "5")
+	l.StoreTime = time.Hour + 1500*time.Millisecond
+	require.NoError(t, c.recordStoreAnswer(Directives, &l, sentAt))
+	require.Equal(t, sentAt, l.ProvenAt)
+}
