Pass on whole tables to peers that are behind a listing

A listing of the same era does not show the rows that were written and deleted since the state of the table. The record of deletions still counted as complete from its old start on, so that a peer whose table was of a revision in between, with such a row, got "the changes since" without its deletion and kept the row until its own next listing: an evacuation in force after its end, or an upstream in use after it had left. Older than the eras, but likelier with them: each return makes all instances list.

Change: each listing that replaces a table begins the record of deletions anew, as the first one always has; peers with an older state get the whole table, whose large row is still a difference.

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -27,10 +27,10 @@
 		return
 	}
 	newEra := l.Revision.Era > t.revision.Era && !t.revision.IsZero()
-	if newEra || t.revision.IsZero() {
-		clear(t.deletions)
-		t.deletionsRecordedAfter = l.Revision
-	}
+	// Rows may have been written and deleted between the revision of the table and that of the
+	// listing; a peer that has such a row must get the whole table.
+	clear(t.deletions)
+	t.deletionsRecordedAfter = l.Revision
 	present := make(map[string]bool, len(l.Rows))
 	changes := make([]Row, 0, len(l.Rows))
 	for _, r := range l.Rows {
--- a/pkg/catalog/difference_test.go
+++ b/pkg/catalog/difference_test.go
@@ -73,3 +73,16 @@
 	require.NoError(t, b.Merge(s, "a", b.opt.Now()))
 	require.EqualValues(t, maxBases+4, b.View().Config.Version)
 }
+
+// Guards against rows that stay in a peer's table for good: a listing does not show the rows
+// that were written and deleted since the one before.
+func TestListingHidesDeletionsFromPeers(t *testing.T) {
+	lister, k := newCatalog()
+	lister.replace(Directives, k.proven(listingIn(0, 1, "config", "1")), storeSource)
+	peer, _ := newCatalog()
+	peer.replace(Directives, k.proven(listingIn(0, 2, "config", "1", "evacuate/a", "{}")), storeSource)
+	lister.replace(Directives, k.proven(listingIn(0, 3, "config", "1")), storeSource)
+	known, _ := peer.Revisions()
+	require.NoError(t, peer.Merge(lister.Snapshot(known, at(0), RowRevision{}), "lister", k.Now()))
+	require.Empty(t, peer.View().EvacuatedDomains)
+}
