Encode eras so that releases without them read the numbers

Change: the era is a CBOR tag on the number. Decoders that don't know the tag pass over it. An array is no longer decoded; no release has sent one.

--- a/pkg/revision/revision.go
+++ b/pkg/revision/revision.go
@@ -9,8 +9,10 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 )
 
 // Revision is a state of the store, or the state in which a row was last written. The zero
@@ -45,32 +47,31 @@
 	return fmt.Sprintf("%d.%d", r.Era, r.Number)
 }
 
-// eraAndNumber is the encoding of a Revision with an era.
-type eraAndNumber struct {
-	_           struct{} `cbor:",toarray"`
-	Era, Number int64
-}
+// eraTag plus the era is the CBOR tag of the number of a revision with an era. Decoders that
+// don't know the tag, as those of releases without eras, pass over it and read the number.
+const eraTag = 0x5ea00000
 
-// MarshalCBOR implements cbor.Marshaler. A revision without an era is encoded as its number,
-// which is what releases without eras send and expect.
+// MarshalCBOR implements cbor.Marshaler. A revision without an era is encoded as its number.
 func (r Revision) MarshalCBOR() ([]byte, error) {
-	if r.Era == 0 {
+	if r.Era <= 0 {
 		return cbor.Marshal(r.Number)
 	}
-	return cbor.Marshal(eraAndNumber{Era: r.Era, Number: r.Number})
+	return cbor.Marshal(cbor.Tag{Number: eraTag + uint64(r.Era), Content: r.Number})
 }
 
 // UnmarshalCBOR implements cbor.Unmarshaler.
 func (r *Revision) UnmarshalCBOR(data []byte) error {
-	var number int64
-	if cbor.Unmarshal(data, &number) == nil {
-		*r = Revision{Number: number}
-		return nil
+	var tag cbor.RawTag
+	if cbor.Unmarshal(data, &tag) != nil {
+		tag = cbor.RawTag{Number: eraTag, Content: data}
 	}
-	var v eraAndNumber
-	if err := cbor.Unmarshal(data, &v); err != nil {
+	if tag.Number < eraTag || tag.Number-eraTag > math.MaxInt64 {
+		return errors.Errorf("CBOR tag %d is not one of an era", tag.Number)
+	}
+	var number int64
+	if err := cbor.Unmarshal(tag.Content, &number); err != nil {
 		return err
 	}
-	*r = Revision{Era: v.Era, Number: v.Number}
+	*r = Revision{Era: int64(tag.Number - eraTag), Number: number}
 	return nil
 }
