End the backoff of an outage with the first answer of the store

After an outage the first watch of a store that has come back from an older copy gets "history gone". The backoff before the listing went on from that of the failed calls, up to 1.2 s and more at higher ranks, although the store answers.

Change: an answer without history sets the backoff back to the shortest. A store that never has history is asked no faster than before, because each listing between has always set it back (TestListingsWithoutHistoryBackOff).

TestBackoffOfAnOutageEndsWithTheFirstAnswer fails before (400 ms) and passes after.

--- a/pkg/catalog/backoff_test.go
+++ b/pkg/catalog/backoff_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoiacove/sequoiacove/pkg/event"
@@ -58,3 +59,46 @@
 	const maxLists = 2 * int64(time.Second/(minBackoff/2)+1)
 	require.LessOrEqual(t, s.listCount.Load(), maxLists)
 }
+
+// returningStore fails for some calls and then has no history of what was listed before.
+type returningStore struct {
+	Store
+	failures int
+	goneAt   time.Time
+	listed   chan time.Duration
+}
+
+func (s *returningStore) List(context.Context, Table) (Listing, error) {
+	if s.goneAt.IsZero() {
+		return Listing{Revision: in(1, 9)}, nil
+	}
+	s.listed <- time.Since(s.goneAt)
+	return Listing{Revision: in(2, 5)}, nil
+}
+
+func (s *returningStore) Watch(ctx context.Context, _ Table, after revision.Revision, _ time.Duration) (Listing, error) {
+	if s.failures--; s.failures >= 0 {
+		return Listing{}, errors.New("no answer")
+	}
+	if after == in(2, 5) {
+		<-ctx.Done()
+		return Listing{}, ctx.Err()
+	}
+	s.goneAt = time.Now()
+	return Listing{}, ErrHistoryGone
+}
+
+// Guards against tables that are listed late after a return of the store, because the backoff
+// of the outage before it goes on once the store answers.
+func TestBackoffOfAnOutageEndsWithTheFirstAnswer(t *testing.T) {
+	s := &returningStore{failures: 3, listed: make(chan time.Duration, 1)}
+	c := New(Options{Store: s, Decode: decoder, Now: time.Now, Random: func() float64 { return 0 }, Logger: event.DiscardLogger(),
+		WatchRole: func() WatchRole { return WatchRole{Watches: true, Primary: true} }})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.syncTable(ctx, Directives) }()
+	meter := slowdown.Start()
+	require.Less(t, <-s.listed, meter.Scale(2*minBackoff))
+	cancel()
+	<-done
+}
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -85,7 +85,10 @@
 		c.recordOutcome(table, err)
 		switch {
 		case err != nil:
-			listed = listed && !errors.Is(err, ErrHistoryGone)
+			if errors.Is(err, ErrHistoryGone) {
+				// The store answers, so that the backoff of an outage before is over.
+				listed, backoff = false, minBackoff
+			}
 			c.backOff(ctx, time.Duration((0.5+c.opt.Random()/2)*float64(backoff)))
 			backoff = min(2*backoff, backoffLimit(role))
 		default:
