Model a peer that lists the table again

Cause: catalog.pml let the peer take every revision in turn.

Change: the peer may list again, and is asked for its changes since the instance's revision. The mutation STALE_RECORD, with which it serves changes from before its listing, is refuted.

--- a/spec/catalog.pml
+++ b/spec/catalog.pml
@@ -9,6 +9,8 @@
  *   ANY_REVISION  a late response older than the local revision is applied
  *   ACCEPT_GAP    changes that start after the local revision are applied
  *   NO_REMOVALS   a peer forwards rows but not removals
+ *   STALE_RECORD  a peer that has listed the table again serves changes since a revision
+ *                 before that, although it lacks the removals of rows that it never had
  */
 #define WRITES 4
 
@@ -39,6 +41,8 @@
 bool local_present;
 byte peer_revision;   /* revision of the peer's copy */
 bool peer_present;
+byte peer_removal;    /* revision of the row's last removal that the peer has recorded */
+byte removals_after;  /* revision after which the peer has recorded all removals */
 
 /* The response in flight, from the store or the peer. */
 bool response_pending;
@@ -62,11 +66,26 @@
 	od
 }
 
-/* The peer replicates the store, with an arbitrary lag. */
+/* The peer replicates the store, with an arbitrary lag, by its changes or by listing the
+ * table again, which skips revisions. */
 proctype peer_sync()
 {
 	do
-	:: atomic { peer_revision < revision -> peer_revision++; peer_present = present[peer_revision] }
+	:: atomic { peer_revision < revision -> peer_revision++; peer_present = present[peer_revision];
+		if
+		:: last_change[peer_revision] == peer_revision && !peer_present -> peer_removal = peer_revision
+		:: else -> skip
+		fi }
+	:: atomic { peer_revision < revision -> peer_revision = revision;
+		if
+		:: peer_present && !present[peer_revision] -> peer_removal = peer_revision
+		:: else -> skip
+		fi;
+		peer_present = present[peer_revision];
+#ifndef STALE_RECORD
+		removals_after = peer_revision
+#endif
+		}
 	:: revision == WRITES && peer_revision == WRITES -> break
 	od
 }
@@ -109,6 +128,12 @@
 		fi;
 		response_last_change = last_change[response_to];
 		response_has_row = response_last_change > response_since && FORWARDED }
+	/* Request the peer's changes. */
+	:: atomic { !response_pending && local_revision >= removals_after && local_revision <= peer_revision ->
+		response_pending = true; response_full = false; response_since = local_revision;
+		response_to = peer_revision; response_present = peer_present;
+		response_last_change = (peer_present -> last_change[peer_revision] : peer_removal);
+		response_has_row = response_last_change > response_since && FORWARDED }
 	/* While a response is in flight, the instance may copy the peer's revision. */
 	:: atomic { response_pending && peer_revision > local_revision -> local_revision = peer_revision; local_present = peer_present }
 	:: atomic { response_pending -> previous_revision = local_revision; apply_response(); response_pending = false;
