Refuse changes that begin in an earlier era than they end in

The base of changes from a peer was compared with the table, and its era with nothing: changes since 1.10 up to 2.12 were taken by a table at 2.11. No release sends such, because the sender gives the whole table between eras; the check of the receiver did not cover it. Found by review against spec/eras.pml. The added case of TestSnapshotsBetweenErasAreWhole fails before.

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -81,7 +81,8 @@
 		return
 	}
 	c.logStoreBehind(table, l, source)
-	if l.Since.After(t.revision) || l.Revision.Before(t.revision) {
+	otherBase := !l.Since.IsZero() && l.Since.Era != t.revision.Era
+	if otherBase || l.Since.After(t.revision) || l.Revision.Before(t.revision) {
 		c.mu.Unlock()
 		return
 	}
--- a/pkg/catalog/era_test.go
+++ b/pkg/catalog/era_test.go
@@ -125,6 +125,8 @@
 	lagging.replace(Upstreams, k.proven(listingIn(1, 11, "u", "a,ready")), storeSource)
 	lagging.update(Upstreams, Listing{Since: in(2, 10), Revision: in(2, 11)}, "newer")
 	require.Equal(t, in(1, 11), lagging.tables[Upstreams].revision, "a difference of another era leaves the table as it is")
+	newer.update(Upstreams, Listing{Since: in(1, 10), Revision: in(2, 12)}, "peer")
+	require.Equal(t, in(2, 11), newer.tables[Upstreams].revision, "so does one that begins in an earlier era")
 }
 
 // Guards against a flap to the configuration of the older copy, and against a store that stays
