Don't list a table again that a peer has brought into the new era

A watch that gets an answer of a new era made the instance list the table also if it had taken it from a peer meanwhile.

--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -180,8 +180,9 @@
 		return false, err
 	}
 	if l.Revision.Era != after.Era {
-		// The store has come back from an older copy, so that the table must be listed.
-		*listed = false
+		// The store has come back from an older copy, so that the table must be listed, unless
+		// a peer has brought it into the new era meanwhile.
+		*listed = c.isLoaded(table)
 		return false, nil
 	}
 	age := c.opt.Now().Sub(l.ProvenAt)
