Don't fetch tables of earlier eras

A member whose tables are of an earlier era than the newest known one counted as ahead as long as the own tables were of a still earlier one. Now a table counts as newer only if it is of the newest known era. TestMembersOfAnEarlierEraAreNotAsked fails before (era 2 counts as ahead).

--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 // fetchAnnouncedChanges fetches changes from the members whose heartbeats
@@ -41,7 +42,7 @@
 			return
 		}
 		for _, next := range i.mesh.Live() {
-			if next.Watching && next.Region == i.settings.Region && isAhead(next, known) && i.takesTablesFrom(next, known) {
+			if next.Watching && next.Region == i.settings.Region && i.isAhead(next, known) && i.takesTablesFrom(next, known) {
 				i.startFetch(ctx, next)
 				return
 			}
@@ -51,12 +52,16 @@
 }
 
 // isAhead reports whether a member has newer revisions than the given ones.
-func isAhead(m mesh.Member, known mesh.KnownRevisions) bool {
-	return hasNewerTables(m, known) || m.DescriptionVersion > known.DescriptionVersion
+func (i *Instance) isAhead(m mesh.Member, known mesh.KnownRevisions) bool {
+	return i.hasNewerTables(m, known) || m.DescriptionVersion > known.DescriptionVersion
 }
 
-func hasNewerTables(m mesh.Member, known mesh.KnownRevisions) bool {
-	return m.DirectivesRevision.After(known.DirectivesRevision) || m.UpstreamsRevision.After(known.UpstreamsRevision)
+// hasNewerTables reports whether a member has a newer table than the given revisions, of the
+// newest known era of the store. Tables of earlier eras would be fetched for nothing.
+func (i *Instance) hasNewerTables(m mesh.Member, known mesh.KnownRevisions) bool {
+	era := i.catalog.Era()
+	newer := func(theirs, own revision.Revision) bool { return theirs.Era >= era && theirs.After(own) }
+	return newer(m.DirectivesRevision, known.DirectivesRevision) || newer(m.UpstreamsRevision, known.UpstreamsRevision)
 }
 
 // takesTablesFrom reports whether this instance takes the tables from a watcher of its region
@@ -90,7 +95,7 @@
 // this instance. If the fetch fails, this instance watches the store itself for
 // fetchFailureWatchTime.
 func (i *Instance) fetchIfNewer(ctx context.Context, m mesh.Member) error {
-	if !isAhead(m, i.knownRevisions()) {
+	if !i.isAhead(m, i.knownRevisions()) {
 		return nil
 	}
 	err := i.fetchAndMerge(ctx, m)
@@ -181,7 +186,7 @@
 	waits := !known.DirectivesRevision.IsZero() && !known.UpstreamsRevision.IsZero()
 	var local, remote []mesh.Member
 	for _, m := range i.mesh.Live() {
-		if !isAhead(m, known) {
+		if !i.isAhead(m, known) {
 			delete(i.aheadSince, m.ID)
 			continue
 		}
--- a/pkg/instance/changes_test.go
+++ b/pkg/instance/changes_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 func TestInstanceLearnsFromPeers(t *testing.T) {
@@ -142,3 +143,15 @@
 	time.Sleep(watched)
 	require.Less(t, fetchCount.Load()-before, int64(maxFetchesPerSecond*watched/time.Second))
 }
+
+// Guards against whole tables that are fetched again and again and dropped, because a member
+// has not heard of the newest era of the store.
+func TestMembersOfAnEarlierEraAreNotAsked(t *testing.T) {
+	inst := newTestEnv(t).newInstance("n", "i1")
+	in := func(era int64) revision.Revision { return revision.Revision{Era: era, Number: 9} }
+	inst.catalog.Confirm(in(3), at(0), catalog.Proofs{}, "i2")
+	for era, ahead := range map[int64]bool{0: false, 2: false, 3: true, 4: true} {
+		m := mesh.Member{ID: "i3", Status: mesh.Status{DirectivesRevision: in(era), UpstreamsRevision: in(era)}}
+		require.Equal(t, ahead, inst.isAhead(m, inst.knownRevisions()), "era %d", era)
+	}
+}
--- a/pkg/instance/members.go
+++ b/pkg/instance/members.go
@@ -91,7 +91,7 @@
 	i.catalog.Confirm(m.DirectivesRevision, m.UpstreamsRevision, m.Proofs, m.ID)
 	if m.Watching {
 		known := i.knownRevisions()
-		newer = newer || hasNewerTables(m, known) && i.takesTablesFrom(m, known)
+		newer = newer || i.hasNewerTables(m, known) && i.takesTablesFrom(m, known)
 	}
 	if !newer {
 		return
