Bound the hold of each row, and distrust answers without an era

- Each gap of 2.5 s between two proofs began the hold of 10 s anew, so that a store that stayed old never took effect.
Now the time counts in which the table was current since the return (TestHoldEndsDespiteGapsBetweenProofs); time without the store doesn't count (TestHoldLastsThroughAnOutage).
- An evacuation begun again under the number of a withdrawn one was held back for 10 s; it must take effect within 5 s.
- A running upstream that the copy still has stayed unused for 10 s.
Now 5 s: the platform removes the registration of one that is gone after 4.5 s.
- Withdrawing an evacuation that was held back marked its domain cold again.
- An upstream whose removal was seen and whose grace period ran was put back by the copy, or kept by further returns beyond its bound.
The deadline of a removal stays now; only those of lost registrations are extended.
- An answer without an era that belonged to an earlier era was taken for one of the newest: the numbers of the old era came into the table, and a row was missing for good.
Now such an answer counts only if the store has stated no era for 3 s.
- 609 was logged once for ever, 610 with each answer.
Now once in 10 s each.

Left as it is, see the postmortem: an instance that starts during the hold takes the copy, and an era that is too high is not given up.

--- a/pkg/catalog/apply.go
+++ b/pkg/catalog/apply.go
@@ -38,6 +38,8 @@
 		old, known := t.rows[r.Key]
 		switch {
 		case known && newEra && bytes.Equal(old.Value, r.Value):
+			// The old row may be kept as a base of differences; its value is not kept twice.
+			r.Value = old.Value
 			c.replaceRow(table, r)
 		case r.Revision != old.Revision:
 			changes = append(changes, r)
@@ -135,6 +137,7 @@
 		if !l.ProvenAt.IsZero() {
 			t.outageEndedAt = l.ProvenAt
 		}
+		t.held.restart(now)
 		if table == Upstreams {
 			c.extendGracePeriods()
 		}
@@ -153,7 +156,7 @@
 		if table == Directives {
 			c.applyDirective(r, newEra, source)
 			if r.Deleted && !newEra && old.Key != "" {
-				c.held.withdraw(old)
+				c.rememberWithdrawn(old)
 			}
 		} else {
 			c.applyUpstream(r, c.gracePeriodEnd(madeAt, mass), newEra, source)
@@ -168,17 +171,21 @@
 func (c *Catalog) applyDirective(r Row, newEra bool, source string) {
 	start := c.opt.Now()
 	d, err := c.opt.Decode.Directive(r.Key, r.Value)
-	if newEra && (r.Deleted || err == nil) && c.holdsBackDirective(r, d) {
-		c.hold(Directives, r, source)
-		return
+	if newEra && (r.Deleted || err == nil) {
+		if timeout := c.holdTimeOfDirective(r, d); timeout > 0 {
+			c.hold(Directives, r, timeout, source)
+			return
+		}
 	}
+	held := c.tables[Directives].held.timeouts
+	_, wasHeld := held[r.Key]
 	if d.Config == nil || c.config == nil || d.Config.Version >= c.config.Version {
-		delete(c.held.keys[Directives], r.Key)
+		delete(held, r.Key)
 	}
 	if r.Deleted {
 		// A deleted row has no value, so the evacuated domain is taken from
 		// its key.
-		if d.EvacuatedDomain != "" {
+		if d.EvacuatedDomain != "" && (!wasHeld || c.evacuatedDomains[d.EvacuatedDomain]) {
 			delete(c.evacuatedDomains, d.EvacuatedDomain)
 			c.evacuationEnds[d.EvacuatedDomain] = r.Revision
 			event.Log(c.opt.Logger, event.EvacuationEnded, "domain", d.EvacuatedDomain, "revision", r.Revision.String(), "source", source)
@@ -214,14 +221,14 @@
 // newEra reports whether the row may have been found in an older copy of the store.
 func (c *Catalog) applyUpstream(r Row, graceEnd time.Time, newEra bool, source string) {
 	old, known := c.upstreams[r.Key]
-	delete(c.held.keys[Upstreams], r.Key)
+	delete(c.tables[Upstreams].held.timeouts, r.Key)
 	if r.Deleted {
 		if !known {
 			return
 		}
 		if grace := graceEnd.Sub(c.opt.Now()); grace > 0 && old.State == steering.Ready {
 			if _, inGrace := c.graceDeadlines[r.Key]; !inGrace {
-				c.graceDeadlines[r.Key] = graceEnd
+				c.graceDeadlines[r.Key] = graceDeadline{end: graceEnd, lost: newEra}
 				event.Log(c.opt.Logger, event.UpstreamRegistrationExpired, "upstream", r.Key, "revision", r.Revision.String(), "source", source, "age_ms", r.Age.Milliseconds(), "hold_ms", grace.Milliseconds())
 			}
 			return
@@ -240,7 +247,7 @@
 		return
 	}
 	if newEra && c.holdsBackUpstream(u) {
-		c.hold(Upstreams, r, source)
+		c.hold(Upstreams, r, removalTimeout, source)
 		return
 	}
 	last := old
--- a/pkg/catalog/era_test.go
+++ b/pkg/catalog/era_test.go
@@ -199,7 +199,7 @@
 	c.update(Upstreams, k.proven(changeIn(2, 6, "back", "a,ready,5,3")), storeSource)
 	require.Contains(t, c.View().Upstreams, "back", "it has registered again")
 	k.expireAt(c, returnedAt, rewriteTimeout)
-	require.NotContains(t, c.View().Upstreams, "left")
+	require.NotContains(t, c.View().Upstreams, "left", "its registration was removed again")
 }
 
 // Guards against upstreams that lose their place because the copy lacks their registrations,
@@ -220,7 +220,8 @@
 	require.NotContains(t, c.View().Upstreams, "w")
 }
 
-// Guards against a store without eras that is treated otherwise than before, silently.
+// Guards against a store that stops to state its era, as an older release of it, and is not
+// followed any more, or silently.
 func TestAnswersWithoutEra(t *testing.T) {
 	var log bytes.Buffer
 	c, k := newCatalog()
@@ -228,8 +229,14 @@
 	l := k.proven(listingIn(4, 5, "config", "5"))
 	require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now()))
 	c.replace(Directives, l, storeSource)
+	unstated := func() Listing {
+		return Listing{EraUnknown: true, Revision: at(6), Rows: []Row{{Key: "config", Value: []byte("6"), Revision: at(6)}}}
+	}
+	l = unstated()
+	require.ErrorIs(t, c.recordStoreAnswer(Directives, &l, k.Now()), errEraUnstated, "it may be one of an earlier era")
+	k.advance(unstatedEraTime)
 	for range 2 {
-		l = Listing{EraUnknown: true, Revision: at(6), Rows: []Row{{Key: "config", Value: []byte("6"), Revision: at(6)}}}
+		l = unstated()
 		require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now()))
 	}
 	c.replace(Directives, l, storeSource)
@@ -238,6 +245,145 @@
 	require.Equal(t, 1, bytes.Count(log.Bytes(), []byte(fmt.Sprintf(`"event":%d`, event.StoreEraUnstated))))
 }
 
+// Guards against a row that is missing for good, because a late answer without an era has
+// brought the numbers of an earlier era into the table.
+func TestLateAnswerWithoutEraChangesNothing(t *testing.T) {
+	c, k := newCatalog()
+	apply := func(l Listing) {
+		l = k.proven(l)
+		if c.recordStoreAnswer(Upstreams, &l, k.Now()) == nil {
+			c.replace(Upstreams, l, storeSource)
+		}
+	}
+	row := func(era, number int64, value string) []Row {
+		return []Row{{Key: "u", Value: []byte(value), Revision: in(era, number)}}
+	}
+	apply(Listing{Revision: in(1, 50), Rows: row(1, 5, "a,ready,5,1")})
+	apply(Listing{Revision: in(2, 40), Rows: row(2, 5, "a,ready,5,1")})
+	apply(Listing{EraUnknown: true, Revision: at(60), Rows: row(0, 55, "a,ready,5,2")})
+	apply(Listing{Revision: in(2, 70), Rows: row(2, 55, "a,draining,5,9")})
+	require.Equal(t, steering.Draining, c.View().Upstreams["u"].State)
+}
+
+// Guards against lines about eras that come with each answer, or once and never again.
+func TestLinesAboutErasAreBoundedInRate(t *testing.T) {
+	var log bytes.Buffer
+	c, k := newCatalog()
+	c.opt.Logger = event.NewLogger(&log, slog.LevelWarn, "instance", "i")
+	for n := range 800 {
+		k.advance(50 * time.Millisecond)
+		l := k.proven(listingIn(int64(2-n/2%2), 5, "config", "5"))
+		l.EraUnknown = n%2 == 0
+		_ = c.recordStoreAnswer(Directives, &l, k.Now())
+	}
+	for _, id := range []event.ID{event.StoreEraUnstated, event.StoreEraOutdated} {
+		require.Equal(t, 4, bytes.Count(log.Bytes(), []byte(fmt.Sprintf(`"event":%d`, id))), "event %d in 40 s", id)
+	}
+}
+
+// Guards against rows that are held back without end, because gaps between the proofs of a
+// table count as outages of the store.
+func TestHoldEndsDespiteGapsBetweenProofs(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(1, 100, "config", "20")), storeSource)
+	c.update(Directives, k.proven(changeIn(1, 101, "evacuate/a", "{}")), storeSource)
+	c.replace(Directives, k.proven(listingIn(2, 90, "config", "18")), storeSource)
+	for range 2 {
+		require.EqualValues(t, 20, c.View().Config.Version)
+		k.expireAt(c, k.Now(), 6*time.Second)
+		k.advance(2 * minOutage)
+		c.ExpireGracePeriods()
+	}
+	require.EqualValues(t, 18, c.View().Config.Version)
+	require.Empty(t, c.View().EvacuatedDomains)
+}
+
+// Guards against a configuration that is given up because the time in which the store could
+// not be reached counts as time to write it again.
+func TestHoldLastsThroughAnOutage(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(1, 100, "config", "20")), storeSource)
+	c.replace(Directives, k.proven(listingIn(2, 90, "config", "18")), storeSource)
+	for range 100 {
+		k.advance(500 * time.Millisecond)
+		c.ExpireGracePeriods()
+	}
+	k.expireAt(c, k.Now(), time.Second)
+	require.EqualValues(t, 20, c.View().Config.Version)
+}
+
+// Guards against an evacuation that takes effect too late, because it was begun again under the
+// number that the withdrawn one had.
+func TestEvacuationBegunAgainUnderTheSameNumber(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(1, 3, "config", "1")), storeSource)
+	c.update(Directives, k.proven(changeIn(1, 4, "evacuate/a", "{}")), storeSource)
+	c.update(Directives, k.proven(changeIn(1, 5, "evacuate/a", "")), storeSource)
+	returnedAt := k.Now()
+	l := listingIn(2, 4, "config", "1")
+	l.Rows = append(l.Rows, changeIn(2, 4, "evacuate/a", "{}").Rows...)
+	c.replace(Directives, k.proven(l), storeSource)
+	k.expireAt(c, returnedAt, evacuationTimeout)
+	require.Contains(t, c.View().EvacuatedDomains, "a")
+}
+
+// Guards against upstreams that count as cold because an evacuation that was held back is
+// withdrawn once more.
+func TestWithdrawingAHeldEvacuationIsNoSecondEnd(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Directives, k.proven(listingIn(1, 3, "config", "1", "evacuate/a", "{}")), storeSource)
+	c.update(Directives, k.proven(changeIn(1, 4, "evacuate/a", "")), storeSource)
+	ended := c.View().EvacuationEnds["a"]
+	c.replace(Directives, k.proven(listingIn(2, 3, "config", "1", "evacuate/a", "{}")), storeSource)
+	c.update(Directives, k.proven(changeIn(2, 4, "evacuate/a", "")), storeSource)
+	require.Equal(t, ended, c.View().EvacuationEnds["a"])
+}
+
+// Guards against an upstream that is in use again beyond its bound, because the copy has its
+// registration while its grace period runs.
+func TestLapsedUpstreamIsNotPutBackByTheCopy(t *testing.T) {
+	c, k := newCatalog()
+	rows := []string{"u", "a,ready,5,1", "v", "a,ready,5,1", "w", "a,ready,5,1", "x", "a,ready,5,1"}
+	c.replace(Upstreams, k.proven(listingIn(1, 9, rows...)), storeSource)
+	removedAt := k.Now()
+	l := k.proven(Listing{Revision: in(1, 12)})
+	for n, key := range []string{"u", "v", "w"} {
+		l.Rows = append(l.Rows, Row{Key: key, Revision: in(1, int64(10+n)), Deleted: true})
+	}
+	c.update(Upstreams, l, storeSource)
+	k.advance(time.Second)
+	c.replace(Upstreams, k.proven(listingIn(2, 9, rows...)), storeSource)
+	k.expireAt(c, removedAt, outageGracePeriod)
+	require.NotContains(t, c.View().Upstreams, "u")
+}
+
+// Guards against returns of the store that extend the grace period of an upstream whose
+// removal was seen.
+func TestReturnsDontExtendTheGracePeriodOfARemoval(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Upstreams, k.proven(listingIn(1, 9, "u", "a,ready,5,1", "x", "a,ready,5,1")), storeSource)
+	c.replace(Upstreams, k.proven(listingIn(2, 9, "u", "a,ready,5,1", "x", "a,ready,5,1")), storeSource)
+	c.update(Upstreams, k.proven(changeIn(2, 10, "u", "")), storeSource)
+	for era := int64(3); era < 6; era++ {
+		k.expireAt(c, k.Now(), time.Second)
+		c.replace(Upstreams, k.proven(listingIn(era, 10, "x", "a,ready,5,1")), storeSource)
+	}
+	require.NotContains(t, c.View().Upstreams, "u")
+}
+
+// Guards against an upstream that runs and stays unused, because its heartbeats don't change
+// the registration that the copy has.
+func TestRunningUpstreamOfTheCopyIsUsed(t *testing.T) {
+	c, k := newCatalog()
+	c.replace(Upstreams, k.proven(listingIn(1, 9, "u", "a,ready,5,1", "v", "a,ready,5,1")), storeSource)
+	c.update(Upstreams, k.proven(changeIn(1, 10, "u", "")), storeSource)
+	require.NotContains(t, c.View().Upstreams, "u")
+	returnedAt := k.Now()
+	c.replace(Upstreams, k.proven(listingIn(2, 9, "u", "a,ready,5,1", "v", "a,ready,5,1")), storeSource)
+	k.expireAt(c, returnedAt, removalTimeout)
+	require.Contains(t, c.View().Upstreams, "u")
+}
+
 // eraStore is a store that comes back in a newer era while a watch waits. Its counter has
 // passed the revision of the watch by then, so that it does not answer "history gone".
 type eraStore struct {
--- a/pkg/catalog/eras_property_test.go
+++ b/pkg/catalog/eras_property_test.go
@@ -609,7 +609,7 @@
 			fmt.Fprint(&b, key, t.rows[key].Revision, len(t.rows[key].Value), "\n")
 		}
 	}
-	fmt.Fprint(&b, n.c.era, n.c.config, n.c.evacuatedDomains, n.c.upstreams, n.c.graceDeadlines, n.c.held, n.c.storeClock)
+	fmt.Fprint(&b, n.c.era, n.c.config, n.c.evacuatedDomains, n.c.upstreams, n.c.graceDeadlines, n.c.tables[0].held.timeouts, n.c.tables[1].held.timeouts, n.c.storeClock)
 	return b.String()
 }
 
@@ -788,8 +788,9 @@
 			m.fail("%s: %s is %+v at the end, it has said %+v", n.id, id, got, u)
 		}
 	}
-	if len(n.c.graceDeadlines)+len(n.c.held.keys[0])+len(n.c.held.keys[1]) > 0 {
-		m.fail("%s: rows are held at the end: %v %v", n.id, n.c.graceDeadlines, n.c.held.keys)
+	held := n.c.tables
+	if len(n.c.graceDeadlines)+len(held[Directives].held.timeouts)+len(held[Upstreams].held.timeouts) > 0 {
+		m.fail("%s: rows are held at the end: %v %v %v", n.id, n.c.graceDeadlines, held[Directives].held.timeouts, held[Upstreams].held.timeouts)
 	}
 }
 
--- a/pkg/catalog/held.go
+++ b/pkg/catalog/held.go
@@ -12,96 +12,123 @@
 // it has lost. Until then the copy holds an older configuration than the one in force, lacks
 // evacuations that have begun since, and has evacuations and registrations that have ended
 // since. Such a row of the copy is held back: what was in force stays so, because it is about
-// to be written again. A change of the row in the new era ends that at once, and
-// rewriteTimeout ends it in any case, so that a store that stays old wins.
+// to be written again. The hold ends with a change of the row in the new era, except for a
+// configuration that is still older, and in any case after a bounded time in which the table
+// was current, so that the state of the store takes effect even if it stays old.
 //
 // Registrations that the copy lacks are not held here; they have a grace period (lapse.go).
 
-// rewriteTimeout is the time after the return of the store within which its writers must have
-// written again what it has lost. Upstreams need about two seconds; operators may have to
-// notice the loss first. It is far shorter than the time for which an operator who restores an
-// older state on purpose has to wait anyway until everything has been checked.
-const rewriteTimeout = 10 * time.Second
+const (
+	// rewriteTimeout is the time for which a configuration or an evacuation that the store has
+	// lost stays in force. Its operator may have to notice the loss first.
+	rewriteTimeout = 10 * time.Second
+	// evacuationTimeout is the time for which an evacuation stays withdrawn. The copy may show
+	// one that was begun again under the number that the withdrawn one had, and an evacuation
+	// must take effect within five seconds.
+	evacuationTimeout = 3 * time.Second
+	// removalTimeout is the time for which a removed upstream stays unused. It is longer than
+	// three heartbeats of an upstream, after which the platform removes the registration of one
+	// that is gone; a registration that is still there belongs to an upstream that runs.
+	removalTimeout = 5 * time.Second
+)
 
-// heldRows holds the keys of the rows of each table that are held back, and the last rows of
-// the evacuations that have been withdrawn.
+// heldRows holds the rows of a table that are held back.
 type heldRows struct {
-	keys      [2]map[string]bool
-	withdrawn map[string]Row
+	// timeouts maps their keys to the time that the table must have been current for.
+	timeouts map[string]time.Duration
+	// currentTime is how long the table has been current since the return of the store, until
+	// checkedAt. A time in which the store can't be reached doesn't count: nothing can have
+	// been written again in it.
+	currentTime time.Duration
+	checkedAt   time.Time
 }
 
-func newHeldRows() heldRows {
-	return heldRows{keys: [2]map[string]bool{make(map[string]bool), make(map[string]bool)}, withdrawn: make(map[string]Row)}
+// restart begins the time of the hold anew.
+func (h *heldRows) restart(now time.Time) { h.currentTime, h.checkedAt = 0, now }
+
+// advance counts the time since the last call if the table has been current in it.
+func (h *heldRows) advance(now time.Time, current bool) {
+	if current {
+		h.currentTime += now.Sub(h.checkedAt)
+	}
+	h.checkedAt = now
 }
 
 // maxWithdrawn is the maximum number of withdrawn evacuations that are remembered.
 const maxWithdrawn = 256
 
-// withdraw records the last row of an evacuation that has been withdrawn.
-func (h *heldRows) withdraw(r Row) {
-	if len(h.withdrawn) >= maxWithdrawn {
-		clear(h.withdrawn)
+// rememberWithdrawn records the last row of an evacuation that has been withdrawn.
+func (c *Catalog) rememberWithdrawn(r Row) {
+	if len(c.withdrawnEvacuations) >= maxWithdrawn {
+		clear(c.withdrawnEvacuations)
 	}
-	h.withdrawn[r.Key] = r
+	c.withdrawnEvacuations[r.Key] = r
 }
 
-// isWithdrawn reports whether r is a copy of a row that has been withdrawn in an earlier era.
-// An evacuation that was begun again has another number.
-func (h *heldRows) isWithdrawn(r Row) bool {
-	old, ok := h.withdrawn[r.Key]
+// isWithdrawn reports whether r may be a copy of a row that was withdrawn in an earlier era.
+func (c *Catalog) isWithdrawn(r Row) bool {
+	old, ok := c.withdrawnEvacuations[r.Key]
 	return ok && old.Revision.Number == r.Revision.Number && bytes.Equal(old.Value, r.Value)
 }
 
 // hold holds back row r of a newer era, and the state of its key stays in force. The lock
 // must be held.
-func (c *Catalog) hold(table Table, r Row, source string) {
-	c.held.keys[table][r.Key] = true
-	event.Log(c.opt.Logger, event.RowHeldBack, "table", table.String(), "key", r.Key, "revision", r.Revision.String(), "deleted", r.Deleted, "source", source, "timeout_ms", rewriteTimeout.Milliseconds())
+func (c *Catalog) hold(table Table, r Row, timeout time.Duration, source string) {
+	c.tables[table].held.timeouts[r.Key] = timeout
+	event.Log(c.opt.Logger, event.RowHeldBack, "table", table.String(), "key", r.Key, "revision", r.Revision.String(), "deleted", r.Deleted, "source", source, "timeout_ms", timeout.Milliseconds())
 }
 
-// holdsBackDirective reports whether row r, with directive d, is held back because it only
-// shows what the store has lost. The lock must be held.
-func (c *Catalog) holdsBackDirective(r Row, d steering.Directive) bool {
+// holdTimeOfDirective returns the time for which row r, with directive d, is held back because
+// it only shows what the store has lost; 0 if it is not. The lock must be held.
+func (c *Catalog) holdTimeOfDirective(r Row, d steering.Directive) time.Duration {
+	evacuated := c.evacuatedDomains[d.EvacuatedDomain]
 	switch {
-	case d.EvacuatedDomain != "" && r.Deleted:
-		return c.evacuatedDomains[d.EvacuatedDomain]
-	case d.EvacuatedDomain != "":
-		return !c.evacuatedDomains[d.EvacuatedDomain] && c.held.isWithdrawn(r)
+	case d.EvacuatedDomain != "" && r.Deleted && evacuated:
+		return rewriteTimeout
+	case d.EvacuatedDomain != "" && !r.Deleted && !evacuated && c.isWithdrawn(r):
+		return evacuationTimeout
+	case d.Config != nil && c.config != nil && d.Config.Version < c.config.Version:
+		return rewriteTimeout
 	}
-	return d.Config != nil && c.config != nil && d.Config.Version < c.config.Version
+	return 0
 }
 
-// holdsBackUpstream reports whether registration u is held back because the upstream has
+// holdsBackUpstream reports whether registration u of the copy is held back because it has
 // been removed since it was written. The lock must be held.
 func (c *Catalog) holdsBackUpstream(u steering.Upstream) bool {
 	last, removed := c.removed[u.ID]
-	_, inUse := c.upstreams[u.ID]
-	return !inUse && removed && !isOutdated(last, u)
+	if inUse, ok := c.upstreams[u.ID]; ok {
+		d, lapsed := c.graceDeadlines[u.ID]
+		last, removed = inUse, lapsed && !d.lost
+	}
+	return removed && !isOutdated(last, u)
 }
 
-// releaseHeldRows puts the rows in force that have been held back for rewriteTimeout, and
-// reports whether there were any. Only a table that is proven current tells that a row has not
-// been written again. The lock must be held.
+// releaseHeldRows puts the rows in force whose time is over, and reports whether there were
+// any. The lock must be held.
 func (c *Catalog) releaseHeldRows(now time.Time) (changed bool) {
+	maxAge := c.capByDrainTimeout(maxProofAge, maxProofAgeFraction)
 	for i := range c.tables {
-		table, t := Table(i), &c.tables[i]
-		if now.Sub(t.outageEndedAt) < rewriteTimeout || proofAge(t.provenAt, now) > maxProofAge {
-			continue
-		}
-		for key := range c.held.keys[table] {
-			c.release(table, key)
-			changed = true
+		t := &c.tables[i]
+		t.held.advance(now, proofAge(t.provenAt, now) <= maxAge)
+		for key, timeout := range t.held.timeouts {
+			if t.held.currentTime >= timeout {
+				c.release(Table(i), key)
+				changed = true
+			}
 		}
 	}
 	return changed
 }
 
-// release puts the row of a key in force, or its absence. The lock must be held.
+// release ends the hold of a key: its row comes into force, or its state ends if the table has
+// no such row. The lock must be held.
 func (c *Catalog) release(table Table, key string) {
-	delete(c.held.keys[table], key)
-	r, present := c.tables[table].rows[key]
+	t := &c.tables[table]
+	delete(t.held.timeouts, key)
+	r, present := t.rows[key]
 	if !present {
-		r = Row{Key: key, Revision: c.tables[table].revision, Deleted: true}
+		r = Row{Key: key, Revision: t.revision, Deleted: true}
 	}
 	event.Log(c.opt.Logger, event.RowReleased, "table", table.String(), "key", key, "revision", r.Revision.String(), "deleted", r.Deleted)
 	if table == Upstreams {
@@ -109,6 +136,7 @@
 		c.applyUpstream(r, time.Time{}, false, storeSource)
 		return
 	}
+	// Without a configuration in force, any version is taken.
 	config := c.config
 	c.config = nil
 	c.applyDirective(r, false, storeSource)
--- a/pkg/catalog/lapse.go
+++ b/pkg/catalog/lapse.go
@@ -22,14 +22,21 @@
 	return end
 }
 
-// extendGracePeriods extends the running grace periods after a new era of the store: what the
-// upstreams have written since their registrations lapsed may be lost, too. The lock must be
+// graceDeadline is the end of a grace period. lost is set if the registration was not removed
+// but missing in an older copy of the store.
+type graceDeadline struct {
+	end  time.Time
+	lost bool
+}
+
+// extendGracePeriods extends the grace periods of registrations that the store has lost after
+// it has come back once more: they may have been written again and lost again. The lock must be
 // held.
 func (c *Catalog) extendGracePeriods() {
 	end := c.gracePeriodEnd(time.Time{}, false)
-	for id, graceEnd := range c.graceDeadlines {
-		if end.After(graceEnd) {
-			c.graceDeadlines[id] = end
+	for id, d := range c.graceDeadlines {
+		if d.lost {
+			c.graceDeadlines[id] = graceDeadline{end: end, lost: true}
 		}
 	}
 }
@@ -76,8 +83,8 @@
 	defer c.mu.Unlock()
 	now := c.opt.Now()
 	changed := c.releaseHeldRows(now)
-	for id, end := range c.graceDeadlines {
-		if now.After(end) {
+	for id, d := range c.graceDeadlines {
+		if now.After(d.end) {
 			c.removeUpstream(id, "did not register again", "clock")
 			changed = true
 		}
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -96,24 +96,26 @@
 	tables [2]tableState
 	// era is the newest known era of the store.
 	era int64
-	// eraUnstated is set once the store has answered without its era, and outdatedEra is the
-	// last era of which an answer was ignored; both are for the log.
-	eraUnstated bool
-	outdatedEra *int64
-	held        heldRows
+	// eraStatedAt is the time at which the store last stated its era, zero if it never has.
+	eraStatedAt time.Time
+	// eraUnstatedLoggedAt and eraOutdatedLoggedAt are the times of the last lines about answers
+	// without an era and of an earlier one.
+	eraUnstatedLoggedAt, eraOutdatedLoggedAt time.Time
 	// bases holds the earlier versions of the large directives.
 	bases            rowBases
 	storeClock       storeClock
 	config           *steering.Config
 	evacuatedDomains map[string]bool
 	evacuationEnds   map[string]revision.Revision
-	upstreams        map[string]steering.Upstream
+	// withdrawnEvacuations holds the last rows of the evacuations that have been withdrawn.
+	withdrawnEvacuations map[string]Row
+	upstreams            map[string]steering.Upstream
 	// removed holds the last report of each upstream that has been removed and stated its
 	// start time.
 	removed map[string]steering.Upstream
 	// graceDeadlines maps each upstream whose registration lapsed to the end
 	// of its grace period.
-	graceDeadlines map[string]time.Time
+	graceDeadlines map[string]graceDeadline
 	storeDown      bool
 	storeCallCount atomic.Int64
 }
@@ -132,9 +134,10 @@
 	// storeBehindSince is the time from which on the store has answered with an older state
 	// than the table's, zero if its last answer was not older.
 	storeBehindSince time.Time
-	// outageEndedAt is the time of the first proof after the last outage of the store, zero
-	// if there was none.
+	// outageEndedAt is the time of the first proof after the last outage or return of the
+	// store, zero if there was none.
 	outageEndedAt time.Time
+	held          heldRows
 }
 
 // deletion is the deletion of a row: its revision and the earliest time at
@@ -146,10 +149,11 @@
 
 // New returns an empty Catalog.
 func New(opt Options) *Catalog {
-	c := &Catalog{opt: opt, evacuatedDomains: make(map[string]bool), evacuationEnds: make(map[string]revision.Revision), upstreams: make(map[string]steering.Upstream), removed: make(map[string]steering.Upstream), graceDeadlines: make(map[string]time.Time), held: newHeldRows()}
+	c := &Catalog{opt: opt, evacuatedDomains: make(map[string]bool), evacuationEnds: make(map[string]revision.Revision), upstreams: make(map[string]steering.Upstream), removed: make(map[string]steering.Upstream), graceDeadlines: make(map[string]graceDeadline), withdrawnEvacuations: make(map[string]Row)}
 	for i := range c.tables {
 		c.tables[i].rows = make(map[string]Row)
 		c.tables[i].deletions = make(map[string]deletion)
+		c.tables[i].held.timeouts = make(map[string]time.Duration)
 	}
 	c.view.Store(&steering.View{})
 	return c
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -213,8 +213,8 @@
 }
 
 // recordStoreAnswer records that the store answered a call for the table, not before
-// earliest, and sets what the answer proves. It returns errOutdatedEra if the answer is one of
-// an earlier era.
+// earliest, and sets what the answer proves. It returns an error if the answer is of an
+// earlier era, or may be.
 func (c *Catalog) recordStoreAnswer(table Table, l *Listing, earliest time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -127,7 +127,7 @@
 	{StoreBehind, slog.LevelWarn, "platform store answers with an older state than this instance holds, or no longer does", "None if it ends within seconds: the store has served an old listing. If `held` stays the same, check whether the store was restored from an older copy."},
 	{StoreEraChanged, slog.LevelWarn, "platform store has come back from an older copy", "None at once: what was in force stays so until its writers have written it again. See \"The store has come back from an older copy\" in docs/OPERATIONS.md."},
 	{StoreEraOutdated, slog.LevelWarn, "answer of an earlier era of the platform store ignored", "None if it does not repeat with new eras: the answer was late, or a part of the store has not changed its era yet."},
-	{StoreEraUnstated, slog.LevelWarn, "platform store does not state its era, or does again", "Check the release of the store: without the era, an older copy of it cannot be told from an old answer."},
+	{StoreEraUnstated, slog.LevelWarn, "platform store does not state its era", "Check the release of the store: without the era, an older copy of it cannot be told from an old answer."},
 	{RowHeldBack, slog.LevelWarn, "row of an older copy of the platform store held back", "None if its writer writes it again within `timeout_ms`; what was in force stays so until then."},
 	{RowReleased, slog.LevelWarn, "row of an older copy of the platform store in force, because it was not written again", "Check whether the writer of the row (operator or upstream) knows that the store has lost it."},
 
