--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -129,7 +129,7 @@
 	{StoreEraOutdated, slog.LevelWarn, "answer of an earlier era of the platform store ignored", "None if it does not repeat with new eras: the answer was late, or a part of the store has not changed its era yet."},
 	{StoreEraUnstated, slog.LevelWarn, "platform store does not state its era", "Check the release of the store: without the era, an older copy of it cannot be told from an old answer."},
 	{RowHeldBack, slog.LevelWarn, "row of an older copy of the platform store held back", "None if its writer writes it again within `timeout_ms`; what was in force stays so until then."},
-	{RowReleased, slog.LevelWarn, "row of an older copy of the platform store in force, because it was not written again", "Check whether the writer of the row (operator or upstream) knows that the store has lost it."},
+	{RowReleased, slog.LevelWarn, "state of an older copy of the platform store takes effect for a row that was not written again", "Check whether the writer of the row (operator or upstream) knows that the store has lost it."},
 
 	{OperatorRequestRejected, slog.LevelWarn, "operator request rejected", "Check the operator's token and request rate."},
 }
