Count a description as in force only once it is applied

Change: a version is installed and passed on under one lock. Current and VersionKnown report it afterwards; ApplyIfNewer, MarkVersionKnown and the poll of the store wait for a version that another call is applying. The announcement to the peers moves behind that point.

Same cause elsewhere: - a peer's tables are merged before its description. Another peer's answer could release the requests in between; both steps and the check are now under one lock (mergeMu). - an instance was ready when the catalog had published a configuration that the balancer did not have yet. - the other readers of the catalog take its lock, which is held during OnChange: nothing to mend.

Tried and dropped: applying the description before the tables. A new instance then computes its shares without upstreams until the next step (TestRetryAfterPauseUsesCurrentState hung).

Each of the three new tests fails without its part of the change.

--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -127,21 +127,36 @@
 		version, err = restoreVersion(*c.Version, i.policy.Current())
 	}
 	if err == nil {
-		err = i.catalog.Merge(c.Tables, m.ID, requestedAt)
+		err = i.mergeChanges(c, version, m.ID, requestedAt)
 	}
 	i.recordTransfer(m.ID, transfer, err)
-	if err != nil {
+	return err
+}
+
+// mergeChanges applies the answer of a peer. version is that of the answer with its whole body.
+func (i *Instance) mergeChanges(c mesh.Changes, version cluster.Version, peer string, requestedAt time.Time) error {
+	i.mergeMu.Lock()
+	defer i.mergeMu.Unlock()
+	if err := i.catalog.Merge(c.Tables, peer, requestedAt); err != nil {
 		return err
 	}
 	switch {
 	case c.Version != nil:
-		i.policy.ApplyIfNewer(version, m.ID)
+		i.policy.ApplyIfNewer(version, peer)
 	case c.VersionKnown:
 		i.policy.MarkVersionKnown()
 	}
 	return nil
 }
 
+// upToDate reports whether the tables are proven current. If a peer's answer has proven it,
+// the description of the same answer is in force.
+func (i *Instance) upToDate() bool {
+	i.mergeMu.Lock()
+	defer i.mergeMu.Unlock()
+	return i.catalog.Current()
+}
+
 const (
 	// loggedTransferBytes and loggedTransferTime are the size and the time from which on a
 	// transfer is logged. Smaller ones, of which there are several a second while upstreams
--- a/pkg/instance/description.go
+++ b/pkg/instance/description.go
@@ -39,12 +39,11 @@
 	return true
 }
 
-// applyDescription applies a description that came into force: it recomputes
-// the shares, takes drained upstreams out of use and announces the new version.
+// applyDescription applies a description that was installed: it recomputes the shares and
+// takes drained upstreams out of use.
 func (i *Instance) applyDescription() {
 	i.stepShares()
 	i.updateBalancer()
-	go i.mesh.Announce()
 }
 
 // minDescriptionDifference is the size in bytes from which on a description is passed on as a
@@ -87,10 +86,16 @@
 	i.balancerMu.Lock()
 	defer i.balancerMu.Unlock()
 	v := i.catalog.View()
-	drained := i.policy.Description().DrainedUpstreams
+	i.balancer.Update(withDrained(v, i.policy.Description().DrainedUpstreams))
+	if v.Config != nil {
+		i.configured.Store(true)
+	}
+}
+
+// withDrained returns a view in which the given upstreams are draining.
+func withDrained(v *steering.View, drained []string) *steering.View {
 	if len(drained) == 0 {
-		i.balancer.Update(v)
-		return
+		return v
 	}
 	view := &steering.View{Config: v.Config, Upstreams: maps.Clone(v.Upstreams), EvacuatedDomains: v.EvacuatedDomains, EvacuationEnds: v.EvacuationEnds}
 	for _, id := range drained {
@@ -99,7 +104,7 @@
 			view.Upstreams[id] = u
 		}
 	}
-	i.balancer.Update(view)
+	return view
 }
 
 // drained reports whether operators drain this instance.
@@ -132,9 +137,6 @@
 // stepShares advances the effective shares toward the description's targets,
 // given the reachable failure domains and the reports of the peers.
 func (i *Instance) stepShares() {
-	if i.policy.Current().Number == 0 {
-		return
-	}
 	in := policy.Inputs{Reachable: i.balancer.ReachableDomains(), InstanceCount: 1}
 	versionByRegion := make(map[string]uint64)
 	for _, m := range i.mesh.Live() {
--- a/pkg/instance/description_test.go
+++ b/pkg/instance/description_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -51,3 +52,51 @@
 	_, err = restoreVersion(stated, largeVersion(4))
 	require.ErrorIs(t, err, catalog.ErrDifference)
 }
+
+// Guards against an instance that reports ready while the balancer does not have the
+// configuration yet, and refuses the first requests.
+func TestInstanceIsNotReadyBeforeTheBalancerIsConfigured(t *testing.T) {
+	env := newTestEnv(t)
+	inst := env.newInstance("n", "i1")
+	l, err := inst.listen()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.callers.Close() })
+	inst.startMesh(t.Context(), l)
+	inst.policy.MarkVersionKnown()
+	tables := catalog.Snapshot{Directives: catalog.Listing{Rows: []catalog.Row{{Key: "config", Value: []byte("1"), Revision: at(1)}}, Revision: at(1)}}
+	inst.balancerMu.Lock()
+	go func() { _ = inst.catalog.Merge(tables, "peer", inst.opt.Now()) }()
+	require.Eventually(t, func() bool { return inst.catalog.View().Config != nil }, testTimeout, time.Millisecond)
+	require.False(t, inst.ready())
+	inst.balancerMu.Unlock()
+	require.Eventually(t, inst.ready, testTimeout, time.Millisecond)
+}
+
+// Guards against tables of a peer that release the requests that wait after a pause before the
+// description of the same answer is in force.
+func TestInstanceIsUpToDateOnceTheDescriptionOfThePeerIsInForce(t *testing.T) {
+	env := newTestEnv(t)
+	env.startUpstreamIn("ua", "n-a")
+	peer := env.start("i1")
+	env.awaitReady(peer, 1)
+	env.patch(peer, 0, descriptionJSON(1, ""))
+	inst := env.startPaused("i2", peer)
+	env.patch(peer, 1, descriptionJSON(1, `"drained_upstreams": ["ua"],`))
+
+	inst.catalog.Invalidate()
+	inst.balancerMu.Lock()
+	go func() { _ = inst.fetchAndMerge(t.Context(), inst.mesh.Live()[0]) }()
+	require.Eventually(t, inst.catalog.Current, testTimeout, time.Millisecond)
+	version := make(chan uint64)
+	go func() {
+		inst.upToDate()
+		version <- inst.policy.Current().Number
+	}()
+	select {
+	case <-version:
+		require.Fail(t, "up to date before the description was in force")
+	case <-time.After(20 * time.Millisecond):
+	}
+	inst.balancerMu.Unlock()
+	require.EqualValues(t, 2, <-version)
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -116,6 +116,10 @@
 	// balancerMu serializes updates of the balancer, so that an older view never
 	// replaces a newer one.
 	balancerMu sync.Mutex
+	// mergeMu is held while the answer of a peer is applied: its tables, then its description.
+	mergeMu sync.Mutex
+	// configured is set once the balancer has a configuration.
+	configured atomic.Bool
 	// watchStoreUntil is the time until which the instance watches the store
 	// because a fetch from a member failed.
 	watchStoreUntil atomic.Pointer[time.Time]
@@ -140,7 +144,7 @@
 		Now: opt.Now, Random: opt.Random, Logger: opt.Logger, OnRemove: i.client.RemoveUpstream})
 	store := opt.Platform.NewStore(s.StoreAddress)
 	i.store = store.Tables
-	i.policy = policy.New(policy.Config{InstanceID: s.ID, Region: s.Region, Store: store.Versions, ShouldPoll: i.watchesStore, Rank: i.limitRank, OnChange: i.applyDescription,
+	i.policy = policy.New(policy.Config{InstanceID: s.ID, Region: s.Region, Store: store.Versions, ShouldPoll: i.watchesStore, Rank: i.limitRank, OnChange: i.applyDescription, OnInForce: func() { go i.mesh.Announce() },
 		Now: opt.Now, Random: opt.Random, Logger: opt.Logger})
 	i.operator = operatorapi.New(operatorapi.Config{InstanceID: s.ID, Store: store.Versions, LocalInstance: localInstance{i}, Operators: s.Operators,
 		MaxRequestsPerSecond: operatorRequestsPerSecond, Now: opt.Now, Logger: opt.Logger, Registry: i.metrics.registry})
@@ -189,8 +193,7 @@
 
 // ready reports whether the instance can steer requests.
 func (i *Instance) ready() bool {
-	v := i.catalog.View()
-	return v.Config != nil && i.descriptionKnownOrTimedOut() && i.limitsKnown() && !i.leaving() && !i.pauseDetector.resuming()
+	return i.configured.Load() && i.descriptionKnownOrTimedOut() && i.limitsKnown() && !i.leaving() && !i.pauseDetector.resuming()
 }
 
 func (i *Instance) leaving() bool { return i.shutdown.Load() != nil }
--- a/pkg/instance/resume.go
+++ b/pkg/instance/resume.go
@@ -162,7 +162,7 @@
 		select {
 		case id := <-answers:
 			if id != "" {
-				peer, current = id, i.catalog.Current()
+				peer, current = id, i.upToDate()
 			}
 		case <-ctx.Done():
 		}
--- a/pkg/policy/assign.go
+++ b/pkg/policy/assign.go
@@ -28,7 +28,7 @@
 	p.stepMu.Lock()
 	defer p.stepMu.Unlock()
 	p.mu.Lock()
-	d, previous, version := p.description, p.previousDescription, p.version
+	d, previous, version := p.description, p.previousDescription, p.installed
 	p.mu.Unlock()
 	if version.Number == 0 {
 		return
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -65,9 +65,13 @@
 	// Rank returns the rank of this instance among the instances that share the
 	// concurrency limits, starting at 0, and their number.
 	Rank func() (rank, instances int)
-	// OnChange is called after a new version was installed.
+	// OnChange is called after a new version was installed and before it counts as in force.
+	// It passes the description on to whatever else depends on it, and must not call
+	// ApplyIfNewer or MarkVersionKnown.
 	OnChange func()
-	Now      func() time.Time
+	// OnInForce is called after a new version has come into force. It may be nil.
+	OnInForce func()
+	Now       func() time.Time
 	// Random returns a number in [0, 1).
 	Random func() float64
 	Logger *slog.Logger
@@ -87,8 +91,15 @@
 	// lastStep is the time of the last call of Step. It is guarded by stepMu.
 	lastStep time.Time
 
-	mu                  sync.Mutex
-	version             cluster.Version
+	// applyMu is held from the installation of a version until OnChange has returned. It is
+	// also locked before a version is reported as in force that another call may be applying.
+	// It is locked before mu.
+	applyMu sync.Mutex
+
+	mu sync.Mutex
+	// installed is the version of description. inForce is the last version for which OnChange
+	// has returned.
+	installed, inForce  cluster.Version
 	versionKnown        bool
 	description         *description.Description
 	previousDescription *description.Description
@@ -101,14 +112,16 @@
 		responseBudgets: linkbudget.New(c.Region), description: &description.Description{}, usages: make(map[serviceRegion]*usage)}
 }
 
-// Current returns the version in force; its number is 0 if there is none.
+// Current returns the version in force; its number is 0 if there is none. A version is in force
+// once OnChange has returned for it.
 func (p *Policy) Current() cluster.Version {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.version
+	return p.inForce
 }
 
-// Description returns the description in force; it is never nil.
+// Description returns the installed description; it is never nil. It may be newer than Current
+// while OnChange runs.
 func (p *Policy) Description() *description.Description {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -124,15 +137,19 @@
 	return p.versionKnown
 }
 
-// MarkVersionKnown records that the store or a peer has no newer version.
+// MarkVersionKnown records that the store or a peer has no newer version. If another call is
+// applying a version, it returns after that version has come into force.
 func (p *Policy) MarkVersionKnown() {
+	p.applyMu.Lock()
+	defer p.applyMu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.versionKnown = true
 }
 
-// ApplyIfNewer installs a version if it is newer than the one in force. An
-// invalid version is logged and ignored.
+// ApplyIfNewer puts a version into force if it is newer than the one in force. If another call
+// is applying the same or a newer version, it returns after that version has come into force.
+// An invalid version is logged and ignored.
 func (p *Policy) ApplyIfNewer(v cluster.Version, source string) {
 	if v.Number <= p.Current().Number {
 		p.MarkVersionKnown()
@@ -149,20 +166,37 @@
 	if err != nil {
 		previous = nil
 	}
-	if !p.install(v, d, previous) {
+	if !p.putInForce(v, d, previous) {
 		return
 	}
 	event.Log(p.config.Logger, event.DescriptionInForce, "description", v.Number, "hash", v.Hash, "operator", v.Operator, "patch_id", v.PatchID, "source", source)
+	if p.config.OnInForce != nil {
+		p.config.OnInForce()
+	}
+}
+
+// putInForce installs a version, calls OnChange and records that the version is in force. It
+// returns false if the version is not newer than the installed one.
+func (p *Policy) putInForce(v cluster.Version, d, previous *description.Description) bool {
+	p.applyMu.Lock()
+	defer p.applyMu.Unlock()
+	if !p.install(v, d, previous) {
+		return false
+	}
 	p.config.OnChange()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inForce, p.versionKnown = v, true
+	return true
 }
 
 func (p *Policy) install(v cluster.Version, d, previous *description.Description) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if v.Number <= p.version.Number {
+	if v.Number <= p.installed.Number {
 		return false
 	}
-	p.version, p.description, p.previousDescription, p.versionKnown = v, d, previous, true
+	p.installed, p.description, p.previousDescription = v, d, previous
 	return true
 }
 
--- a/pkg/policy/policy_test.go
+++ b/pkg/policy/policy_test.go
@@ -436,3 +436,34 @@
 	steps.Wait()
 	require.InDelta(t, 0.5, p.Shares()[service]["n-a"]+p.Shares()[service]["n-b"], 1e-9)
 }
+
+// Guards against a version that counts as in force before OnChange has passed it on: a second
+// answer with the same version then released requests that ran on a drained upstream.
+func TestVersionIsNotInForceBeforeItIsPassedOn(t *testing.T) {
+	f := newFleet(t, 1)
+	v := f.accept(0, descriptionBody(0.5))
+	for name, tell := range map[string]func(*Policy){
+		"the same version":   func(p *Policy) { p.ApplyIfNewer(v, "peer 2") },
+		"no newer version":   func(p *Policy) { p.MarkVersionKnown() },
+		"the store's answer": func(p *Policy) { p.poll(context.Background()) },
+	} {
+		p := f.newPolicy(0)
+		told := make(chan struct{})
+		p.config.OnChange = func() {
+			require.Zero(t, p.Current().Number, name)
+			require.False(t, p.VersionKnown(), name)
+			go func() {
+				tell(p)
+				close(told)
+			}()
+			select {
+			case <-told:
+				require.Fail(t, "reported as in force while OnChange was running", name)
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+		p.ApplyIfNewer(v, "peer 1")
+		require.Equal(t, v.Number, p.Current().Number, name)
+		<-told
+	}
+}
