After a pause, wait for the newest description that a peer announces

A heartbeat may prove the tables of a resumed instance current while the fetch of a newer description that the same peer announces is under way. The answer of another peer then released the waiting requests. The wait now also ends only if no live instance announces a newer description; resumeTimeout bounds it as before.

--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -149,12 +150,14 @@
 	return nil
 }
 
-// upToDate reports whether the tables are proven current. If a peer's answer has proven it,
-// the description of the same answer is in force.
+// upToDate reports whether the tables are proven current and no live instance announces a newer
+// description. If a peer's answer has proven it, the description of the same answer is in force.
 func (i *Instance) upToDate() bool {
 	i.mergeMu.Lock()
 	defer i.mergeMu.Unlock()
-	return i.catalog.Current()
+	version := i.policy.Current().Number
+	isNewer := func(m mesh.Member) bool { return m.DescriptionVersion > version }
+	return i.catalog.Current() && !slices.ContainsFunc(i.mesh.Live(), isNewer)
 }
 
 const (
--- a/pkg/instance/description_test.go
+++ b/pkg/instance/description_test.go
@@ -82,21 +82,21 @@
 	env.patch(peer, 0, descriptionJSON(1, ""))
 	inst := env.startPaused("i2", peer)
 	env.patch(peer, 1, descriptionJSON(1, `"drained_upstreams": ["ua"],`))
+	require.Eventually(t, func() bool { return inst.mesh.Live()[0].DescriptionVersion == 2 }, testTimeout, time.Millisecond)
 
 	inst.catalog.Invalidate()
 	inst.balancerMu.Lock()
 	go func() { _ = inst.fetchAndMerge(t.Context(), inst.mesh.Live()[0]) }()
 	require.Eventually(t, inst.catalog.Current, testTimeout, time.Millisecond)
-	version := make(chan uint64)
+	upToDateWith := make(chan uint64, 1)
 	go func() {
-		inst.upToDate()
-		version <- inst.policy.Current().Number
+		for !inst.upToDate() {
+			time.Sleep(time.Millisecond)
+		}
+		upToDateWith <- inst.policy.Current().Number
 	}()
-	select {
-	case <-version:
-		require.Fail(t, "up to date before the description was in force")
-	case <-time.After(20 * time.Millisecond):
-	}
+	time.Sleep(20 * time.Millisecond)
+	require.Empty(t, upToDateWith, "up to date before the description was in force")
 	inst.balancerMu.Unlock()
-	require.EqualValues(t, 2, <-version)
+	require.EqualValues(t, 2, <-upToDateWith)
 }
