Write lost versions of the description back to the store

The next patch was accepted on it, so that two descriptions had one number, and a repeated patch whose record was lost was applied again or told of a conflict.

Change: configstore.Store remembers the last 32 versions with what their patch rows need, and bodies up to 8 MB. cluster.Version gets the optional fields previous hash, digest and earlier records; version rows get the digest. Restore writes bodies, then rows and head in one conditional transaction. It runs at a change of the era (first instance of each region at once, others from 2 s on), in the poll, and before a patch is accepted. A patch is committed only if its version and the next one have no rows, so that a late write of the earlier era can't take the head back.

Not mended: a patch accepted by an instance that had not yet heard of a lost version takes its number. It is reported (214, history_diverged).

--- a/pkg/cluster/cluster.go
+++ b/pkg/cluster/cluster.go
@@ -54,4 +54,11 @@
 	AcceptedUnixMS int64  `cbor:"at" json:"accepted_unix_ms"`
 	PatchID        string `cbor:"pi" json:"patch_id"`
 	Operator       string `cbor:"op" json:"operator"`
+	// PreviousHash is the hash of the previous version, and Digest that of the proposal that
+	// created this one. Older releases omit both.
+	PreviousHash string `cbor:"ph,omitempty" json:"-"`
+	Digest       string `cbor:"pd,omitempty" json:"-"`
+	// Earlier is used between instances. It holds the records of the versions before, without
+	// bodies, from which a store that has lost them can be restored.
+	Earlier []Version `cbor:"ev,omitempty" json:"-"`
 }
--- a/pkg/configstore/accept.go
+++ b/pkg/configstore/accept.go
@@ -95,13 +95,21 @@
 // version may or may not have been created; the operator submits the proposal
 // again with the same patch id to learn the outcome.
 func (s *Store) Accept(ctx context.Context, p Proposal) (AcceptResult, error) {
+	accepted, err := s.accept(ctx, p)
+	if err == nil {
+		s.Remember(accepted.Version)
+	}
+	return accepted, err
+}
+
+func (s *Store) accept(ctx context.Context, p Proposal) (AcceptResult, error) {
 	if err := p.validate(); err != nil {
 		return AcceptResult{}, err
 	}
 	if earlier, found, err := s.findReplay(ctx, p); found || err != nil {
 		return earlier, err
 	}
-	h, err := s.readHead(ctx)
+	h, err := s.currentHead(ctx)
 	if err != nil {
 		return AcceptResult{}, err
 	}
@@ -144,7 +152,7 @@
 		return patchRecord{}, true, err
 	}
 	if record.Digest != p.digest() {
-		return patchRecord{}, true, result.New(result.PatchIDReused, "patch id %q belongs to version %d", p.PatchID, record.Version)
+		return patchRecord{}, true, patchIDReused(p.PatchID, record.Version)
 	}
 	return record, true, nil
 }
@@ -153,9 +161,12 @@
 // created. found is false if there is none.
 func (s *Store) findReplay(ctx context.Context, p Proposal) (earlier AcceptResult, found bool, err error) {
 	record, found, err := s.findPatchRecord(ctx, p)
-	if err != nil || !found {
+	if err != nil {
 		return AcceptResult{}, found, err
 	}
+	if !found {
+		return s.findLostReplay(ctx, p)
+	}
 	v, err := s.Load(ctx, record.Version)
 	if err != nil {
 		// Do not return the read error itself: its code could tell the operator that
@@ -165,6 +176,23 @@
 	return AcceptResult{Version: v, Replayed: true}, true, nil
 }
 
+// findLostReplay returns the version that an earlier submission of the same patch created and
+// that this instance remembers, although the store has no record of it.
+func (s *Store) findLostReplay(ctx context.Context, p Proposal) (earlier AcceptResult, found bool, err error) {
+	v, found, err := s.recent.findPatch(p)
+	if err != nil || !found {
+		return AcceptResult{}, found, err
+	}
+	if _, err := s.Restore(ctx); err != nil {
+		return AcceptResult{}, true, result.New(result.PatchOutcomeUnknown, "patch was accepted as version %d, but the store has lost it, and writing it back failed: %s", v.Number, result.Detail(err))
+	}
+	number := v.Number
+	if v, err = s.Load(ctx, number); err != nil {
+		return AcceptResult{}, true, result.New(result.PatchOutcomeUnknown, "patch was accepted as version %d, but reading that version failed: %s", number, result.Detail(err))
+	}
+	return AcceptResult{Version: v, Replayed: true}, true, nil
+}
+
 // resolveVersionConflict handles a proposal whose base version is not the current
 // one. A concurrent submission of the same patch may have changed the head, so it
 // reads the patch row again before it returns a VersionConflict error.
@@ -204,6 +232,7 @@
 		AcceptedUnixMS: s.now().UnixMilli(),
 		PatchID:        p.PatchID,
 		Operator:       p.Operator,
+		Digest:         p.digest(),
 	}
 	return candidate{base: h, baseBody: baseBody, body: body, record: record, proposal: p}, nil
 }
--- a/pkg/configstore/commit.go
+++ b/pkg/configstore/commit.go
@@ -20,7 +20,7 @@
 )
 
 // transaction returns the transaction that commits the candidate. It writes the
-// head, version and patch rows if the head is unchanged and the patch id is
+// head, version and patch rows if the head is unchanged and the patch id and the version are
 // unused, and nothing otherwise.
 func (c candidate) transaction() (table.Transaction, error) {
 	record, err := json.Marshal(c.record)
@@ -35,6 +35,10 @@
 		Conditions: []table.Condition{
 			{Key: headKey, Revision: c.base.revision},
 			{Key: patchKey(c.proposal.PatchID), Revision: 0},
+			// The head row may have the same revision again with other content after the store
+			// has come back from an older copy.
+			{Key: versionKey(c.record.Number), Revision: 0},
+			{Key: versionKey(c.record.Number + 1), Revision: 0},
 		},
 		Writes: []table.Write{
 			{Key: headKey, Value: record},
--- a/pkg/configstore/store.go
+++ b/pkg/configstore/store.go
@@ -15,6 +15,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
@@ -40,6 +41,9 @@
 	objects table.ObjectStore
 	now     func() time.Time
 	sleep   func(ctx context.Context, d time.Duration) error
+	recent  recentVersions
+	// onRestore reports attempts to write back versions.
+	onRestore atomic.Pointer[func(written []uint64, err error)]
 }
 
 // New returns a store. now is the clock for the acceptance time of versions.
@@ -55,10 +59,27 @@
 	AcceptedUnixMS int64  `json:"accepted_unix_ms"`
 	PatchID        string `json:"patch_id"`
 	Operator       string `json:"operator"`
+	// Digest is that of the patch row. Rows of older releases lack it.
+	Digest string `json:"digest,omitempty"`
+}
+
+// recordOf returns the record of a version.
+func recordOf(v cluster.Version) versionRecord {
+	return versionRecord{
+		Number:         v.Number,
+		Hash:           v.Hash,
+		PreviousHash:   v.PreviousHash,
+		AcceptedUnixMS: v.AcceptedUnixMS,
+		PatchID:        v.PatchID,
+		Operator:       v.Operator,
+		Digest:         v.Digest,
+	}
 }
 
 func (r versionRecord) clusterVersion() cluster.Version {
 	return cluster.Version{
+		PreviousHash:   r.PreviousHash,
+		Digest:         r.Digest,
 		Number:         r.Number,
 		Hash:           r.Hash,
 		AcceptedUnixMS: r.AcceptedUnixMS,
--- a/pkg/event/events.go
+++ b/pkg/event/events.go
@@ -14,17 +14,19 @@
 	LogLinesDropped  ID = 106
 	ProcessResumed   ID = 107
 
-	VersionInForce        ID = 200
-	PatchAccepted         ID = 202
-	PatchRejected         ID = 203
-	PatchOutcomeUnknown   ID = 204
-	StoreVersionStale     ID = 206
-	VersionRejected       ID = 207
-	EvacuationStarted     ID = 208
-	EvacuationEnded       ID = 209
-	DescriptionInForce    ID = 210
-	DescriptionReadFailed ID = 211
-	DescriptionMissing    ID = 212
+	VersionInForce           ID = 200
+	PatchAccepted            ID = 202
+	PatchRejected            ID = 203
+	PatchOutcomeUnknown      ID = 204
+	StoreVersionStale        ID = 206
+	VersionRejected          ID = 207
+	EvacuationStarted        ID = 208
+	EvacuationEnded          ID = 209
+	DescriptionInForce       ID = 210
+	DescriptionReadFailed    ID = 211
+	DescriptionMissing       ID = 212
+	DescriptionRestored      ID = 213
+	DescriptionRestoreFailed ID = 214
 
 	MemberJoined                ID = 300
 	MemberDead                  ID = 302
@@ -90,6 +92,8 @@
 	{DescriptionInForce, slog.LevelInfo, "description in force", "None."},
 	{DescriptionReadFailed, slog.LevelWarn, "description could not be read from the store", "None if the store is unavailable: the instance retries and asks its peers."},
 	{DescriptionMissing, slog.LevelWarn, "serving without having read the description", "Check the store: the shares and limits of the description are not applied until it has been read."},
+	{DescriptionRestored, slog.LevelWarn, "versions of the description written back to the platform store", "None: the store had come back from an older copy (608). `versions` of the versions `from` to `description` were known; compare with their number."},
+	{DescriptionRestoreFailed, slog.LevelError, "versions of the description could not be written back to the platform store", "None if 213 follows: the instances try again. With `history_diverged` the store has another version under the number of one in force: submit the wanted description again as a new patch."},
 
 	{MemberJoined, slog.LevelInfo, "member joined", "None."},
 	{MemberDead, slog.LevelWarn, "member dead", "Check the instance unless it was replaced on purpose."},
--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -87,6 +87,7 @@
 	c := mesh.Changes{Tables: i.catalog.Snapshot(known.DirectivesRevision, known.UpstreamsRevision, known.LargeRow), VersionKnown: i.policy.VersionKnown()}
 	if v := i.policy.Current(); v.Number > known.DescriptionVersion {
 		v = versionFor(v, known.DescriptionHash, &i.descriptionDifferences)
+		v.Earlier = i.versions.Earlier(v.Number)
 		c.Version = &v
 	}
 	return c
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -78,6 +78,7 @@
 	settings       *Settings
 	logger         *slog.Logger
 	store          catalog.Store
+	versions       *configstore.Store
 	catalog        *catalog.Catalog
 	balancer       *balance.Balancer
 	policy         *policy.Policy
@@ -125,6 +126,10 @@
 	watchStoreUntil atomic.Pointer[time.Time]
 	// membersAhead carries members whose heartbeats announce newer revisions.
 	membersAhead chan mesh.Member
+	// restoreVersions and registerAgain hold a value each after the store has come back from
+	// an older copy, until the versions of the description have been checked and the instance
+	// has registered again.
+	restoreVersions, registerAgain chan struct{}
 }
 
 // responseMemoryDivisor is the memory of the process divided by the bytes of the responses
@@ -135,7 +140,8 @@
 // New returns an Instance; Run opens its listeners.
 func New(opt Options) *Instance {
 	s := opt.Settings
-	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), recentRequests: newRecentRequests(), startedAt: opt.Now(), aheadSince: make(map[string]time.Time), membersAhead: make(chan mesh.Member, 1), fetches: newFetches(opt.Now)}
+	i := &Instance{opt: opt, settings: s, logger: opt.Logger, metrics: newMetrics(), recentRequests: newRecentRequests(), startedAt: opt.Now(), aheadSince: make(map[string]time.Time), membersAhead: make(chan mesh.Member, 1), fetches: newFetches(opt.Now),
+		restoreVersions: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1)}
 	i.pauseDetector = newPauseDetector(opt.Now, func() time.Time { return opt.Now().Round(0) }, i.syncFromPeers)
 	i.bounds.Store(&s.Bounds)
 	i.commonVersion.Store(&commonVersionState{})
@@ -143,13 +149,13 @@
 	i.balancer = balance.New(balance.Config{Instance: s.ID, Region: s.Region, Domain: s.Domain, RegionByDomain: s.Regions, GlobalLimits: s.Bounds,
 		Now: opt.Now, Random: opt.Random, Logger: opt.Logger, OnRemove: i.client.RemoveUpstream})
 	store := opt.Platform.NewStore(s.StoreAddress)
-	i.store = store.Tables
+	i.store, i.versions = store.Tables, store.Versions
 	i.policy = policy.New(policy.Config{InstanceID: s.ID, Region: s.Region, Store: store.Versions, ShouldPoll: i.watchesStore, Rank: i.limitRank, OnChange: i.applyDescription, OnInForce: func() { go i.mesh.Announce() },
 		Now: opt.Now, Random: opt.Random, Logger: opt.Logger})
 	i.operator = operatorapi.New(operatorapi.Config{InstanceID: s.ID, Store: store.Versions, LocalInstance: localInstance{i}, Operators: s.Operators,
 		MaxRequestsPerSecond: operatorRequestsPerSecond, Now: opt.Now, Logger: opt.Logger, Registry: i.metrics.registry})
 	i.catalog = catalog.New(catalog.Options{Store: i.store, Decode: opt.Platform.Decoder, Now: opt.Now, Random: opt.Random, Logger: opt.Logger,
-		DrainTimeout: s.Bounds.DrainTimeout, OnChange: func(*steering.View) { i.updateBalancer() }, WatchRole: i.watchRole, OnRevisionAdvance: i.announceChanges, OnStoreAnswer: i.announceProof, OnConfig: i.recordConfig})
+		DrainTimeout: s.Bounds.DrainTimeout, OnChange: func(*steering.View) { i.updateBalancer() }, WatchRole: i.watchRole, OnRevisionAdvance: i.announceChanges, OnStoreAnswer: i.announceProof, OnConfig: i.recordConfig, OnEraChange: i.onStoreEraChange})
 	i.ingress = ingress.NewServer(ingress.Config{Headers: opt.Platform.Headers, Now: opt.Now, Handler: i, Limits: i.limits,
 		MaxConnections: s.MaxFileDescriptors * 3 / 5, MaxBufferedBodyBytes: megabytesToBytes(s.MemoryLimitMB) / 4})
 	return i
@@ -177,6 +183,7 @@
 	go i.pauseDetector.run(backgroundCtx)
 	go i.fetchAnnouncedChanges(backgroundCtx)
 	go i.checkWhileIsolated(backgroundCtx)
+	go i.restoreLostVersions(backgroundCtx)
 	go (&registrar{instance: i, now: i.opt.Now}).run(backgroundCtx)
 	i.startHTTP(listeners)
 	serveErr := make(chan error, 1)
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -108,6 +109,7 @@
 
 // New returns a Policy without a description.
 func New(c Config) *Policy {
+	c.Store.OnRestore(func(written []uint64, err error) { logRestore(c.Logger, written, err) })
 	return &Policy{config: c, table: routing.NewTable(uint64(c.Random() * (1 << 62))), requestBudgets: linkbudget.New(c.Region),
 		responseBudgets: linkbudget.New(c.Region), description: &description.Description{}, usages: make(map[serviceRegion]*usage)}
 }
@@ -160,6 +162,8 @@
 		event.Log(p.config.Logger, event.VersionRejected, "description", v.Number, "source", source, "error", errorText(err))
 		return
 	}
+	p.config.Store.Remember(v)
+	v.Earlier = nil
 	// Without the previous version, services that are not in the routing table
 	// yet start at the shares of the peers or else at their target shares.
 	previous, err := description.Parse(v.PreviousBody)
@@ -239,8 +243,11 @@
 		event.Log(p.config.Logger, event.DescriptionReadFailed, "description", p.Current().Number, "error", err.Error())
 		return
 	}
-	if head.Number <= p.Current().Number {
+	if current := p.Current().Number; head.Number <= current {
 		p.MarkVersionKnown()
+		if head.Number < current {
+			_ = p.RestoreStore(ctx)
+		}
 		return
 	}
 	v, err := p.config.Store.Current(ctx)
@@ -250,3 +257,20 @@
 	}
 	p.ApplyIfNewer(v, "store")
 }
+
+// RestoreStore writes back the versions that the store has lost, if any.
+func (p *Policy) RestoreStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	_, err := p.config.Store.Restore(ctx)
+	return err
+}
+
+// logRestore logs an attempt to write back versions to the store.
+func logRestore(logger *slog.Logger, written []uint64, err error) {
+	if err != nil {
+		event.Log(logger, event.DescriptionRestoreFailed, "error", err.Error())
+		return
+	}
+	event.Log(logger, event.DescriptionRestored, "description", slices.Max(written), "from", slices.Min(written), "versions", len(written))
+}
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -33,6 +33,7 @@
 	StoreConflict    Code = 2102
 	StoreProtocol    Code = 2103
 	ObjectCorrupt    Code = 2104
+	HistoryDiverged  Code = 2105
 	ObjectNotFound   Code = 2107
 
 	Unauthorized Code = 2200
@@ -70,6 +71,7 @@
 	{StoreConflict, "store_conflict", NotRun, 409, "A precondition of the transaction was not met; nothing was written."},
 	{StoreProtocol, "store_protocol", Unknown, 502, "The response of the platform store is malformed."},
 	{ObjectCorrupt, "object_corrupt", NotRun, 502, "The content of an object does not match its hash."},
+	{HistoryDiverged, "history_diverged", NotRun, 409, "The store has another version under the number of one in force; compare `sequoiactl versions` with the log of the instance."},
 	{ObjectNotFound, "object_not_found", NotRun, 404, "The object store has no object with this hash."},
 
 	{Unauthorized, "unauthorized", NotRun, 401, "The operator token is missing or unknown."},
--- a/pkg/table/tabletest/tabletest.go
+++ b/pkg/table/tabletest/tabletest.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -138,6 +139,27 @@
 	return s.revision, s.recordWrite()
 }
 
+// Copy is an older copy of a Store.
+type Copy struct {
+	rows     map[string]table.Row
+	revision uint64
+	objects  map[string][]byte
+}
+
+// Copy returns a copy of the rows, the count of transactions and the objects.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{maps.Clone(s.rows), s.revision, maps.Clone(s.objects)}
+}
+
+// Restore replaces the content of the store by that of the copy.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.revision, s.objects = maps.Clone(c.rows), c.revision, maps.Clone(c.objects)
+}
+
 type objectStore struct{ store *Store }
 
 // Put implements table.ObjectStore.
