Register again after the store has come back from an older copy

Change: a change of the era starts a renewal, spread over 2 s. The instance that lists the rows at renewals comes after all others, and adds the addresses that it finds. The times since which rows are unchanged start anew.

Both new tests fail without their part of the change; those of register_test.go pass.

--- a/pkg/instance/register.go
+++ b/pkg/instance/register.go
@@ -18,6 +18,9 @@
 	registerTimeout    = 1500 * time.Millisecond
 	// startSpread is the time within which instances that are started together start.
 	startSpread = 300 * time.Millisecond
+	// registerSpread is the time over which the instances register again after the store has
+	// come back from an older copy.
+	registerSpread = 2 * time.Second
 	// renewInterval is the time between renewals of a registration.
 	renewInterval = 10 * time.Minute
 	// staleAfter is the time without a renewal after which a registration is
@@ -51,8 +54,39 @@
 			event.Log(r.instance.logger, event.RegistrationFailed, "error", err.Error())
 			delay = registerRetryDelay
 		}
-		sleep(ctx, delay)
+		if r.sleep(ctx, delay) {
+			r.startNewEra(ctx)
+		}
+	}
+}
+
+// sleep waits for d or until the store has come back from an older copy, which it reports.
+func (r *registrar) sleep(ctx context.Context, d time.Duration) (storeReturned bool) {
+	select {
+	case <-r.instance.registerAgain:
+		return true
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// startNewEra spreads the renewals of the instances over registerSpread. Those that list the
+// rows at a renewal come last, so that they find the addresses of all others. Revisions of two
+// eras are not comparable, so that all rows count as seen for the first time.
+func (r *registrar) startNewEra(ctx context.Context) {
+	r.registrations = nil
+	delay := time.Duration(r.instance.opt.Random() * float64(registerSpread))
+	if !r.listed || r.removesStale() {
+		delay = registerSpread + startSpread
 	}
+	sleep(ctx, delay)
+}
+
+// removesStale reports whether this instance lists all rows at its next renewal to remove
+// stale ones.
+func (r *registrar) removesStale() bool {
+	return r.renewals > 0 && r.instance.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving }) == 0
 }
 
 // renew writes the row of this instance. The first time, it also lists all rows, once the
@@ -67,7 +101,7 @@
 	if !r.listed {
 		sleep(ctx, startSpread)
 	}
-	removesStale := r.renewals > 0 && i.mesh.Rank(func(m mesh.Member) bool { return m.State != mesh.Leaving }) == 0
+	removesStale := r.removesStale()
 	r.renewals++
 	if r.listed && !removesStale {
 		return nil
--- a/pkg/instance/register_test.go
+++ b/pkg/instance/register_test.go
@@ -108,3 +108,32 @@
 	require.Equal(t, 503, r.StatusCode)
 	require.Zero(t, u.requestsWithID("late"))
 }
+
+// Guards against an instance that stays unknown because the store has lost its row.
+func TestInstanceRegistersAgainAfterTheStoreReturned(t *testing.T) {
+	env := newTestEnv(t)
+	inst := env.start("i1")
+	env.awaitReady(inst, 0)
+	require.Eventually(t, func() bool { return env.store.has(catalog.Instances, "i1") }, testTimeout, 5*time.Millisecond)
+	env.store.write(catalog.Instances, "i1", "", true)
+	returnStore(t, inst)
+	require.Eventually(t, func() bool { return env.store.has(catalog.Instances, "i1") }, testTimeout, 5*time.Millisecond)
+}
+
+// Guards against rows that are removed as stale because the store gives out their revisions
+// again, and against a listing before the other instances have written their rows again.
+func TestRegistrationsStartAnewWithAnEra(t *testing.T) {
+	env := newTestEnv(t)
+	inst := env.start("i1")
+	env.awaitReady(inst, 0)
+	env.store.write(catalog.Instances, "live", "127.0.0.1:1", false)
+	now := time.Now()
+	r := &registrar{instance: inst.Instance, now: func() time.Time { return now }, listed: true, renewals: 1}
+	require.NoError(t, r.renew(context.Background()))
+	now = now.Add(staleAfter)
+	start := time.Now()
+	r.startNewEra(context.Background())
+	require.Greater(t, time.Since(start), registerSpread)
+	require.NoError(t, r.renew(context.Background()))
+	require.True(t, env.store.has(catalog.Instances, "live"))
+}
