Close gaps in the write-back of descriptions

Findings of the review on the write-back of lost versions, each with a test that fails without its part:

- A patch whose head was read in one era was committed on another version of the same number and revision in the next; that version was lost.
The transaction now also requires the row of the patch that created the base.
- 32 lost versions made one transaction of 130 entries; the store takes 100.
Now 20 versions a transaction.
- What is written back must form a chain; a version of which the store has given the number away is left out.
- A repeated patch whose number was given away, with a further version after it, was answered with the other patch's version.
Now its outcome is unknown, with the reason.
- A patch that names version N was applied to another version N, and an instance that remembered a lost version refused all patches for good.
Now history_diverged is answered once, and what the store has counts from then on.

One more read for each patch.

--- a/pkg/configstore/accept.go
+++ b/pkg/configstore/accept.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiacove/sequoiacove/pkg/cluster"
 	"github.com/sequoiacove/sequoiacove/pkg/description"
 	"github.com/sequoiacove/sequoiacove/pkg/result"
+	"github.com/sequoiacove/sequoiacove/pkg/table"
 )
 
 var patchIDPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
@@ -64,14 +65,15 @@
 }
 
 // candidate is the version that a proposal would create. base is the head that
-// the patch was applied to, baseBody its description and body the patched
-// description.
+// the patch was applied to, basePatch the row of the patch that created it, baseBody its
+// description and body the patched description.
 type candidate struct {
-	base     head
-	baseBody []byte
-	body     []byte
-	record   versionRecord
-	proposal Proposal
+	base      head
+	basePatch table.Row
+	baseBody  []byte
+	body      []byte
+	record    versionRecord
+	proposal  Proposal
 }
 
 // Validate returns the changes that the proposal would make, in the format of
@@ -120,6 +122,11 @@
 	if err != nil {
 		return AcceptResult{}, err
 	}
+	if h.Number > 0 {
+		if c.basePatch, err = s.table.Get(ctx, patchKey(h.PatchID)); err != nil {
+			return AcceptResult{}, err
+		}
+	}
 	if err := s.storeBody(ctx, c); err != nil {
 		return AcceptResult{}, result.New(result.StoreUnavailable, "the description could not be stored: %v", err)
 	}
@@ -186,11 +193,14 @@
 	if _, err := s.Restore(ctx); err != nil {
 		return AcceptResult{}, true, result.New(result.PatchOutcomeUnknown, "patch was accepted as version %d, but the store has lost it, and writing it back failed: %s", v.Number, result.Detail(err))
 	}
-	number := v.Number
-	if v, err = s.Load(ctx, number); err != nil {
-		return AcceptResult{}, true, result.New(result.PatchOutcomeUnknown, "patch was accepted as version %d, but reading that version failed: %s", number, result.Detail(err))
+	stored, err := s.Load(ctx, v.Number)
+	if err != nil {
+		return AcceptResult{}, true, result.New(result.PatchOutcomeUnknown, "patch was accepted as version %d, but reading that version failed: %s", v.Number, result.Detail(err))
+	}
+	if stored.PatchID != v.PatchID || stored.Hash != v.Hash {
+		return AcceptResult{}, true, result.New(result.PatchOutcomeUnknown, "patch was accepted as version %d, which the store has lost and given to patch %q: submit it anew", v.Number, stored.PatchID)
 	}
-	return AcceptResult{Version: v, Replayed: true}, true, nil
+	return AcceptResult{Version: stored, Replayed: true}, true, nil
 }
 
 // resolveVersionConflict handles a proposal whose base version is not the current
--- a/pkg/configstore/commit.go
+++ b/pkg/configstore/commit.go
@@ -31,12 +31,13 @@
 	if err != nil {
 		return table.Transaction{}, err
 	}
-	return table.Transaction{
+	tx := table.Transaction{
 		Conditions: []table.Condition{
 			{Key: headKey, Revision: c.base.revision},
 			{Key: patchKey(c.proposal.PatchID), Revision: 0},
 			// The head row may have the same revision again with other content after the store
-			// has come back from an older copy.
+			// has come back from an older copy. Then these rows exist, or the row of the patch
+			// that created the base, below, does not.
 			{Key: versionKey(c.record.Number), Revision: 0},
 			{Key: versionKey(c.record.Number + 1), Revision: 0},
 		},
@@ -45,7 +46,11 @@
 			{Key: versionKey(c.record.Number), Value: record},
 			{Key: patchKey(c.proposal.PatchID), Value: patch},
 		},
-	}, nil
+	}
+	if c.base.Number > 0 {
+		tx.Conditions = append(tx.Conditions, table.Condition{Key: c.basePatch.Key, Revision: c.basePatch.Revision})
+	}
+	return tx, nil
 }
 
 // acceptResult returns the result for a committed candidate.
--- a/pkg/configstore/recent.go
+++ b/pkg/configstore/recent.go
@@ -93,19 +93,41 @@
 	}
 }
 
-// after returns the versions with numbers above number, oldest first.
+// after returns the versions with numbers above number, oldest first. They form a chain: a
+// version that is not the one that the next is based on, because the store has given out a
+// number twice, and all before it are left out.
 func (r *recentVersions) after(number uint64) []cluster.Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []cluster.Version
-	for _, n := range slices.Sorted(maps.Keys(r.byNumber)) {
-		if n > number {
-			list = append(list, r.byNumber[n])
+	numbers := slices.Sorted(maps.Keys(r.byNumber))
+	for _, n := range slices.Backward(numbers) {
+		v := r.byNumber[n]
+		if n <= number || len(list) > 0 && !isBase(v, list[len(list)-1]) {
+			break
 		}
+		list = append(list, v)
 	}
+	slices.Reverse(list)
 	return list
 }
 
+// isBase reports whether next may follow v. Versions between them may not be known.
+func isBase(v, next cluster.Version) bool {
+	return v.Number+1 != next.Number || v.Hash == next.PreviousHash
+}
+
+// forgetAfter forgets the versions after the head, and another one under its number.
+func (r *recentVersions) forgetAfter(h head) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for n, v := range r.byNumber {
+		if n > h.Number || n == h.Number && v.Hash != h.Hash {
+			delete(r.byNumber, n)
+		}
+	}
+}
+
 // differsFrom reports whether another version is remembered under the number of the head.
 func (r *recentVersions) differsFrom(h head) bool {
 	r.mu.Lock()
--- a/pkg/configstore/restore.go
+++ b/pkg/configstore/restore.go
@@ -19,6 +19,10 @@
 // that the versions have no rows.
 const maxRestoreAttempts = 4
 
+// maxRestoredVersions is the maximum number of versions that one transaction writes back. Each
+// needs two rows, with a condition and a write for each, and the store takes 100 entries.
+const maxRestoredVersions = 20
+
 // OnRestore sets the function that is called for each attempt to write back versions, with the
 // numbers of those that were written, or with the error.
 func (s *Store) OnRestore(report func(written []uint64, err error)) { s.onRestore.Store(&report) }
@@ -29,9 +33,14 @@
 // nobody remembers leave a gap in the history.
 func (s *Store) Restore(ctx context.Context) (written []uint64, err error) {
 	for attempt := 1; ; attempt++ {
-		written, err = s.tryRestore(ctx)
-		if report := s.onRestore.Load(); report != nil && (err != nil || len(written) > 0) {
-			(*report)(written, err)
+		numbers, err := s.tryRestore(ctx)
+		if report := s.onRestore.Load(); report != nil && (err != nil || len(numbers) > 0) {
+			(*report)(numbers, err)
+		}
+		written = append(written, numbers...)
+		if len(numbers) == maxRestoredVersions {
+			attempt = 0
+			continue
 		}
 		if err == nil || attempt == maxRestoreAttempts || result.CodeOf(err) == result.HistoryDiverged || s.sleep(ctx, commitRetryDelay) != nil {
 			return written, err
@@ -51,6 +60,7 @@
 	if len(lost) == 0 {
 		return nil, nil
 	}
+	lost = lost[:min(len(lost), maxRestoredVersions)]
 	if first := lost[0]; h.Number > 0 && first.Number == h.Number+1 && first.PreviousHash != h.Hash {
 		return nil, result.New(result.HistoryDiverged, "version %d in the store is not the one that version %d is based on", h.Number, first.Number)
 	}
@@ -119,13 +129,20 @@
 }
 
 // currentHead returns the head of the store. If this instance remembers a newer version, the
-// store has lost it, and it is written back first.
+// store has lost it, and it is written back first. If the store has another version in its
+// place, the patch was made for a description that the store does not have: HistoryDiverged is
+// returned once, and what this instance remembers gives way to what the store has.
 func (s *Store) currentHead(ctx context.Context) (head, error) {
 	h, err := s.readHead(ctx)
-	if err != nil || h.Number >= s.recent.newest() {
+	if err != nil || h.Number >= s.recent.newest() && !s.recent.differsFrom(h) {
 		return h, err
 	}
-	if _, err := s.Restore(ctx); err != nil {
+	_, err = s.Restore(ctx)
+	if result.CodeOf(err) == result.HistoryDiverged {
+		s.recent.forgetAfter(h)
+		return head{}, err
+	}
+	if err != nil {
 		return head{}, result.New(result.StoreUnavailable, "the store has lost versions of the description, and writing them back failed: %s", result.Detail(err))
 	}
 	return s.readHead(ctx)
--- a/pkg/configstore/restore_test.go
+++ b/pkg/configstore/restore_test.go
@@ -198,3 +198,99 @@
 	require.Len(t, s.recent.after(0), maxRecent)
 	require.Len(t, s.Earlier(2*maxRecent+1), maxRecent-1)
 }
+
+// measuredTable calls before ahead of the first transaction, and records the largest one.
+type measuredTable struct {
+	table.Table
+	before     func()
+	maxEntries int
+}
+
+func (h *measuredTable) Transact(ctx context.Context, tx table.Transaction) (uint64, error) {
+	if before := h.before; before != nil {
+		h.before = nil
+		before()
+	}
+	h.maxEntries = max(h.maxEntries, len(tx.Conditions)+len(tx.Writes))
+	return h.Table.Transact(ctx, tx)
+}
+
+// newDivergedStore returns a store that has given the number of a lost version, created by
+// patch p1, to another one, and which the returned instance does not know yet.
+func newDivergedStore(t *testing.T) *Store {
+	t.Helper()
+	s, store := newSeededStore(t)
+	older := store.Copy()
+	mustAccept(t, s, ttlProposal(1, "p1", 1001))
+	store.Restore(older)
+	mustAccept(t, newStore(store, store.Objects()), ttlProposal(1, "other", 7000))
+	return s
+}
+
+// Guards against another operator's version that is lost because a patch is committed on a
+// head that has the same number and revision in another era.
+func TestPatchOnAHeadOfAnotherEraIsNotCommitted(t *testing.T) {
+	s, store := newSeededStore(t)
+	older := store.Copy()
+	mustAccept(t, s, ttlProposal(1, "p1", 1001))
+	s.table = &measuredTable{Table: store, before: func() {
+		store.Restore(older)
+		mustAccept(t, newStore(store, store.Objects()), ttlProposal(1, "other", 7000))
+	}}
+	_, err := s.Accept(context.Background(), ttlProposal(2, "p2", 1002))
+	require.Error(t, err)
+	v, err := newStore(store, store.Objects()).Current(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, "other", v.PatchID)
+}
+
+// Guards against a patch that is told the version of another patch, or that it never was,
+// because the store has given its number away.
+func TestRepeatedPatchWhoseNumberWasGivenAway(t *testing.T) {
+	s := newDivergedStore(t)
+	_, err := s.Accept(context.Background(), ttlProposal(1, "p1", 1001))
+	require.Equal(t, result.PatchOutcomeUnknown, result.CodeOf(err), "%v", err)
+	mustAccept(t, newStore(s.table, s.objects), ttlProposal(2, "further", 8000))
+	_, err = s.Accept(context.Background(), ttlProposal(1, "p1", 1001))
+	require.Equal(t, result.PatchOutcomeUnknown, result.CodeOf(err), "%v", err)
+}
+
+// Guards against a patch that is applied to another version of the number that it names, and
+// against operators who can't submit patches any more.
+func TestPatchForAnotherVersionOfTheSameNumber(t *testing.T) {
+	s := newDivergedStore(t)
+	_, err := s.Accept(context.Background(), ttlProposal(2, "p2", 1002))
+	require.Equal(t, result.HistoryDiverged, result.CodeOf(err))
+	accepted := mustAccept(t, s, ttlProposal(2, "p3", 1003))
+	require.EqualValues(t, 3, accepted.Version.Number)
+}
+
+// Guards against lost versions that never come back, because their rows exceed what one
+// transaction of the store may hold.
+func TestManyLostVersionsAreWrittenBack(t *testing.T) {
+	const maxStoreEntries = 100
+	s, store := newSeededStore(t)
+	older := store.Copy()
+	for n := range uint64(maxRecent) {
+		mustAccept(t, s, ttlProposal(n+1, fmt.Sprint("p", n), 1000+int(n)))
+	}
+	store.Restore(older)
+	hooked := &measuredTable{Table: store}
+	s.table = hooked
+	written, err := s.Restore(context.Background())
+	require.NoError(t, err)
+	require.Len(t, written, maxRecent)
+	require.LessOrEqual(t, hooked.maxEntries, maxStoreEntries)
+	require.Len(t, historyNumbers(t, s, 0, 2*maxRecent), maxRecent+1)
+}
+
+// Guards against a history whose versions are not based on each other, after an instance has
+// learned versions of two eras.
+func TestVersionsWrittenBackFormAChain(t *testing.T) {
+	s := newDivergedStore(t)
+	store := s.table.(*tabletest.Store)
+	other := newStore(store, store.Objects())
+	newest := mustAccept(t, other, ttlProposal(2, "p2", 1002)).Version
+	s.Remember(newest)
+	require.Len(t, s.recent.after(0), 1, "version 2 is not the one that version 3 is based on")
+}
