--- a/test/process/store_copy_test.go
+++ b/test/process/store_copy_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -151,3 +152,27 @@
 	requireNoExecutionsAfter(t, c, u, leftAt.Add(drainTimeout))
 	requireComplete(t, newReport, "of the configuration after the old listings", intendedAfter(configuredAt.Add(configurationTime)))
 }
+
+// Guards against instances that take a store which leaves out its era, or states the previous
+// one for a while, for another store: what is in force stays, and changes follow.
+func TestEraOmittedAndOutdated(t *testing.T) {
+	// outdatedResponses is about two responses for each table of each instance.
+	const outdatedResponses = 30
+	c := newCluster(t, nil)
+	traffic := c.StartLoad(mixedLoad(88, 13*time.Second))
+	changeAfterCopy(t, c, c.Upstream("shop-north-a-1"), 0)
+	require.NoError(t, c.Store.RestoreCopy(copyOutage))
+	for n, faults := range []platformtest.StoreFaults{{}, {EraOmitted: true}, {OutdatedEraResponses: outdatedResponses}} {
+		require.NoError(t, c.Store.SetFaults(faults))
+		host := fmt.Sprintf("v%d.example", n)
+		configuredAt := putRoutes(t, c, 3+n, host)
+		if n == 0 {
+			register(t, c, c.Upstream("shop-north-a-1"), "draining")
+		}
+		report := c.StartLoad(hostLoad(c, uint64(89+n), host, 3*time.Second)).Wait()
+		requireComplete(t, report, "of the newest configuration", intendedAfter(configuredAt.Add(configurationTime)))
+	}
+	report := traffic.Wait()
+	requireInvariants(t, c, report)
+	requireComplete(t, report, "with eras omitted and outdated", anyRecord)
+}
