Follow a store that omits its era without a delay

Now such an answer counts as one of the era that was known when the call was sent; if a newer one has become known since, it is ignored. That keeps the late answers of an earlier era out, for which the delay was made (TestLateAnswerWithoutEraChangesNothing).

--- a/pkg/catalog/era.go
+++ b/pkg/catalog/era.go
@@ -14,19 +14,9 @@
 // the store has not yet changed its era.
 var errOutdatedEra = errors.New("answer of an earlier era of the store")
 
-// errEraUnstated is returned for an answer without an era of a store that has stated one
-// lately. The answer may be one of an earlier era.
-var errEraUnstated = errors.New("answer of the store without its era")
-
-const (
-	// unstatedEraTime is the time after which answers without an era count as those of the
-	// newest known era if the store has stated none meanwhile, as in releases without eras. It
-	// is longer than an answer is waited for.
-	unstatedEraTime = 3 * time.Second
-	// eraLogInterval is the shortest time between two lines about answers of earlier eras, and
-	// between two about answers without an era.
-	eraLogInterval = 10 * time.Second
-)
+// eraLogInterval is the shortest time between two lines about answers of earlier eras, and
+// between two about answers without an era.
+const eraLogInterval = 10 * time.Second
 
 // enterEra records that the store is in an era, as source has stated, and reports whether it
 // is the newest known one. A newer era than the known one ends the proofs of all tables: they
@@ -61,23 +51,19 @@
 }
 
 // checkEra enters the era that an answer of the store states. An answer that states none counts
-// as one of the newest known era, unless the store has stated an era lately. checkEra returns an
-// error if the answer is not of the newest known era, or may not be. The lock must be held.
-func (c *Catalog) checkEra(table Table, l *Listing) error {
+// as one of the newest known era, unless that has become known after the call was sent, in era
+// sentIn: then the answer may be one of the era before. checkEra returns errOutdatedEra if the
+// answer is of an earlier era, or may be. The lock must be held.
+func (c *Catalog) checkEra(table Table, l *Listing, sentIn int64) error {
 	now := c.opt.Now()
 	if l.EraUnknown {
 		if !now.Before(c.eraUnstatedLoggedAt.Add(eraLogInterval)) {
 			c.eraUnstatedLoggedAt = now
 			event.Log(c.opt.Logger, event.StoreEraUnstated, "table", table.String(), "newest_era", c.era)
 		}
-		if now.Before(c.eraStatedAt.Add(unstatedEraTime)) {
-			return errEraUnstated
-		}
-		l.setEra(c.era)
-		return nil
+		l.setEra(sentIn)
 	}
 	if c.enterEra(l.Revision.Era, storeSource) {
-		c.eraStatedAt = now
 		return nil
 	}
 	if !now.Before(c.eraOutdatedLoggedAt.Add(eraLogInterval)) {
--- a/pkg/catalog/era_test.go
+++ b/pkg/catalog/era_test.go
@@ -82,7 +82,7 @@
 	c.Confirm(in(1, 90), in(1, 90), Proofs{Directives: k.Now(), Upstreams: k.Now()}, "peer")
 	c.update(Upstreams, k.proven(changeIn(1, 91, "v", "a,ready")), storeSource)
 	l := k.proven(listingIn(1, 92, "v", "a,ready"))
-	require.ErrorIs(t, c.recordStoreAnswer(Upstreams, &l, k.Now()), errOutdatedEra)
+	require.ErrorIs(t, c.recordStoreAnswer(Upstreams, &l, k.Now(), c.era), errOutdatedEra)
 
 	require.EqualValues(t, 5, c.View().Config.Version)
 	require.NotContains(t, c.View().Upstreams, "v")
@@ -220,24 +220,17 @@
 	require.NotContains(t, c.View().Upstreams, "w")
 }
 
-// Guards against a store that stops to state its era, as an older release of it, and is not
-// followed any more, or silently.
+// Guards against a store without eras that is treated otherwise than before, silently.
 func TestAnswersWithoutEra(t *testing.T) {
 	var log bytes.Buffer
 	c, k := newCatalog()
 	c.opt.Logger = event.NewLogger(&log, slog.LevelWarn, "instance", "i")
 	l := k.proven(listingIn(4, 5, "config", "5"))
-	require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now()))
+	require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now(), c.era))
 	c.replace(Directives, l, storeSource)
-	unstated := func() Listing {
-		return Listing{EraUnknown: true, Revision: at(6), Rows: []Row{{Key: "config", Value: []byte("6"), Revision: at(6)}}}
-	}
-	l = unstated()
-	require.ErrorIs(t, c.recordStoreAnswer(Directives, &l, k.Now()), errEraUnstated, "it may be one of an earlier era")
-	k.advance(unstatedEraTime)
 	for range 2 {
-		l = unstated()
-		require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now()))
+		l = Listing{EraUnknown: true, Revision: at(6), Rows: []Row{{Key: "config", Value: []byte("6"), Revision: at(6)}}}
+		require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now(), c.era))
 	}
 	c.replace(Directives, l, storeSource)
 	require.EqualValues(t, 6, c.View().Config.Version)
@@ -249,19 +242,19 @@
 // brought the numbers of an earlier era into the table.
 func TestLateAnswerWithoutEraChangesNothing(t *testing.T) {
 	c, k := newCatalog()
-	apply := func(l Listing) {
+	apply := func(l Listing, sentIn int64) {
 		l = k.proven(l)
-		if c.recordStoreAnswer(Upstreams, &l, k.Now()) == nil {
+		if c.recordStoreAnswer(Upstreams, &l, k.Now(), sentIn) == nil {
 			c.replace(Upstreams, l, storeSource)
 		}
 	}
 	row := func(era, number int64, value string) []Row {
 		return []Row{{Key: "u", Value: []byte(value), Revision: in(era, number)}}
 	}
-	apply(Listing{Revision: in(1, 50), Rows: row(1, 5, "a,ready,5,1")})
-	apply(Listing{Revision: in(2, 40), Rows: row(2, 5, "a,ready,5,1")})
-	apply(Listing{EraUnknown: true, Revision: at(60), Rows: row(0, 55, "a,ready,5,2")})
-	apply(Listing{Revision: in(2, 70), Rows: row(2, 55, "a,draining,5,9")})
+	apply(Listing{Revision: in(1, 50), Rows: row(1, 5, "a,ready,5,1")}, 0)
+	apply(Listing{Revision: in(2, 40), Rows: row(2, 5, "a,ready,5,1")}, 1)
+	apply(Listing{EraUnknown: true, Revision: at(60), Rows: row(0, 55, "a,ready,5,2")}, 1)
+	apply(Listing{Revision: in(2, 70), Rows: row(2, 55, "a,draining,5,9")}, 2)
 	require.Equal(t, steering.Draining, c.View().Upstreams["u"].State)
 }
 
@@ -274,7 +267,7 @@
 		k.advance(50 * time.Millisecond)
 		l := k.proven(listingIn(int64(2-n/2%2), 5, "config", "5"))
 		l.EraUnknown = n%2 == 0
-		_ = c.recordStoreAnswer(Directives, &l, k.Now())
+		_ = c.recordStoreAnswer(Directives, &l, k.Now(), c.era)
 	}
 	for _, id := range []event.ID{event.StoreEraUnstated, event.StoreEraOutdated} {
 		require.Equal(t, 4, bytes.Count(log.Bytes(), []byte(fmt.Sprintf(`"event":%d`, id))), "event %d in 40 s", id)
@@ -441,7 +434,7 @@
 	require.False(t, c.tables[Directives].storeAnsweredAt.After(answeredAt))
 	l := listingIn(2, 6, "config", "5")
 	l.StoreTime = time.Hour + time.Second
-	require.NoError(t, c.recordStoreAnswer(Directives, &l, answeredAt))
+	require.NoError(t, c.recordStoreAnswer(Directives, &l, answeredAt, c.era))
 	require.False(t, l.ProvenAt.After(answeredAt.Add(time.Second)))
 }
 
@@ -461,11 +454,11 @@
 	c, k := newCatalog()
 	l := listingIn(1, 5, "config", "5")
 	l.StoreTime = time.Hour
-	require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now()))
+	require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now(), c.era))
 	sentAt := k.Now()
 	k.advance(2 * time.Second)
 	l = listingIn(2, 5, "config", "5")
 	l.StoreTime = time.Hour + 1500*time.Millisecond
-	require.NoError(t, c.recordStoreAnswer(Directives, &l, sentAt))
+	require.NoError(t, c.recordStoreAnswer(Directives, &l, sentAt, c.era))
 	require.Equal(t, sentAt, l.ProvenAt)
 }
--- a/pkg/catalog/proof_test.go
+++ b/pkg/catalog/proof_test.go
@@ -16,7 +16,7 @@
 // was at storeTime, and is received now.
 func (c *Catalog) answer(l Listing, earliest time.Time, storeTime time.Duration) {
 	l.StoreTime = storeTime
-	c.recordStoreAnswer(Upstreams, &l, earliest)
+	c.recordStoreAnswer(Upstreams, &l, earliest, c.era)
 	c.update(Upstreams, l, "store")
 }
 
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -96,8 +96,6 @@
 	tables [2]tableState
 	// era is the newest known era of the store.
 	era int64
-	// eraStatedAt is the time at which the store last stated its era, zero if it never has.
-	eraStatedAt time.Time
 	// eraUnstatedLoggedAt and eraOutdatedLoggedAt are the times of the last lines about answers
 	// without an era and of an earlier one.
 	eraUnstatedLoggedAt, eraOutdatedLoggedAt time.Time
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -144,6 +144,7 @@
 // the result. It reports whether a watch returned changes.
 func (c *Catalog) fetch(ctx context.Context, table Table, role WatchRole, listed *bool) (changed bool, err error) {
 	c.storeCallCount.Add(1)
+	sentIn := c.Era()
 	if !*listed {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
@@ -152,7 +153,7 @@
 		if err != nil {
 			return false, err
 		}
-		if err := c.recordStoreAnswer(table, &l, sentAt); err != nil {
+		if err := c.recordStoreAnswer(table, &l, sentAt, sentIn); err != nil {
 			return false, err
 		}
 		*listed = true
@@ -176,7 +177,7 @@
 		// another era may come at once.
 		earliest = waited
 	}
-	if err := c.recordStoreAnswer(table, &l, earliest); err != nil {
+	if err := c.recordStoreAnswer(table, &l, earliest, sentIn); err != nil {
 		return false, err
 	}
 	if l.Revision.Era != after.Era {
@@ -213,12 +214,13 @@
 }
 
 // recordStoreAnswer records that the store answered a call for the table, not before
-// earliest, and sets what the answer proves. It returns an error if the answer is of an
+// earliest, and sets what the answer proves. sentIn is the era that was known when the call was
+// sent. It returns an error if the answer is of an
 // earlier era, or may be.
-func (c *Catalog) recordStoreAnswer(table Table, l *Listing, earliest time.Time) error {
+func (c *Catalog) recordStoreAnswer(table Table, l *Listing, earliest time.Time, sentIn int64) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.checkEra(table, l); err != nil {
+	if err := c.checkEra(table, l, sentIn); err != nil {
 		return err
 	}
 	l.ProvenAt = c.storeClock.answeredAt(earliest, c.opt.Now(), l.StoreTime)
