--- a/pkg/configstore/accept.go
+++ b/pkg/configstore/accept.go
@@ -127,6 +127,7 @@
 			return AcceptResult{}, err
 		}
 	}
+	s.recent.addSubmitted(c.record.Hash, c.body)
 	if err := s.storeBody(ctx, c); err != nil {
 		return AcceptResult{}, result.New(result.StoreUnavailable, "the description could not be stored: %v", err)
 	}
--- a/pkg/configstore/recent.go
+++ b/pkg/configstore/recent.go
@@ -25,6 +25,34 @@
 type recentVersions struct {
 	mu       sync.Mutex
 	byNumber map[uint64]cluster.Version
+	// submitted holds the bodies of the last patches that this instance has tried to commit,
+	// oldest first. The store may lose such a body and perform the transaction afterwards.
+	submitted []submittedBody
+}
+
+type submittedBody struct {
+	hash string
+	body []byte
+}
+
+// maxSubmitted is the maximum number of submitted bodies that are remembered.
+const maxSubmitted = 8
+
+// addSubmitted records the body of a patch that is about to be committed.
+func (r *recentVersions) addSubmitted(hash string, body []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.submitted = append(r.submitted, submittedBody{hash, body})
+	if len(r.submitted) > maxSubmitted {
+		r.submitted = slices.Delete(r.submitted, 0, 1)
+	}
+}
+
+// submittedBodies returns the submitted bodies.
+func (r *recentVersions) submittedBodies() []submittedBody {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.submitted)
 }
 
 // add records a version and those that it names as earlier ones.
--- a/pkg/configstore/restore.go
+++ b/pkg/configstore/restore.go
@@ -30,7 +30,8 @@
 // Restore writes back the remembered versions that the store has lost: their bodies, version
 // rows and patch rows and the head. It returns the numbers of the versions that it wrote, and
 // none if the head of the store is not older than the newest remembered version. Versions that
-// nobody remembers leave a gap in the history.
+// nobody remembers leave a gap in the history. It also stores the bodies of the last submitted
+// patches again.
 func (s *Store) Restore(ctx context.Context) (written []uint64, err error) {
 	for attempt := 1; ; attempt++ {
 		numbers, err := s.tryRestore(ctx)
@@ -49,6 +50,9 @@
 }
 
 func (s *Store) tryRestore(ctx context.Context) ([]uint64, error) {
+	if err := s.storeSubmitted(ctx); err != nil {
+		return nil, err
+	}
 	h, err := s.readHead(ctx)
 	if err != nil {
 		return nil, err
@@ -81,6 +85,17 @@
 	return numbers, nil
 }
 
+// storeSubmitted stores the bodies of submitted patches again, whose transactions may take
+// effect although the store has lost the bodies.
+func (s *Store) storeSubmitted(ctx context.Context) error {
+	for _, b := range s.recent.submittedBodies() {
+		if err := s.objects.Put(ctx, b.hash, b.body); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // storeBodies stores the known bodies of the versions and of the one before the first.
 func (s *Store) storeBodies(ctx context.Context, versions []cluster.Version) error {
 	for _, v := range versions {
--- a/pkg/configstore/restore_test.go
+++ b/pkg/configstore/restore_test.go
@@ -140,6 +140,43 @@
 	require.Equal(t, []uint64{4, 3, 2, 1}, historyNumbers(t, s, 0, 10))
 }
 
+// Guards against a late write of the earlier era that takes the number of a lost version,
+// because its base is the head of the copy and the lost versions have not been written back yet.
+func TestLateWriteBeforeLostVersionsAreWrittenBack(t *testing.T) {
+	s, store := newSeededStore(t)
+	older := store.Copy()
+	held := &lateTable{Table: store}
+	_, err := newStore(held, store.Objects()).Accept(context.Background(), ttlProposal(1, "late", 5000))
+	require.Error(t, err)
+	accepted := mustAccept(t, s, ttlProposal(1, "p1", 1001)).Version
+	store.Restore(older)
+	_, _ = store.Transact(context.Background(), *held.late)
+	_, err = s.Restore(context.Background())
+	require.NoError(t, err)
+	loaded, err := s.Load(context.Background(), 2)
+	require.NoError(t, err)
+	require.Equal(t, accepted, loaded)
+}
+
+// Guards against a head without its body: the store loses the body and performs the transaction
+// of the earlier era afterwards.
+func TestBodyOfALateWriteIsStoredAgain(t *testing.T) {
+	_, store := newSeededStore(t)
+	older := store.Copy()
+	held := &lateTable{Table: store}
+	s := newStore(held, store.Objects())
+	_, err := s.Accept(context.Background(), ttlProposal(1, "late", 5000))
+	require.Error(t, err)
+	store.Restore(older)
+	_, err = store.Transact(context.Background(), *held.late)
+	require.NoError(t, err)
+	_, err = s.Restore(context.Background())
+	require.NoError(t, err)
+	current, err := s.Current(context.Background())
+	require.NoError(t, err)
+	require.EqualValues(t, 2, current.Number)
+}
+
 // Guards against a wrong answer about versions that nobody remembers.
 func TestForgottenVersionsLeaveAGap(t *testing.T) {
 	_, store, newest := newLossyStore(t)
