Don't take a portion of the limits from an incomplete list of instances

A new instance that has heard nobody whose row is lost cannot tell and is not covered.

Read, nothing to mend: the concurrency limits (limitRank), the retry budgets (share.go) and stated limits (stated_limit.go) divide by the instances that were heard within a minute and the addresses not reached. A listing only adds to them, so a running instance forgets nobody when the store loses rows.

The new test fails without the change; the tests of pkg/instance pass.

--- a/pkg/instance/register.go
+++ b/pkg/instance/register.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/sequoiacove/sequoiacove/pkg/catalog"
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/mesh"
@@ -21,6 +23,9 @@
 	// registerSpread is the time over which the instances register again after the store has
 	// come back from an older copy.
 	registerSpread = 2 * time.Second
+	// maxIncompleteListings is the maximum number of listings that do not count because a row
+	// is missing. With registerRetryDelay after each, they last longer than registerSpread.
+	maxIncompleteListings = 2
 	// renewInterval is the time between renewals of a registration.
 	renewInterval = 10 * time.Minute
 	// staleAfter is the time without a renewal after which a registration is
@@ -42,8 +47,9 @@
 	now           func() time.Time
 	registrations map[string]registration
 	// listed is set once the addresses of the other instances are known.
-	listed   bool
-	renewals int
+	listed             bool
+	incompleteListings int
+	renewals           int
 }
 
 // run renews the registration periodically until ctx ends.
@@ -112,9 +118,14 @@
 	if err != nil {
 		return err
 	}
-	r.listed = true
 	i.mesh.AddAddresses(r.otherAddresses(l))
 	i.updateInstances()
+	if !r.listed {
+		if err := r.checkComplete(l); err != nil {
+			return err
+		}
+	}
+	r.listed = true
 	i.balancer.SetInstancesListed()
 	if !removesStale {
 		return nil
@@ -122,6 +133,24 @@
 	return r.removeStale(callCtx, l)
 }
 
+// checkComplete returns an error if a live instance has no row. The store has then lost rows,
+// maybe also those of instances that have not been heard yet, and this instance would take too
+// large a portion of the limits. After maxIncompleteListings the listing counts as complete,
+// because the instance may be unable to write its row.
+func (r *registrar) checkComplete(l catalog.Listing) error {
+	registered := make(map[string]bool, len(l.Rows))
+	for _, row := range l.Rows {
+		registered[row.Key] = true
+	}
+	for _, m := range r.instance.mesh.Live() {
+		if m.State != mesh.Leaving && !registered[m.ID] && r.incompleteListings < maxIncompleteListings {
+			r.incompleteListings++
+			return errors.Errorf("instance %s is live and has no row", m.ID)
+		}
+	}
+	return nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/pkg/instance/register_test.go
+++ b/pkg/instance/register_test.go
@@ -137,3 +137,27 @@
 	require.NoError(t, r.renew(context.Background()))
 	require.True(t, env.store.has(catalog.Instances, "live"))
 }
+
+// Guards against a new instance that takes too large a portion of the limits, because the store
+// has lost the rows of other instances.
+func TestListingWithoutALiveInstanceIsIncomplete(t *testing.T) {
+	env := newTestEnv(t)
+	peer := env.start("i1")
+	inst := env.start("i2", peer.settings.MeshAddress)
+	env.awaitReady(inst, 0)
+	require.Eventually(t, func() bool { return len(inst.mesh.Live()) == 1 }, testTimeout, 5*time.Millisecond)
+	r := &registrar{instance: inst.Instance, now: time.Now}
+	env.store.write(catalog.Instances, "i1", "", true)
+	require.Error(t, r.renew(context.Background()))
+	require.False(t, r.listed)
+	env.store.write(catalog.Instances, "i1", peer.settings.MeshAddress, false)
+	require.NoError(t, r.renew(context.Background()))
+	require.True(t, r.listed)
+
+	unable := &registrar{instance: inst.Instance, now: time.Now}
+	env.store.write(catalog.Instances, "i1", "", true)
+	for range maxIncompleteListings {
+		require.Error(t, unable.renew(context.Background()))
+	}
+	require.NoError(t, unable.renew(context.Background()))
+}
