End watches of an earlier era when a newer one becomes known

An instance that isn't its region's first watcher waits for up to 8 s for the answer to a watch. If a part of the store that has not changed its era lets it wait, the table was listed only after that, although the other table or a peer had told of the new era. Until then nothing proves the table: in a region whose other instances don't reach the store it stays old for that long.

Change: a newer era cancels the watches, and the tables are listed at once. A table of an earlier era is listed rather than watched.

Ruled out: a shorter wait of the secondary watchers, which would cost reads at all times.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -107,7 +107,7 @@
 	List(ctx context.Context, table Table) (Listing, error)
 	// Watch returns the changes after a revision as soon as there are any, or
 	// an empty listing after wait. If the store has changed its era since, the listing says
-	// so and its rows are of no use.
+	// so and its rows are of no use. It ends when ctx is cancelled.
 	Watch(ctx context.Context, table Table, after revision.Revision, wait time.Duration) (Listing, error)
 	Put(ctx context.Context, table Table, key string, value []byte) error
 	// Remove deletes a row if it still has the given revision.
--- a/pkg/catalog/era.go
+++ b/pkg/catalog/era.go
@@ -20,7 +20,8 @@
 
 // enterEra records that the store is in an era, as source has stated, and reports whether it
 // is the newest known one. A newer era than the known one ends the proofs of all tables: they
-// must be listed anew before anything counts as current. The lock must be held.
+// must be listed anew before anything counts as current. Watches from an earlier era end.
+// The lock must be held.
 func (c *Catalog) enterEra(era int64, source string) (newest bool) {
 	if era <= c.era {
 		return era == c.era
@@ -33,6 +34,10 @@
 		t := &c.tables[i]
 		loaded = loaded || !t.revision.IsZero()
 		t.provenAt, t.storeAnsweredAt, t.storeBehindSince = time.Time{}, time.Time{}, time.Time{}
+		if c.cancelWatches[i] != nil {
+			// A part of the store that is still in the earlier era would let it wait.
+			c.cancelWatches[i]()
+		}
 	}
 	if !loaded {
 		return true
--- a/pkg/catalog/era_test.go
+++ b/pkg/catalog/era_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sequoiacove/sequoiacove/pkg/event"
 	"github.com/sequoiacove/sequoiacove/pkg/revision"
+	"github.com/sequoiacove/sequoiacove/pkg/slowdown"
 	"github.com/sequoiacove/sequoiacove/pkg/steering"
 )
 
@@ -462,3 +463,41 @@
 	require.NoError(t, c.recordStoreAnswer(Directives, &l, sentAt, c.era))
 	require.Equal(t, sentAt, l.ProvenAt)
 }
+
+// waitingStore is a part of the store that lets watches of the earlier era wait.
+type waitingStore struct {
+	Store
+	calls chan string
+	era   int64
+}
+
+func (s *waitingStore) List(context.Context, Table) (Listing, error) {
+	s.calls <- "list"
+	s.era++
+	return listingIn(s.era, 5, "config", "5"), nil
+}
+
+func (s *waitingStore) Watch(ctx context.Context, _ Table, after revision.Revision, _ time.Duration) (Listing, error) {
+	s.calls <- "watch " + after.String()
+	<-ctx.Done()
+	return Listing{}, ctx.Err()
+}
+
+// Guards against a table that is listed only after a long watch at a part of the store that
+// has not changed its era, although a peer or the other table has told of the new era.
+func TestWatchOfAnEarlierEraEnds(t *testing.T) {
+	c, _ := newCatalog()
+	s := &waitingStore{calls: make(chan string, 10)}
+	c.opt.Now = time.Now
+	c.opt.Store, c.opt.WatchRole = s, func() WatchRole { return WatchRole{Watches: true} }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.syncTable(ctx, Directives)
+	require.Equal(t, "list", <-s.calls)
+	require.Equal(t, "watch 1.5", <-s.calls)
+	meter, start := slowdown.Start(), time.Now()
+	c.Confirm(in(2, 5), in(2, 5), Proofs{Directives: time.Now()}, "peer")
+	require.Equal(t, "list", <-s.calls)
+	require.Equal(t, "watch 2.5", <-s.calls)
+	require.Less(t, time.Since(start), meter.Scale(watchWait/2))
+}
--- a/pkg/catalog/eras_property_test.go
+++ b/pkg/catalog/eras_property_test.go
@@ -560,11 +560,14 @@
 }
 
 // Watch implements Store.
-func (a modelAccess) Watch(_ context.Context, table Table, after revision.Revision, wait time.Duration) (Listing, error) {
+func (a modelAccess) Watch(ctx context.Context, table Table, after revision.Revision, wait time.Duration) (Listing, error) {
 	if !a.wait(table, a.m.delay()) || a.lost() {
 		return Listing{}, errModelStore
 	}
 	for end := a.m.Now().Add(wait); ; {
+		if ctx.Err() != nil {
+			return Listing{}, ctx.Err()
+		}
 		part := a.part()
 		if after.Number > part.number || after.Number < part.historyFrom {
 			return Listing{}, ErrHistoryGone
--- a/pkg/catalog/state.go
+++ b/pkg/catalog/state.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"context"
 	"log/slog"
 	"maps"
 	"sync"
@@ -99,6 +100,8 @@
 	// eraUnstatedLoggedAt and eraOutdatedLoggedAt are the times of the last lines about answers
 	// without an era and of an earlier one.
 	eraUnstatedLoggedAt, eraOutdatedLoggedAt time.Time
+	// cancelWatches holds the functions that cancel the watches of the store in progress.
+	cancelWatches [2]context.CancelFunc
 	// bases holds the earlier versions of the large directives.
 	bases            rowBases
 	storeClock       storeClock
--- a/pkg/catalog/watch.go
+++ b/pkg/catalog/watch.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/sequoiacove/sequoiacove/pkg/event"
+	"github.com/sequoiacove/sequoiacove/pkg/revision"
 )
 
 const (
@@ -163,11 +164,18 @@
 	wait := c.nextWatchWait(table, role)
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchResponseTimeout)
 	defer cancel()
-	c.mu.Lock()
-	after := c.tables[table].revision
-	c.mu.Unlock()
+	after, ok := c.beginWatch(table, cancel)
+	if !ok {
+		*listed = false
+		return false, nil
+	}
 	sentAt := c.opt.Now()
 	l, err := c.opt.Store.Watch(callCtx, table, after, wait)
+	newEra := c.endWatch(table, after)
+	if err != nil && newEra {
+		*listed = false
+		return false, nil
+	}
 	if err != nil {
 		return false, err
 	}
@@ -202,6 +210,26 @@
 	return len(l.Rows) > 0, nil
 }
 
+// beginWatch returns the revision after which the table is watched, and records the function
+// that ends the watch once a newer era is known. It reports false if the table is of an
+// earlier era, so that it must be listed.
+func (c *Catalog) beginWatch(table Table, cancel context.CancelFunc) (after revision.Revision, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	after = c.tables[table].revision
+	c.cancelWatches[table] = cancel
+	return after, after.Era == c.era
+}
+
+// endWatch records that the watch after a revision has ended, and reports whether a newer era
+// has become known meanwhile.
+func (c *Catalog) endWatch(table Table, after revision.Revision) (newEra bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelWatches[table] = nil
+	return c.era > after.Era
+}
+
 // nextWatchWait returns the long-poll time of the next watch.
 func (c *Catalog) nextWatchWait(table Table, role WatchRole) time.Duration {
 	c.mu.Lock()
