Test instances while parts of the store are in different eras

The store of the tests now knows eras, older copies and dropped history, and each instance has its own access to it.

--- a/pkg/instance/fake_test.go
+++ b/pkg/instance/fake_test.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +34,9 @@
 // number of a configuration that the test defines; the value of an upstream is
 // "service address domain state".
 type fakeStore struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era is the number of times that the store has come back from an older copy.
+	era      int64
 	revision int64
 	rows     [3]map[string]catalog.Row
 	changes  [3][]catalog.Row
@@ -88,6 +92,39 @@
 	s.changed = make(chan struct{})
 }
 
+// copyNow returns a copy of the store that goes on by itself.
+func (s *fakeStore) copyNow() *fakeStore {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &fakeStore{era: s.era, revision: s.revision, changed: make(chan struct{}), startedAt: s.startedAt}
+	for i := range s.rows {
+		c.rows[i], c.changes[i] = maps.Clone(s.rows[i]), slices.Clone(s.changes[i])
+	}
+	return c
+}
+
+// comeBack lets the store come back from an older copy, in the next era.
+func (s *fakeStore) comeBack(older *fakeStore) {
+	c := older.copyNow()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.rows, s.changes, s.down = c.revision, c.rows, c.changes, false
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// now returns the revision of the store. The lock must be held.
+func (s *fakeStore) now() revision.Revision {
+	return revision.Revision{Era: s.era, Number: max(1, s.revision)}
+}
+
+// inEra returns r as the store states it in its current era. The lock must be held.
+func (s *fakeStore) inEra(r catalog.Row) catalog.Row {
+	r.Revision.Era = s.era
+	return r
+}
+
 func (s *fakeStore) has(table catalog.Table, key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,9 +139,9 @@
 	if s.down {
 		return catalog.Listing{}, errStoreDown
 	}
-	l := catalog.Listing{Revision: at(max(1, s.revision)), StoreTime: time.Since(s.startedAt)}
+	l := catalog.Listing{Revision: s.now(), StoreTime: time.Since(s.startedAt)}
 	for _, r := range s.rows[table] {
-		l.Rows = append(l.Rows, r)
+		l.Rows = append(l.Rows, s.inEra(r))
 	}
 	return l, nil
 }
@@ -114,12 +151,13 @@
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
-		l := catalog.Listing{Revision: at(max(1, s.revision)), StoreTime: time.Since(s.startedAt)}
+		l := catalog.Listing{Revision: s.now(), StoreTime: time.Since(s.startedAt)}
 		for _, r := range s.changes[table] {
-			if r.Revision.After(after) {
-				l.Rows = append(l.Rows, r)
+			if r.Revision.Number > after.Number {
+				l.Rows = append(l.Rows, s.inEra(r))
 			}
 		}
+		gone := after.Number > l.Revision.Number
 		changed, down, silent := s.changed, s.down, s.silenceSecondaryWatches && wait > secondaryWatchThreshold
 		s.mu.Unlock()
 		if silent {
@@ -131,6 +169,9 @@
 		if down {
 			return catalog.Listing{}, errStoreDown
 		}
+		if gone {
+			return catalog.Listing{}, catalog.ErrHistoryGone
+		}
 		if len(l.Rows) > 0 {
 			return l, nil
 		}
@@ -165,7 +206,7 @@
 	switch {
 	case down:
 		return errStoreDown
-	case current != revision:
+	case current.Number != revision.Number:
 		return result.New(result.StoreConflict, "revision %s", current)
 	}
 	s.write(table, key, "", true)
@@ -259,6 +300,8 @@
 	instances []*testInstance
 	mu        sync.Mutex
 	configs   map[int]*steering.Config
+	// access holds the instances' access to the store by their ids.
+	access map[string]*storeAccess
 }
 
 // testInstance is an instance under test with its log output and its clock.
@@ -295,7 +338,7 @@
 func newTestEnv(t *testing.T) *testEnv {
 	t.Parallel()
 	table := tabletest.New()
-	env := &testEnv{t: t, store: newFakeStore(), versions: configstore.New(table, table.Objects(), time.Now), configs: make(map[int]*steering.Config)}
+	env := &testEnv{t: t, store: newFakeStore(), versions: configstore.New(table, table.Objects(), time.Now), configs: make(map[int]*steering.Config), access: make(map[string]*storeAccess)}
 	env.writeConfig(1, route("safe", "/safe/", true), route("unsafe", "/unsafe/", false))
 	return env
 }
@@ -351,6 +394,40 @@
 // operatorToken is the token of the operator "ana".
 const operatorToken = "a-token-of-some-length"
 
+// storeAccess is an instance's access to the store, or to a part of it.
+type storeAccess struct{ part atomic.Pointer[fakeStore] }
+
+// List implements catalog.Store.
+func (a *storeAccess) List(ctx context.Context, table catalog.Table) (catalog.Listing, error) {
+	return a.part.Load().List(ctx, table)
+}
+
+// Watch implements catalog.Store.
+func (a *storeAccess) Watch(ctx context.Context, table catalog.Table, after revision.Revision, wait time.Duration) (catalog.Listing, error) {
+	return a.part.Load().Watch(ctx, table, after, wait)
+}
+
+// Put implements catalog.Store.
+func (a *storeAccess) Put(ctx context.Context, table catalog.Table, key string, value []byte) error {
+	return a.part.Load().Put(ctx, table, key, value)
+}
+
+// Remove implements catalog.Store.
+func (a *storeAccess) Remove(ctx context.Context, table catalog.Table, key string, revision revision.Revision) error {
+	return a.part.Load().Remove(ctx, table, key, revision)
+}
+
+// accessOf returns the access of an instance to the store.
+func (env *testEnv) accessOf(id string) *storeAccess {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	if env.access[id] == nil {
+		env.access[id] = &storeAccess{}
+		env.access[id].part.Store(env.store)
+	}
+	return env.access[id]
+}
+
 // addressCount is the number of loopback addresses allocated by the tests of
 // this process.
 var addressCount atomic.Uint32
@@ -408,7 +485,7 @@
 	i := New(Options{Settings: s, Now: now, Random: func() float64 { return 0.5 }, Logger: event.NewLogger(log, 0, "instance", id), Platform: Platform{
 		Headers: headers, Paths: Paths{Readiness: "/ready", Lookup: "/lookup", LookupRegion: "region", LookupDomain: "zone"}, Decoder: env.decoder(),
 		EncodeLookup: func(list []string, _ time.Duration) []byte { return []byte(strings.Join(list, " ")) },
-		NewStore:     func(string) Store { return Store{Tables: env.store, Versions: env.versions} },
+		NewStore:     func(string) Store { return Store{Tables: env.accessOf(id), Versions: env.versions} },
 	}})
 	return &testInstance{Instance: i, log: log, clockOffset: clockOffset}
 }
