Measure what a return of the store costs it with real processes

The stand-in counts all requests and the bytes of its responses, and can be interrupted through its control interface.

--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -15,7 +15,7 @@
 func main() {
 	app := kingpin.New("standin-platform", "In-memory stand-in for the platform store.")
 	address := app.Flag("address", "Address on which the store listens.").Default("127.0.0.1:8000").String()
-	control := app.Flag("control", "Address of the control API: GET /stats, POST /faults, POST /copy, POST /restore, POST /old-listings.").Default("127.0.0.1:8001").String()
+	control := app.Flag("control", "Address of the control API: GET /stats, POST /faults, POST /copy, POST /restore, POST /interrupt, POST /old-listings.").Default("127.0.0.1:8001").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	store, err := platformtest.NewStoreAt(*address)
 	if err == nil {
--- a/pkg/harness/operator.go
+++ b/pkg/harness/operator.go
@@ -42,6 +42,9 @@
 	// DescriptionVersion is the version of the operators' description in force.
 	DescriptionVersion uint64 `json:"description"`
 	KnownUpstreams     int    `json:"upstreams"`
+	// DirectivesRevision and UpstreamsRevision are the states of the tables, with their era.
+	DirectivesRevision string `json:"directives_revision"`
+	UpstreamsRevision  string `json:"upstreams_revision"`
 	// Members are the other live instances.
 	Members []struct {
 		ID string
--- a/pkg/harness/standins.go
+++ b/pkg/harness/standins.go
@@ -55,6 +55,9 @@
 // its state with the copy taken last. It returns when the store is back.
 func (s *Store) RestoreCopy(outage time.Duration) error { return s.callControl("/restore", outage) }
 
+// Interrupt takes the store out of service for a duration. It returns when the store is back.
+func (s *Store) Interrupt(d time.Duration) error { return s.callControl("/interrupt", d) }
+
 // ServeOldListings drops the history of the store and makes it serve listings from the copy
 // taken last for a duration.
 func (s *Store) ServeOldListings(duration time.Duration) error {
