--- a/pkg/catalog/snapshot.go
+++ b/pkg/catalog/snapshot.go
@@ -14,10 +14,9 @@
 	Upstreams  Listing `cbor:"2,keyasint"`
 }
 
-// Snapshot returns the changes to both tables after the given revisions, which
-// are those that a peer already has. A zero revision, or one of another era, requests the
-// whole table. large is a row
-// of the directives that the peer has; the snapshot states a newer version of it as a
+// Snapshot returns the changes to both tables after the given revisions, which are those that
+// a peer already has. A zero revision, or one of another era, requests the whole table. large
+// is a row of the directives that the peer has; the snapshot states a newer version of it as a
 // difference.
 func (c *Catalog) Snapshot(directives, upstreams revision.Revision, large RowRevision) Snapshot {
 	c.mu.Lock()
--- a/pkg/instance/changes.go
+++ b/pkg/instance/changes.go
@@ -67,7 +67,7 @@
 
 // takesTablesFrom reports whether this instance takes the tables from a watcher of its region
 // instead of the store. In a new era of the store it does so although its own tables are no
-// longer proven current, because otherwise all instances would list them at the same moment.
+// longer proven current, because otherwise more instances would list them at the same moment.
 func (i *Instance) takesTablesFrom(m mesh.Member, known mesh.KnownRevisions) bool {
 	newEra := m.DirectivesRevision.Era > known.DirectivesRevision.Era || m.UpstreamsRevision.Era > known.UpstreamsRevision.Era
 	return newEra || !i.watchesStore()
