--- a/pkg/catalog/era.go
+++ b/pkg/catalog/era.go
@@ -62,10 +62,7 @@
 func (c *Catalog) checkEra(table Table, l *Listing, sentIn int64) error {
 	now := c.opt.Now()
 	if l.EraUnknown {
-		if !now.Before(c.eraUnstatedLoggedAt.Add(eraLogInterval)) {
-			c.eraUnstatedLoggedAt = now
-			event.Log(c.opt.Logger, event.StoreEraUnstated, "table", table.String(), "newest_era", c.era)
-		}
+		c.logUnstatedEra(table, now)
 		l.setEra(sentIn)
 	}
 	if c.enterEra(l.Revision.Era, storeSource) {
@@ -78,6 +75,17 @@
 	return errOutdatedEra
 }
 
+// logUnstatedEra logs an answer without an era: once for a store that has never stated one,
+// again and again otherwise. The lock must be held.
+func (c *Catalog) logUnstatedEra(table Table, now time.Time) {
+	due := c.eraUnstatedLoggedAt.IsZero() || c.era > 0 && !now.Before(c.eraUnstatedLoggedAt.Add(eraLogInterval))
+	if !due {
+		return
+	}
+	c.eraUnstatedLoggedAt = now
+	event.Log(c.opt.Logger, event.StoreEraUnstated, "table", table.String(), "newest_era", c.era)
+}
+
 // setEra sets the era of all revisions of a listing.
 func (l *Listing) setEra(era int64) {
 	l.Revision.Era = era
--- a/pkg/catalog/era_test.go
+++ b/pkg/catalog/era_test.go
@@ -184,6 +184,19 @@
 	}
 }
 
+// Guards against a log that fills with lines about a store that never states its era.
+func TestStoreThatNeverStatesItsEraIsLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	c, k := newCatalog()
+	c.opt.Logger = event.NewLogger(&log, slog.LevelWarn, "instance", "i")
+	for range 100 {
+		k.advance(time.Second)
+		l := Listing{EraUnknown: true, Revision: at(5)}
+		require.NoError(t, c.recordStoreAnswer(Directives, &l, k.Now(), c.era))
+	}
+	require.Equal(t, 1, bytes.Count(log.Bytes(), []byte(`"event":610`)))
+}
+
 // eraStore is a store that comes back in a newer era while a watch waits. Its counter has
 // passed the revision of the watch by then, so that it does not answer "history gone".
 type eraStore struct {
