--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 # Tests listed in KNOWN-RED.txt run last, and their failure does not fail the target.
 process: build
 	@red=$$(sed -n 's/^\(Test[A-Za-z0-9_]*\)$$/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|'); \
-	$(GO) test -count=1 -p 1 -timeout 500s $${red:+-skip "^($$red)$$"} ./test/... || exit 1; \
+	$(GO) test -count=1 -p 1 -timeout 600s $${red:+-skip "^($$red)$$"} ./test/... || exit 1; \
 	if [ -n "$$red" ]; then $(GO) test -count=1 -p 1 -timeout 400s -run "^($$red)$$" ./test/process || echo "known failing: $$red"; fi
 
 model: tools
