--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -16,7 +16,7 @@
 )
 
 func main() {
-	cases := map[string]func(folder string, trouble bool) int{"silence": silence}
+	cases := map[string]func(folder string, trouble bool) int{"silence": silence, "spelling": spelling}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
 		os.Exit(notReady)
